Set down the folders, the kernel, the table and the CBOR codec

Cause: everything else needs ids, units, the plug-in registry, the rows of the table and one way to encode typed messages.

Change: the kernel (strong ids, clock and random source as concepts, field lists, plug-in registry), the table (typed rows, validation with every fault listed, scope of a service, deltas), a CBOR codec derived from field lists, numbered log events, the design page, formatter, linter and include check.

Checked: with an include of cornelweir/codec.h added to cornelweir/src/table/row_key.cc, scripts/check_includes exits 1 and names the line; without it, 0.

--- /dev/null
+++ b/cornelweir/kernel.h
@@ -0,0 +1,16 @@
+#ifndef CORNELWEIR_KERNEL_H_
+#define CORNELWEIR_KERNEL_H_
+
+// Ids and units, time and randomness as arguments, field lists, and the registry of plug-ins.
+
+#include "cornelweir/src/kernel/byte_string.h"
+#include "cornelweir/src/kernel/clock.h"
+#include "cornelweir/src/kernel/field.h"
+#include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/kernel/plugin.h"
+#include "cornelweir/src/kernel/plugin_registry.h"
+#include "cornelweir/src/kernel/quantity.h"
+#include "cornelweir/src/kernel/random_source.h"
+#include "cornelweir/src/kernel/strong_id.h"
+
+#endif  // CORNELWEIR_KERNEL_H_
--- /dev/null
+++ b/cornelweir/logging.h
@@ -0,0 +1,9 @@
+#ifndef CORNELWEIR_LOGGING_H_
+#define CORNELWEIR_LOGGING_H_
+
+// Numbered log events.
+
+#include "cornelweir/src/logging/event.h"
+#include "cornelweir/src/logging/event_id.h"
+
+#endif  // CORNELWEIR_LOGGING_H_
--- /dev/null
+++ b/cornelweir/src/codec/cbor.h
@@ -0,0 +1,35 @@
+#ifndef CORNELWEIR_SRC_CODEC_CBOR_H_
+#define CORNELWEIR_SRC_CODEC_CBOR_H_
+
+#include <boost/leaf.hpp>
+#include <string>
+#include <string_view>
+
+#include "cornelweir/src/codec/json_value.h"
+
+namespace cornelweir::codec {
+
+// Writes the JSON data model as CBOR.
+std::string WriteCbor(const json& value);
+
+// Reads CBOR of at most kMaxMessageBytes and kMaxNesting levels.
+boost::leaf::result<json> ReadCbor(std::string_view bytes);
+
+// Encodes a value that has json_traits.
+template <class T>
+std::string Encode(const T& value) {
+  return WriteCbor(ToJson(value));
+}
+
+// Decodes a value that has json_traits. Errors carry a codec_error.
+template <class T>
+boost::leaf::result<T> Decode(std::string_view bytes) {
+  BOOST_LEAF_AUTO(document, ReadCbor(bytes));
+  T value{};
+  BOOST_LEAF_CHECK(FromJson(document, value, "message"));
+  return value;
+}
+
+}  // namespace cornelweir::codec
+
+#endif  // CORNELWEIR_SRC_CODEC_CBOR_H_
--- /dev/null
+++ b/cornelweir/src/kernel/byte_string.h
@@ -0,0 +1,17 @@
+#ifndef CORNELWEIR_SRC_KERNEL_BYTE_STRING_H_
+#define CORNELWEIR_SRC_KERNEL_BYTE_STRING_H_
+
+#include <string>
+
+namespace cornelweir::kernel {
+
+// Bytes that need not be text: payloads of the log and bodies of responses.
+struct byte_string {
+  std::string bytes;
+
+  friend bool operator==(const byte_string&, const byte_string&) = default;
+};
+
+}  // namespace cornelweir::kernel
+
+#endif  // CORNELWEIR_SRC_KERNEL_BYTE_STRING_H_
--- /dev/null
+++ b/cornelweir/src/kernel/quantity.h
@@ -0,0 +1,23 @@
+#ifndef CORNELWEIR_SRC_KERNEL_QUANTITY_H_
+#define CORNELWEIR_SRC_KERNEL_QUANTITY_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "cornelweir/src/kernel/strong_id.h"
+
+namespace cornelweir::kernel {
+
+using milliseconds = std::chrono::milliseconds;
+using microseconds = std::chrono::microseconds;
+
+// A number of requests: in progress, queued or allowed.
+using request_count = strong_id<struct request_count_tag, std::int64_t>;
+// A share of traffic relative to the other weights of the same service.
+using weight = strong_id<struct weight_tag, std::int64_t>;
+// A number of bytes.
+using byte_count = strong_id<struct byte_count_tag, std::int64_t>;
+
+}  // namespace cornelweir::kernel
+
+#endif  // CORNELWEIR_SRC_KERNEL_QUANTITY_H_
--- /dev/null
+++ b/cornelweir/src/logging/event_id.h
@@ -0,0 +1,52 @@
+#ifndef CORNELWEIR_SRC_LOGGING_EVENT_ID_H_
+#define CORNELWEIR_SRC_LOGGING_EVENT_ID_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace cornelweir::logging {
+
+enum class severity : std::uint8_t { kInfo, kWarning, kError };
+
+// Every event that the programs log: name, number, severity, message. docs/LOG_EVENTS.md
+// describes each; CI compares the two. Numbers are never used again for another event.
+// 1000s: process. 2000s: control. 3000s: distribution and membership. 4000s: request path.
+#define CORNELWEIR_LOG_EVENTS(X)                                        \
+  X(kProcessStarted, 1001, kInfo, "process started")                    \
+  X(kProcessStopping, 1002, kInfo, "graceful shutdown began")           \
+  X(kProcessStopped, 1003, kInfo, "process stopped")                    \
+  X(kSettingsRefused, 1004, kError, "settings refused")                 \
+  X(kListenFailed, 1005, kError, "cannot listen")                       \
+  X(kLeaderElected, 2001, kInfo, "became leader")                       \
+  X(kLeadershipLost, 2002, kWarning, "no longer leader")                \
+  X(kStorageFailed, 2003, kError, "storage failed")                     \
+  X(kVersionAccepted, 2004, kInfo, "version accepted")                  \
+  X(kMessageRefused, 2005, kWarning, "message refused")                 \
+  X(kPublisherConnected, 3001, kInfo, "connected to publisher")         \
+  X(kPublisherLost, 3002, kWarning, "publisher lost")                   \
+  X(kVersionApplied, 3003, kInfo, "version applied")                    \
+  X(kVersionRefused, 3004, kError, "version refused")                   \
+  X(kFreshnessProved, 3005, kInfo, "freshness proved, taking requests") \
+  X(kUpstreamJoined, 3006, kInfo, "upstream joined")                    \
+  X(kUpstreamLeft, 3007, kInfo, "upstream left")                        \
+  X(kLeaseExpired, 3008, kWarning, "lease expired")                     \
+  X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress")
+
+enum class event_id : std::uint16_t {
+// An enumerator can't stand in parentheses.
+// NOLINTNEXTLINE(bugprone-macro-parentheses)
+#define CORNELWEIR_EVENT_NUMBER(name, number, level, message) name = number,
+  CORNELWEIR_LOG_EVENTS(CORNELWEIR_EVENT_NUMBER)
+#undef CORNELWEIR_EVENT_NUMBER
+};
+
+struct event_description {
+  severity level;
+  std::string_view message;
+};
+
+event_description Describe(event_id id);
+
+}  // namespace cornelweir::logging
+
+#endif  // CORNELWEIR_SRC_LOGGING_EVENT_ID_H_
