Add WebSocket links between the system's own processes

Cause: control hosts and daemons need whole messages in order over TCP, with or without TLS.

Queues and frames are bounded.

--- /dev/null
+++ b/cornelweir/src/transport/link.cc
@@ -0,0 +1,168 @@
+#include "cornelweir/src/transport/link.h"
+
+#include <boost/asio/post.hpp>
+#include <charconv>
+#include <utility>
+
+namespace cornelweir::transport {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+bool ParseEndpoint(const kernel::endpoint& text, tcp::endpoint& parsed) {
+  const std::string& value = text.value();
+  const std::size_t colon = value.rfind(':');
+  if (colon == std::string::npos) return false;
+  error_code error;
+  const auto address = boost::asio::ip::make_address(value.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* end = value.data() + value.size();
+  const auto [rest, failure] = std::from_chars(value.data() + colon + 1, end, port);
+  if (error || failure != std::errc() || rest != end) return false;
+  parsed = tcp::endpoint(address, port);
+  return true;
+}
+
+link::link(boost::asio::io_context& context, tcp::socket socket, tls_context tls, side which,
+           link_handlers handlers)
+    : context_(context),
+      open_timer_(context),
+      stream_(std::move(socket), std::move(tls)),
+      handlers_(std::move(handlers)),
+      side_(which) {}
+
+std::shared_ptr<link> link::Connect(boost::asio::io_context& context,
+                                    const kernel::endpoint& remote, const tls_context& tls,
+                                    link_handlers handlers) {
+  std::shared_ptr<link> self(
+      new link(context, tcp::socket(context), nullptr, side::kClient, std::move(handlers)));
+  tcp::endpoint address;
+  if (!ParseEndpoint(remote, address)) {
+    boost::asio::post(context,
+                      [self] { self->Finish("the endpoint is not an IP address and port"); });
+    return self;
+  }
+  self->BeginOpenTimer();
+  auto socket = std::make_shared<tcp::socket>(context);
+  socket->async_connect(address, [self, socket, tls](error_code error) {
+    if (self->state_ == state::kClosed) return;
+    if (error) {
+      self->Finish(error.message());
+      return;
+    }
+    self->stream_ = internal::socket_stream(std::move(*socket), tls);
+    self->BeginHandshake();
+  });
+  return self;
+}
+
+std::shared_ptr<link> link::Accept(boost::asio::io_context& context, tcp::socket socket,
+                                   const tls_context& tls, link_handlers handlers) {
+  std::shared_ptr<link> self(
+      new link(context, std::move(socket), tls, side::kServer, std::move(handlers)));
+  self->BeginOpenTimer();
+  self->BeginHandshake();
+  return self;
+}
+
+void link::BeginOpenTimer() {
+  open_timer_.expires_after(kOpenTimeout);
+  open_timer_.async_wait([weak = weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (!error && self && self->state_ == state::kOpening) self->Finish("handshake timed out");
+  });
+}
+
+void link::BeginHandshake() {
+  stream_.SetNoDelay();
+  stream_.AsyncHandshake(side_ == side::kServer, [self = shared_from_this()](error_code error) {
+    if (self->state_ == state::kClosed) return;
+    if (error) {
+      self->Finish("TLS handshake failed: " + error.message());
+      return;
+    }
+    self->peer_role_ = self->stream_.PeerRole();
+    internal::websocket_codec::callbacks callbacks;
+    link* const raw = self.get();
+    callbacks.write = [raw](const char* data, std::size_t size) { raw->QueueBytes(data, size); };
+    callbacks.opened = [raw] {
+      raw->state_ = state::kOpen;
+      raw->open_timer_.cancel();
+      if (raw->handlers_.opened) raw->handlers_.opened(raw->shared_from_this());
+    };
+    callbacks.message = [raw](const std::string& payload) {
+      if (raw->state_ != state::kOpen || !raw->handlers_.message) return;
+      raw->handlers_.message(raw->shared_from_this(), payload);
+    };
+    callbacks.closed = [raw](const std::string& reason) { raw->Finish(reason); };
+    self->codec_ = std::make_unique<internal::websocket_codec>(self->side_, kMaxFrameBytes,
+                                                               std::move(callbacks));
+    self->codec_->Start();
+    self->ReadSome();
+  });
+}
+
+void link::ReadSome() {
+  if (state_ == state::kClosed) return;
+  stream_.AsyncReadSome(boost::asio::buffer(read_buffer_),
+                        [self = shared_from_this()](error_code error, std::size_t size) {
+                          if (self->state_ == state::kClosed) return;
+                          if (error) {
+                            self->Finish(error.message());
+                            return;
+                          }
+                          self->bytes_received_ += size;
+                          self->codec_->Feed(self->read_buffer_.data(), size);
+                          self->ReadSome();
+                        });
+}
+
+bool link::Send(const std::string& payload) {
+  if (state_ != state::kOpen) return false;
+  if (pending_.size() + payload.size() > kMaxQueuedBytes) {
+    Finish("the peer does not read: its queue is full");
+    return false;
+  }
+  return codec_->Send(payload);
+}
+
+void link::QueueBytes(const char* data, std::size_t size) {
+  if (state_ == state::kClosed) return;
+  pending_.append(data, size);
+  if (writing_.empty()) WriteNext();
+}
+
+void link::WriteNext() {
+  if (pending_.empty() || state_ == state::kClosed) return;
+  writing_.swap(pending_);
+  stream_.AsyncWrite(boost::asio::buffer(writing_),
+                     [self = shared_from_this()](error_code error, std::size_t size) {
+                       self->bytes_sent_ += size;
+                       self->writing_.clear();
+                       if (self->state_ == state::kClosed) return;
+                       if (error) {
+                         self->Finish(error.message());
+                         return;
+                       }
+                       self->WriteNext();
+                     });
+}
+
+void link::Close(const std::string& reason) { Finish(reason); }
+
+void link::Finish(const std::string& reason) {
+  if (state_ == state::kClosed) return;
+  state_ = state::kClosed;
+  open_timer_.cancel();
+  stream_.Close();
+  // The callbacks may hold the owner, and the codec may be the caller of this function; both are
+  // let go only after the call stack has unwound.
+  auto closed = std::move(handlers_.closed);
+  boost::asio::post(context_, [self = shared_from_this(), closed = std::move(closed), reason] {
+    self->codec_.reset();
+    self->handlers_ = {};
+    if (closed) closed(self, reason);
+  });
+}
+
+}  // namespace cornelweir::transport
--- /dev/null
+++ b/cornelweir/src/transport/link.h
@@ -0,0 +1,88 @@
+#ifndef CORNELWEIR_SRC_TRANSPORT_LINK_H_
+#define CORNELWEIR_SRC_TRANSPORT_LINK_H_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/transport/limits.h"
+#include "cornelweir/src/transport/socket_stream.h"
+#include "cornelweir/src/transport/tls_context.h"
+#include "cornelweir/src/transport/websocket_codec.h"
+
+namespace cornelweir::transport {
+
+class link;
+
+// What a link tells its owner. closed is called exactly once, also if the link never opened, and
+// nothing is called after it.
+struct link_handlers {
+  std::function<void(const std::shared_ptr<link>&)> opened;
+  std::function<void(const std::shared_ptr<link>&, std::string_view payload)> message;
+  std::function<void(const std::shared_ptr<link>&, const std::string& reason)> closed;
+};
+
+// A connection to another process of the system that carries whole binary messages in order.
+class link : public std::enable_shared_from_this<link> {
+ public:
+  // Connects to a listener. Failure is reported by closed.
+  static std::shared_ptr<link> Connect(boost::asio::io_context& context,
+                                       const kernel::endpoint& remote, const tls_context& tls,
+                                       link_handlers handlers);
+  // Takes over a connection that a listener accepted.
+  static std::shared_ptr<link> Accept(boost::asio::io_context& context,
+                                      boost::asio::ip::tcp::socket socket, const tls_context& tls,
+                                      link_handlers handlers);
+
+  // Queues one message. False if the link is not open or the queue is full; a full queue closes
+  // the link, because messages must not be dropped from the middle of a stream.
+  bool Send(const std::string& payload);
+  void Close(const std::string& reason);
+
+  bool is_open() const { return state_ == state::kOpen; }
+  const std::string& peer_role() const { return peer_role_; }
+  std::uint64_t bytes_sent() const { return bytes_sent_; }
+  std::uint64_t bytes_received() const { return bytes_received_; }
+
+ private:
+  enum class state { kOpening, kOpen, kClosed };
+  using side = internal::websocket_codec::side;
+
+  link(boost::asio::io_context& context, boost::asio::ip::tcp::socket socket, tls_context tls,
+       side which, link_handlers handlers);
+
+  void BeginOpenTimer();
+  void BeginHandshake();
+  void ReadSome();
+  void QueueBytes(const char* data, std::size_t size);
+  void WriteNext();
+  void Finish(const std::string& reason);
+
+  boost::asio::io_context& context_;
+  boost::asio::steady_timer open_timer_;
+  internal::socket_stream stream_;
+  link_handlers handlers_;
+  side side_;
+  state state_ = state::kOpening;
+  std::unique_ptr<internal::websocket_codec> codec_;
+  std::array<char, kReadBufferBytes> read_buffer_{};
+  std::string pending_;
+  std::string writing_;
+  std::string peer_role_;
+  std::uint64_t bytes_sent_ = 0;
+  std::uint64_t bytes_received_ = 0;
+};
+
+// Parses "127.0.0.1:8080". False if it has not this form.
+bool ParseEndpoint(const kernel::endpoint& text, boost::asio::ip::tcp::endpoint& parsed);
+
+}  // namespace cornelweir::transport
+
+#endif  // CORNELWEIR_SRC_TRANSPORT_LINK_H_
--- /dev/null
+++ b/cornelweir/src/transport/listener.h
@@ -0,0 +1,46 @@
+#ifndef CORNELWEIR_SRC_TRANSPORT_LISTENER_H_
+#define CORNELWEIR_SRC_TRANSPORT_LISTENER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/leaf.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/transport/link.h"
+#include "cornelweir/src/transport/tls_context.h"
+
+namespace cornelweir::transport {
+
+// Accepts links of other processes, at most kMaxLinks at a time.
+class listener : public std::enable_shared_from_this<listener> {
+ public:
+  // Listens on an endpoint; port 0 takes a free port. The error is a transport_error.
+  static boost::leaf::result<std::shared_ptr<listener>> Open(boost::asio::io_context& context,
+                                                             const kernel::endpoint& local,
+                                                             tls_context tls,
+                                                             link_handlers handlers);
+
+  kernel::endpoint local_endpoint() const;
+  // Keys for the connections that are accepted from now on.
+  void set_tls(tls_context tls) { tls_ = std::move(tls); }
+  // Stops accepting and closes every link.
+  void Close();
+
+ private:
+  listener(boost::asio::io_context& context, tls_context tls, link_handlers handlers);
+  void AcceptNext();
+
+  boost::asio::io_context& context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  tls_context tls_;
+  link_handlers handlers_;
+  std::set<std::shared_ptr<link>> links_;
+  bool closed_ = false;
+};
+
+}  // namespace cornelweir::transport
+
+#endif  // CORNELWEIR_SRC_TRANSPORT_LISTENER_H_
--- /dev/null
+++ b/tests/transport_test.cc
@@ -0,0 +1,88 @@
+#include "cornelweir/transport.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace cornelweir::transport {
+namespace {
+
+// A listener that echoes, and one client, on one loop.
+class TransportTest : public ::testing::Test {
+ protected:
+  void Listen() {
+    link_handlers handlers;
+    handlers.message = [](const std::shared_ptr<link>& from, std::string_view payload) {
+      from->Send(std::string(payload));
+    };
+    auto opened = listener::Open(context_, kernel::endpoint("127.0.0.1:0"), nullptr, handlers);
+    ASSERT_TRUE(opened);
+    listener_ = opened.value();
+  }
+
+  std::shared_ptr<link> Connect(link_handlers handlers) {
+    return link::Connect(context_, listener_->local_endpoint(), nullptr, std::move(handlers));
+  }
+
+  boost::asio::io_context context_{1};
+  std::shared_ptr<listener> listener_;
+};
+
+TEST_F(TransportTest, CarriesWholeMessagesInOrder) {
+  Listen();
+  std::vector<std::string> received;
+  const std::string large(200'000, 'x');
+  link_handlers handlers;
+  handlers.opened = [&](const std::shared_ptr<link>& self) {
+    self->Send("first");
+    self->Send(large);
+    self->Send(std::string("\0last", 5));
+  };
+  handlers.message = [&](const std::shared_ptr<link>& self, std::string_view payload) {
+    received.emplace_back(payload);
+    if (received.size() == 3) self->Close("done");
+  };
+  handlers.closed = [&](const std::shared_ptr<link>&, const std::string&) { listener_->Close(); };
+  Connect(handlers);
+  context_.run();
+  ASSERT_EQ(received.size(), 3U);
+  EXPECT_EQ(received[0], "first");
+  EXPECT_EQ(received[1], large);
+  EXPECT_EQ(received[2], std::string("\0last", 5));
+}
+
+// Guards against an owner that waits for ever because a failed connect was not reported.
+TEST_F(TransportTest, ReportsARefusedConnectionOnce) {
+  Listen();
+  const kernel::endpoint gone = listener_->local_endpoint();
+  listener_->Close();
+  context_.run();
+  context_.restart();
+  int closed = 0;
+  link_handlers handlers;
+  handlers.closed = [&](const std::shared_ptr<link>&, const std::string&) { ++closed; };
+  link::Connect(context_, gone, nullptr, handlers);
+  context_.run();
+  EXPECT_EQ(closed, 1);
+}
+
+// Guards against a message above the limit being buffered without bound.
+TEST_F(TransportTest, ClosesOnAMessageAboveTheLimit) {
+  Listen();
+  bool closed = false;
+  link_handlers handlers;
+  handlers.opened = [](const std::shared_ptr<link>& self) {
+    self->Send(std::string(kMaxFrameBytes + 1, 'x'));
+  };
+  handlers.closed = [&](const std::shared_ptr<link>&, const std::string&) {
+    closed = true;
+    listener_->Close();
+  };
+  Connect(handlers);
+  context_.run();
+  EXPECT_TRUE(closed);
+}
+
+}  // namespace
+}  // namespace cornelweir::transport
