Add the decision modules of the request path

Cause: the daemon needs decisions about a request that are independent of HTTP: where it goes, whether it runs now, whether it may be repeated.

Change: outcome (outcome, deadline, retry budget and decision), routing (route index, balancer), admission (controller, share of a service limit), claims (claim table) and quarantine (crash ledger, list for daemons).

clang-tidy refused decision_clock::is_steady, a name that the standard prescribes; the line is exempt from the naming check now.

--- /dev/null
+++ b/cornelweir/admission.h
@@ -0,0 +1,16 @@
+#ifndef CORNELWEIR_ADMISSION_H_
+#define CORNELWEIR_ADMISSION_H_
+
+// Which requests may run on an upstream now, and a daemon's share of its service's limit.
+
+#include "cornelweir/src/admission/admission_controller.h"
+#include "cornelweir/src/admission/admission_limits.h"
+#include "cornelweir/src/admission/admission_result.h"
+#include "cornelweir/src/admission/limit_share.h"
+#include "cornelweir/src/admission/limits.h"
+#include "cornelweir/src/admission/priority_class.h"
+#include "cornelweir/src/admission/refused_ticket.h"
+#include "cornelweir/src/admission/share_member.h"
+#include "cornelweir/src/admission/ticket.h"
+
+#endif  // CORNELWEIR_ADMISSION_H_
--- /dev/null
+++ b/cornelweir/outcome.h
@@ -0,0 +1,14 @@
+#ifndef CORNELWEIR_OUTCOME_H_
+#define CORNELWEIR_OUTCOME_H_
+
+// What became of a request, until when it is worth running, and whether it may be tried again.
+
+#include "cornelweir/src/outcome/attempt_result.h"
+#include "cornelweir/src/outcome/deadline.h"
+#include "cornelweir/src/outcome/limits.h"
+#include "cornelweir/src/outcome/refusal_reason.h"
+#include "cornelweir/src/outcome/request_outcome.h"
+#include "cornelweir/src/outcome/retry_budget.h"
+#include "cornelweir/src/outcome/retry_decision.h"
+
+#endif  // CORNELWEIR_OUTCOME_H_
--- /dev/null
+++ b/cornelweir/quarantine.h
@@ -0,0 +1,14 @@
+#ifndef CORNELWEIR_QUARANTINE_H_
+#define CORNELWEIR_QUARANTINE_H_
+
+// Requests that crash the upstreams that run them: the count of crashes in the state machine and
+// the list of quarantined requests in daemons.
+
+#include "cornelweir/src/quarantine/crash_ledger.h"
+#include "cornelweir/src/quarantine/crash_ledger_state.h"
+#include "cornelweir/src/quarantine/limits.h"
+#include "cornelweir/src/quarantine/quarantine_list.h"
+#include "cornelweir/src/quarantine/quarantined_fingerprint.h"
+#include "cornelweir/src/quarantine/suspect.h"
+
+#endif  // CORNELWEIR_QUARANTINE_H_
--- /dev/null
+++ b/cornelweir/src/admission/priority_class.h
@@ -0,0 +1,16 @@
+#ifndef CORNELWEIR_SRC_ADMISSION_PRIORITY_CLASS_H_
+#define CORNELWEIR_SRC_ADMISSION_PRIORITY_CLASS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+namespace cornelweir::admission {
+
+// The order in which queued requests are served, the first class first.
+enum class priority_class : std::uint8_t { kHigh, kNormal, kLow };
+
+inline constexpr std::size_t kPriorityClasses = 3;
+
+}  // namespace cornelweir::admission
+
+#endif  // CORNELWEIR_SRC_ADMISSION_PRIORITY_CLASS_H_
--- /dev/null
+++ b/cornelweir/src/admission/ticket.h
@@ -0,0 +1,15 @@
+#ifndef CORNELWEIR_SRC_ADMISSION_TICKET_H_
+#define CORNELWEIR_SRC_ADMISSION_TICKET_H_
+
+#include <cstdint>
+
+#include "cornelweir/src/kernel/strong_id.h"
+
+namespace cornelweir::admission {
+
+// One request at the daemon beside an upstream. Unique as long as the request is known.
+using ticket = kernel::strong_id<struct ticket_tag, std::uint64_t>;
+
+}  // namespace cornelweir::admission
+
+#endif  // CORNELWEIR_SRC_ADMISSION_TICKET_H_
--- a/cornelweir/src/kernel/clock.h
+++ b/cornelweir/src/kernel/clock.h
@@ -14,7 +14,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<decision_clock>;
-  static constexpr bool is_steady = true;
+  // The standard names this member of clocks.
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
 };
 
 using time_point = decision_clock::time_point;
--- /dev/null
+++ b/cornelweir/src/kernel/log_time.h
@@ -0,0 +1,21 @@
+#ifndef CORNELWEIR_SRC_KERNEL_LOG_TIME_H_
+#define CORNELWEIR_SRC_KERNEL_LOG_TIME_H_
+
+#include <cstdint>
+
+#include "cornelweir/src/kernel/clock.h"
+#include "cornelweir/src/kernel/strong_id.h"
+
+namespace cornelweir::kernel {
+
+// A time that entries of the replicated log carry, in microseconds. Listed among the fields of
+// replicated state, where a time_point of one host's clock has no meaning.
+using log_time = strong_id<struct log_time_tag, std::int64_t>;
+
+constexpr log_time ToLogTime(time_point time) { return log_time(time.time_since_epoch().count()); }
+
+constexpr time_point FromLogTime(log_time time) { return time_point(microseconds(time.value())); }
+
+}  // namespace cornelweir::kernel
+
+#endif  // CORNELWEIR_SRC_KERNEL_LOG_TIME_H_
--- /dev/null
+++ b/cornelweir/src/outcome/deadline.h
@@ -0,0 +1,53 @@
+#ifndef CORNELWEIR_SRC_OUTCOME_DEADLINE_H_
+#define CORNELWEIR_SRC_OUTCOME_DEADLINE_H_
+
+#include <algorithm>
+#include <chrono>
+#include <compare>
+
+#include "cornelweir/src/kernel/clock.h"
+#include "cornelweir/src/kernel/quantity.h"
+#include "cornelweir/src/outcome/limits.h"
+
+namespace cornelweir::outcome {
+
+// The time after which nobody waits for a request's response.
+class deadline {
+ public:
+  constexpr deadline() = default;
+  constexpr explicit deadline(kernel::time_point at) : at_(at) {}
+
+  // The deadline of a request that may take this long from now on.
+  static constexpr deadline After(kernel::microseconds allowed, kernel::time_point now) {
+    return deadline(now + allowed);
+  }
+
+  constexpr kernel::time_point at() const { return at_; }
+
+  constexpr bool Passed(kernel::time_point now) const { return now >= at_; }
+
+  // The time left; zero if the deadline has passed.
+  constexpr kernel::microseconds Remaining(kernel::time_point now) const {
+    return Passed(now) ? kernel::microseconds::zero() : at_ - now;
+  }
+
+  // The time left in whole milliseconds, rounded down, as the next hop is told.
+  constexpr kernel::milliseconds RemainingMs(kernel::time_point now) const {
+    return std::chrono::floor<kernel::milliseconds>(Remaining(now));
+  }
+
+  // The deadline for the next hop: earlier by the time that its response needs to come back.
+  constexpr deadline Shrunk(kernel::time_point now,
+                            kernel::microseconds reserve = kHopReserve) const {
+    return deadline(at_ - std::min(reserve, Remaining(now) / kHopReserveDivisor));
+  }
+
+  friend constexpr auto operator<=>(const deadline&, const deadline&) = default;
+
+ private:
+  kernel::time_point at_{};
+};
+
+}  // namespace cornelweir::outcome
+
+#endif  // CORNELWEIR_SRC_OUTCOME_DEADLINE_H_
--- /dev/null
+++ b/cornelweir/src/quarantine/quarantine_list.cc
@@ -0,0 +1,28 @@
+#include "cornelweir/src/quarantine/quarantine_list.h"
+
+#include <utility>
+
+#include "cornelweir/src/quarantine/limits.h"
+
+namespace cornelweir::quarantine {
+
+void quarantine_list::Replace(const std::vector<quarantined_fingerprint>& list,
+                              kernel::time_point now) {
+  std::unordered_map<kernel::fingerprint, entry> entries;
+  for (const quarantined_fingerprint& listed : list) {
+    if (entries.size() >= kMaxQuarantined) break;
+    const auto known = entries_.find(listed.request);
+    // A later end means that the request was quarantined again since.
+    const bool same = known != entries_.end() && known->second.until == listed.until;
+    entries[listed.request] =
+        entry{listed.until, same ? known->second.local_end : now + kQuarantineTime};
+  }
+  entries_ = std::move(entries);
+}
+
+bool quarantine_list::Contains(kernel::fingerprint request, kernel::time_point now) const {
+  const auto found = entries_.find(request);
+  return found != entries_.end() && now < found->second.local_end;
+}
+
+}  // namespace cornelweir::quarantine
--- /dev/null
+++ b/cornelweir/src/quarantine/quarantine_list.h
@@ -0,0 +1,37 @@
+#ifndef CORNELWEIR_SRC_QUARANTINE_QUARANTINE_LIST_H_
+#define CORNELWEIR_SRC_QUARANTINE_QUARANTINE_LIST_H_
+
+#include <cstddef>
+#include <unordered_map>
+#include <vector>
+
+#include "cornelweir/src/kernel/clock.h"
+#include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/kernel/log_time.h"
+#include "cornelweir/src/quarantine/quarantined_fingerprint.h"
+
+namespace cornelweir::quarantine {
+
+// The quarantined requests as one daemon knows them. Each entry also ends by the daemon's own
+// clock, so that a daemon without a publisher does not refuse a request without end.
+class quarantine_list {
+ public:
+  // Takes over the list that a publisher sent.
+  void Replace(const std::vector<quarantined_fingerprint>& list, kernel::time_point now);
+
+  // Whether the request must be refused.
+  bool Contains(kernel::fingerprint request, kernel::time_point now) const;
+
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct entry {
+    kernel::log_time until;
+    kernel::time_point local_end;
+  };
+  std::unordered_map<kernel::fingerprint, entry> entries_;
+};
+
+}  // namespace cornelweir::quarantine
+
+#endif  // CORNELWEIR_SRC_QUARANTINE_QUARANTINE_LIST_H_
--- /dev/null
+++ b/cornelweir/src/quarantine/suspect.h
@@ -0,0 +1,43 @@
+#ifndef CORNELWEIR_SRC_QUARANTINE_SUSPECT_H_
+#define CORNELWEIR_SRC_QUARANTINE_SUSPECT_H_
+
+#include <cstdint>
+#include <tuple>
+#include <vector>
+
+#include "cornelweir/src/kernel/field.h"
+#include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/kernel/log_time.h"
+
+namespace cornelweir::quarantine {
+
+// One crash of an upstream process.
+struct upstream_crash {
+  kernel::upstream_id upstream;
+  kernel::incarnation process;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"upstream", &upstream_crash::upstream},
+                      kernel::field{"process", &upstream_crash::process}};
+  }
+  friend bool operator==(const upstream_crash&, const upstream_crash&) = default;
+};
+
+// The crashes at which a request was in progress.
+struct suspect {
+  std::vector<upstream_crash> crashes;
+  // The sum of the evidence of the crashes; see kFullEvidence.
+  std::int64_t evidence = 0;
+  kernel::log_time last_crash;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"crashes", &suspect::crashes},
+                      kernel::field{"evidence", &suspect::evidence},
+                      kernel::field{"last_crash", &suspect::last_crash}};
+  }
+  friend bool operator==(const suspect&, const suspect&) = default;
+};
+
+}  // namespace cornelweir::quarantine
+
+#endif  // CORNELWEIR_SRC_QUARANTINE_SUSPECT_H_
--- /dev/null
+++ b/cornelweir/src/routing/balancer.cc
@@ -0,0 +1,155 @@
+#include "cornelweir/src/routing/balancer.h"
+
+#include <algorithm>
+#include <variant>
+
+#include "cornelweir/src/routing/limits.h"
+#include "cornelweir/src/table/row_key.h"
+
+namespace cornelweir::routing {
+
+void balancer::Update(const table::row_map& rows, const std::vector<upstream_candidate>& candidates,
+                      kernel::time_point now) {
+  std::unordered_map<kernel::service_name, bool> known;
+  for (auto& [id, state] : members_) {
+    known[state.candidate().service] = true;
+    state.Withdraw();
+  }
+  services_.clear();
+  for (const auto& [key, content] : rows) {
+    const auto* split = std::get_if<table::split_row>(&content);
+    if (split == nullptr || split->weight.value() <= 0) continue;
+    services_[table::SplitService(key)].subsets.push_back(
+        subset{table::SplitSubset(key), split->weight.value(), {}});
+  }
+  for (const upstream_candidate& candidate : candidates) {
+    member& state = members_[candidate.id];
+    // When the first members of a service become known, all are equally new to this daemon.
+    state.Announce(candidate, known.contains(candidate.service), now);
+    if (subset* of = SubsetOf(state)) of->members.push_back(&state);
+  }
+  std::erase_if(members_, [](const auto& entry) {
+    return !entry.second.announced() && entry.second.in_progress() == 0;
+  });
+  for (auto& [name, service] : services_) {
+    for (subset& of : service.subsets) KeepWithinBound(of, now);
+  }
+}
+
+void balancer::OnStart(const kernel::upstream_id& id, kernel::time_point /*now*/) {
+  const auto found = members_.find(id);
+  if (found != members_.end()) found->second.OnStart();
+}
+
+void balancer::OnFinish(const kernel::upstream_id& id, finish_kind kind,
+                        kernel::microseconds latency, kernel::time_point now) {
+  const auto found = members_.find(id);
+  if (found == members_.end()) return;
+  member& state = found->second;
+  state.OnFinish(kind, latency, now);
+  if (!state.announced()) {
+    if (state.in_progress() == 0) members_.erase(found);
+    return;
+  }
+  if (kind == finish_kind::kFailure && state.IsFailing(now)) ConsiderEjection(state, now);
+}
+
+const upstream_candidate* balancer::Find(const kernel::upstream_id& id) const {
+  const auto found = members_.find(id);
+  return found == members_.end() || !found->second.announced() ? nullptr
+                                                               : &found->second.candidate();
+}
+
+bool balancer::IsEjected(const kernel::upstream_id& id) const {
+  const auto found = members_.find(id);
+  return found != members_.end() && found->second.state() != member::health::kTrusted;
+}
+
+kernel::request_count balancer::InProgress(const kernel::upstream_id& id) const {
+  const auto found = members_.find(id);
+  return kernel::request_count(found == members_.end() ? 0 : found->second.in_progress());
+}
+
+void balancer::CollectUsable(const subset& candidates,
+                             const std::vector<kernel::upstream_id>& exclude,
+                             kernel::time_point now) {
+  usable_.clear();
+  for (member* candidate : candidates.members) {
+    if (!candidate->IsUsable(now)) continue;
+    if (std::find(exclude.begin(), exclude.end(), candidate->candidate().id) != exclude.end()) {
+      continue;
+    }
+    usable_.push_back(candidate);
+  }
+}
+
+void balancer::PreferOwnDomain(kernel::time_point now) {
+  const auto is_preferred = [&](const member* candidate) {
+    return candidate->candidate().domain == own_domain_ &&
+           candidate->state() == member::health::kTrusted && !candidate->IsLoaded(now);
+  };
+  if (std::none_of(usable_.begin(), usable_.end(), is_preferred)) return;
+  // Probes go to every failure domain: an upstream that is never probed stays ejected and keeps
+  // others from being ejected.
+  std::erase_if(usable_, [&](const member* candidate) {
+    return candidate->state() == member::health::kTrusted && !is_preferred(candidate);
+  });
+}
+
+balancer::member* balancer::LessLoaded(member* first, member* second, kernel::time_point now) {
+  if (second->state() != member::health::kTrusted) return first;
+  const bool with_latency = first->HasLatency(now) && second->HasLatency(now);
+  const double first_cost = first->Cost(now, with_latency);
+  const double second_cost = second->Cost(now, with_latency);
+  return first_cost > second_cost * kCostTolerance ? second : first;
+}
+
+balancer::subset* balancer::SubsetOf(const member& of) {
+  const auto found = services_.find(of.candidate().service);
+  if (found == services_.end()) return nullptr;
+  for (subset& candidate : found->second.subsets) {
+    if (candidate.name == of.candidate().subset) return &candidate;
+  }
+  return nullptr;
+}
+
+void balancer::ConsiderEjection(member& failing, kernel::time_point now) {
+  subset* of = SubsetOf(failing);
+  if (of == nullptr || failing.state() != member::health::kTrusted) return;
+  std::size_t members = 0;
+  std::size_t ejected = 0;
+  std::size_t bad = 0;
+  for (const member* candidate : of->members) {
+    if (!candidate->counts_in_subset()) continue;
+    ++members;
+    const bool is_ejected = candidate->state() != member::health::kTrusted;
+    if (is_ejected) ++ejected;
+    if (is_ejected || candidate->IsFailing(now)) ++bad;
+  }
+  if (2 * bad > members) {
+    // The fault is not one of single members; ejection would only concentrate the load.
+    for (member* candidate : of->members) {
+      if (candidate->state() != member::health::kTrusted) candidate->Trust(now);
+    }
+    return;
+  }
+  if (ejected < members / kEjectableDivisor) failing.Eject(now);
+}
+
+void balancer::KeepWithinBound(subset& of, kernel::time_point now) {
+  const auto members = static_cast<std::size_t>(std::count_if(
+      of.members.begin(), of.members.end(), [](const member* m) { return m->counts_in_subset(); }));
+  std::vector<member*> ejected;
+  for (member* candidate : of.members) {
+    if (candidate->counts_in_subset() && candidate->state() != member::health::kTrusted) {
+      ejected.push_back(candidate);
+    }
+  }
+  std::sort(ejected.begin(), ejected.end(), [](const member* left, const member* right) {
+    return left->ejected_until() < right->ejected_until();
+  });
+  const std::size_t bound = members / kEjectableDivisor;
+  for (std::size_t i = 0; i + bound < ejected.size(); ++i) ejected[i]->Trust(now);
+}
+
+}  // namespace cornelweir::routing
