Read the daemon's settings from JSON with comments

Cause: daemons need typed settings, and an operator who starts one with a faulty file should see every fault at once rather than one for each start.

Change: module settings with the documented structs, LoadSettings and ParseSettings with overrides, docs/SETTINGS.md. Unknown keys are refused with the nearest known name, keys that occur twice are refused (the parser would keep the last without a word), and addresses that are not loopback need TLS. kernel::NearestName is new.

--- a/cornelweir/kernel.h
+++ b/cornelweir/kernel.h
@@ -7,6 +7,7 @@
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/kernel/field.h"
 #include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/kernel/nearest_name.h"
 #include "cornelweir/src/kernel/plugin.h"
 #include "cornelweir/src/kernel/plugin_registry.h"
 #include "cornelweir/src/kernel/quantity.h"
--- /dev/null
+++ b/cornelweir/src/settings/daemon_settings.h
@@ -0,0 +1,29 @@
+#ifndef CORNELWEIR_SRC_SETTINGS_DAEMON_SETTINGS_H_
+#define CORNELWEIR_SRC_SETTINGS_DAEMON_SETTINGS_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/settings/control_settings.h"
+#include "cornelweir/src/settings/proxy_settings.h"
+#include "cornelweir/src/settings/tls_settings.h"
+
+namespace cornelweir::settings {
+
+// Everything that a daemon is told at its start. docs/SETTINGS.md describes each key.
+struct daemon_settings {
+  kernel::host_id host;
+  kernel::failure_domain failure_domain;
+  std::string region;
+  kernel::endpoint admin_listen;
+  std::vector<std::string> plugins;
+  std::optional<control_settings> control;
+  std::optional<proxy_settings> proxy;
+  tls_settings tls;
+};
+
+}  // namespace cornelweir::settings
+
+#endif  // CORNELWEIR_SRC_SETTINGS_DAEMON_SETTINGS_H_
--- /dev/null
+++ b/cornelweir/src/settings/limits.h
@@ -0,0 +1,25 @@
+#ifndef CORNELWEIR_SRC_SETTINGS_LIMITS_H_
+#define CORNELWEIR_SRC_SETTINGS_LIMITS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+namespace cornelweir::settings {
+
+inline constexpr std::size_t kMaxFileBytes = std::size_t{1} << 20;
+inline constexpr std::size_t kMaxNameBytes = 64;
+inline constexpr std::size_t kMaxPathBytes = 4096;
+inline constexpr std::size_t kMaxPlugins = 16;
+// The platform grants at most 18 hosts to control.
+inline constexpr std::size_t kMaxControlHosts = 18;
+
+inline constexpr std::int64_t kDefaultMaxBodyBytes = std::int64_t{1} << 20;
+inline constexpr std::int64_t kMaxMaxBodyBytes = std::int64_t{1} << 26;
+inline constexpr std::int64_t kDefaultDrainMs = 10'000;
+inline constexpr std::int64_t kMaxDrainMs = 600'000;
+inline constexpr std::int64_t kDefaultConnectionsPerPeer = 32;
+inline constexpr std::int64_t kMaxConnectionsPerPeer = 1'024;
+
+}  // namespace cornelweir::settings
+
+#endif  // CORNELWEIR_SRC_SETTINGS_LIMITS_H_
