Add membership and distribution with direct subscription

Cause: control hosts and daemons need the announced upstreams and a way to get accepted versions and members from one to the other.

--- /dev/null
+++ b/cornelweir/distribution.h
@@ -0,0 +1,15 @@
+#ifndef CORNELWEIR_DISTRIBUTION_H_
+#define CORNELWEIR_DISTRIBUTION_H_
+
+// How accepted versions and members get from control hosts to daemons: messages, the publisher
+// and the subscriber.
+
+#include "cornelweir/src/distribution/ids.h"
+#include "cornelweir/src/distribution/limits.h"
+#include "cornelweir/src/distribution/messages.h"
+#include "cornelweir/src/distribution/publisher.h"
+#include "cornelweir/src/distribution/scope_history.h"
+#include "cornelweir/src/distribution/subscriber.h"
+#include "cornelweir/src/distribution/subscriber_actions.h"
+
+#endif  // CORNELWEIR_DISTRIBUTION_H_
--- /dev/null
+++ b/cornelweir/src/distribution/applied.h
@@ -0,0 +1,37 @@
+#ifndef CORNELWEIR_SRC_DISTRIBUTION_APPLIED_H_
+#define CORNELWEIR_SRC_DISTRIBUTION_APPLIED_H_
+
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "cornelweir/src/distribution/ids.h"
+#include "cornelweir/src/distribution/version_count.h"
+#include "cornelweir/src/kernel/field.h"
+#include "cornelweir/src/kernel/ids.h"
+
+namespace cornelweir::distribution {
+
+// Tells the publisher what the subscriber enforces, and what the daemons below it do.
+struct applied {
+  static constexpr std::string_view kType = "applied";
+
+  kernel::table_version version;
+  kernel::membership_revision revision;
+  // Daemons that are served through this one, at most kMaxVersionCounts entries, newest first. The
+  // last entry also counts the daemons at older versions.
+  std::vector<version_count> below;
+  // Some of the daemons below that are behind version, at most kMaxBehindNames.
+  std::vector<kernel::host_id> behind;
+
+  static constexpr auto Fields() {
+    return std::tuple{
+        kernel::field{"version", &applied::version}, kernel::field{"revision", &applied::revision},
+        kernel::field{"below", &applied::below}, kernel::field{"behind", &applied::behind}};
+  }
+  friend bool operator==(const applied&, const applied&) = default;
+};
+
+}  // namespace cornelweir::distribution
+
+#endif  // CORNELWEIR_SRC_DISTRIBUTION_APPLIED_H_
--- /dev/null
+++ b/cornelweir/src/distribution/feed.cc
@@ -0,0 +1,238 @@
+#include "cornelweir/src/distribution/feed.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "cornelweir/src/distribution/limits.h"
+#include "cornelweir/src/distribution/pieces.h"
+
+namespace cornelweir::distribution {
+namespace internal {
+
+// Builds the message in place: GCC 12 warns of uninitialized alternatives when a variant that holds
+// a small one is moved.
+template <class Message>
+void Push(std::vector<outgoing>& out, subscriber_id to, const Message& message) {
+  outgoing& added = out.emplace_back();
+  added.to = to;
+  added.message = message;
+}
+
+}  // namespace internal
+
+void feed::PublishTable(kernel::table_version version, const table::row_map& rows, messages& out) {
+  if (version <= version_) return;
+  table_ = rows;
+  version_ = version;
+  for (auto& [service, entry] : scopes_) {
+    entry.history.Advance(version, table::ScopeOf(rows, service));
+  }
+  for (const auto& [key, content] : rows) {
+    if (key.kind != table::row_kind::kService) break;
+    ScopeFor(kernel::service_name(key.name));
+  }
+  UpdateAll(out);
+}
+
+void feed::PublishScope(const kernel::service_name& service, kernel::table_version version,
+                        const table::row_map& rows, messages& out) {
+  scope& entry = scopes_.try_emplace(service, service).first->second;
+  if (version <= entry.history.version()) return;
+  entry.history.Advance(version, rows);
+  version_ = std::max(version_, version);
+  UpdateAll(out);
+}
+
+void feed::PublishMembers(const std::vector<membership::member_change>& changes,
+                          kernel::membership_revision revision, messages& out) {
+  if (revision <= members_.revision()) return;
+  members_.Apply(changes, revision);
+  UpdateAll(out);
+}
+
+void feed::ResetMembers(const membership::member_map& members, kernel::membership_revision revision,
+                        messages& out) {
+  if (revision < members_.revision()) return;
+  members_.Reset(members, revision);
+  UpdateAll(out);
+}
+
+void feed::Heartbeat(kernel::heartbeat_round round, messages& out) {
+  for (auto& [id, to] : subscribers_) {
+    Update(id, to, /*include_unchanged=*/true, out);
+    internal::Push(out, id,
+                   heartbeat{round, ScopeFor(to.service).history.version(), members_.revision()});
+  }
+}
+
+void feed::Admit(subscriber_id id, const subscribe& request, messages& out) {
+  const auto [entry, inserted] = subscribers_.try_emplace(id);
+  subscription& to = entry->second;
+  // A transfer that is still queued continues. To restart it at each request would never end it.
+  if (!inserted && !to.queue.empty() && to.service == request.service) return;
+  if (!inserted) ScopeFor(to.service).subscribers.erase(id);
+  to.service = request.service;
+  to.request = request;
+  to.version = request.held_version;
+  to.revision = request.held_revision;
+  to.members_scope = request.held_version;
+  to.queue.clear();
+  to.report.version = request.held_version;
+  to.report.revision = request.held_revision;
+  ScopeFor(to.service).subscribers.insert(id);
+  Update(id, to, /*include_unchanged=*/true, out);
+}
+
+void feed::Remove(subscriber_id id) {
+  const auto found = subscribers_.find(id);
+  if (found == subscribers_.end()) return;
+  ScopeFor(found->second.service).subscribers.erase(id);
+  subscribers_.erase(found);
+}
+
+void feed::OnApplied(subscriber_id id, const applied& report) {
+  const auto found = subscribers_.find(id);
+  if (found != subscribers_.end()) found->second.report = report;
+}
+
+void feed::SendProof(subscriber_id id, const proof& answer, messages& out) {
+  const auto found = subscribers_.find(id);
+  if (found == subscribers_.end()) return;
+  Update(id, found->second, /*include_unchanged=*/true, out);
+  internal::Push(out, id, answer);
+}
+
+void feed::Tick(messages& out) {
+  budget_ = kBytesPerTick.value();
+  const subscriber_id start = next_released_;
+  const auto release = [&](auto& entry) {
+    if (budget_ <= 0 || entry.second.queue.empty()) return;
+    Release(entry.first, entry.second, out);
+    next_released_ = entry.first;
+    if (entry.second.queue.empty()) {
+      Update(entry.first, entry.second, /*include_unchanged=*/true, out);
+    }
+  };
+  const auto middle = subscribers_.upper_bound(start);
+  std::for_each(middle, subscribers_.end(), release);
+  std::for_each(subscribers_.begin(), middle, release);
+}
+
+const scope_history* feed::FindScope(const kernel::service_name& service) const {
+  const auto found = scopes_.find(service);
+  return found == scopes_.end() ? nullptr : &found->second.history;
+}
+
+feed::scope& feed::ScopeFor(const kernel::service_name& service) {
+  const auto [entry, inserted] = scopes_.try_emplace(service, service);
+  if (inserted) entry->second.history.Advance(version_, table::ScopeOf(table_, service));
+  return entry->second;
+}
+
+void feed::UpdateAll(messages& out) {
+  for (auto& [id, to] : subscribers_) Update(id, to, /*include_unchanged=*/false, out);
+}
+
+void feed::Update(subscriber_id id, subscription& to, bool include_unchanged, messages& out) {
+  scope& from = ScopeFor(to.service);
+  if (to.queue.empty()) UpdateTable(id, to, from, out);
+  if (to.queue.empty()) UpdateMembers(id, to, from, include_unchanged, out);
+}
+
+void feed::UpdateTable(subscriber_id id, subscription& to, scope& from, messages& out) {
+  const scope_history& history = from.history;
+  if (to.version >= history.version()) return;
+  const auto changes = history.ChangesSince(to.version);
+  if (changes && changes->empty()) {
+    internal::Push(out, id, version_notice{to.version, history.version()});
+  } else if (changes) {
+    const configuration delta{to.service, history.version(), to.version, *changes, next_transfer_,
+                              {},         piece_number(1)};
+    next_transfer_ = kernel::Next(next_transfer_);
+    Send(id, to,
+         std::make_shared<const std::vector<downstream_message>>(
+             internal::CutIntoPieces(delta, &configuration::rows)),
+         out);
+  } else {
+    if (!from.table_snapshot || from.table_snapshot_version != history.version()) {
+      const configuration whole{to.service,
+                                history.version(),
+                                {},
+                                table::DeltaBetween({}, history.rows()),
+                                next_transfer_,
+                                {},
+                                piece_number(1)};
+      next_transfer_ = kernel::Next(next_transfer_);
+      from.table_snapshot = std::make_shared<const std::vector<downstream_message>>(
+          internal::CutIntoPieces(whole, &configuration::rows));
+      from.table_snapshot_version = history.version();
+    }
+    Send(id, to, from.table_snapshot, out);
+  }
+  to.version = history.version();
+}
+
+void feed::UpdateMembers(subscriber_id id, subscription& to, scope& from, bool include_unchanged,
+                         messages& out) {
+  const kernel::table_version chosen_by = MembersScope(from);
+  const kernel::table_version needed = from.history.services_version();
+  // A relay that has a scope with more services, but not their members yet.
+  if (chosen_by < needed) return;
+  if (to.revision > members_.revision()) return;
+  std::optional<std::vector<membership::member_change>> changes;
+  if (to.members_scope >= needed) {
+    if (to.revision == members_.revision()) return;
+    changes = members_.ChangesSince(to.revision, from.history.services());
+  }
+  if (changes) {
+    if (changes->empty() && !include_unchanged) return;
+    const distribution::members delta{to.revision, members_.revision(), chosen_by, *changes,
+                                      false,       next_transfer_,      {},        piece_number(1)};
+    next_transfer_ = kernel::Next(next_transfer_);
+    Send(id, to,
+         std::make_shared<const std::vector<downstream_message>>(
+             internal::CutIntoPieces(delta, &distribution::members::changes)),
+         out);
+  } else {
+    if (!from.members_snapshot || from.members_snapshot_revision != members_.revision() ||
+        from.members_snapshot_scope != chosen_by) {
+      const distribution::members whole{
+          {},   members_.revision(), chosen_by, members_.All(from.history.services()),
+          true, next_transfer_,      {},        piece_number(1)};
+      next_transfer_ = kernel::Next(next_transfer_);
+      from.members_snapshot = std::make_shared<const std::vector<downstream_message>>(
+          internal::CutIntoPieces(whole, &distribution::members::changes));
+      from.members_snapshot_revision = members_.revision();
+      from.members_snapshot_scope = chosen_by;
+    }
+    Send(id, to, from.members_snapshot, out);
+  }
+  to.revision = members_.revision();
+  to.members_scope = chosen_by;
+}
+
+void feed::Send(subscriber_id id, subscription& to, pieces content, messages& out) {
+  if (content->size() == 1) {
+    internal::Push(out, id, content->front());
+    return;
+  }
+  to.queue.push_back(transfer{std::move(content), 0});
+  Release(id, to, out);
+}
+
+void feed::Release(subscriber_id id, subscription& to, messages& out) {
+  while (budget_ > 0 && !to.queue.empty()) {
+    transfer& current = to.queue.front();
+    const downstream_message& piece = (*current.content)[current.next];
+    budget_ -= EstimatedSize(piece).value();
+    internal::Push(out, id, piece);
+    if (++current.next == current.content->size()) to.queue.pop_front();
+  }
+}
+
+kernel::table_version feed::MembersScope(const scope& from) const {
+  return std::min(members_scope_, from.history.version());
+}
+
+}  // namespace cornelweir::distribution
--- /dev/null
+++ b/cornelweir/src/distribution/staging.h
@@ -0,0 +1,70 @@
+#ifndef CORNELWEIR_SRC_DISTRIBUTION_STAGING_H_
+#define CORNELWEIR_SRC_DISTRIBUTION_STAGING_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "cornelweir/src/distribution/estimated_size.h"
+#include "cornelweir/src/distribution/ids.h"
+#include "cornelweir/src/distribution/limits.h"
+
+namespace cornelweir::distribution::internal {
+
+// Collects the pieces of one transfer in any order. Holds one transfer at a time and at most
+// kMaxStagedBytes of it.
+template <class Message, class Element>
+class staging {
+ public:
+  explicit staging(std::vector<Element> Message::*list) : list_(list) {}
+
+  // Adds a piece. Returns the whole message once every piece is there. A piece of another transfer
+  // replaces what is staged.
+  std::optional<Message> Add(const Message& piece) {
+    const std::uint32_t count = piece.pieces.value();
+    if (count == 0 || count > kMaxPieces || piece.piece >= piece.pieces) return std::nullopt;
+    if (count == 1) return piece;
+    if (pieces_.empty() || transfer_ != piece.transfer || count_ != count) {
+      Clear();
+      transfer_ = piece.transfer;
+      count_ = count;
+    }
+    const std::int64_t size = EstimatedSize(piece).value();
+    if (size_ + size > kMaxStagedBytes.value()) {
+      Clear();
+      return std::nullopt;
+    }
+    if (!pieces_.emplace(piece.piece, piece).second) return std::nullopt;
+    size_ += size;
+    if (pieces_.size() < count_) return std::nullopt;
+    Message whole = std::move(pieces_.begin()->second);
+    for (auto next = std::next(pieces_.begin()); next != pieces_.end(); ++next) {
+      auto& from = next->second.*list_;
+      (whole.*list_).insert((whole.*list_).end(), from.begin(), from.end());
+    }
+    whole.piece = piece_number();
+    whole.pieces = piece_number(1);
+    Clear();
+    return whole;
+  }
+
+  void Clear() {
+    pieces_.clear();
+    size_ = 0;
+  }
+
+  kernel::byte_count size() const { return kernel::byte_count(size_); }
+
+ private:
+  std::vector<Element> Message::*list_;
+  transfer_id transfer_;
+  std::uint32_t count_ = 0;
+  std::map<piece_number, Message> pieces_;
+  std::int64_t size_ = 0;
+};
+
+}  // namespace cornelweir::distribution::internal
+
+#endif  // CORNELWEIR_SRC_DISTRIBUTION_STAGING_H_
--- /dev/null
+++ b/cornelweir/src/distribution/subscriber.cc
@@ -0,0 +1,219 @@
+#include "cornelweir/src/distribution/subscriber.h"
+
+#include <algorithm>
+#include <variant>
+
+#include "cornelweir/src/distribution/limits.h"
+#include "cornelweir/src/distribution/scope_history.h"
+#include "cornelweir/src/membership/upstream_record.h"
+
+namespace cornelweir::distribution {
+namespace internal {
+
+// Whether a daemon may enforce these rows. The calls of the services that are called from here lead
+// out of the scope, so references in them are not faults.
+bool IsEnforceable(const table::row_map& rows, const kernel::service_name& service) {
+  const table::row_key own = table::KeyOf(service);
+  if (!rows.empty() && table::FindRow<table::service_row>(rows, own) == nullptr) return false;
+  if (!table::IsClosed(rows)) return false;
+  const auto faults = table::Validate(rows);
+  return std::all_of(faults.begin(), faults.end(), [&](const table::table_fault& fault) {
+    return fault.cell == "calls" && fault.key != own;
+  });
+}
+
+}  // namespace internal
+
+subscribe subscriber::Subscribe(kernel::time_point now, failure_count failed_relays) {
+  staged_rows_.Clear();
+  staged_members_.Clear();
+  early_members_.reset();
+  newest_version_ = {};
+  newest_revision_ = {};
+  last_round_ = now;
+  last_progress_ = now;
+  last_resync_ = now;
+  last_query_ = now;
+  subscribe request = Request();
+  request.failed_relays = failed_relays;
+  return request;
+}
+
+subscriber_result subscriber::OnMessage(const downstream_message& message, kernel::time_point now) {
+  subscriber_result result;
+  std::visit([&](const auto& alternative) { On(alternative, now, result); }, message);
+  if (result.version_changed || result.revision_changed) last_progress_ = now;
+  if (result.version_changed) result.send.emplace_back(applied{version_, revision_, {}, {}});
+  CheckReady(result);
+  return result;
+}
+
+subscriber_result subscriber::Tick(kernel::time_point now) {
+  subscriber_result result;
+  if (!proof_ && last_query_ && now - *last_query_ >= kResyncInterval) {
+    last_query_ = now;
+    result.send.emplace_back(proof_query{nonce_});
+  }
+  const bool behind = (newest_version_ > version_ && newest_version_ > refused_) ||
+                      newest_revision_ > revision_ || !members_complete();
+  if (behind && now - last_progress_ >= kResyncInterval) Resync(now, result);
+  return result;
+}
+
+bool subscriber::ShouldMove(kernel::time_point now) const {
+  return now - last_round_ >= kHeartbeatTimeout;
+}
+
+kernel::byte_count subscriber::staged() const {
+  return kernel::byte_count(staged_rows_.size().value() + staged_members_.size().value());
+}
+
+subscribe subscriber::Request() {
+  subscribe request;
+  request.service = service_;
+  request.subscriber = host_;
+  request.held_version = version_;
+  // Without the members of some service, only a full list helps.
+  if (members_complete()) request.held_revision = revision_;
+  if (!proof_) request.nonce = nonce_;
+  request.control_endpoint = control_endpoint_;
+  request.relay_capable = !control_endpoint_.value().empty();
+  return request;
+}
+
+void subscriber::On(const redirect& message, kernel::time_point /*now*/,
+                    subscriber_result& result) {
+  result.moved = message;
+}
+
+void subscriber::On(const configuration& message, kernel::time_point now,
+                    subscriber_result& result) {
+  if (message.service != service_ || message.version <= version_ || message.version <= refused_) {
+    return;
+  }
+  last_progress_ = now;
+  const auto whole = staged_rows_.Add(message);
+  if (!whole) return;
+  table::row_map rows;
+  if (whole->base != kernel::table_version()) {
+    if (whole->base != version_) {
+      Resync(now, result);
+      return;
+    }
+    rows = rows_;
+  }
+  table::ApplyDelta(whole->rows, rows);
+  if (!internal::IsEnforceable(rows, service_)) {
+    refused_ = whole->version;
+    result.refused = whole->version;
+    return;
+  }
+  MoveTo(whole->version, std::move(rows), result);
+}
+
+void subscriber::On(const version_notice& message, kernel::time_point now,
+                    subscriber_result& result) {
+  if (message.version <= version_) return;
+  if (message.base != version_) {
+    Resync(now, result);
+    return;
+  }
+  version_ = message.version;
+  result.version_changed = true;
+}
+
+void subscriber::On(const distribution::members& message, kernel::time_point now,
+                    subscriber_result& result) {
+  const bool newer = message.revision > revision_ ||
+                     (message.full && message.revision == revision_ && !members_complete());
+  if (!newer) return;
+  for (const membership::member_change& change : message.changes) {
+    if (change.record && (!membership::IsValid(*change.record) || change.record->id != change.id)) {
+      return;
+    }
+  }
+  last_progress_ = now;
+  const auto whole = staged_members_.Add(message);
+  if (!whole) return;
+  if (whole->full) {
+    if (whole->scope_version > version_) {
+      early_members_ = whole;
+    } else {
+      TakeAllMembers(*whole, result);
+    }
+    return;
+  }
+  if (whole->base != revision_ || !members_complete() || whole->scope_version < needed_scope_) {
+    Resync(now, result);
+    return;
+  }
+  for (const membership::member_change& change : whole->changes) {
+    if (change.record) {
+      members_.insert_or_assign(change.id, *change.record);
+    } else {
+      members_.erase(change.id);
+    }
+  }
+  revision_ = whole->revision;
+  result.revision_changed = true;
+  result.members_changed = !whole->changes.empty();
+}
+
+void subscriber::On(const heartbeat& message, kernel::time_point now, subscriber_result& result) {
+  if (message.round > round_) {
+    round_ = message.round;
+    last_round_ = now;
+    result.round = round_;
+  }
+  newest_version_ = std::max(newest_version_, message.newest_version);
+  newest_revision_ = std::max(newest_revision_, message.newest_revision);
+}
+
+void subscriber::On(const proof& message, kernel::time_point /*now*/, subscriber_result& result) {
+  result.answer = message;
+  if (message.nonce == nonce_ && !proof_) proof_ = message;
+}
+
+void subscriber::MoveTo(kernel::table_version version, table::row_map rows,
+                        subscriber_result& result) {
+  rows_ = std::move(rows);
+  version_ = version;
+  std::set<kernel::service_name> services = ServicesIn(rows_, service_);
+  if (!std::includes(services_.begin(), services_.end(), services.begin(), services.end())) {
+    needed_scope_ = version;
+  }
+  services_ = std::move(services);
+  result.version_changed = true;
+  result.rows_changed = true;
+  if (early_members_ && early_members_->scope_version <= version_) {
+    const distribution::members all = *std::exchange(early_members_, std::nullopt);
+    TakeAllMembers(all, result);
+  }
+}
+
+void subscriber::TakeAllMembers(const distribution::members& message, subscriber_result& result) {
+  if (message.scope_version < needed_scope_ || message.revision < revision_) return;
+  members_.clear();
+  for (const membership::member_change& change : message.changes) {
+    if (change.record) members_.insert_or_assign(change.id, *change.record);
+  }
+  revision_ = message.revision;
+  members_scope_ = message.scope_version;
+  result.revision_changed = true;
+  result.members_changed = true;
+}
+
+void subscriber::Resync(kernel::time_point now, subscriber_result& result) {
+  if (last_resync_ && now - *last_resync_ < kResyncInterval) return;
+  last_resync_ = now;
+  result.send.emplace_back(Request());
+}
+
+void subscriber::CheckReady(subscriber_result& result) {
+  if (ready_ || !proof_ || !members_complete()) return;
+  if (version_ < proof_->version || revision_ < proof_->revision) return;
+  ready_ = true;
+  result.became_ready = true;
+}
+
+}  // namespace cornelweir::distribution
