--- /dev/null
+++ b/cornelweir/src/control/commands.h
@@ -0,0 +1,190 @@
+#ifndef CORNELWEIR_SRC_CONTROL_COMMANDS_H_
+#define CORNELWEIR_SRC_CONTROL_COMMANDS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+#include "cornelweir/claims.h"
+#include "cornelweir/kernel.h"
+#include "cornelweir/membership.h"
+#include "cornelweir/table.h"
+
+namespace cornelweir::control {
+
+// The new content of one row of the draft, based on the row version that the operator saw.
+// Version 0 means that the row must not exist; no content deletes the row.
+struct row_edit {
+  table::row_key key;
+  kernel::row_version expected_row_version;
+  std::optional<table::row_content> content;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"key", &row_edit::key},
+                      kernel::field{"expected_row_version", &row_edit::expected_row_version},
+                      kernel::field{"content", &row_edit::content}};
+  }
+};
+
+// Edits rows of the draft: all of them, or none if one conflicts.
+struct edit_command {
+  static constexpr std::string_view kType = "edit";
+
+  kernel::change_id change_id;
+  std::string author;
+  std::vector<row_edit> edits;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"change_id", &edit_command::change_id},
+                      kernel::field{"author", &edit_command::author},
+                      kernel::field{"edits", &edit_command::edits}};
+  }
+};
+
+// Makes the draft the next version, if it is valid.
+struct accept_command {
+  static constexpr std::string_view kType = "accept";
+
+  kernel::change_id change_id;
+  std::string author;
+  std::string note;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"change_id", &accept_command::change_id},
+                      kernel::field{"author", &accept_command::author},
+                      kernel::field{"note", &accept_command::note}};
+  }
+};
+
+// Makes the contents of an earlier version the next version, and the draft.
+struct restore_command {
+  static constexpr std::string_view kType = "restore";
+
+  kernel::change_id change_id;
+  std::string author;
+  kernel::table_version version;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"change_id", &restore_command::change_id},
+                      kernel::field{"author", &restore_command::author},
+                      kernel::field{"version", &restore_command::version}};
+  }
+};
+
+// An upstream joins or changes its state.
+struct announce_command {
+  static constexpr std::string_view kType = "announce";
+
+  membership::upstream_record record;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"record", &announce_command::record}};
+  }
+};
+
+// An upstream is gone: it said so, or its lease expired.
+struct leave_command {
+  static constexpr std::string_view kType = "leave";
+
+  kernel::upstream_id id;
+  kernel::incarnation incarnation;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"id", &leave_command::id},
+                      kernel::field{"incarnation", &leave_command::incarnation}};
+  }
+};
+
+// Reserves an idempotency key for one attempt before it runs.
+struct claim_command {
+  static constexpr std::string_view kType = "claim";
+
+  kernel::idempotency_key key;
+  kernel::attempt_id attempt;
+  kernel::fingerprint fingerprint;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"key", &claim_command::key},
+                      kernel::field{"attempt", &claim_command::attempt},
+                      kernel::field{"fingerprint", &claim_command::fingerprint}};
+  }
+};
+
+// Stores the response of a claimed request.
+struct complete_command {
+  static constexpr std::string_view kType = "complete";
+
+  kernel::idempotency_key key;
+  kernel::attempt_id attempt;
+  claims::stored_response response;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"key", &complete_command::key},
+                      kernel::field{"attempt", &complete_command::attempt},
+                      kernel::field{"response", &complete_command::response}};
+  }
+};
+
+// Gives back a claim whose request provably did not run.
+struct release_command {
+  static constexpr std::string_view kType = "release";
+
+  kernel::idempotency_key key;
+  kernel::attempt_id attempt;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"key", &release_command::key},
+                      kernel::field{"attempt", &release_command::attempt}};
+  }
+};
+
+// An upstream's connections broke while these requests were in progress.
+struct crash_command {
+  static constexpr std::string_view kType = "crash";
+
+  kernel::upstream_id upstream;
+  kernel::incarnation incarnation;
+  std::vector<kernel::fingerprint> in_progress;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"upstream", &crash_command::upstream},
+                      kernel::field{"incarnation", &crash_command::incarnation},
+                      kernel::field{"in_progress", &crash_command::in_progress}};
+  }
+};
+
+// An operator lifts the quarantine of a request.
+struct release_quarantine_command {
+  static constexpr std::string_view kType = "release_quarantine";
+
+  kernel::change_id change_id;
+  kernel::fingerprint fingerprint;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"change_id", &release_quarantine_command::change_id},
+                      kernel::field{"fingerprint", &release_quarantine_command::fingerprint}};
+  }
+};
+
+using command = std::variant<edit_command, accept_command, restore_command, announce_command,
+                             leave_command, claim_command, complete_command, release_command,
+                             crash_command, release_quarantine_command>;
+
+// A command as it stands in the log, with the leader's wall clock.
+struct log_record {
+  std::int64_t proposed_at_ms = 0;
+  command body;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"proposed_at_ms", &log_record::proposed_at_ms},
+                      kernel::field{"body", &log_record::body}};
+  }
+};
+
+}  // namespace cornelweir::control
+
+#endif  // CORNELWEIR_SRC_CONTROL_COMMANDS_H_
--- /dev/null
+++ b/cornelweir/src/control/outcomes.h
@@ -0,0 +1,130 @@
+#ifndef CORNELWEIR_SRC_CONTROL_OUTCOMES_H_
+#define CORNELWEIR_SRC_CONTROL_OUTCOMES_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+#include "cornelweir/claims.h"
+#include "cornelweir/kernel.h"
+#include "cornelweir/table.h"
+
+namespace cornelweir::control {
+
+// The version that a row of the draft has now.
+struct row_version_of {
+  table::row_key key;
+  kernel::row_version row_version;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"key", &row_version_of::key},
+                      kernel::field{"row_version", &row_version_of::row_version}};
+  }
+};
+
+// An edit that was based on another version of its row than the draft holds.
+struct edit_conflict {
+  table::row_key key;
+  kernel::row_version expected_row_version;
+  kernel::row_version actual_row_version;
+  std::optional<table::row_content> current;
+  std::optional<table::row_content> yours;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"key", &edit_conflict::key},
+                      kernel::field{"expected_row_version", &edit_conflict::expected_row_version},
+                      kernel::field{"actual_row_version", &edit_conflict::actual_row_version},
+                      kernel::field{"current", &edit_conflict::current},
+                      kernel::field{"yours", &edit_conflict::yours}};
+  }
+};
+
+struct edited_outcome {
+  static constexpr std::string_view kType = "edited";
+
+  std::vector<row_version_of> row_versions;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"row_versions", &edited_outcome::row_versions}};
+  }
+};
+
+struct conflict_outcome {
+  static constexpr std::string_view kType = "conflict";
+
+  std::vector<edit_conflict> conflicts;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"conflicts", &conflict_outcome::conflicts}};
+  }
+};
+
+struct invalid_outcome {
+  static constexpr std::string_view kType = "invalid";
+
+  std::vector<table::table_fault> faults;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"faults", &invalid_outcome::faults}};
+  }
+};
+
+struct accepted_outcome {
+  static constexpr std::string_view kType = "accepted";
+
+  kernel::table_version version;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"version", &accepted_outcome::version}};
+  }
+};
+
+// The outcome of an announcement. If it is refused, needed is the smallest incarnation that the
+// group would take from this upstream.
+struct announced_outcome {
+  static constexpr std::string_view kType = "announced";
+
+  bool accepted = false;
+  kernel::incarnation needed;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"accepted", &announced_outcome::accepted},
+                      kernel::field{"needed", &announced_outcome::needed}};
+  }
+};
+
+struct claimed_outcome {
+  static constexpr std::string_view kType = "claimed";
+
+  claims::claim_result result;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"result", &claimed_outcome::result}};
+  }
+};
+
+struct done_outcome {
+  static constexpr std::string_view kType = "done";
+
+  static constexpr auto Fields() { return std::tuple{}; }
+};
+
+struct refused_outcome {
+  static constexpr std::string_view kType = "refused";
+
+  std::string reason;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"reason", &refused_outcome::reason}};
+  }
+};
+
+using outcome = std::variant<edited_outcome, conflict_outcome, invalid_outcome, accepted_outcome,
+                             announced_outcome, claimed_outcome, done_outcome, refused_outcome>;
+
+}  // namespace cornelweir::control
+
+#endif  // CORNELWEIR_SRC_CONTROL_OUTCOMES_H_
--- /dev/null
+++ b/cornelweir/src/control/state_machine.cc
@@ -0,0 +1,173 @@
+#include "cornelweir/src/control/state_machine.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "cornelweir/src/control/limits.h"
+
+namespace cornelweir::control {
+
+struct state_machine::context {
+  kernel::log_index index;
+  applied_effects& effects;
+};
+
+namespace internal {
+
+// A change of an operator carries an id by which a resend is recognized.
+template <class Command>
+concept identified = requires(const Command& command) {
+  command.change_id;
+};
+
+std::optional<refused_outcome> CheckTexts(const std::string& author, const std::string& note) {
+  if (author.size() > kMaxAuthorBytes) return refused_outcome{"the author is too long"};
+  if (note.size() > kMaxNoteBytes) return refused_outcome{"the note is too long"};
+  return std::nullopt;
+}
+
+}  // namespace internal
+
+kernel::time_point state_machine::now() const {
+  return kernel::time_point(std::chrono::milliseconds(now_ms_));
+}
+
+outcome state_machine::Apply(kernel::log_index index, const log_record& record,
+                             applied_effects& effects) {
+  // Leaders' wall clocks differ; time in the state machine never goes back.
+  now_ms_ = std::max(now_ms_, record.proposed_at_ms);
+  Expire(effects);
+  context at{index, effects};
+  return std::visit(
+      [&]<class Command>(const Command& command) {
+        if constexpr (internal::identified<Command>) {
+          return RunOnce(command, at);
+        } else {
+          return Run(command, at);
+        }
+      },
+      record.body);
+}
+
+void state_machine::Expire(applied_effects& effects) {
+  claims_.Expire(now());
+  const std::size_t before = crashes_.Quarantined().size();
+  crashes_.Expire(now());
+  effects.quarantine_changed = crashes_.Quarantined().size() != before;
+}
+
+template <class Command>
+outcome state_machine::RunOnce(const Command& command, context& at) {
+  const std::string& id = command.change_id.value();
+  if (id.empty() || id.size() > kMaxChangeIdBytes) {
+    return refused_outcome{"a change needs an id of 1 to 128 bytes"};
+  }
+  if (auto first = outcomes_.Find(command.change_id)) return *std::move(first);
+  outcome result = Run(command, at);
+  outcomes_.Store(command.change_id, result);
+  return result;
+}
+
+outcome state_machine::Run(const edit_command& command, context&) {
+  if (auto refused = internal::CheckTexts(command.author, "")) return *refused;
+  return draft_.Edit(command.edits);
+}
+
+outcome state_machine::AcceptRows(const table::row_map& rows, const std::string& author,
+                                  const std::string& note, context& at) {
+  if (auto refused = internal::CheckTexts(author, note)) return *refused;
+  if (auto faults = table::Validate(rows); !faults.empty()) {
+    return invalid_outcome{std::move(faults)};
+  }
+  if (rows == history_.rows()) return accepted_outcome{history_.newest()};
+  at.effects.table_changed = true;
+  return accepted_outcome{history_.Accept(rows, author, note, now_ms_)};
+}
+
+outcome state_machine::Run(const accept_command& command, context& at) {
+  return AcceptRows(draft_.Contents(), command.author, command.note, at);
+}
+
+outcome state_machine::Run(const restore_command& command, context& at) {
+  const auto rows = history_.RowsOf(command.version);
+  if (!rows) return refused_outcome{"the version is unknown or past the retention"};
+  outcome result = AcceptRows(*rows, command.author,
+                              "restored version " + std::to_string(command.version.value()), at);
+  if (std::holds_alternative<accepted_outcome>(result)) draft_.ReplaceContents(*rows);
+  return result;
+}
+
+outcome state_machine::Run(const announce_command& command, context& at) {
+  const auto result =
+      members_.Announce(command.record, kernel::membership_revision(at.index.value()));
+  announced_outcome announced;
+  announced.accepted = result.outcome == membership::announce_outcome::kAccepted ||
+                       result.outcome == membership::announce_outcome::kUnchanged;
+  announced.needed = result.needed;
+  if (announced.accepted) at.effects.announced = command.record;
+  at.effects.members_changed = result.outcome == membership::announce_outcome::kAccepted;
+  return announced;
+}
+
+outcome state_machine::Run(const leave_command& command, context& at) {
+  at.effects.members_changed = members_.Leave(command.id, command.incarnation,
+                                              kernel::membership_revision(at.index.value()));
+  if (at.effects.members_changed) at.effects.left = command.id;
+  return done_outcome{};
+}
+
+outcome state_machine::Run(const claim_command& command, context&) {
+  return claimed_outcome{claims_.Claim(command.key, command.attempt, command.fingerprint, now())};
+}
+
+outcome state_machine::Run(const complete_command& command, context&) {
+  claims_.Complete(command.key, command.attempt, command.response);
+  return done_outcome{};
+}
+
+outcome state_machine::Run(const release_command& command, context&) {
+  claims_.Release(command.key, command.attempt);
+  return done_outcome{};
+}
+
+outcome state_machine::Run(const crash_command& command, context& at) {
+  const kernel::request_count in_progress(static_cast<std::int64_t>(command.in_progress.size()));
+  for (const kernel::fingerprint& suspect : command.in_progress) {
+    const bool held =
+        crashes_.Report(suspect, command.upstream, command.incarnation, now(), in_progress);
+    at.effects.quarantine_changed |= held;
+  }
+  return done_outcome{};
+}
+
+outcome state_machine::Run(const release_quarantine_command& command, context& at) {
+  at.effects.quarantine_changed = crashes_.Release(command.fingerprint);
+  if (!at.effects.quarantine_changed) return refused_outcome{"no such request is quarantined"};
+  return done_outcome{};
+}
+
+state_snapshot state_machine::Snapshot() const {
+  state_snapshot snapshot;
+  snapshot.now_ms = now_ms_;
+  snapshot.edited = draft_;
+  snapshot.history = history_;
+  snapshot.outcomes = outcomes_;
+  snapshot.members = members_.Snapshot();
+  snapshot.claims = claims_.Snapshot();
+  snapshot.crashes = crashes_.Snapshot();
+  return snapshot;
+}
+
+void state_machine::Restore(const state_snapshot& snapshot) {
+  now_ms_ = snapshot.now_ms;
+  draft_ = snapshot.edited;
+  history_ = snapshot.history;
+  outcomes_ = snapshot.outcomes;
+  members_.Restore(snapshot.members);
+  claims_.Restore(snapshot.claims);
+  crashes_.Restore(snapshot.crashes);
+}
+
+}  // namespace cornelweir::control
--- /dev/null
+++ b/cornelweir/src/control/state_machine.h
@@ -0,0 +1,102 @@
+#ifndef CORNELWEIR_SRC_CONTROL_STATE_MACHINE_H_
+#define CORNELWEIR_SRC_CONTROL_STATE_MACHINE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+
+#include "cornelweir/claims.h"
+#include "cornelweir/kernel.h"
+#include "cornelweir/membership.h"
+#include "cornelweir/quarantine.h"
+#include "cornelweir/src/control/change_outcomes.h"
+#include "cornelweir/src/control/commands.h"
+#include "cornelweir/src/control/draft.h"
+#include "cornelweir/src/control/outcomes.h"
+#include "cornelweir/src/control/version_history.h"
+
+namespace cornelweir::control {
+
+// What one applied command changed, so that its host knows what to publish.
+struct applied_effects {
+  bool table_changed = false;
+  bool members_changed = false;
+  bool quarantine_changed = false;
+  // The upstream that joined or changed, or that left, if there is one.
+  std::optional<membership::upstream_record> announced = std::nullopt;
+  std::optional<kernel::upstream_id> left = std::nullopt;
+};
+
+// Everything of a state machine that goes into a snapshot.
+struct state_snapshot {
+  std::int64_t now_ms = 0;
+  draft edited;
+  version_history history;
+  change_outcomes outcomes;
+  membership::member_snapshot members;
+  claims::claim_table_state claims;
+  quarantine::crash_ledger_state crashes;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"now_ms", &state_snapshot::now_ms},
+                      kernel::field{"draft", &state_snapshot::edited},
+                      kernel::field{"history", &state_snapshot::history},
+                      kernel::field{"outcomes", &state_snapshot::outcomes},
+                      kernel::field{"members", &state_snapshot::members},
+                      kernel::field{"claims", &state_snapshot::claims},
+                      kernel::field{"crashes", &state_snapshot::crashes}};
+  }
+};
+
+// The state that control hosts replicate. It changes only by Apply(), and its time comes only from
+// the log, so that every host has the same state at the same index.
+class state_machine {
+ public:
+  // Applies the record at an index. effects tells what became different.
+  outcome Apply(kernel::log_index index, const log_record& record, applied_effects& effects);
+
+  const draft& edited() const { return draft_; }
+  const version_history& history() const { return history_; }
+  const membership::member_table& members() const { return members_; }
+  const quarantine::crash_ledger& crashes() const { return crashes_; }
+  const claims::claim_table& claims() const { return claims_; }
+  kernel::time_point now() const;
+
+  state_snapshot Snapshot() const;
+  void Restore(const state_snapshot& snapshot);
+
+ private:
+  struct context;
+
+  outcome Run(const edit_command& command, context& at);
+  outcome Run(const accept_command& command, context& at);
+  outcome Run(const restore_command& command, context& at);
+  outcome Run(const announce_command& command, context& at);
+  outcome Run(const leave_command& command, context& at);
+  outcome Run(const claim_command& command, context& at);
+  outcome Run(const complete_command& command, context& at);
+  outcome Run(const release_command& command, context& at);
+  outcome Run(const crash_command& command, context& at);
+  outcome Run(const release_quarantine_command& command, context& at);
+
+  // Runs a change of an operator once; a resend gets the first outcome.
+  template <class Command>
+  outcome RunOnce(const Command& command, context& at);
+  // Forgets what has outlived its retention.
+  void Expire(applied_effects& effects);
+  outcome AcceptRows(const table::row_map& rows, const std::string& author, const std::string& note,
+                     context& at);
+
+  std::int64_t now_ms_ = 0;
+  draft draft_;
+  version_history history_;
+  change_outcomes outcomes_;
+  membership::member_table members_;
+  claims::claim_table claims_;
+  quarantine::crash_ledger crashes_;
+};
+
+}  // namespace cornelweir::control
+
+#endif  // CORNELWEIR_SRC_CONTROL_STATE_MACHINE_H_
