Add the replicated log and its files, basic version

Cause: control hosts need one agreed log, linearizable reads and a store that survives restarts before the control plug-in can be written.

Random schedules are not run yet.

--- /dev/null
+++ b/cornelweir/replication.h
@@ -0,0 +1,17 @@
+#ifndef CORNELWEIR_REPLICATION_H_
+#define CORNELWEIR_REPLICATION_H_
+
+// A leader-based replicated log as pure decisions: messages and time in, messages, entries to store
+// and committed entries out.
+
+#include "cornelweir/src/replication/durable_state.h"
+#include "cornelweir/src/replication/group_configuration.h"
+#include "cornelweir/src/replication/limits.h"
+#include "cornelweir/src/replication/log_entry.h"
+#include "cornelweir/src/replication/message.h"
+#include "cornelweir/src/replication/node.h"
+#include "cornelweir/src/replication/node_builder.h"
+#include "cornelweir/src/replication/ready.h"
+#include "cornelweir/src/replication/snapshot.h"
+
+#endif  // CORNELWEIR_REPLICATION_H_
--- a/cornelweir/src/kernel/clock.h
+++ b/cornelweir/src/kernel/clock.h
@@ -14,6 +14,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<decision_clock>;
+  // The standard's clock requirements give this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 };
 
--- a/cornelweir/src/kernel/ids.h
+++ b/cornelweir/src/kernel/ids.h
@@ -33,6 +33,9 @@
 using log_index = strong_id<struct log_index_tag, std::uint64_t>;
 // A heartbeat round that a majority of control hosts confirmed.
 using heartbeat_round = strong_id<struct heartbeat_round_tag, std::uint64_t>;
+// The identity of one data folder: random at its creation, 0 if there is none. A host whose disk is
+// replaced keeps its host id and gets another disk id.
+using disk_id = strong_id<struct disk_id_tag, std::uint64_t>;
 // Ties an answer to the question of one process.
 using nonce = strong_id<struct nonce_tag, std::uint64_t>;
 // Chosen by the operator's client; a resend of a change carries the same one.
--- /dev/null
+++ b/cornelweir/src/replication/group_configuration.cc
@@ -0,0 +1,24 @@
+#include "cornelweir/src/replication/group_configuration.h"
+
+#include <algorithm>
+
+namespace cornelweir::replication {
+
+bool IsVoter(const group_configuration& configuration, const kernel::host_id& host) {
+  return std::find(configuration.voters.begin(), configuration.voters.end(), host) !=
+         configuration.voters.end();
+}
+
+bool IsLearner(const group_configuration& configuration, const kernel::host_id& host) {
+  return std::find(configuration.learners.begin(), configuration.learners.end(), host) !=
+         configuration.learners.end();
+}
+
+const disk_record* FindDisk(const group_configuration& configuration, const kernel::host_id& host) {
+  for (const disk_record& record : configuration.disks) {
+    if (record.host == host) return &record;
+  }
+  return nullptr;
+}
+
+}  // namespace cornelweir::replication
--- /dev/null
+++ b/cornelweir/src/replication/limits.h
@@ -0,0 +1,45 @@
+#ifndef CORNELWEIR_SRC_REPLICATION_LIMITS_H_
+#define CORNELWEIR_SRC_REPLICATION_LIMITS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "cornelweir/src/kernel/quantity.h"
+
+namespace cornelweir::replication {
+
+inline constexpr kernel::milliseconds kHeartbeatInterval{50};
+// Six heartbeats may be lost before an election starts; with the upper bound, a failed leader is
+// replaced within 1 s.
+inline constexpr kernel::milliseconds kElectionTimeoutMin{300};
+inline constexpr kernel::milliseconds kElectionTimeoutMax{600};
+// A forwarded read index request that was not answered by then has failed.
+inline constexpr kernel::milliseconds kReadTimeout{1000};
+
+// One append message must stay below the codec's limit of 1 MiB even if its last entry is of the
+// largest size.
+inline constexpr std::size_t kMaxPayloadBytes = std::size_t{256} << 10;
+inline constexpr std::size_t kMaxBatchBytes = std::size_t{256} << 10;
+inline constexpr std::size_t kMaxBatchEntries = 256;
+// Entries that were sent to one host and not yet acknowledged.
+inline constexpr std::uint64_t kMaxInFlightEntries = 1024;
+
+// Entries that a leader holds uncommitted before it refuses proposals.
+inline constexpr std::uint64_t kMaxBacklogEntries = 4096;
+inline constexpr std::size_t kMaxBacklogBytes = std::size_t{16} << 20;
+// Read index requests in progress before further ones fail at once.
+inline constexpr std::size_t kMaxPendingReads = 4096;
+// Committed entries per ready, so that a restart with a long log doesn't block the loop.
+inline constexpr std::size_t kMaxCommittedPerReady = 1024;
+
+// Entries kept in memory behind the latest snapshot, so that a host that missed a few hundred
+// changes is caught up by entries instead of the whole snapshot.
+inline constexpr std::uint64_t kRetainedEntries = 1024;
+inline constexpr std::size_t kSnapshotPieceBytes = std::size_t{128} << 10;
+inline constexpr std::size_t kMaxSnapshotBytes = std::size_t{256} << 20;
+
+inline constexpr std::size_t kMaxHosts = 64;
+
+}  // namespace cornelweir::replication
+
+#endif  // CORNELWEIR_SRC_REPLICATION_LIMITS_H_
--- /dev/null
+++ b/cornelweir/src/replication/log_entry.h
@@ -0,0 +1,37 @@
+#ifndef CORNELWEIR_SRC_REPLICATION_LOG_ENTRY_H_
+#define CORNELWEIR_SRC_REPLICATION_LOG_ENTRY_H_
+
+#include <cstdint>
+#include <optional>
+#include <tuple>
+
+#include "cornelweir/src/kernel/byte_string.h"
+#include "cornelweir/src/kernel/field.h"
+#include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/replication/group_configuration.h"
+
+namespace cornelweir::replication {
+
+enum class entry_kind : std::uint8_t { kCommand, kNoop, kConfiguration };
+
+// One position of the replicated log. Commands have a payload; configurations travel typed, since
+// decision code doesn't encode.
+struct log_entry {
+  kernel::term term;
+  kernel::log_index index;
+  entry_kind kind = entry_kind::kCommand;
+  kernel::byte_string payload;
+  std::optional<group_configuration> configuration = std::nullopt;
+
+  static constexpr auto Fields() {
+    return std::tuple{
+        kernel::field{"term", &log_entry::term}, kernel::field{"index", &log_entry::index},
+        kernel::field{"kind", &log_entry::kind}, kernel::field{"payload", &log_entry::payload},
+        kernel::field{"configuration", &log_entry::configuration}};
+  }
+  friend bool operator==(const log_entry&, const log_entry&) = default;
+};
+
+}  // namespace cornelweir::replication
+
+#endif  // CORNELWEIR_SRC_REPLICATION_LOG_ENTRY_H_
--- /dev/null
+++ b/cornelweir/storage.h
@@ -0,0 +1,11 @@
+#ifndef CORNELWEIR_STORAGE_H_
+#define CORNELWEIR_STORAGE_H_
+
+// The replicated log, its snapshot and the identity of a data folder as files.
+
+#include "cornelweir/src/storage/limits.h"
+#include "cornelweir/src/storage/log_store.h"
+#include "cornelweir/src/storage/recovered_state.h"
+#include "cornelweir/src/storage/storage_error.h"
+
+#endif  // CORNELWEIR_STORAGE_H_
