--- /dev/null
+++ b/cornelweir/http.h
@@ -0,0 +1,22 @@
+#ifndef CORNELWEIR_HTTP_H_
+#define CORNELWEIR_HTTP_H_
+
+// HTTP/1.1: a server and a client for small messages, and a streaming proxy with pooled
+// connections to upstreams.
+
+#include "cornelweir/src/http/admin_client.h"
+#include "cornelweir/src/http/admin_server.h"
+#include "cornelweir/src/http/client.h"
+#include "cornelweir/src/http/connection_pool.h"
+#include "cornelweir/src/http/endpoint_address.h"
+#include "cornelweir/src/http/exchange.h"
+#include "cornelweir/src/http/forward_result.h"
+#include "cornelweir/src/http/header_list.h"
+#include "cornelweir/src/http/http_error.h"
+#include "cornelweir/src/http/limits.h"
+#include "cornelweir/src/http/outcome.h"
+#include "cornelweir/src/http/proxy_server.h"
+#include "cornelweir/src/http/request_head.h"
+#include "cornelweir/src/http/stored_response.h"
+
+#endif  // CORNELWEIR_HTTP_H_
--- /dev/null
+++ b/cornelweir/loop.h
@@ -0,0 +1,9 @@
+#ifndef CORNELWEIR_LOOP_H_
+#define CORNELWEIR_LOOP_H_
+
+// The one event loop of a process, its timers and its signals.
+
+#include "cornelweir/src/loop/event_loop.h"
+#include "cornelweir/src/loop/timer.h"
+
+#endif  // CORNELWEIR_LOOP_H_
--- /dev/null
+++ b/cornelweir/src/http/admin_server.cc
@@ -0,0 +1,245 @@
+#include "cornelweir/src/http/admin_server.h"
+
+#include <algorithm>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "cornelweir/src/http/listener.h"
+
+namespace cornelweir::http {
+namespace internal {
+
+namespace beast = boost::beast;
+namespace beast_http = boost::beast::http;
+
+// The routes and the open connections of a server.
+class admin_core : public std::enable_shared_from_this<admin_core> {
+ public:
+  struct route {
+    http::method method;
+    std::string path_prefix;
+    admin_server::handler handle;
+  };
+
+  admin_core(loop::event_loop& loop, admin_limits limits) : loop_(loop), limits_(limits) {}
+
+  void Accept(boost::asio::ip::tcp::socket socket);
+  void Dispatch(const admin_request& request, admin_reply reply);
+  void Remove(const std::shared_ptr<admin_session>& session);
+  void Close();
+  void BeginDrain(std::function<void()> done);
+
+  loop::event_loop& loop_;
+  admin_limits limits_;
+  std::shared_ptr<listener> listener_;
+  std::vector<route> routes_;
+  std::unordered_set<std::shared_ptr<admin_session>> sessions_;
+  std::function<void()> on_drained_;
+  bool draining_ = false;
+};
+
+// One connection; it serves one request at a time.
+class admin_session : public std::enable_shared_from_this<admin_session> {
+ public:
+  admin_session(std::shared_ptr<admin_core> core, boost::asio::ip::tcp::socket socket)
+      : core_(std::move(core)), stream_(std::move(socket)), buffer_(core_->limits_.header_bytes) {}
+
+  void Read() {
+    busy_ = false;
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(core_->limits_.header_bytes));
+    parser_->body_limit(core_->limits_.body_bytes);
+    if (buffer_.size() > 0) return ReadMessage();
+    stream_.expires_after(core_->limits_.idle_timeout);
+    stream_.async_read_some(
+        buffer_.prepare(1024),
+        [self = shared_from_this()](const beast::error_code& error, std::size_t size) {
+          if (error) return self->Close();
+          self->buffer_.commit(size);
+          self->ReadMessage();
+        });
+  }
+
+  // Also called for a reply that comes after the connection was closed.
+  void Reply(admin_response response) {
+    if (replied_) return;
+    replied_ = true;
+    if (closed_) return;
+    response_ = {};
+    response_.result(static_cast<unsigned>(response.status));
+    response_.version(11);
+    SetHeaders(response_, response.headers);
+    response_.set(beast_http::field::content_type, response.content_type);
+    response_.body() = std::move(response.body);
+    response_.keep_alive(keep_alive_ && !core_->draining_);
+    const bool head = parser_->get().method() == beast_http::verb::head;
+    response_.prepare_payload();
+    if (head) response_.body().clear();
+    stream_.expires_after(core_->limits_.read_timeout);
+    beast_http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](const beast::error_code& error, std::size_t) {
+          if (error || !self->response_.keep_alive()) return self->Close();
+          self->Read();
+        });
+  }
+
+  void CloseIfIdle() {
+    if (!busy_) Close();
+  }
+
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    beast::error_code ignored;
+    stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    stream_.close();
+    core_->Remove(shared_from_this());
+  }
+
+ private:
+  void ReadMessage() {
+    busy_ = true;
+    stream_.expires_after(core_->limits_.read_timeout);
+    beast_http::async_read(stream_, buffer_, *parser_,
+                           [self = shared_from_this()](const beast::error_code& error,
+                                                       std::size_t) { self->OnMessage(error); });
+  }
+
+  void OnMessage(const beast::error_code& error) {
+    replied_ = false;
+    keep_alive_ = false;
+    if (error == beast_http::error::body_limit) return Refuse(413, "body too large");
+    if (error == beast_http::error::header_limit || error == beast_http::error::buffer_overflow) {
+      return Refuse(431, "header too large");
+    }
+    if (error == beast_http::error::end_of_stream || error == beast::error::timeout ||
+        error.category() !=
+            beast_http::make_error_code(beast_http::error::bad_version).category()) {
+      if (error) return Close();
+    }
+    if (error) return Refuse(400, "malformed request");
+    auto& message = parser_->get();
+    if (message.find(beast_http::field::transfer_encoding) != message.end() && !message.chunked()) {
+      return Refuse(400, "unknown transfer encoding");
+    }
+    keep_alive_ = message.keep_alive();
+    admin_request request;
+    request.method = message.method();
+    request.target = std::string(message.target());
+    request.body = std::move(message.body());
+    request.headers = message.base();
+    core_->Dispatch(request, admin_reply(shared_from_this()));
+  }
+
+  void Refuse(int status, std::string_view reason) {
+    Reply(admin_response{status, "text/plain", std::string(reason) + "\n"});
+  }
+
+  std::shared_ptr<admin_core> core_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<beast_http::request_parser<beast_http::string_body>> parser_;
+  beast_http::response<beast_http::string_body> response_;
+  bool busy_ = false;
+  bool keep_alive_ = false;
+  bool replied_ = true;
+  bool closed_ = false;
+};
+
+void admin_core::Accept(boost::asio::ip::tcp::socket socket) {
+  // Beyond the limit the connection is closed at once, so that idle clients can't use up the
+  // process's descriptors.
+  if (sessions_.size() >= limits_.connections) return;
+  auto session = std::make_shared<admin_session>(shared_from_this(), std::move(socket));
+  sessions_.insert(session);
+  session->Read();
+}
+
+void admin_core::Dispatch(const admin_request& request, admin_reply reply) {
+  const std::string_view target = request.target;
+  const std::string_view path = target.substr(0, target.find('?'));
+  const route* best = nullptr;
+  bool path_known = false;
+  for (const route& candidate : routes_) {
+    if (!path.starts_with(candidate.path_prefix)) continue;
+    path_known = true;
+    if (candidate.method != request.method) continue;
+    if (best == nullptr || candidate.path_prefix.size() > best->path_prefix.size()) {
+      best = &candidate;
+    }
+  }
+  if (best != nullptr) return best->handle(request, std::move(reply));
+  if (path_known) return reply(admin_response{405, "text/plain", "method not allowed\n"});
+  reply(admin_response{404, "text/plain", "not found\n"});
+}
+
+void admin_core::Remove(const std::shared_ptr<admin_session>& session) {
+  sessions_.erase(session);
+  if (!draining_ || !sessions_.empty() || !on_drained_) return;
+  loop_.Post(std::exchange(on_drained_, nullptr));
+}
+
+void admin_core::Close() {
+  if (listener_) listener_->Close();
+  draining_ = true;
+  const auto open = std::exchange(sessions_, {});
+  for (const auto& session : open) session->Close();
+}
+
+void admin_core::BeginDrain(std::function<void()> done) {
+  if (listener_) listener_->Close();
+  draining_ = true;
+  on_drained_ = std::move(done);
+  const auto open = sessions_;
+  for (const auto& session : open) session->CloseIfIdle();
+  if (sessions_.empty() && on_drained_) loop_.Post(std::exchange(on_drained_, nullptr));
+}
+
+}  // namespace internal
+
+admin_reply::admin_reply(std::shared_ptr<internal::admin_session> session)
+    : session_(std::move(session)) {}
+
+admin_reply::~admin_reply() {
+  if (session_) session_->Reply(admin_response{500, "text/plain", "no answer\n"});
+}
+
+void admin_reply::operator()(admin_response response) {
+  const auto session = std::exchange(session_, nullptr);
+  if (session) session->Reply(std::move(response));
+}
+
+admin_server::admin_server(loop::event_loop& loop, admin_limits limits)
+    : core_(std::make_shared<internal::admin_core>(loop, limits)) {}
+
+admin_server::~admin_server() { core_->Close(); }
+
+void admin_server::Handle(http::method method, std::string_view path_prefix, handler handle) {
+  core_->routes_.push_back({method, std::string(path_prefix), std::move(handle)});
+}
+
+boost::leaf::result<void> admin_server::Listen(const kernel::endpoint& endpoint) {
+  core_->listener_ = std::make_shared<internal::listener>(
+      core_->loop_, [core = core_.get()](boost::asio::ip::tcp::socket socket) {
+        core->Accept(std::move(socket));
+      });
+  return core_->listener_->Listen(endpoint);
+}
+
+kernel::endpoint admin_server::local_endpoint() const {
+  return core_->listener_ ? core_->listener_->local_endpoint() : kernel::endpoint();
+}
+
+void admin_server::BeginDrain(std::function<void()> done) { core_->BeginDrain(std::move(done)); }
+
+}  // namespace cornelweir::http
--- /dev/null
+++ b/cornelweir/src/http/caller_connection.cc
@@ -0,0 +1,407 @@
+#include "cornelweir/src/http/caller_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "cornelweir/src/http/connection.h"
+#include "cornelweir/src/http/forward_operation.h"
+#include "cornelweir/src/http/proxy_core.h"
+
+namespace cornelweir::http::internal {
+
+namespace beast = boost::beast;
+namespace beast_http = boost::beast::http;
+
+namespace {
+
+// Bytes that a caller may send after its connection was answered for the last time.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{1} << 20;
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+bool IsForwarded(http::method method) {
+  switch (method) {
+    case http::method::get:
+    case http::method::head:
+    case http::method::post:
+    case http::method::put:
+    case http::method::patch:
+    case http::method::delete_:
+    case http::method::options:
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool IsParserError(const error_code& error) {
+  return error.category() == beast_http::make_error_code(beast_http::error::bad_version).category();
+}
+
+// The status that answers a request that can't be read, or 0 if the caller is gone.
+int StatusOf(const error_code& error) {
+  if (error == beast_http::error::header_limit || error == beast_http::error::buffer_overflow) {
+    return 431;
+  }
+  if (error == beast_http::error::body_limit) return 413;
+  if (error == boost::asio::error::timed_out) return 408;
+  if (error == beast_http::error::partial_message || !IsParserError(error)) return 0;
+  return 400;
+}
+
+struct refusal {
+  int status = 0;
+  std::string_view reason;
+};
+
+// What is wrong with a header that the parser accepts. Ambiguous framing is refused because the
+// next server might see a different end of the request (request smuggling).
+refusal CheckHead(const message_reader<true>::parser& parser) {
+  const auto& message = parser.get();
+  if (message.version() != 11) return {505, "only HTTP/1.1 is served"};
+  if (!IsForwarded(message.method())) return {400, "unsupported method"};
+  if (message.target().empty() || message.target().front() != '/') {
+    return {400, "the target must be a path"};
+  }
+  if (message.count(beast_http::field::host) != 1) return {400, "one host header is required"};
+  const std::size_t lengths = message.count(beast_http::field::content_length);
+  const std::size_t encodings = message.count(beast_http::field::transfer_encoding);
+  if (lengths + encodings > 1) return {400, "conflicting body lengths"};
+  if (encodings == 1 && !beast::iequals(message[beast_http::field::transfer_encoding], "chunked")) {
+    return {400, "unsupported transfer encoding"};
+  }
+  if (message.count(beast_http::field::expect) > 0 &&
+      !beast::iequals(message[beast_http::field::expect], "100-continue")) {
+    return {417, "unsupported expectation"};
+  }
+  return {};
+}
+
+}  // namespace
+
+caller_connection::caller_connection(std::shared_ptr<proxy_core> core,
+                                     boost::asio::ip::tcp::socket socket)
+    : core_(std::move(core)),
+      socket_(std::move(socket)),
+      reader_(socket_, core_->limits().header_bytes),
+      timer_(core_->event_loop()) {}
+
+void caller_connection::Start() { AwaitRequest(); }
+
+void caller_connection::AwaitRequest() {
+  phase_ = phase::kIdle;
+  if (reader_.has_buffered_bytes()) return ReadHead();
+  if (draining_ && Peek(socket_) != socket_state::kReadable) return Close();
+  ArmTimer(core_->limits().idle_timeout);
+  Watch();
+}
+
+// One wait for readability serves two purposes: between requests it starts the next one, and
+// during a request it tells that the caller has closed its connection.
+void caller_connection::Watch() {
+  if (watched_) return;
+  watched_ = true;
+  socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const error_code&) {
+                       self->watched_ = false;
+                       self->OnReadable();
+                     });
+}
+
+void caller_connection::OnReadable() {
+  if (phase_ == phase::kIdle) return ReadHead();
+  if (phase_ != phase::kExchange || reading_body_) return;
+  switch (Peek(socket_)) {
+    case socket_state::kClosed:
+      return Close();
+    case socket_state::kQuiet:
+      return Watch();
+    case socket_state::kReadable:
+      // Body or a following request; watching on would report the same bytes again and again.
+      return;
+  }
+}
+
+void caller_connection::ReadHead() {
+  phase_ = phase::kHead;
+  ArmTimer(core_->limits().read_timeout);
+  reader_.Begin(core_->limits().body_bytes, false);
+  reader_.ReadHead([self = shared_from_this()](const error_code& error) { self->OnHead(error); });
+}
+
+void caller_connection::OnHead(const error_code& error) {
+  if (phase_ != phase::kHead) return;
+  is_head_ = false;
+  if (error) {
+    const int status = StatusOf(error);
+    if (status == 0) return Close();
+    return RefuseAndClose(status, "the request header can't be read", false);
+  }
+  auto& parser = reader_.message();
+  const refusal fault = CheckHead(parser);
+  if (fault.status != 0) return RefuseAndClose(fault.status, fault.reason, false);
+
+  timer_.Cancel();
+  phase_ = phase::kExchange;
+  response_begun_ = false;
+  keep_alive_ = parser.keep_alive();
+  retained_.clear();
+  cursor_ = 0;
+  retaining_ = true;
+  orphaned_piece_.reset();
+
+  auto& message = parser.get();
+  const auto request = std::make_shared<exchange>(shared_from_this());
+  request->head_.method = message.method();
+  request->head_.target = std::string(message.target());
+  request->head_.chunked = parser.chunked();
+  if (const auto length = parser.content_length()) request->head_.content_length = *length;
+  if (!request->head_.chunked && !request->head_.content_length) request->head_.content_length = 0;
+  request->head_.headers = std::move(static_cast<header_list&>(message));
+  is_head_ = request->head_.method == http::method::head;
+  expects_continue_ = request->head_.has_body() && !request->head_.Header("expect").empty();
+  exchange_ = request;
+  Watch();
+  core_->Dispatch(request);
+}
+
+bool caller_connection::CanAnswer() const {
+  return phase_ == phase::kExchange && !attempt_ && !response_begun_;
+}
+
+void caller_connection::Respond(stored_response response) {
+  if (!CanAnswer()) return;
+  EndExchange();
+  // A body that has arrived already is taken, so that refusing a small request does not cost the
+  // caller its connection.
+  error_code error;
+  while (!error && !reading_body_ && !reader_.done() && reader_.TakeBuffered(error)) {
+  }
+  WriteResponse(std::move(response), !error && !reading_body_ && CanKeepAlive());
+}
+
+void caller_connection::Forward(const kernel::endpoint& endpoint, const header_list& extra,
+                                kernel::microseconds timeout, forward_callbacks callbacks) {
+  const auto request = exchange_.lock();
+  if (!CanAnswer() || !request) return;
+  attempt_ = std::make_shared<forward_operation>(core_->event_loop(), core_->pool(),
+                                                 shared_from_this(), endpoint);
+  attempt_->Start(request->head(), extra, timeout, std::move(callbacks), retaining_);
+}
+
+bool caller_connection::CanRetry() const { return CanAnswer() && retaining_; }
+
+void caller_connection::Abandon() {
+  if (CanAnswer()) Respond(stored_response{500, {}, "no answer\n"});
+}
+
+void caller_connection::AnswerIfUnowned() {
+  if (exchange_.expired()) Abandon();
+}
+
+void caller_connection::EndAttempt() {
+  attempt_ = nullptr;
+  body_callback_ = nullptr;
+  cursor_ = 0;
+}
+
+void caller_connection::EndExchange() {
+  const auto self = shared_from_this();
+  if (const auto request = exchange_.lock()) {
+    request->connection_ = nullptr;
+    request->on_caller_gone_ = nullptr;
+  }
+  exchange_.reset();
+}
+
+std::optional<caller_connection::body_piece> caller_connection::TakeBufferedBody(
+    error_code& error) {
+  if (cursor_ < retained_.size()) {
+    const std::string_view bytes = std::string_view(retained_).substr(cursor_, kStreamBufferBytes);
+    cursor_ += bytes.size();
+    const bool all_read = reader_.done() && !orphaned_piece_;
+    return body_piece{bytes, all_read && cursor_ == retained_.size()};
+  }
+  if (orphaned_piece_) {
+    const body_piece piece = *orphaned_piece_;
+    error = orphaned_error_;
+    orphaned_piece_.reset();
+    RetainBody(piece);
+    return piece;
+  }
+  if (reading_body_) return std::nullopt;
+  const auto piece = reader_.TakeBuffered(error);
+  if (piece) RetainBody(*piece);
+  return piece;
+}
+
+void caller_connection::ReadBody(body_callback callback) {
+  error_code error;
+  if (const auto piece = TakeBufferedBody(error)) return callback(error, *piece);
+  body_callback_ = std::move(callback);
+  if (reading_body_) return;
+  reading_body_ = true;
+  ArmTimer(core_->limits().read_timeout);
+  if (std::exchange(expects_continue_, false)) {
+    // No response has been written yet, so these few bytes fit into the socket's buffer.
+    boost::asio::write(socket_, boost::asio::buffer(kContinue), error);
+  }
+  reader_.ReadPiece([self = shared_from_this()](const error_code& read_error, body_piece piece) {
+    self->OnBodyPiece(read_error, piece);
+  });
+}
+
+void caller_connection::OnBodyPiece(const error_code& error, body_piece piece) {
+  reading_body_ = false;
+  if (phase_ != phase::kExchange) return;
+  timer_.Cancel();
+  if (!error && piece.last) Watch();
+  if (const auto callback = std::exchange(body_callback_, nullptr)) {
+    if (!error) RetainBody(piece);
+    callback(error, piece);
+  } else {
+    orphaned_piece_ = piece;
+    orphaned_error_ = error;
+  }
+}
+
+void caller_connection::RetainBody(body_piece piece) {
+  if (!retaining_) return;
+  if (retained_.size() + piece.bytes.size() > kMaxRetainedBodyBytes) {
+    retaining_ = false;
+    retained_ = {};
+    cursor_ = 0;
+    return;
+  }
+  retained_.append(piece.bytes);
+  cursor_ = retained_.size();
+}
+
+void caller_connection::RefuseBody(const error_code& error, bool sent) {
+  if (!CanAnswer()) return;
+  const int status = StatusOf(error);
+  if (status == 0) return Close();
+  EndExchange();
+  RefuseAndClose(status, "the request body can't be read", sent);
+}
+
+bool caller_connection::CanKeepAlive() const { return keep_alive_ && !draining_ && reader_.done(); }
+
+void caller_connection::EndResponse(bool keep_alive) {
+  if (phase_ != phase::kExchange) return;
+  EndExchange();
+  if (keep_alive) return AwaitRequest();
+  Linger();
+}
+
+void caller_connection::RefuseAndClose(int status, std::string_view reason, bool sent) {
+  stored_response response;
+  response.status = status;
+  response.body = std::string(reason) + "\n";
+  core_->AddRefusalHeaders(sent, response.headers);
+  WriteResponse(std::move(response), false);
+}
+
+void caller_connection::WriteResponse(stored_response response, bool keep_alive) {
+  phase_ = phase::kResponding;
+  response_ = {};
+  response_.version(11);
+  response_.result(static_cast<unsigned>(response.status));
+  SetHeaders(response_, response.headers);
+  RemoveHopHeaders(response_);
+  const bool bodiless = response.status == 204 || response.status == 304;
+  if (!bodiless) response_.body() = std::move(response.body);
+  if (!response_.body().empty() && response_.count(beast_http::field::content_type) == 0) {
+    response_.set(beast_http::field::content_type, "text/plain");
+  }
+  response_.prepare_payload();
+  if (is_head_) response_.body().clear();
+  response_.keep_alive(keep_alive);
+  ArmTimer(core_->limits().write_timeout);
+  beast_http::async_write(
+      socket_, response_,
+      [self = shared_from_this(), keep_alive](const error_code& error, std::size_t) {
+        if (self->phase_ != phase::kResponding) return;
+        if (error) return self->Close();
+        if (keep_alive) return self->AwaitRequest();
+        self->Linger();
+      });
+}
+
+// Closing a socket that holds unread bytes resets the connection, which may destroy a response
+// that the caller has not read yet. So the rest of what the caller sends is read first.
+void caller_connection::Linger() {
+  phase_ = phase::kLingering;
+  error_code ignored;
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  const bool nothing_unread = reader_.done() && !reader_.has_buffered_bytes();
+  if (nothing_unread && Peek(socket_) != socket_state::kReadable) return Close();
+  discarded_ = 0;
+  ArmTimer(core_->limits().linger_timeout);
+  DiscardInput();
+}
+
+void caller_connection::DiscardInput() {
+  socket_.async_read_some(boost::asio::buffer(discard_buffer_),
+                          [self = shared_from_this()](const error_code& error, std::size_t size) {
+                            if (self->phase_ != phase::kLingering) return;
+                            self->discarded_ += size;
+                            if (error || self->discarded_ > kMaxDiscardedBytes) {
+                              return self->Close();
+                            }
+                            self->DiscardInput();
+                          });
+}
+
+void caller_connection::ArmTimer(kernel::microseconds delay) {
+  // The timer belongs to this object, so that the callback can't run after it is gone.
+  timer_.Start(delay, [this] { OnTimeout(); });
+}
+
+void caller_connection::OnTimeout() {
+  const auto self = shared_from_this();
+  switch (phase_) {
+    case phase::kHead:
+      is_head_ = false;
+      return RefuseAndClose(408, "the request header took too long", false);
+    case phase::kExchange:
+      if (const auto callback = std::exchange(body_callback_, nullptr)) {
+        callback(boost::asio::error::timed_out, {});
+      }
+      return;
+    case phase::kIdle:
+    case phase::kResponding:
+    case phase::kLingering:
+      return Close();
+    case phase::kClosed:
+      return;
+  }
+}
+
+void caller_connection::BeginDrain() {
+  draining_ = true;
+  // A request that has arrived but was not read yet is still served.
+  if (phase_ == phase::kIdle && Peek(socket_) != socket_state::kReadable) Close();
+}
+
+void caller_connection::Close() {
+  if (phase_ == phase::kClosed) return;
+  const auto self = shared_from_this();
+  phase_ = phase::kClosed;
+  timer_.Cancel();
+  error_code ignored;
+  socket_.close(ignored);
+  std::function<void()> on_gone;
+  if (const auto request = exchange_.lock()) on_gone = request->on_caller_gone_;
+  EndExchange();
+  if (const auto attempt = std::exchange(attempt_, nullptr)) {
+    attempt->OnCallerGone();
+  } else if (on_gone) {
+    on_gone();
+  }
+  core_->Remove(self);
+}
+
+}  // namespace cornelweir::http::internal
--- /dev/null
+++ b/cornelweir/src/http/client.cc
@@ -0,0 +1,148 @@
+#include "cornelweir/src/http/client.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <memory>
+#include <utility>
+
+#include "cornelweir/src/loop/timer.h"
+
+namespace cornelweir::http {
+namespace internal {
+
+namespace beast_http = boost::beast::http;
+
+// One request from its start to its outcome.
+class client_operation : public std::enable_shared_from_this<client_operation> {
+ public:
+  client_operation(loop::event_loop& loop, connection_pool& pool, kernel::endpoint endpoint,
+                   std::size_t max_body_bytes, client::callback done)
+      : pool_(pool),
+        endpoint_(std::move(endpoint)),
+        max_body_bytes_(max_body_bytes),
+        done_(std::move(done)),
+        deadline_(loop) {}
+
+  void Start(client_request request, kernel::microseconds timeout) {
+    request_.method(request.method);
+    request_.target(request.target);
+    request_.version(11);
+    SetHeaders(request_, request.headers);
+    if (request_.find(beast_http::field::host) == request_.end()) {
+      request_.set(beast_http::field::host, endpoint_.value());
+    }
+    request_.body() = std::move(request.body);
+    request_.prepare_payload();
+    deadline_.Start(timeout, [self = shared_from_this()] { self->Fail(http_fault::kTimeout); });
+    ticket_ =
+        pool_.Acquire(endpoint_, [self = shared_from_this()](outcome<connection_ptr> acquired) {
+          if (!acquired) return self->Fail(acquired.error().fault);
+          self->connection_ = acquired.value();
+          self->Write();
+        });
+  }
+
+ private:
+  using connection_ptr = connection_pool::connection_ptr;
+
+  void Write() {
+    auto& reader = connection_->reader;
+    reader.Begin(max_body_bytes_, request_.method() == beast_http::verb::head);
+    beast_http::async_write(connection_->socket, request_,
+                            [self = shared_from_this()](const error_code& error, std::size_t size) {
+                              self->sent_ = self->sent_ || size > 0;
+                              self->written_ = !error;
+                              // A server may answer and close before it has read the whole body, so
+                              // an error after the first byte leaves the verdict to the reading
+                              // side.
+                              if (error && !self->sent_)
+                                return self->Fail(http_fault::kConnectionBroken);
+                              if (!self->finished_) self->ReadHead();
+                            });
+  }
+
+  void ReadHead() {
+    connection_->reader.ReadHead([self = shared_from_this()](const error_code& error) {
+      if (self->finished_) return;
+      if (error) return self->FailReading(error);
+      const auto& head = self->connection_->reader.message().get();
+      if (beast_http::to_status_class(head.result()) == beast_http::status_class::informational) {
+        if (++self->interim_ > kMaxInterimResponses) return self->Fail(http_fault::kMalformed);
+        self->connection_->reader.Begin(self->max_body_bytes_,
+                                        self->request_.method() == beast_http::verb::head);
+        return self->ReadHead();
+      }
+      self->response_.status = static_cast<int>(head.result_int());
+      self->response_.headers = head.base();
+      self->ReadBody();
+    });
+  }
+
+  void ReadBody() {
+    connection_->reader.ReadPiece(
+        [self = shared_from_this()](const error_code& error, message_reader<false>::piece piece) {
+          if (self->finished_) return;
+          if (error) return self->FailReading(error);
+          self->response_.body.append(piece.bytes);
+          if (self->response_.body.size() > self->max_body_bytes_) {
+            return self->Fail(http_fault::kTooLarge);
+          }
+          if (!piece.last) return self->ReadBody();
+          const bool reusable = self->written_ && self->connection_->reader.message().keep_alive();
+          self->Finish(std::move(self->response_), reusable);
+        });
+  }
+
+  void FailReading(const error_code& error) {
+    if (error == beast_http::error::body_limit || error == beast_http::error::header_limit) {
+      return Fail(http_fault::kTooLarge);
+    }
+    const bool parser_error =
+        error.category() == beast_http::make_error_code(beast_http::error::bad_version).category();
+    Fail(parser_error && error != beast_http::error::partial_message
+             ? http_fault::kMalformed
+             : http_fault::kConnectionBroken);
+  }
+
+  void Fail(http_fault fault) { Finish(http_error{fault, sent_}, false); }
+
+  void Finish(outcome<client_response> result, bool reusable) {
+    if (finished_) return;
+    finished_ = true;
+    const auto self = shared_from_this();
+    deadline_.Cancel();
+    pool_.Cancel(ticket_);
+    if (connection_) pool_.Release(endpoint_, connection_, reusable);
+    const auto done = std::move(done_);
+    done(std::move(result));
+  }
+
+  connection_pool& pool_;
+  kernel::endpoint endpoint_;
+  std::size_t max_body_bytes_;
+  client::callback done_;
+  loop::timer deadline_;
+  connection_pool::ticket ticket_;
+  connection_ptr connection_;
+  beast_http::request<beast_http::string_body> request_;
+  client_response response_;
+  int interim_ = 0;
+  bool sent_ = false;
+  bool written_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace internal
+
+client::client(loop::event_loop& loop, pool_limits limits, std::size_t max_body_bytes)
+    : loop_(loop), pool_(loop, limits), max_body_bytes_(max_body_bytes) {}
+
+void client::Send(const kernel::endpoint& endpoint, client_request request,
+                  kernel::microseconds timeout, callback done) {
+  std::make_shared<internal::client_operation>(loop_, pool_, endpoint, max_body_bytes_,
+                                               std::move(done))
+      ->Start(std::move(request), timeout);
+}
+
+}  // namespace cornelweir::http
--- /dev/null
+++ b/cornelweir/src/http/client.h
@@ -0,0 +1,57 @@
+#ifndef CORNELWEIR_SRC_HTTP_CLIENT_H_
+#define CORNELWEIR_SRC_HTTP_CLIENT_H_
+
+#include <boost/beast/http/verb.hpp>
+#include <cstddef>
+#include <functional>
+#include <string>
+
+#include "cornelweir/src/http/connection_pool.h"
+#include "cornelweir/src/http/header_list.h"
+#include "cornelweir/src/http/limits.h"
+#include "cornelweir/src/http/outcome.h"
+#include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/kernel/quantity.h"
+#include "cornelweir/src/loop/event_loop.h"
+
+namespace cornelweir::http {
+
+using method = boost::beast::http::verb;
+
+struct client_request {
+  http::method method = http::method::get;
+  std::string target;
+  header_list headers;
+  std::string body;
+};
+
+struct client_response {
+  int status = 0;
+  header_list headers;
+  std::string body;
+};
+
+// Sends requests over pooled connections and collects whole responses. An answer that was cut is
+// an error, never a shorter response.
+class client {
+ public:
+  using callback = std::function<void(outcome<client_response>)>;
+
+  explicit client(loop::event_loop& loop, pool_limits limits = {},
+                  std::size_t max_body_bytes = kMaxAdminBodyBytes);
+
+  // Calls back once, never from within Send(). The timeout covers the whole exchange.
+  void Send(const kernel::endpoint& endpoint, client_request request, kernel::microseconds timeout,
+            callback done);
+
+  connection_pool& pool() { return pool_; }
+
+ private:
+  loop::event_loop& loop_;
+  connection_pool pool_;
+  std::size_t max_body_bytes_;
+};
+
+}  // namespace cornelweir::http
+
+#endif  // CORNELWEIR_SRC_HTTP_CLIENT_H_
--- /dev/null
+++ b/cornelweir/src/http/endpoint_address.h
@@ -0,0 +1,18 @@
+#ifndef CORNELWEIR_SRC_HTTP_ENDPOINT_ADDRESS_H_
+#define CORNELWEIR_SRC_HTTP_ENDPOINT_ADDRESS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/leaf.hpp>
+
+#include "cornelweir/src/kernel/ids.h"
+
+namespace cornelweir::http {
+
+// Reads "127.0.0.1:8080" or "[::1]:8080". Names are not resolved. Errors carry an http_error.
+boost::leaf::result<boost::asio::ip::tcp::endpoint> ParseEndpoint(const kernel::endpoint& endpoint);
+
+kernel::endpoint EndpointOf(const boost::asio::ip::tcp::endpoint& address);
+
+}  // namespace cornelweir::http
+
+#endif  // CORNELWEIR_SRC_HTTP_ENDPOINT_ADDRESS_H_
--- /dev/null
+++ b/cornelweir/src/http/exchange.cc
@@ -0,0 +1,38 @@
+#include "cornelweir/src/http/exchange.h"
+
+#include <utility>
+
+#include "cornelweir/src/http/caller_connection.h"
+
+namespace cornelweir::http {
+
+exchange::exchange(std::shared_ptr<internal::caller_connection> connection)
+    : connection_(std::move(connection)) {}
+
+exchange::~exchange() {
+  if (connection_) connection_->Abandon();
+}
+
+void exchange::OnCallerGone(std::function<void()> callback) {
+  if (connection_) on_caller_gone_ = std::move(callback);
+}
+
+void exchange::Refuse(int status, std::string body, header_list headers) {
+  Respond(stored_response{status, std::move(headers), std::move(body)});
+}
+
+void exchange::Respond(stored_response response) {
+  // The connection may let go of this exchange while it sends the answer.
+  const auto connection = connection_;
+  if (connection) connection->Respond(std::move(response));
+}
+
+void exchange::ForwardTo(const kernel::endpoint& endpoint, const header_list& extra,
+                         kernel::microseconds timeout, forward_callbacks callbacks) {
+  const auto connection = connection_;
+  if (connection) connection->Forward(endpoint, extra, timeout, std::move(callbacks));
+}
+
+bool exchange::CanRetry() const { return connection_ && connection_->CanRetry(); }
+
+}  // namespace cornelweir::http
--- /dev/null
+++ b/cornelweir/src/http/forward_operation.cc
@@ -0,0 +1,297 @@
+#include "cornelweir/src/http/forward_operation.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace cornelweir::http::internal {
+
+namespace beast = boost::beast;
+namespace beast_http = boost::beast::http;
+
+forward_operation::forward_operation(loop::event_loop& loop, connection_pool& pool,
+                                     std::shared_ptr<caller_connection> caller,
+                                     kernel::endpoint endpoint)
+    : loop_(loop),
+      pool_(pool),
+      caller_(std::move(caller)),
+      endpoint_(std::move(endpoint)),
+      deadline_(loop) {}
+
+void forward_operation::Start(const request_head& head, const header_list& extra,
+                              kernel::microseconds timeout, forward_callbacks callbacks,
+                              bool body_available) {
+  callbacks_ = std::move(callbacks);
+  callbacks_.tap_bytes = std::min(callbacks_.tap_bytes, kMaxTapBytes);
+  is_head_ = head.method == http::method::head;
+  const bool has_length = !head.Header("content-length").empty();
+  static_cast<header_list&>(request_) = head.headers;
+  RemoveHopHeaders(request_);
+  SetHeaders(request_, extra);
+  request_.method(head.method);
+  request_.target(head.target);
+  request_.version(11);
+  if (head.chunked) {
+    request_.chunked(true);
+  } else if (has_length) {
+    request_.content_length(*head.content_length);
+  }
+  request_serializer_.emplace(request_);
+
+  if (!body_available) {
+    result_.fault = http_fault::kCancelled;
+    loop_.Post([self = shared_from_this()] { self->Finish(forward_status::kNotSent); });
+    return;
+  }
+  deadline_.Start(timeout, [this] { OnTimeout(); });
+  ticket_ = pool_.Acquire(
+      endpoint_, [self = shared_from_this()](outcome<connection_pool::connection_ptr> acquired) {
+        if (self->finished_) return;
+        if (acquired) return self->OnConnection(std::move(acquired.value()));
+        self->FailBeforeResponse(acquired.error().fault);
+      });
+}
+
+void forward_operation::OnConnection(connection_pool::connection_ptr acquired) {
+  connection_ = std::move(acquired);
+  started_at_ = clock_.Now();
+  connection_->reader.Begin(std::nullopt, is_head_);
+  error_code error;
+  const auto piece = caller_->TakeBufferedBody(error);
+  if (error) return FailRequestBody(error);
+  // From here on a part of the request may be on its way; only a failed first write that wrote
+  // nothing proves the contrary.
+  result_.sent = true;
+  WriteRequest(piece);
+  ReadResponseHead();
+}
+
+void forward_operation::WriteRequest(std::optional<caller_connection::body_piece> piece) {
+  auto& body = request_.body();
+  body.more = !piece || !piece->last;
+  const bool has_bytes = piece && !piece->bytes.empty();
+  // The writer's interface takes a pointer to mutable bytes but does not change them.
+  body.data = has_bytes ? const_cast<char*>(piece->bytes.data()) : nullptr;
+  body.size = has_bytes ? piece->bytes.size() : 0;
+  writing_request_ = true;
+  beast_http::async_write(connection_->socket, *request_serializer_,
+                          [self = shared_from_this()](const error_code& error, std::size_t size) {
+                            self->OnRequestWritten(error, size);
+                          });
+}
+
+void forward_operation::OnRequestWritten(const error_code& error, std::size_t size) {
+  writing_request_ = false;
+  if (finished_) return;
+  const bool failed = error && error != beast_http::error::need_buffer;
+  const bool first = started_at_ != kernel::time_point() && !request_serializer_->is_header_done();
+  if (failed && first && size == 0) {
+    result_.sent = false;
+    return FailBeforeResponse(http_fault::kConnectionBroken);
+  }
+  if (read_failed_) return FailBeforeResponse(result_.fault);
+  // A server may answer and close before it has read the whole body, so the reading side decides.
+  if (failed) return;
+  if (!request_.body().more) {
+    request_done_ = true;
+    return;
+  }
+  ReadRequestBody();
+}
+
+void forward_operation::ReadRequestBody() {
+  caller_->ReadBody(
+      [self = shared_from_this()](const error_code& error, caller_connection::body_piece piece) {
+        if (self->finished_) return;
+        if (error) return self->FailRequestBody(error);
+        self->WriteRequest(piece);
+      });
+}
+
+void forward_operation::ReadResponseHead() {
+  connection_->reader.ReadHead(
+      [self = shared_from_this()](const error_code& error) { self->OnResponseHead(error); });
+}
+
+void forward_operation::OnResponseHead(const error_code& error) {
+  if (finished_) return;
+  if (error) {
+    result_.fault = http_fault::kConnectionBroken;
+    if (!writing_request_) return FailBeforeResponse(result_.fault);
+    read_failed_ = true;
+    connection_->Close();
+    return;
+  }
+  const auto& head = connection_->reader.message().get();
+  if (!HasUsableFraming()) return FailBeforeResponse(http_fault::kMalformed);
+  if (beast_http::to_status_class(head.result()) == beast_http::status_class::informational) {
+    return RelayInterimResponse();
+  }
+  result_.latency = clock_.Now() - started_at_;
+  result_.status = static_cast<int>(head.result_int());
+  BeginResponse();
+}
+
+// Whether the body can be sent on as it came. Encodings other than chunked alone would be lost,
+// since the header that announces them concerns one connection only.
+bool forward_operation::HasUsableFraming() const {
+  const auto& head = connection_->reader.message().get();
+  const std::size_t encodings = head.count(beast_http::field::transfer_encoding);
+  const std::size_t lengths = head.count(beast_http::field::content_length);
+  if (encodings + lengths > 1) return false;
+  return encodings == 0 || beast::iequals(head[beast_http::field::transfer_encoding], "chunked");
+}
+
+void forward_operation::RelayInterimResponse() {
+  const auto& head = connection_->reader.message().get();
+  // An upgrade was never asked for, since the request went without its hop-by-hop headers.
+  if (head.result() == beast_http::status::switching_protocols ||
+      ++interim_count_ > kMaxInterimResponses) {
+    return FailBeforeResponse(http_fault::kMalformed);
+  }
+  const bool relayed = head.result() != beast_http::status::continue_;
+  if (relayed) {
+    interim_ = {};
+    interim_.result(head.result_int());
+    interim_.version(11);
+    SetHeaders(interim_, head);
+    RemoveHopHeaders(interim_);
+  }
+  connection_->reader.Begin(std::nullopt, is_head_);
+  // The 100 response is left out: the caller got one when its body was asked for.
+  if (!relayed) return ReadResponseHead();
+  beast_http::async_write(caller_->socket(), interim_,
+                          [self = shared_from_this()](const error_code& error, std::size_t) {
+                            if (self->finished_) return;
+                            if (error) return self->Finish(forward_status::kCallerGone);
+                            self->ReadResponseHead();
+                          });
+}
+
+void forward_operation::BeginResponse() {
+  auto& reader = connection_->reader;
+  static_cast<header_list&>(response_) =
+      std::move(static_cast<header_list&>(reader.message().get()));
+  RemoveHopHeaders(response_);
+  result_.headers = response_;
+  if (callbacks_.accept_response && !callbacks_.accept_response(result_.status, response_)) {
+    if (finished_) return;
+    // A short body that has arrived already is taken, so that the connection can be used again.
+    error_code error;
+    while (!error && !reader.done() && reader.TakeBuffered(error)) {
+    }
+    return Finish(forward_status::kDeclined);
+  }
+  if (finished_) return;
+  error_code error;
+  const auto piece = reader.TakeBuffered(error);
+  if (error) return FailBeforeResponse(http_fault::kMalformed);
+
+  response_.result(static_cast<unsigned>(result_.status));
+  response_.version(11);
+  const bool bodiless = is_head_ || result_.status == 204 || result_.status == 304;
+  if (!bodiless) {
+    if (const auto length = reader.message().content_length()) {
+      response_.content_length(*length);
+    } else {
+      response_.chunked(true);
+    }
+  }
+  result_.responded = true;
+  caller_->BeginResponse();
+  if (callbacks_.on_response_head) callbacks_.on_response_head(result_.status, response_);
+  if (finished_) return;
+  keep_caller_ = caller_->CanKeepAlive();
+  response_.keep_alive(keep_caller_);
+  response_serializer_.emplace(response_);
+  WriteResponse(piece);
+}
+
+void forward_operation::WriteResponse(std::optional<response_piece> piece) {
+  auto& body = response_.body();
+  body.more = !piece || !piece->last;
+  const bool has_bytes = piece && !piece->bytes.empty();
+  body.data = has_bytes ? const_cast<char*>(piece->bytes.data()) : nullptr;
+  body.size = has_bytes ? piece->bytes.size() : 0;
+  response_done_ = !body.more;
+  if (has_bytes) Tap(piece->bytes);
+  beast_http::async_write(caller_->socket(), *response_serializer_,
+                          [self = shared_from_this()](const error_code& error, std::size_t) {
+                            self->OnResponseWritten(error);
+                          });
+}
+
+void forward_operation::OnResponseWritten(const error_code& error) {
+  if (finished_) return;
+  if (error && error != beast_http::error::need_buffer) return Finish(forward_status::kCallerGone);
+  if (response_done_) return Finish(forward_status::kComplete);
+  ReadResponseBody();
+}
+
+void forward_operation::ReadResponseBody() {
+  connection_->reader.ReadPiece(
+      [self = shared_from_this()](const error_code& error, response_piece piece) {
+        if (self->finished_) return;
+        if (error) return self->Finish(forward_status::kBrokenDuringResponse);
+        self->WriteResponse(piece);
+      });
+}
+
+void forward_operation::Tap(std::string_view bytes) {
+  response_bytes_ += bytes.size();
+  const std::size_t room = callbacks_.tap_bytes - result_.body_prefix.size();
+  result_.body_prefix.append(bytes.substr(0, room));
+}
+
+void forward_operation::FailBeforeResponse(http_fault fault) {
+  result_.fault = fault;
+  Finish(result_.sent ? forward_status::kBrokenBeforeResponse : forward_status::kNotSent);
+}
+
+void forward_operation::FailRequestBody(const error_code& error) {
+  body_error_ = error;
+  Finish(forward_status::kCallerGone);
+}
+
+void forward_operation::OnCallerGone() { Finish(forward_status::kCallerGone); }
+
+void forward_operation::OnTimeout() {
+  result_.fault = http_fault::kTimeout;
+  Finish(result_.sent ? forward_status::kTimeout : forward_status::kNotSent);
+}
+
+void forward_operation::Finish(forward_status status) {
+  if (finished_) return;
+  finished_ = true;
+  const auto self = shared_from_this();
+  deadline_.Cancel();
+  pool_.Cancel(ticket_);
+  if (connection_) {
+    const auto& reader = connection_->reader;
+    const bool whole = status == forward_status::kComplete || status == forward_status::kDeclined;
+    const bool reusable =
+        whole && request_done_ && reader.done() && connection_->reader.message().keep_alive();
+    pool_.Release(endpoint_, connection_, reusable);
+    if (result_.status == 0 && result_.sent) result_.latency = clock_.Now() - started_at_;
+  }
+  result_.outcome = status;
+  result_.body_prefix_is_whole =
+      status == forward_status::kComplete && response_bytes_ == result_.body_prefix.size();
+  caller_->EndAttempt();
+  if (status == forward_status::kCallerGone && body_error_ && !result_.responded) {
+    caller_->RefuseBody(body_error_, result_.sent);
+  } else if (status == forward_status::kCallerGone ||
+             (result_.responded && status != forward_status::kComplete)) {
+    caller_->EndExchange();
+    caller_->Close();
+  }
+  {
+    const forward_callbacks callbacks = std::exchange(callbacks_, {});
+    if (callbacks.on_done) callbacks.on_done(result_);
+  }
+  if (status == forward_status::kComplete) return caller_->EndResponse(keep_caller_);
+  caller_->AnswerIfUnowned();
+}
+
+}  // namespace cornelweir::http::internal
--- /dev/null
+++ b/cornelweir/src/http/stored_response.h
@@ -0,0 +1,19 @@
+#ifndef CORNELWEIR_SRC_HTTP_STORED_RESPONSE_H_
+#define CORNELWEIR_SRC_HTTP_STORED_RESPONSE_H_
+
+#include <string>
+
+#include "cornelweir/src/http/header_list.h"
+
+namespace cornelweir::http {
+
+// A whole response that comes from this process and not from an upstream.
+struct stored_response {
+  int status = 200;
+  header_list headers;
+  std::string body;
+};
+
+}  // namespace cornelweir::http
+
+#endif  // CORNELWEIR_SRC_HTTP_STORED_RESPONSE_H_
--- /dev/null
+++ b/cornelweir/src/loop/event_loop.h
@@ -0,0 +1,49 @@
+#ifndef CORNELWEIR_SRC_LOOP_EVENT_LOOP_H_
+#define CORNELWEIR_SRC_LOOP_EVENT_LOOP_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdint>
+#include <functional>
+#include <utility>
+
+namespace cornelweir::loop {
+
+// The signals that a process reacts to: SIGINT, SIGTERM and SIGHUP.
+enum class process_signal : std::uint8_t { kInterrupt, kTerminate, kHangUp };
+
+// The loop that runs all callbacks of a process on the thread that calls Run().
+class event_loop {
+ public:
+  event_loop();
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+
+  boost::asio::io_context& context() { return context_; }
+
+  // Runs callbacks until Stop() is called or until there is nothing left to wait for.
+  void Run();
+  // Makes Run() return after the callback in progress.
+  void Stop();
+
+  // Calls callback from Run(), never from within Post().
+  template <class Callback>
+  void Post(Callback&& callback) {
+    boost::asio::post(context_, std::forward<Callback>(callback));
+  }
+
+  // Calls callback at each of the signals. Replaces an earlier callback.
+  void OnSignal(std::function<void(process_signal)> callback);
+
+ private:
+  void AwaitSignal();
+
+  boost::asio::io_context context_;
+  boost::asio::signal_set signals_;
+  std::function<void(process_signal)> on_signal_;
+};
+
+}  // namespace cornelweir::loop
+
+#endif  // CORNELWEIR_SRC_LOOP_EVENT_LOOP_H_
--- /dev/null
+++ b/cornelweir/src/loop/timer.h
@@ -0,0 +1,41 @@
+#ifndef CORNELWEIR_SRC_LOOP_TIMER_H_
+#define CORNELWEIR_SRC_LOOP_TIMER_H_
+
+#include <functional>
+#include <memory>
+
+#include "cornelweir/src/kernel/quantity.h"
+#include "cornelweir/src/loop/event_loop.h"
+
+namespace cornelweir::loop {
+
+namespace internal {
+struct timer_state;
+}  // namespace internal
+
+// Calls back after a delay, once or again and again. The callback never runs after Cancel() or
+// after the timer is destroyed, also if the delay has already passed. It may restart, cancel or
+// destroy its own timer.
+class timer {
+ public:
+  explicit timer(event_loop& loop);
+  timer(timer&&) noexcept = default;
+  timer& operator=(timer&& other) noexcept;
+  timer(const timer&) = delete;
+  timer& operator=(const timer&) = delete;
+  ~timer();
+
+  // Both replace a delay that is running.
+  void Start(kernel::microseconds delay, std::function<void()> callback);
+  void StartPeriodic(kernel::microseconds interval, std::function<void()> callback);
+  void Cancel();
+
+  bool running() const;
+
+ private:
+  std::shared_ptr<internal::timer_state> state_;
+};
+
+}  // namespace cornelweir::loop
+
+#endif  // CORNELWEIR_SRC_LOOP_TIMER_H_
--- /dev/null
+++ b/tests/http_test_support.h
@@ -0,0 +1,128 @@
+#ifndef CORNELWEIR_TESTS_HTTP_TEST_SUPPORT_H_
+#define CORNELWEIR_TESTS_HTTP_TEST_SUPPORT_H_
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "cornelweir/http.h"
+#include "cornelweir/loop.h"
+
+namespace cornelweir::http {
+
+using boost::asio::ip::tcp;
+
+// Runs the loop until a condition holds. Fails if nothing is left to wait for before.
+template <class Condition>
+void RunUntil(loop::event_loop& loop, Condition condition) {
+  while (!condition()) {
+    if (loop.context().run_one() == 0) {
+      FAIL() << "the loop ran out of work before the condition held";
+    }
+  }
+}
+
+// One end of a connection that sends and receives raw bytes.
+class raw_peer : public std::enable_shared_from_this<raw_peer> {
+ public:
+  explicit raw_peer(tcp::socket socket) : socket_(std::move(socket)) {}
+
+  static std::shared_ptr<raw_peer> Connect(loop::event_loop& loop,
+                                           const kernel::endpoint& endpoint) {
+    tcp::socket socket(loop.context());
+    socket.connect(ParseEndpoint(endpoint).value());
+    auto peer = std::make_shared<raw_peer>(std::move(socket));
+    peer->Read();
+    return peer;
+  }
+
+  void Read() {
+    socket_.async_read_some(
+        boost::asio::buffer(buffer_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
+          self->received.append(self->buffer_.data(), size);
+          if (error) {
+            self->closed = true;
+          } else if (!self->paused) {
+            self->Read();
+          }
+          if (self->on_bytes) self->on_bytes(*self);
+        });
+  }
+
+  void Send(std::string bytes) {
+    auto held = std::make_shared<std::string>(std::move(bytes));
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(*held),
+        [self = shared_from_this(), held](const boost::system::error_code&, std::size_t size) {
+          self->sent += size;
+        });
+  }
+
+  void Close() {
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+  }
+
+  // Removes the next whole response with a content length from what was received.
+  std::string TakeResponse() {
+    const std::size_t end = received.find("\r\n\r\n");
+    if (end == std::string::npos) return {};
+    const std::size_t at = received.find("Content-Length: ");
+    const std::size_t length = at < end ? std::stoul(received.substr(at + 16)) : 0;
+    if (received.size() < end + 4 + length) return {};
+    std::string response = received.substr(0, end + 4 + length);
+    received.erase(0, response.size());
+    return response;
+  }
+
+  std::string received;
+  std::size_t sent = 0;
+  bool closed = false;
+  bool paused = false;
+  std::function<void(raw_peer&)> on_bytes;
+
+ private:
+  tcp::socket socket_;
+  std::array<char, 65536> buffer_;
+};
+
+// A server whose connections a test drives byte by byte.
+class raw_server {
+ public:
+  explicit raw_server(loop::event_loop& loop)
+      : acceptor_(loop.context(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+    Accept();
+  }
+
+  kernel::endpoint endpoint() const { return EndpointOf(acceptor_.local_endpoint()); }
+
+  std::function<void(raw_peer&)> on_bytes;
+  std::vector<std::shared_ptr<raw_peer>> peers;
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+      if (error) return;
+      peers.push_back(std::make_shared<raw_peer>(std::move(socket)));
+      peers.back()->on_bytes = on_bytes;
+      peers.back()->Read();
+      Accept();
+    });
+  }
+
+  tcp::acceptor acceptor_;
+};
+
+}  // namespace cornelweir::http
+
+#endif  // CORNELWEIR_TESTS_HTTP_TEST_SUPPORT_H_
