Run the whole path: control hosts, proxies, announced upstreams

Cause: the parts have to meet in processes before they are deepened.

Change: the daemon with the plug-ins control, proxy and metrics, which register themselves; the replica that drives the log and the state machine; the mesh of control hosts; the gateway for daemons; the operators' HTTP interface; the request path with claims, admission, retries and outcomes; a fleet launcher.

--- /dev/null
+++ b/cornelweir/protocol.h
@@ -0,0 +1,9 @@
+#ifndef CORNELWEIR_PROTOCOL_H_
+#define CORNELWEIR_PROTOCOL_H_
+
+// The messages between the system's own processes, as types.
+
+#include "cornelweir/src/protocol/limits.h"
+#include "cornelweir/src/protocol/messages.h"
+
+#endif  // CORNELWEIR_PROTOCOL_H_
--- /dev/null
+++ b/cornelweir/src/protocol/messages.h
@@ -0,0 +1,136 @@
+#ifndef CORNELWEIR_SRC_PROTOCOL_MESSAGES_H_
+#define CORNELWEIR_SRC_PROTOCOL_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+#include "cornelweir/control.h"
+#include "cornelweir/distribution.h"
+#include "cornelweir/kernel.h"
+#include "cornelweir/quarantine.h"
+#include "cornelweir/replication.h"
+
+namespace cornelweir::protocol {
+
+enum class process_role : std::uint8_t { kControl, kProxy };
+
+// The first message in both directions of a link.
+struct hello {
+  static constexpr std::string_view kType = "hello";
+
+  std::uint32_t protocol = 0;
+  process_role role = process_role::kProxy;
+  kernel::host_id host;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"protocol", &hello::protocol},
+                      kernel::field{"role", &hello::role}, kernel::field{"host", &hello::host}};
+  }
+};
+
+// A message of the replicated log between two control hosts.
+struct replicate {
+  static constexpr std::string_view kType = "replicate";
+
+  replication::envelope envelope;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"envelope", &replicate::envelope}};
+  }
+};
+
+// A command for the replicated state machine, from a daemon to a control host or from a control
+// host to the leader. The sender chooses the id, which comes back with the outcome.
+struct submit {
+  static constexpr std::string_view kType = "submit";
+
+  std::uint64_t id = 0;
+  control::command command;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"id", &submit::id}, kernel::field{"command", &submit::command}};
+  }
+};
+
+// The outcome of a command. Without one the command may or may not take effect later.
+struct submit_reply {
+  static constexpr std::string_view kType = "submit_reply";
+
+  std::uint64_t id = 0;
+  std::optional<control::outcome> outcome;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"id", &submit_reply::id},
+                      kernel::field{"outcome", &submit_reply::outcome}};
+  }
+};
+
+// An upstream whose lease is to be renewed.
+struct lease_renewal {
+  kernel::upstream_id id;
+  kernel::incarnation incarnation;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"id", &lease_renewal::id},
+                      kernel::field{"incarnation", &lease_renewal::incarnation}};
+  }
+};
+
+// Lease renewals, passed on to the leader in batches.
+struct renew {
+  static constexpr std::string_view kType = "renew";
+
+  std::vector<lease_renewal> renewals;
+
+  static constexpr auto Fields() { return std::tuple{kernel::field{"renewals", &renew::renewals}}; }
+};
+
+// Which configuration a daemon enforces, for the operators' view.
+struct proxy_status {
+  static constexpr std::string_view kType = "proxy_status";
+
+  kernel::host_id host;
+  kernel::service_name service;
+  kernel::table_version version;
+  kernel::membership_revision revision;
+  bool ready = false;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"host", &proxy_status::host},
+                      kernel::field{"service", &proxy_status::service},
+                      kernel::field{"version", &proxy_status::version},
+                      kernel::field{"revision", &proxy_status::revision},
+                      kernel::field{"ready", &proxy_status::ready}};
+  }
+};
+
+// The fingerprints that daemons must refuse. Replaces the list sent before.
+struct quarantined {
+  static constexpr std::string_view kType = "quarantined";
+
+  std::vector<quarantine::quarantined_fingerprint> requests;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"requests", &quarantined::requests}};
+  }
+};
+
+// Between control hosts.
+using control_message = std::variant<hello, replicate, submit, submit_reply, renew>;
+// From a daemon to its publisher.
+using daemon_message = std::variant<hello, distribution::subscribe, distribution::applied,
+                                    distribution::proof_query, submit, renew, proxy_status>;
+// From a publisher to a daemon.
+using publisher_message =
+    std::variant<hello, distribution::configuration, distribution::version_notice,
+                 distribution::members, distribution::heartbeat, distribution::proof,
+                 distribution::redirect, submit_reply, quarantined>;
+
+}  // namespace cornelweir::protocol
+
+#endif  // CORNELWEIR_SRC_PROTOCOL_MESSAGES_H_
--- /dev/null
+++ b/plugins/control/control_mesh.h
@@ -0,0 +1,71 @@
+#ifndef CORNELWEIR_PLUGINS_CONTROL_CONTROL_MESH_H_
+#define CORNELWEIR_PLUGINS_CONTROL_CONTROL_MESH_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "cornelweir/kernel.h"
+#include "cornelweir/loop.h"
+#include "cornelweir/protocol.h"
+#include "cornelweir/settings.h"
+#include "cornelweir/transport.h"
+
+namespace cornelweir::plugins::control {
+
+// The links of this control host to the others. Each host opens one link to every other one and
+// sends only on its own links; what it receives comes on theirs.
+class control_mesh {
+ public:
+  using outcome_callback = std::function<void(std::optional<cornelweir::control::outcome>)>;
+
+  control_mesh(loop::event_loop& loop, const settings::daemon_settings& settings,
+               transport::tls_context tls);
+
+  void Start();
+  void Stop();
+  void set_tls(transport::tls_context tls) { tls_ = std::move(tls); }
+
+  bool Send(const kernel::host_id& to, const protocol::control_message& message);
+  bool IsConnected(const kernel::host_id& host) const;
+
+  // Passes a command on to the leader and waits for its outcome.
+  void Submit(const kernel::host_id& leader, cornelweir::control::command command,
+              outcome_callback callback);
+  void OnReply(const protocol::submit_reply& reply);
+
+ private:
+  struct peer {
+    kernel::endpoint mesh;
+    std::shared_ptr<transport::link> link;
+    std::uint64_t generation = 0;
+  };
+
+  struct pending_submission {
+    kernel::host_id leader;
+    kernel::time_point expires_at;
+    outcome_callback callback;
+  };
+
+  void Connect(const kernel::host_id& host);
+  void OnClosed(const kernel::host_id& host, std::uint64_t generation);
+  void Maintain();
+  void Fail(const kernel::host_id* lost_leader);
+
+  loop::event_loop& loop_;
+  loop::timer maintenance_;
+  kernel::steady_clock_source clock_;
+  kernel::host_id self_;
+  transport::tls_context tls_;
+  std::map<kernel::host_id, peer> peers_;
+  std::map<std::uint64_t, pending_submission> submissions_;
+  std::uint64_t next_submission_ = 1;
+  bool stopped_ = false;
+};
+
+}  // namespace cornelweir::plugins::control
+
+#endif  // CORNELWEIR_PLUGINS_CONTROL_CONTROL_MESH_H_
--- /dev/null
+++ b/plugins/control/control_plugin.cc
@@ -0,0 +1,337 @@
+#include "plugins/control/control_plugin.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "cornelweir/logging.h"
+
+namespace cornelweir::plugins::control {
+namespace internal {
+
+using codec::json;
+
+// Renewals of many daemons share one message to the leader.
+constexpr kernel::milliseconds kRenewalFlushPeriod{100};
+constexpr kernel::milliseconds kLeaseCheckPeriod{250};
+constexpr kernel::milliseconds kMetricsPeriod{1'000};
+
+constexpr std::string_view kControlRole = "control";
+constexpr std::string_view kProxyRole = "proxy";
+
+// Whether the certificate of a peer allows the role that its greeting claims. Without TLS there is
+// no certificate; settings allow that on loopback only.
+bool MayClaim(const std::string& certificate_role, protocol::process_role claimed, bool tls) {
+  if (!tls) return true;
+  if (certificate_role == kControlRole) return true;
+  return claimed == protocol::process_role::kProxy && certificate_role == kProxyRole;
+}
+
+std::string_view StateName(membership::upstream_state state) {
+  switch (state) {
+    case membership::upstream_state::kStarting:
+      return "starting";
+    case membership::upstream_state::kReady:
+      return "ready";
+    case membership::upstream_state::kDraining:
+      return "draining";
+    case membership::upstream_state::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+replication::group_configuration InitialGroup(const settings::control_settings& settings) {
+  replication::group_configuration group;
+  for (const settings::control_peer& peer : settings.peers) group.voters.push_back(peer.host);
+  return group;
+}
+
+}  // namespace internal
+
+boost::leaf::result<std::shared_ptr<control_plugin>> control_plugin::Create(
+    daemon_context& context) {
+  if (!context.settings.control) {
+    return boost::leaf::new_error(
+        plugin_error{"the plug-in 'control' needs the settings 'control'"});
+  }
+  const settings::control_settings& settings = *context.settings.control;
+  // Given once, at the first start of an initial host. A setting that stayed on would let a host
+  // that lost its disk found the group again, so a folder that has an identity is refused.
+  if (settings.bootstrap) BOOST_LEAF_CHECK(storage::log_store::Bootstrap(settings.data_folder));
+  BOOST_LEAF_AUTO(store, storage::log_store::Open(settings.data_folder));
+  storage::recovered_state recovered = store->Load();
+  const std::optional<replication::snapshot> snapshot = recovered.snapshot;
+  replication::node node = replication::node_builder()
+                               .Self(context.settings.host)
+                               .Disk(recovered.disk)
+                               .Bootstrap(recovered.bootstrap)
+                               .State(std::move(recovered.state))
+                               .Snapshot(std::move(recovered.snapshot))
+                               .Entries(std::move(recovered.entries))
+                               .Configuration(internal::InitialGroup(settings))
+                               .Seed(context.random.NextU64())
+                               .Build();
+  auto plugin = std::make_shared<control_plugin>(context, std::move(node), store);
+  if (snapshot) plugin->replica_.Restore(*snapshot);
+  BOOST_LEAF_CHECK(plugin->Listen());
+  return plugin;
+}
+
+control_plugin::control_plugin(daemon_context& context, replication::node node,
+                               std::shared_ptr<storage::log_store> store)
+    : context_(context),
+      replica_(context.loop, std::move(node), std::move(store),
+               replica::handlers{
+                   .send =
+                       [this](const replication::envelope& message) {
+                         mesh_.Send(message.to, protocol::replicate{message});
+                       },
+                   .applied =
+                       [this](const cornelweir::control::applied_effects& effects) {
+                         OnApplied(effects);
+                       },
+                   .leadership_changed = [this](bool is_leader) { OnLeadership(is_leader); }}),
+      mesh_(context.loop, context.settings, context.tls),
+      gateway_(*this, context.loop, context.random),
+      api_(*this),
+      renewal_timer_(context.loop),
+      lease_timer_(context.loop),
+      metrics_timer_(context.loop) {
+  api_.Register(context.admin);
+}
+
+boost::leaf::result<void> control_plugin::Listen() {
+  transport::link_handlers handlers;
+  handlers.message = [this](const std::shared_ptr<transport::link>& link,
+                            std::string_view payload) { OnMessage(link, payload); };
+  handlers.closed = [this](const std::shared_ptr<transport::link>& link, const std::string&) {
+    OnClosed(link.get());
+  };
+  BOOST_LEAF_ASSIGN(listener_, transport::listener::Open(context_.loop.context(),
+                                                         context_.settings.control->mesh_listen,
+                                                         context_.tls, std::move(handlers)));
+  return {};
+}
+
+void control_plugin::Start() {
+  gateway_.PublishTable();
+  gateway_.PublishMembers();
+  mesh_.Start();
+  replica_.Start();
+  gateway_.Start();
+  renewal_timer_.StartPeriodic(internal::kRenewalFlushPeriod, [this] { FlushRenewals(); });
+  lease_timer_.StartPeriodic(internal::kLeaseCheckPeriod, [this] { ExpireLeases(); });
+  metrics_timer_.StartPeriodic(internal::kMetricsPeriod, [this] { ReportMetrics(); });
+}
+
+void control_plugin::BeginShutdown(std::function<void()> done) {
+  listener_->Close();
+  gateway_.Stop();
+  replica_.Stop();
+  mesh_.Stop();
+  renewal_timer_.Cancel();
+  lease_timer_.Cancel();
+  metrics_timer_.Cancel();
+  context_.loop.Post(std::move(done));
+}
+
+void control_plugin::OnMessage(const std::shared_ptr<transport::link>& link,
+                               std::string_view payload) {
+  if (const auto peer = peers_.find(link.get()); peer != peers_.end()) {
+    const auto message = codec::Decode<protocol::control_message>(payload);
+    if (!message) {
+      link->Close("malformed message");
+      return;
+    }
+    OnPeerMessage(kernel::host_id(peer->second), message.value());
+    return;
+  }
+  if (!daemons_.contains(link.get())) {
+    OnGreeting(link, payload);
+    return;
+  }
+  const auto message = codec::Decode<protocol::daemon_message>(payload);
+  if (!message) {
+    logging::event(logging::event_id::kMessageRefused).With("reason", "malformed");
+    link->Close("malformed message");
+    return;
+  }
+  gateway_.Receive(link.get(), message.value());
+}
+
+void control_plugin::OnGreeting(const std::shared_ptr<transport::link>& link,
+                                std::string_view payload) {
+  const auto message = codec::Decode<protocol::daemon_message>(payload);
+  const auto* greeting = message ? std::get_if<protocol::hello>(&message.value()) : nullptr;
+  const bool tls = context_.tls != nullptr;
+  if (greeting == nullptr || greeting->protocol != protocol::kProtocolVersion ||
+      !internal::MayClaim(link->peer_role(), greeting->role, tls)) {
+    logging::event(logging::event_id::kMessageRefused)
+        .With("reason", "bad greeting")
+        .With("certificate_role", link->peer_role());
+    link->Close("bad greeting");
+    return;
+  }
+  if (greeting->role == protocol::process_role::kControl) {
+    peers_[link.get()] = greeting->host;
+    return;
+  }
+  daemons_[link.get()] = true;
+  gateway_.Add(link, *greeting);
+}
+
+void control_plugin::OnPeerMessage(const kernel::host_id& from,
+                                   const protocol::control_message& message) {
+  if (const auto* replicated = std::get_if<protocol::replicate>(&message)) {
+    if (replicated->envelope.from == from) replica_.Receive(replicated->envelope);
+  } else if (const auto* command = std::get_if<protocol::submit>(&message)) {
+    replica_.Propose(command->command, [this, from, id = command->id](const auto& outcome) {
+      mesh_.Send(from, protocol::submit_reply{id, outcome});
+    });
+  } else if (const auto* reply = std::get_if<protocol::submit_reply>(&message)) {
+    mesh_.OnReply(*reply);
+  } else if (const auto* renewals = std::get_if<protocol::renew>(&message)) {
+    if (replica_.node().IsLeader()) Renew(*renewals);
+  }
+}
+
+void control_plugin::OnClosed(const transport::link* link) {
+  peers_.erase(link);
+  daemons_.erase(link);
+  gateway_.Remove(link);
+}
+
+void control_plugin::Submit(cornelweir::control::command command, outcome_callback callback) {
+  if (replica_.node().IsLeader()) {
+    replica_.Propose(std::move(command), std::move(callback));
+    return;
+  }
+  const auto leader = replica_.node().leader();
+  if (!leader) {
+    callback(std::nullopt);
+    return;
+  }
+  mesh_.Submit(*leader, std::move(command), std::move(callback));
+}
+
+void control_plugin::Renew(const protocol::renew& renewals) {
+  if (replica_.node().IsLeader()) {
+    const kernel::time_point now = context_.clock.Now();
+    for (const protocol::lease_renewal& renewal : renewals.renewals) {
+      leases_.Renew(renewal.id, renewal.incarnation, now);
+    }
+    return;
+  }
+  auto& waiting = waiting_renewals_.renewals;
+  waiting.insert(waiting.end(), renewals.renewals.begin(), renewals.renewals.end());
+}
+
+void control_plugin::FlushRenewals() {
+  if (waiting_renewals_.renewals.empty()) return;
+  const protocol::renew batch = std::exchange(waiting_renewals_, {});
+  if (const auto leader = replica_.node().leader()) mesh_.Send(*leader, batch);
+}
+
+void control_plugin::ExpireLeases() {
+  if (!replica_.node().IsLeader()) return;
+  for (const membership::expired_lease& expired : leases_.Expire(context_.clock.Now())) {
+    logging::event(logging::event_id::kLeaseExpired).With("upstream", expired.id);
+    replica_.Propose(cornelweir::control::leave_command{expired.id, expired.incarnation},
+                     [](const auto&) {});
+  }
+}
+
+void control_plugin::OnLeadership(bool is_leader) {
+  if (is_leader) {
+    leases_.Restart(replica_.machine().members(), context_.clock.Now());
+  } else {
+    leases_.Stop();
+  }
+}
+
+void control_plugin::OnApplied(const cornelweir::control::applied_effects& effects) {
+  if (effects.table_changed) {
+    gateway_.PublishTable();
+    logging::event(logging::event_id::kVersionAccepted)
+        .With("version", replica_.machine().history().newest());
+  }
+  if (effects.members_changed) gateway_.PublishMembers();
+  if (effects.quarantine_changed) gateway_.PublishQuarantine();
+  if (!replica_.node().IsLeader()) return;
+  if (effects.announced) leases_.Track(*effects.announced, context_.clock.Now());
+  if (effects.left) leases_.Forget(*effects.left);
+}
+
+void control_plugin::ReportMetrics() {
+  metrics::metrics_registry& metrics = context_.metrics;
+  metrics.Gauge("cornelweir_control_is_leader", "1 on the leader of the replicated log", {})
+      .Set(replica_.node().IsLeader() ? 1 : 0);
+  metrics.Gauge("cornelweir_control_version", "Newest accepted version", {})
+      .Set(static_cast<double>(replica_.machine().history().newest().value()));
+  metrics.Gauge("cornelweir_control_subscribers", "Daemons that subscribe at this host", {})
+      .Set(static_cast<double>(gateway_.subscribers()));
+}
+
+codec::json control_plugin::StatusReport() const {
+  const replication::node& node = replica_.node();
+  const auto& machine = replica_.machine();
+  using internal::json;
+  json status{
+      {"host", context_.settings.host.value()},
+      {"role", node.IsLeader()                                                      ? "leader"
+               : replication::IsVoter(node.configuration(), context_.settings.host) ? "follower"
+                                                                                    : "learner"},
+      {"leader", node.leader() ? json(node.leader()->value()) : json(nullptr)},
+      {"failed", replica_.failed()},
+      {"term", node.current_term().value()},
+      {"commit_index", node.commit_index().value()},
+      {"applied_index", replica_.applied_index().value()},
+      {"version", machine.history().newest().value()},
+      {"revision", machine.members().revision().value()},
+      {"subscribers", gateway_.subscribers()},
+      {"claims", machine.claims().size()}};
+  json peers = json::array();
+  for (const settings::control_peer& peer : context_.settings.control->peers) {
+    if (peer.host == context_.settings.host) continue;
+    peers.push_back({{"host", peer.host.value()},
+                     {"voter", replication::IsVoter(node.configuration(), peer.host)},
+                     {"reachable", mesh_.IsConnected(peer.host)}});
+  }
+  status["peers"] = std::move(peers);
+  json proxies = json::array();
+  for (const protocol::proxy_status& proxy : gateway_.Proxies()) {
+    proxies.push_back({{"host", proxy.host.value()},
+                       {"service", proxy.service.value()},
+                       {"version", proxy.version.value()},
+                       {"revision", proxy.revision.value()},
+                       {"ready", proxy.ready}});
+  }
+  status["proxies"] = std::move(proxies);
+  json upstreams = json::array();
+  for (const auto& [id, record] : machine.members().members()) {
+    upstreams.push_back({{"id", id.value()},
+                         {"service", record.service.value()},
+                         {"subset", record.subset.value()},
+                         {"domain", record.domain.value()},
+                         {"state", std::string(internal::StateName(record.state))},
+                         {"endpoint", record.daemon_data.value()},
+                         {"incarnation", record.incarnation.value()}});
+  }
+  status["upstreams"] = std::move(upstreams);
+  json quarantined = json::array();
+  for (const auto& held : machine.crashes().Quarantined()) {
+    const auto left = kernel::FromLogTime(held.until) - machine.now();
+    quarantined.push_back(
+        {{"fingerprint", held.request.value()},
+         {"expires_in_ms", std::chrono::duration_cast<kernel::milliseconds>(left).count()}});
+  }
+  status["quarantined"] = std::move(quarantined);
+  return status;
+}
+
+namespace {
+const daemon_plugin_registration<control_plugin> registered{};
+}  // namespace
+
+}  // namespace cornelweir::plugins::control
--- /dev/null
+++ b/plugins/proxy/request_headers.cc
@@ -0,0 +1,92 @@
+#include "plugins/proxy/request_headers.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+
+namespace cornelweir::plugins::proxy {
+namespace internal {
+
+constexpr std::size_t kMaxTenantBytes = 64;
+
+int StatusOf(outcome::refusal_reason reason) {
+  switch (reason) {
+    case outcome::refusal_reason::kNoRoute:
+      return 404;
+    case outcome::refusal_reason::kKeyMissing:
+      return 400;
+    case outcome::refusal_reason::kTenantLimit:
+      return 429;
+    case outcome::refusal_reason::kDeadlinePassed:
+      return 504;
+    default:
+      return 503;
+  }
+}
+
+std::string Body(outcome::request_outcome known, std::string_view reason) {
+  return "{\"outcome\":\"" + std::string(outcome::OutcomeName(known)) + "\",\"reason\":\"" +
+         std::string(reason) + "\"}\n";
+}
+
+http::header_list AnswerHeaders(outcome::request_outcome known, std::string_view reason) {
+  http::header_list headers;
+  SetHeader(headers, "content-type", "application/json");
+  SetHeader(headers, kOutcomeHeader, outcome::OutcomeName(known));
+  SetHeader(headers, kReasonHeader, reason);
+  return headers;
+}
+
+}  // namespace internal
+
+void SetHeader(http::header_list& headers, std::string_view name, std::string_view value) {
+  headers.set(boost::beast::string_view(name.data(), name.size()),
+              boost::beast::string_view(value.data(), value.size()));
+}
+
+kernel::tenant_id TenantOf(const http::request_head& head) {
+  const std::string_view name = head.Header(kTenantHeader);
+  if (name.empty()) return kernel::tenant_id("default");
+  return kernel::tenant_id(std::string(name.substr(0, internal::kMaxTenantBytes)));
+}
+
+admission::priority_class PriorityOf(const http::request_head& head) {
+  const std::string_view name = head.Header(kPriorityHeader);
+  if (name == "high") return admission::priority_class::kHigh;
+  if (name == "low") return admission::priority_class::kLow;
+  return admission::priority_class::kNormal;
+}
+
+outcome::deadline DeadlineOf(const http::request_head& head, kernel::milliseconds allowed,
+                             kernel::time_point now) {
+  const std::string_view text = head.Header(kTimeoutHeader);
+  std::int64_t asked = 0;
+  const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), asked);
+  const bool valid = !text.empty() && error == std::errc() && rest == text.data() + text.size();
+  if (valid && asked >= 0) allowed = std::min(allowed, kernel::milliseconds(asked));
+  return outcome::deadline::After(allowed, now);
+}
+
+kernel::fingerprint FingerprintOf(const http::request_head& head) {
+  const std::string_view key = head.Header(kKeyHeader);
+  if (!key.empty()) return kernel::fingerprint(XXH64(key.data(), key.size(), 0));
+  const auto method = static_cast<std::uint64_t>(head.method);
+  return kernel::fingerprint(XXH64(head.target.data(), head.target.size(), method + 1));
+}
+
+void RefuseNotRun(http::exchange& request, outcome::refusal_reason reason) {
+  const std::string_view text = outcome::RefusalText(reason);
+  constexpr auto kNotRun = outcome::request_outcome::kNotRun;
+  request.Refuse(internal::StatusOf(reason), internal::Body(kNotRun, text),
+                 internal::AnswerHeaders(kNotRun, text));
+}
+
+void AnswerUnknown(http::exchange& request, int status, std::string_view reason) {
+  constexpr auto kUnknown = outcome::request_outcome::kUnknown;
+  request.Refuse(status, internal::Body(kUnknown, reason),
+                 internal::AnswerHeaders(kUnknown, reason));
+}
+
+}  // namespace cornelweir::plugins::proxy
--- /dev/null
+++ b/programs/cornelweird.cc
@@ -0,0 +1,180 @@
+#include <boost/leaf.hpp>
+#include <boost/program_options.hpp>
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornelweir/http.h"
+#include "cornelweir/kernel.h"
+#include "cornelweir/logging.h"
+#include "cornelweir/loop.h"
+#include "cornelweir/metrics.h"
+#include "cornelweir/settings.h"
+#include "cornelweir/transport.h"
+#include "plugins/daemon_context.h"
+#include "programs/version.h"
+
+namespace cornelweir::programs {
+namespace {
+
+namespace po = boost::program_options;
+using logging::event;
+using logging::event_id;
+
+// docs/man/cornelweird.8 lists these.
+constexpr int kExitUsage = 2;
+constexpr int kExitBadSettings = 3;
+constexpr int kExitCannotStart = 4;
+
+// A graceful shutdown that takes longer than this is cut short.
+constexpr std::chrono::seconds kMaxShutdown{120};
+
+struct arguments {
+  std::string settings_file;
+  std::vector<std::string> overrides;
+  bool check = false;
+};
+
+// Runs the plug-ins that the settings name until a signal asks to stop.
+class daemon {
+ public:
+  explicit daemon(const settings::daemon_settings& settings)
+      : settings_(settings), admin_(loop_), shutdown_timer_(loop_), random_(Seed()) {}
+
+  boost::leaf::result<void> Start() {
+    if (settings_.tls.enabled) {
+      BOOST_LEAF_ASSIGN(
+          tls_, transport::LoadTlsContext({settings_.tls.certificate_file, settings_.tls.key_file,
+                                           settings_.tls.authority_file}));
+    }
+    plugins::daemon_context context{loop_, settings_, admin_, metrics_, random_, clock_, tls_};
+    for (const std::string& name : settings_.plugins) {
+      const auto* entry = plugins::daemon_plugin_registry::Instance().Find(name);
+      if (entry == nullptr) {
+        return boost::leaf::new_error(plugins::plugin_error{"there is no plug-in '" + name + "'"});
+      }
+      BOOST_LEAF_AUTO(handle, entry->create(context));
+      plugins_.push_back(std::move(handle));
+    }
+    BOOST_LEAF_CHECK(admin_.Listen(settings_.admin_listen));
+    for (const kernel::plugin_handle& plugin : plugins_) plugin.start();
+    loop_.OnSignal([this](loop::process_signal signal) {
+      if (signal != loop::process_signal::kHangUp) BeginShutdown();
+    });
+    event(event_id::kProcessStarted)
+        .With("host", settings_.host)
+        .With("admin", admin_.local_endpoint());
+    return {};
+  }
+
+  void Run() { loop_.Run(); }
+
+ private:
+  static std::uint64_t Seed() {
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+  }
+
+  void BeginShutdown() {
+    if (shutting_down_) return;
+    shutting_down_ = true;
+    event(event_id::kProcessStopping);
+    shutdown_timer_.Start(kMaxShutdown, [this] { loop_.Stop(); });
+    open_plugins_ = plugins_.size();
+    for (const kernel::plugin_handle& plugin : plugins_) {
+      plugin.begin_shutdown([this] {
+        if (--open_plugins_ == 0) loop_.Stop();
+      });
+    }
+    if (plugins_.empty()) loop_.Stop();
+  }
+
+  const settings::daemon_settings& settings_;
+  loop::event_loop loop_;
+  http::admin_server admin_;
+  loop::timer shutdown_timer_;
+  metrics::metrics_registry metrics_;
+  kernel::seeded_random random_;
+  kernel::steady_clock_source clock_;
+  transport::tls_context tls_;
+  std::vector<kernel::plugin_handle> plugins_;
+  std::size_t open_plugins_ = 0;
+  bool shutting_down_ = false;
+};
+
+int ReportSettings(const settings::settings_error& error) {
+  for (const settings::settings_fault& fault : error.faults) {
+    std::cerr << fault.place << ": " << fault.reason << '\n';
+  }
+  return kExitBadSettings;
+}
+
+int CannotStart(const std::string& reason) {
+  std::cerr << "cornelweird: " << reason << '\n';
+  return kExitCannotStart;
+}
+
+int RunDaemon(const arguments& given) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<int> {
+        BOOST_LEAF_AUTO(settings, settings::LoadSettings(given.settings_file, given.overrides));
+        if (given.check) {
+          std::cout << given.settings_file << ": ok\n";
+          return EXIT_SUCCESS;
+        }
+        logging::StartLogging("cornelweird");
+        daemon process(settings);
+        BOOST_LEAF_CHECK(process.Start());
+        process.Run();
+        event(event_id::kProcessStopped);
+        return EXIT_SUCCESS;
+      },
+      [](const settings::settings_error& error) { return ReportSettings(error); },
+      [](const plugins::plugin_error& error) { return CannotStart(error.reason); },
+      [](const transport::transport_error& error) { return CannotStart(error.detail); },
+      [](const http::http_error& error) {
+        return CannotStart("the admin endpoint: " + std::string(http::FaultName(error.fault)));
+      },
+      [] { return CannotStart("unexpected failure"); });
+}
+
+int Main(int argc, char** argv) {
+  arguments given;
+  po::options_description options("Usage: cornelweird --settings FILE [--set KEY=VALUE]...");
+  options.add_options()("help,h", "print this text")("version", "print the version")(
+      "settings,s", po::value(&given.settings_file), "settings file (JSON with comments)")(
+      "set", po::value(&given.overrides)->composing(), "override one key of the settings")(
+      "check", po::bool_switch(&given.check), "check the settings and exit");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << "cornelweird: " << error.what() << '\n';
+    return kExitUsage;
+  }
+  if (values.contains("help")) {
+    std::cout << options;
+    return EXIT_SUCCESS;
+  }
+  if (values.contains("version")) {
+    std::cout << "cornelweird " << kVersion << '\n';
+    return EXIT_SUCCESS;
+  }
+  if (given.settings_file.empty()) {
+    std::cerr << options;
+    return kExitUsage;
+  }
+  return RunDaemon(given);
+}
+
+}  // namespace
+}  // namespace cornelweir::programs
+
+int main(int argc, char** argv) { return cornelweir::programs::Main(argc, argv); }
