--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -31,5 +31,5 @@
   target_link_libraries(${name}_test PRIVATE ${arg_DEPENDS} GTest::gtest GTest::gtest_main
     ${RAPIDCHECK_LIBRARY} Threads::Threads)
   add_test(NAME ${name} COMMAND ${name}_test)
-  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
--- a/cornelweir/src/admission/admission_controller.cc
+++ b/cornelweir/src/admission/admission_controller.cc
@@ -7,10 +7,6 @@
 
 namespace cornelweir::admission {
 
-std::int64_t admission_controller::Capacity() const {
-  return std::min({limits_.upstream_in_flight.value(), slots_.value(), service_share_.value()});
-}
-
 std::vector<ticket> admission_controller::Configure(const admission_limits& limits,
                                                     kernel::request_count slots,
                                                     kernel::request_count service_share,
@@ -18,7 +14,11 @@
   limits_ = limits;
   slots_ = slots;
   service_share_ = service_share;
-  return AdmitFromQueue(now);
+  std::vector<ticket> admitted = AdmitFromQueue(now);
+  while (static_cast<std::int64_t>(queue_.size()) > limits_.queue_length.value()) {
+    RefuseLater(LeastEntitled(), outcome::refusal_reason::kQueueFull, now);
+  }
+  return admitted;
 }
 
 admission_result admission_controller::Submit(ticket id, const kernel::tenant_id& tenant,
@@ -39,67 +39,70 @@
   if (service_share_.value() <= 0) return refuse(outcome::refusal_reason::kServiceLimit);
   if (limits_.tenant_in_flight.value() <= 0) return refuse(outcome::refusal_reason::kTenantLimit);
 
-  const auto known = tenants_.find(tenant);
-  const std::int64_t tenant_in_progress = known == tenants_.end() ? 0 : known->second.in_progress;
-  if (static_cast<std::int64_t>(in_progress_.size()) < Capacity() &&
-      tenant_in_progress < limits_.tenant_in_flight.value()) {
-    Admit(id, tenant);
+  SweepExpired(now);
+  tenant_state& state = Tenant(tenant);
+  // Nobody in the queue is passed over: while there is room, every queued request waits for its
+  // own tenant's limit.
+  if (HasRoom(state)) {
+    Admit(id, state);
     return {admission_state::kAdmitted, std::nullopt, std::nullopt};
   }
+  const outcome::refusal_reason blocked_by = BlockedBy(state);
   const kernel::time_point expiry = std::min(now + limits_.queue_wait, deadline.at());
-  if (expiry <= now || limits_.queue_length.value() <= 0) return refuse(BlockedBy(tenant));
   std::optional<refused_ticket> displaced;
-  if (static_cast<std::int64_t>(queue_.size()) >= limits_.queue_length.value()) {
-    const auto victim = Displaceable(tenant);
-    if (!victim) return refuse(BlockedBy(tenant));
-    ForgetIfIdle(Dequeue(*victim).tenant);
-    displaced = refused_ticket{*victim, outcome::refusal_reason::kQueueFull};
+  bool may_wait = expiry > now && limits_.queue_length.value() > 0;
+  if (may_wait && static_cast<std::int64_t>(queue_.size()) >= limits_.queue_length.value()) {
+    // With a smaller difference the two tenants would only change places.
+    may_wait = (*by_queued_.rbegin())->queued >= state.queued + 2;
+    if (may_wait) {
+      displaced = refused_ticket{LeastEntitled(), outcome::refusal_reason::kQueueFull};
+      Dequeue(displaced->id);
+    }
   }
-  Enqueue(id, queued_request{tenant, priority, {deadline.at(), arrivals_++}, deadline, expiry});
+  if (!may_wait) {
+    Modify(state, [] {});
+    return refuse(blocked_by);
+  }
+  Enqueue(id, queued_request{&state, priority, {deadline.at(), arrivals_++}, deadline, expiry});
   return {admission_state::kQueued, std::nullopt, displaced};
 }
 
 std::vector<ticket> admission_controller::Release(ticket id, kernel::time_point now) {
   const auto found = in_progress_.find(id);
   if (found == in_progress_.end()) return {};
-  const kernel::tenant_id tenant = found->second;
+  tenant_state& tenant = *found->second;
   in_progress_.erase(found);
-  --tenants_[tenant].in_progress;
-  ForgetIfIdle(tenant);
+  Modify(tenant, [&] { --tenant.in_progress; });
   return AdmitFromQueue(now);
 }
 
 std::vector<refused_ticket> admission_controller::Expire(kernel::time_point now) {
-  std::vector<refused_ticket> refused;
-  while (!by_expiry_.empty() && by_expiry_.begin()->first <= now) {
-    const ticket id = by_expiry_.begin()->second;
-    const queued_request request = Dequeue(id);
-    ForgetIfIdle(request.tenant);
-    refused.push_back({id, request.deadline.Passed(now) ? outcome::refusal_reason::kDeadlinePassed
-                                                        : outcome::refusal_reason::kQueueTimeout});
-  }
-  return refused;
+  SweepExpired(now);
+  return std::exchange(expired_, {});
 }
 
 std::optional<kernel::time_point> admission_controller::NextExpiry() const {
+  if (!expired_.empty()) return expired_since_;
   if (by_expiry_.empty()) return std::nullopt;
   return by_expiry_.begin()->first;
 }
 
 bool admission_controller::Cancel(ticket id) {
-  if (!queue_.contains(id)) return false;
-  ForgetIfIdle(Dequeue(id).tenant);
-  return true;
+  if (queue_.contains(id)) {
+    Dequeue(id);
+    return true;
+  }
+  return std::erase_if(expired_, [&](const refused_ticket& each) { return each.id == id; }) > 0;
 }
 
 std::vector<refused_ticket> admission_controller::BeginDrain() {
   draining_ = true;
-  std::vector<refused_ticket> refused;
-  refused.reserve(by_expiry_.size());
-  for (const auto& [expiry, id] : by_expiry_) {
+  std::vector<refused_ticket> refused = std::exchange(expired_, {});
+  while (!by_expiry_.empty()) {
+    const ticket id = by_expiry_.begin()->second;
+    Dequeue(id);
     refused.push_back({id, outcome::refusal_reason::kShuttingDown});
   }
-  for (const refused_ticket& each : refused) ForgetIfIdle(Dequeue(each.id).tenant);
   return refused;
 }
 
@@ -111,56 +114,122 @@
   return kernel::request_count(static_cast<std::int64_t>(queue_.size()));
 }
 
-void admission_controller::Admit(ticket id, const kernel::tenant_id& tenant) {
-  in_progress_.emplace(id, tenant);
-  tenant_state& state = tenants_[tenant];
-  ++state.in_progress;
-  state.served = ++admissions_;
+std::int64_t admission_controller::Capacity() const {
+  return std::min({limits_.upstream_in_flight.value(), slots_.value(), service_share_.value()});
+}
+
+bool admission_controller::HasRoom(const tenant_state& tenant) const {
+  return static_cast<std::int64_t>(in_progress_.size()) < Capacity() &&
+         tenant.in_progress < limits_.tenant_in_flight.value();
+}
+
+outcome::refusal_reason admission_controller::BlockedBy(const tenant_state& tenant) const {
+  if (tenant.in_progress >= limits_.tenant_in_flight.value()) {
+    return outcome::refusal_reason::kTenantLimit;
+  }
+  if (service_share_ < std::min(limits_.upstream_in_flight, slots_)) {
+    return outcome::refusal_reason::kServiceLimit;
+  }
+  return outcome::refusal_reason::kQueueFull;
+}
+
+admission_controller::tenant_state& admission_controller::Tenant(const kernel::tenant_id& name) {
+  const auto [found, added] = tenants_.try_emplace(name);
+  if (added) {
+    found->second.name = name;
+    found->second.served = ++stamp_;
+  }
+  return found->second;
+}
+
+template <class Change>
+void admission_controller::Modify(tenant_state& tenant, Change&& change) {
+  for (auto& waiting : waiting_) waiting.erase(&tenant);
+  by_queued_.erase(&tenant);
+  change();
+  if (tenant.in_progress == 0 && tenant.queued == 0) {
+    const kernel::tenant_id name = tenant.name;
+    tenants_.erase(name);
+    return;
+  }
+  for (std::size_t priority = 0; priority < kPriorityClasses; ++priority) {
+    if (!tenant.queues[priority].empty()) waiting_[priority].insert(&tenant);
+  }
+  if (tenant.queued > 0) by_queued_.insert(&tenant);
+}
+
+void admission_controller::Admit(ticket id, tenant_state& tenant) {
+  in_progress_.emplace(id, &tenant);
+  Modify(tenant, [&] {
+    ++tenant.in_progress;
+    tenant.served = ++stamp_;
+  });
 }
 
-void admission_controller::Enqueue(ticket id, queued_request request) {
-  tenant_state& state = tenants_[request.tenant];
-  ++state.queued;
-  state.queues[static_cast<std::size_t>(request.priority)].emplace(request.position, id);
+void admission_controller::Enqueue(ticket id, const queued_request& request) {
+  queue_.emplace(id, request);
   by_expiry_.emplace(request.expiry, id);
-  queue_.emplace(id, std::move(request));
+  Modify(*request.tenant, [&] {
+    ++request.tenant->queued;
+    request.tenant->queues[static_cast<std::size_t>(request.priority)].emplace(request.position,
+                                                                               id);
+  });
 }
 
 admission_controller::queued_request admission_controller::Dequeue(ticket id) {
   const auto found = queue_.find(id);
-  queued_request request = std::move(found->second);
+  const queued_request request = found->second;
   queue_.erase(found);
   by_expiry_.erase({request.expiry, id});
-  tenant_state& state = tenants_[request.tenant];
-  --state.queued;
-  state.queues[static_cast<std::size_t>(request.priority)].erase({request.position, id});
+  Modify(*request.tenant, [&] {
+    --request.tenant->queued;
+    request.tenant->queues[static_cast<std::size_t>(request.priority)].erase(
+        {request.position, id});
+  });
   return request;
 }
 
-void admission_controller::ForgetIfIdle(const kernel::tenant_id& tenant) {
-  const auto found = tenants_.find(tenant);
-  if (found == tenants_.end()) return;
-  if (found->second.in_progress == 0 && found->second.queued == 0) tenants_.erase(found);
-}
-
 std::vector<ticket> admission_controller::AdmitFromQueue(kernel::time_point now) {
+  SweepExpired(now);
   std::vector<ticket> admitted;
   while (static_cast<std::int64_t>(in_progress_.size()) < Capacity()) {
-    const auto next = Next(now);
+    const auto next = Next();
     if (!next) break;
-    Admit(*next, Dequeue(*next).tenant);
+    const kernel::tenant_id tenant = queue_.at(*next).tenant->name;
+    Dequeue(*next);
+    Admit(*next, Tenant(tenant));
     admitted.push_back(*next);
   }
   return admitted;
 }
 
-std::optional<ticket> admission_controller::Next(kernel::time_point now) {
-  std::array<std::optional<ticket>, kPriorityClasses> next;
+void admission_controller::SweepExpired(kernel::time_point now) {
+  while (!by_expiry_.empty() && by_expiry_.begin()->first <= now) {
+    const ticket id = by_expiry_.begin()->second;
+    const bool passed = queue_.at(id).deadline.Passed(now);
+    RefuseLater(
+        id,
+        passed ? outcome::refusal_reason::kDeadlinePassed : outcome::refusal_reason::kQueueTimeout,
+        now);
+  }
+}
+
+void admission_controller::RefuseLater(ticket id, outcome::refusal_reason reason,
+                                       kernel::time_point now) {
+  if (expired_.empty()) expired_since_ = now;
+  Dequeue(id);
+  expired_.push_back({id, reason});
+}
+
+std::optional<ticket> admission_controller::Next() {
   std::optional<std::size_t> highest;
   std::optional<std::size_t> longest_unserved;
   for (std::size_t priority = 0; priority < kPriorityClasses; ++priority) {
-    next[priority] = NextOf(priority, now);
-    if (!next[priority]) continue;
+    // If the tenant with the fewest requests in progress is at its limit, all of them are.
+    const auto& waiting = waiting_[priority];
+    if (waiting.empty() || (*waiting.begin())->in_progress >= limits_.tenant_in_flight.value()) {
+      continue;
+    }
     if (!highest) {
       highest = priority;
     } else if (!longest_unserved || class_served_[priority] < class_served_[*longest_unserved]) {
@@ -170,54 +239,15 @@
   if (!highest) return std::nullopt;
   const bool lower_turn = longest_unserved && ++turns_ % kLowerClassTurn == 0;
   const std::size_t chosen = lower_turn ? *longest_unserved : *highest;
-  class_served_[chosen] = admissions_ + 1;
-  return next[chosen];
-}
-
-std::optional<ticket> admission_controller::NextOf(std::size_t priority,
-                                                   kernel::time_point now) const {
-  const tenant_state* best = nullptr;
-  std::optional<ticket> chosen;
-  for (const auto& [name, state] : tenants_) {
-    if (state.in_progress >= limits_.tenant_in_flight.value()) continue;
-    if (best != nullptr &&
-        std::pair(best->in_progress, best->served) <= std::pair(state.in_progress, state.served)) {
-      continue;
-    }
-    for (const auto& [position, id] : state.queues[priority]) {
-      if (queue_.at(id).expiry <= now) continue;
-      best = &state;
-      chosen = id;
-      break;
-    }
-  }
-  return chosen;
+  class_served_[chosen] = ++stamp_;
+  return (*waiting_[chosen].begin())->queues[chosen].begin()->second;
 }
 
-std::optional<ticket> admission_controller::Displaceable(const kernel::tenant_id& newcomer) const {
-  const auto own = tenants_.find(newcomer);
-  const std::int64_t own_queued = own == tenants_.end() ? 0 : own->second.queued;
-  const tenant_state* largest = nullptr;
-  for (const auto& [name, state] : tenants_) {
-    if (largest == nullptr || state.queued > largest->queued) largest = &state;
-  }
-  // With a smaller difference the two tenants would only change places.
-  if (largest == nullptr || largest->queued < own_queued + 2) return std::nullopt;
-  for (auto queue = largest->queues.rbegin(); queue != largest->queues.rend(); ++queue) {
-    if (!queue->empty()) return std::prev(queue->end())->second;
-  }
-  return std::nullopt;
-}
-
-outcome::refusal_reason admission_controller::BlockedBy(const kernel::tenant_id& tenant) const {
-  const auto known = tenants_.find(tenant);
-  if (known != tenants_.end() && known->second.in_progress >= limits_.tenant_in_flight.value()) {
-    return outcome::refusal_reason::kTenantLimit;
-  }
-  if (service_share_ < std::min(limits_.upstream_in_flight, slots_)) {
-    return outcome::refusal_reason::kServiceLimit;
-  }
-  return outcome::refusal_reason::kQueueFull;
+ticket admission_controller::LeastEntitled() const {
+  const auto& queues = (*by_queued_.rbegin())->queues;
+  const auto lowest = std::find_if(queues.rbegin(), queues.rend(),
+                                   [](const auto& queue) { return !queue.empty(); });
+  return std::prev(lowest->end())->second;
 }
 
 }  // namespace cornelweir::admission
--- a/cornelweir/src/admission/limit_share.cc
+++ b/cornelweir/src/admission/limit_share.cc
@@ -51,15 +51,15 @@
 }
 
 bool limit_share::InContact(kernel::time_point now) const {
-  return last_contact_ && now - *last_contact_ < kShareLease;
+  return last_contact_ && now - *last_contact_ < lease_;
 }
 
 void limit_share::OnContact(kernel::time_point now) {
   if (!InContact(now) && !memberships_.empty()) {
-    // The outage may have hidden a change to the membership: what was held so far counts as
-    // replaced only now.
+    // Others may have joined during the outage: memberships that limit the share until now do so
+    // for another lease time.
     for (membership& held : memberships_) {
-      if (held.replaced && last_contact_ && *held.replaced + kShareLease > *last_contact_) {
+      if (held.replaced && last_contact_ && *held.replaced + lease_ > *last_contact_) {
         held.replaced = now;
       }
     }
@@ -75,7 +75,7 @@
     for (membership& held : memberships_) held.share = ShareIn(held.members);
   }
   while (!memberships_.empty() && memberships_.front().replaced &&
-         *memberships_.front().replaced + kShareLease <= now) {
+         *memberships_.front().replaced + lease_ <= now) {
     memberships_.pop_front();
   }
   // Before the first membership the daemon had no share.
@@ -96,12 +96,11 @@
 kernel::request_count limit_share::Current(kernel::time_point now) const {
   if (memberships_.empty()) return {};
   // Without contact, time stands still just before the end of the lease.
-  const kernel::time_point until = InContact(now) || !last_contact_
-                                       ? now
-                                       : *last_contact_ + kShareLease - kernel::microseconds(1);
+  const kernel::time_point until =
+      InContact(now) || !last_contact_ ? now : *last_contact_ + lease_ - kernel::microseconds(1);
   kernel::request_count share = memberships_.back().share;
   for (const membership& held : memberships_) {
-    if (held.replaced && *held.replaced + kShareLease > until) {
+    if (held.replaced && *held.replaced + lease_ > until) {
       share = std::min(share, held.share);
     }
   }
@@ -112,7 +111,7 @@
   std::optional<kernel::time_point> next;
   for (const membership& held : memberships_) {
     if (!held.replaced) continue;
-    const kernel::time_point at = *held.replaced + kShareLease;
+    const kernel::time_point at = *held.replaced + lease_;
     if (at > now && (!next || at < *next)) next = at;
   }
   return next;
