Add relays, placement, reconnect policy and progress reports

Cause: a control host can't serve every daemon, and a daemon must find a publisher again whatever fails.

Change: a relay ties a subscriber to a publisher for its service. A tree derived from the members names two roots a service and the relays of the others. The reconnect policy counts failed relays and returns to a control host. Reports of what daemons enforce are added up on the way, in a bounded size. A new subscriber gets the last round at once, so that it can relay without waiting for the next heartbeat.

--- a/cornelweir/src/distribution/feed.cc
+++ b/cornelweir/src/distribution/feed.cc
@@ -45,10 +45,8 @@
 }
 
 void feed::PublishMembers(const std::vector<membership::member_change>& changes,
-                          kernel::membership_revision revision, messages& out) {
-  if (revision <= members_.revision()) return;
+                          kernel::membership_revision revision) {
   members_.Apply(changes, revision);
-  UpdateAll(out);
 }
 
 void feed::ResetMembers(const membership::member_map& members, kernel::membership_revision revision,
@@ -59,10 +57,10 @@
 }
 
 void feed::Heartbeat(kernel::heartbeat_round round, messages& out) {
+  round_ = std::max(round_, round);
   for (auto& [id, to] : subscribers_) {
     Update(id, to, /*include_unchanged=*/true, out);
-    internal::Push(out, id,
-                   heartbeat{round, ScopeFor(to.service).history.version(), members_.revision()});
+    SendHeartbeat(id, to, out);
   }
 }
 
@@ -71,7 +69,7 @@
   subscription& to = entry->second;
   // A transfer that is still queued continues. To restart it at each request would never end it.
   if (!inserted && !to.queue.empty() && to.service == request.service) return;
-  if (!inserted) ScopeFor(to.service).subscribers.erase(id);
+  if (!inserted) Detach(id, to);
   to.service = request.service;
   to.request = request;
   to.version = request.held_version;
@@ -80,20 +78,24 @@
   to.queue.clear();
   to.report.version = request.held_version;
   to.report.revision = request.held_revision;
-  ScopeFor(to.service).subscribers.insert(id);
+  ScopeFor(to.service).subscribers.insert_or_assign(request.subscriber, id);
   Update(id, to, /*include_unchanged=*/true, out);
+  // A new subscriber that relays can serve its children only once it has seen a round.
+  if (inserted && round_ != kernel::heartbeat_round()) SendHeartbeat(id, to, out);
 }
 
 void feed::Remove(subscriber_id id) {
   const auto found = subscribers_.find(id);
   if (found == subscribers_.end()) return;
-  ScopeFor(found->second.service).subscribers.erase(id);
+  Detach(id, found->second);
   subscribers_.erase(found);
 }
 
 void feed::OnApplied(subscriber_id id, const applied& report) {
   const auto found = subscribers_.find(id);
-  if (found != subscribers_.end()) found->second.report = report;
+  // A report that was overtaken by a newer one says nothing.
+  if (found == subscribers_.end() || report.version < found->second.report.version) return;
+  found->second.report = report;
 }
 
 void feed::SendProof(subscriber_id id, const proof& answer, messages& out) {
@@ -124,6 +126,33 @@
   return found == scopes_.end() ? nullptr : &found->second.history;
 }
 
+std::optional<subscriber_id> feed::FindHost(const kernel::service_name& service,
+                                            const kernel::host_id& host) const {
+  const auto entry = scopes_.find(service);
+  if (entry == scopes_.end()) return std::nullopt;
+  const auto found = entry->second.subscribers.find(host);
+  if (found == entry->second.subscribers.end()) return std::nullopt;
+  return found->second;
+}
+
+service_progress feed::Progress(const kernel::service_name& service) const {
+  service_progress progress;
+  progress.service = service;
+  progress.announced = daemon_count(members_.MembersOf(service).size());
+  const auto entry = scopes_.find(service);
+  if (entry == scopes_.end()) return progress;
+  progress.version = entry->second.history.version();
+  for (const auto& [host, id] : entry->second.subscribers) {
+    AddReport(host, subscribers_.at(id).report, progress);
+  }
+  return progress;
+}
+
+void feed::SendHeartbeat(subscriber_id id, const subscription& to, messages& out) {
+  internal::Push(out, id,
+                 heartbeat{round_, ScopeFor(to.service).history.version(), members_.revision()});
+}
+
 feed::scope& feed::ScopeFor(const kernel::service_name& service) {
   const auto [entry, inserted] = scopes_.try_emplace(service, service);
   if (inserted) entry->second.history.Advance(version_, table::ScopeOf(table_, service));
@@ -231,6 +260,16 @@
   }
 }
 
+void feed::Detach(subscriber_id id, const subscription& from) {
+  const auto entry = scopes_.find(from.service);
+  if (entry == scopes_.end()) return;
+  auto& subscribers = entry->second.subscribers;
+  const auto own = subscribers.find(from.request.subscriber);
+  if (own != subscribers.end() && own->second == id) subscribers.erase(own);
+  // Subscribers may name any service, so those that the table does not have are not kept.
+  if (subscribers.empty() && entry->second.history.rows().empty()) scopes_.erase(entry);
+}
+
 kernel::table_version feed::MembersScope(const scope& from) const {
   return std::min(members_scope_, from.history.version());
 }
--- a/cornelweir/src/distribution/feed.h
+++ b/cornelweir/src/distribution/feed.h
@@ -6,13 +6,14 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <vector>
 
 #include "cornelweir/src/distribution/applied.h"
 #include "cornelweir/src/distribution/ids.h"
 #include "cornelweir/src/distribution/messages.h"
 #include "cornelweir/src/distribution/scope_history.h"
+#include "cornelweir/src/distribution/service_progress.h"
 #include "cornelweir/src/distribution/subscriber_actions.h"
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/membership/member_history.h"
@@ -34,9 +35,9 @@
   void PublishScope(const kernel::service_name& service, kernel::table_version version,
                     const table::row_map& rows, messages& out);
 
-  // Takes newer members.
+  // Takes newer members. They are sent by the next UpdateAll().
   void PublishMembers(const std::vector<membership::member_change>& changes,
-                      kernel::membership_revision revision, messages& out);
+                      kernel::membership_revision revision);
   void ResetMembers(const membership::member_map& members, kernel::membership_revision revision,
                     messages& out);
 
@@ -44,6 +45,9 @@
   // leaves this at the largest number.
   void SetMembersScope(kernel::table_version version) { members_scope_ = version; }
 
+  // Brings every subscriber to the newest state.
+  void UpdateAll(messages& out);
+
   // Sends a heartbeat to every subscriber, after what it still lacks.
   void Heartbeat(kernel::heartbeat_round round, messages& out);
 
@@ -60,6 +64,14 @@
   void Tick(messages& out);
 
   bool Holds(subscriber_id id) const { return subscribers_.contains(id); }
+
+  // The subscription of a daemon.
+  std::optional<subscriber_id> FindHost(const kernel::service_name& service,
+                                        const kernel::host_id& host) const;
+
+  // What the daemons of a service that are served from here enforce.
+  service_progress Progress(const kernel::service_name& service) const;
+
   std::size_t size() const { return subscribers_.size(); }
   const membership::member_history& members() const { return members_; }
   const scope_history* FindScope(const kernel::service_name& service) const;
@@ -89,7 +101,7 @@
     explicit scope(const kernel::service_name& service) : history(service) {}
 
     scope_history history;
-    std::set<subscriber_id> subscribers;
+    std::map<kernel::host_id, subscriber_id> subscribers;
     // The last snapshots, shared by the subscribers that are sent them.
     pieces table_snapshot;
     kernel::table_version table_snapshot_version;
@@ -99,7 +111,7 @@
   };
 
   scope& ScopeFor(const kernel::service_name& service);
-  void UpdateAll(messages& out);
+  void SendHeartbeat(subscriber_id id, const subscription& to, messages& out);
   void Update(subscriber_id id, subscription& to, bool include_unchanged, messages& out);
   void UpdateTable(subscriber_id id, subscription& to, scope& from, messages& out);
   void UpdateMembers(subscriber_id id, subscription& to, scope& from, bool include_unchanged,
@@ -107,6 +119,7 @@
   void Send(subscriber_id id, subscription& to, pieces content, messages& out);
   void Release(subscriber_id id, subscription& to, messages& out);
   kernel::table_version MembersScope(const scope& from) const;
+  void Detach(subscriber_id id, const subscription& from);
 
   std::map<kernel::service_name, scope> scopes_;
   std::map<subscriber_id, subscription> subscribers_;
@@ -114,6 +127,7 @@
   table::row_map table_;
   kernel::table_version version_;
   kernel::table_version members_scope_{UINT64_MAX};
+  kernel::heartbeat_round round_;
   transfer_id next_transfer_;
   std::int64_t budget_ = 0;
   // Where the next tick begins, so that no subscriber is always the last.
--- a/cornelweir/src/distribution/scope_history.cc
+++ b/cornelweir/src/distribution/scope_history.cc
@@ -38,13 +38,6 @@
   return changed;
 }
 
-void scope_history::AdvanceUnchanged(kernel::table_version base, kernel::table_version version) {
-  if (base != version_ || version <= version_) return;
-  if (version.value() - base.value() > 1) history_.push_back(step{base, version, {}});
-  version_ = version;
-  TrimHistory();
-}
-
 std::optional<std::vector<table::row_change>> scope_history::ChangesSince(
     kernel::table_version held) const {
   if (held < floor_ || held > version_) return std::nullopt;
--- a/cornelweir/src/distribution/scope_history.h
+++ b/cornelweir/src/distribution/scope_history.h
@@ -45,10 +45,6 @@
   // ignored.
   bool Advance(kernel::table_version version, const table::row_map& rows);
 
-  // Moves to a newer version whose rows are those of base. Ignored unless base is the version held
-  // here.
-  void AdvanceUnchanged(kernel::table_version base, kernel::table_version version);
-
   // The latest content of each row that changed after held. Nothing if the history does not reach
   // back to held or if held was skipped here.
   std::optional<std::vector<table::row_change>> ChangesSince(kernel::table_version held) const;
--- a/cornelweir/src/distribution/staging.h
+++ b/cornelweir/src/distribution/staging.h
@@ -2,6 +2,8 @@
 #define CORNELWEIR_SRC_DISTRIBUTION_STAGING_H_
 
 #include <cstdint>
+#include <functional>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <utility>
@@ -41,8 +43,9 @@
     if (pieces_.size() < count_) return std::nullopt;
     Message whole = std::move(pieces_.begin()->second);
     for (auto next = std::next(pieces_.begin()); next != pieces_.end(); ++next) {
-      auto& from = next->second.*list_;
-      (whole.*list_).insert((whole.*list_).end(), from.begin(), from.end());
+      const auto& from = std::invoke(list_, next->second);
+      auto& to = std::invoke(list_, whole);
+      to.insert(to.end(), from.begin(), from.end());
     }
     whole.piece = piece_number();
     whole.pieces = piece_number(1);
@@ -55,7 +58,7 @@
     size_ = 0;
   }
 
-  kernel::byte_count size() const { return kernel::byte_count(size_); }
+  kernel::byte_count size() const { return kernel::byte_count{size_}; }
 
  private:
   std::vector<Element> Message::*list_;
--- a/cornelweir/src/distribution/subscriber.cc
+++ b/cornelweir/src/distribution/subscriber.cc
@@ -136,7 +136,8 @@
   const auto whole = staged_members_.Add(message);
   if (!whole) return;
   if (whole->full) {
-    if (whole->scope_version > version_) {
+    // Members for a scope that is on its way would hide those of services that are still routed to.
+    if (whole->scope_version > std::max(version_, refused_)) {
       early_members_ = whole;
     } else {
       TakeAllMembers(*whole, result);
@@ -157,6 +158,7 @@
   revision_ = whole->revision;
   result.revision_changed = true;
   result.members_changed = !whole->changes.empty();
+  result.member_changes = whole->changes;
 }
 
 void subscriber::On(const heartbeat& message, kernel::time_point now, subscriber_result& result) {
@@ -201,6 +203,7 @@
   members_scope_ = message.scope_version;
   result.revision_changed = true;
   result.members_changed = true;
+  result.all_members_changed = true;
 }
 
 void subscriber::Resync(kernel::time_point now, subscriber_result& result) {
--- a/cornelweir/src/distribution/subscriber.h
+++ b/cornelweir/src/distribution/subscriber.h
@@ -34,12 +34,19 @@
   const membership::member_map& members() const { return members_; }
   kernel::membership_revision revision() const { return revision_; }
 
-  // The version whose scope chose the services of members().
-  kernel::table_version members_scope() const { return members_scope_; }
-
   // Whether members() covers every service in rows().
   bool members_complete() const { return members_scope_ >= needed_scope_; }
 
+  // The newest version whose services members() covers.
+  kernel::table_version members_scope() const {
+    return members_complete() ? version_ : members_scope_;
+  }
+
+  // Whether a nonce is the one of this process.
+  bool Owns(kernel::nonce nonce) const { return nonce == nonce_; }
+  const kernel::host_id& host() const { return host_; }
+  const kernel::endpoint& control_endpoint() const { return control_endpoint_; }
+
   // The first message to a new publisher. Staged pieces are dropped; what is held stays.
   subscribe Subscribe(kernel::time_point now, failure_count failed_relays = {});
 
--- a/cornelweir/src/distribution/subscriber_result.h
+++ b/cornelweir/src/distribution/subscriber_result.h
@@ -6,6 +6,7 @@
 
 #include "cornelweir/src/distribution/messages.h"
 #include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/membership/member_change.h"
 
 namespace cornelweir::distribution {
 
@@ -17,6 +18,9 @@
   // A newer revision is held; its members differ from the last ones if members_changed.
   bool revision_changed = false;
   bool members_changed = false;
+  // The changes that led to the revision, unless all members were replaced.
+  std::vector<membership::member_change> member_changes;
+  bool all_members_changed = false;
   // The subscriber may accept requests from now on.
   bool became_ready = false;
   // A heartbeat brought a newer round.
--- a/cornelweir/src/membership/member_history.cc
+++ b/cornelweir/src/membership/member_history.cc
@@ -8,9 +8,9 @@
 
 const std::set<kernel::upstream_id>& member_history::MembersOf(
     const kernel::service_name& service) const {
-  static const std::set<kernel::upstream_id> kNone;
+  static const std::set<kernel::upstream_id> none;
   const auto found = by_service_.find(service);
-  return found == by_service_.end() ? kNone : found->second;
+  return found == by_service_.end() ? none : found->second;
 }
 
 void member_history::Apply(const std::vector<member_change>& changes,
--- a/tests/distribution_test.cc
+++ b/tests/distribution_test.cc
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -57,7 +60,7 @@
       .Build();
 }
 
-class OnePublisher : public ::testing::Test {
+class publishing : public ::testing::Test {
  protected:
   // Hands messages to the subscriber and its replies back until nothing is left to say.
   void Deliver(subscriber& to, const subscriber_actions& actions) {
@@ -106,7 +109,7 @@
   std::vector<proof_request> questions_;
 };
 
-TEST_F(OnePublisher, BringsASubscriberFromNothingToTheNewestVersionAndReadiness) {
+TEST_F(publishing, BringsASubscriberFromNothingToTheNewestVersionAndReadiness) {
   membership::member_table members;
   members.Announce(Member("a", "s1"), membership_revision(1));
   members.Announce(Member("b", "s2"), membership_revision(2));
@@ -125,7 +128,7 @@
   EXPECT_TRUE(daemon.ready());
 }
 
-TEST_F(OnePublisher, SendsDeltasNoticesAndMemberChanges) {
+TEST_F(publishing, SendsDeltasNoticesAndMemberChanges) {
   publisher_.PublishTable(table_version(1), Chain(3), clock_.Now());
   subscriber daemon = MakeSubscriber();
   Connect(daemon);
@@ -146,12 +149,13 @@
   Deliver(daemon, publisher_.PublishMembers(members, clock_.Now()));
   EXPECT_EQ(daemon.members().size(), 1U);
   members.Leave(kernel::upstream_id("a"), kernel::incarnation(1), membership_revision(5));
+  clock_.Advance(kTickInterval);
   Deliver(daemon, publisher_.PublishMembers(members, clock_.Now()));
   EXPECT_TRUE(daemon.members().empty());
 }
 
 // Guards against members of a service that joined the scope staying unknown.
-TEST_F(OnePublisher, SendsTheMembersOfAServiceThatJoinsTheScope) {
+TEST_F(publishing, SendsTheMembersOfAServiceThatJoinsTheScope) {
   membership::member_table members;
   members.Announce(Member("b", "s2"), membership_revision(1));
   publisher_.PublishMembers(members, clock_.Now());
@@ -167,7 +171,7 @@
 }
 
 // Guards against a large scope being sent in one message or all at once.
-TEST_F(OnePublisher, SendsALargeSnapshotInPacedPieces) {
+TEST_F(publishing, SendsALargeSnapshotInPacedPieces) {
   table::row_map rows = Chain(1);
   for (int index = 0; index < 8'000; ++index) {
     const std::string name = "extra" + std::to_string(index);
@@ -198,7 +202,7 @@
 }
 
 // Guards against a delta being applied to rows that it was not made for.
-TEST_F(OnePublisher, ResyncsWhenADeltaWasLost) {
+TEST_F(publishing, ResyncsWhenADeltaWasLost) {
   publisher_.PublishTable(table_version(1), Chain(2), clock_.Now());
   subscriber daemon = MakeSubscriber();
   Connect(daemon);
@@ -211,7 +215,7 @@
 }
 
 // Guards against a daemon that moves back when its new publisher lags.
-TEST_F(OnePublisher, KeepsWhatItHoldsAtAPublisherThatLags) {
+TEST_F(publishing, KeepsWhatItHoldsAtAPublisherThatLags) {
   publisher_.PublishTable(table_version(5), Chain(2), clock_.Now());
   subscriber daemon = MakeSubscriber();
   Connect(daemon);
@@ -355,5 +359,275 @@
   }
 }
 
+std::vector<relay_candidate> Hosts(int count) {
+  std::vector<relay_candidate> hosts;
+  for (int index = 0; index < count; ++index) {
+    const std::string name = "h" + std::to_string(index);
+    hosts.push_back(relay_candidate{kernel::host_id(name), kernel::endpoint(name)});
+  }
+  return hosts;
+}
+
+// Guards against loops of redirects, overloaded relays and deep trees.
+TEST(RelayTree, SpreadsDaemonsOverLevelsAboveThem) {
+  for (const int count : {3, 36, 200, 2'000}) {
+    const relay_tree tree(Hosts(count));
+    std::map<kernel::endpoint, std::size_t> children;
+    int roots = 0;
+    for (const relay_candidate& host : Hosts(count)) {
+      kernel::endpoint above = host.endpoint;
+      const auto parents = tree.ParentsOf(host.host);
+      EXPECT_EQ(parents.empty(), tree.IsRoot(host.host));
+      roots += parents.empty() ? 1 : 0;
+      if (!parents.empty()) ++children[parents.front()];
+      int depth = 0;
+      for (auto next = parents; !next.empty(); ++depth) {
+        above = next.front();
+        next = tree.ParentsOf(kernel::host_id(above.value()));
+      }
+      EXPECT_LE(depth, 3);
+    }
+    EXPECT_EQ(roots, static_cast<int>(kRoots));
+    std::size_t overfull = 0;
+    for (const auto& [relay, load] : children) overfull += load > kMaxChildren ? 1 : 0;
+    EXPECT_LE(overfull, children.size() / 5) << count;
+  }
+}
+
+// Guards against every daemon moving when one joins.
+TEST(RelayTree, ChangesThePlaceOfFewWhenADaemonJoins) {
+  const relay_tree before(Hosts(200));
+  const relay_tree after(Hosts(201));
+  int moved = 0;
+  for (const relay_candidate& host : Hosts(200)) {
+    moved += before.ParentsOf(host.host) == after.ParentsOf(host.host) ? 0 : 1;
+  }
+  EXPECT_LT(moved, 100);
+}
+
+class placing : public ::testing::Test {
+ protected:
+  placing() {
+    for (int index = 0; index < 10; ++index) {
+      members_.Announce(Member(std::to_string(index), "s0"), membership_revision(index + 1));
+    }
+    publisher_.PublishMembers(members_, clock_.Now());
+    const relay_tree tree(RelayCandidates(members_.history(), service_name("s0")));
+    for (int index = 0; index < 10; ++index) {
+      const kernel::host_id host("host-" + std::to_string(index));
+      (tree.IsRoot(host) ? roots_ : others_).push_back(host);
+    }
+  }
+
+  static subscribe Request(const kernel::host_id& host, std::uint32_t failed = 0) {
+    subscribe request;
+    request.service = service_name("s0");
+    request.subscriber = host;
+    request.failed_relays = failure_count(failed);
+    return request;
+  }
+
+  // The redirect that a new subscriber gets, if any.
+  std::optional<redirect> Subscribe(std::uint64_t id, const subscribe& request) {
+    const auto actions = publisher_.OnSubscribe(subscriber_id(id), request, clock_.Now(), random_);
+    if (actions.released.empty()) return std::nullopt;
+    return std::get<redirect>(actions.messages.back().message);
+  }
+
+  kernel::manual_clock clock_;
+  kernel::seeded_random random_{1};
+  membership::member_table members_;
+  publisher publisher_{kernel::nonce(1000)};
+  std::vector<kernel::host_id> roots_;
+  std::vector<kernel::host_id> others_;
+};
+
+// Guards against control hosts serving every daemon themselves.
+TEST_F(placing, KeepsRootsAndSendsOthersToThem) {
+  EXPECT_FALSE(Subscribe(1, Request(roots_[0])));
+  EXPECT_FALSE(Subscribe(2, Request(roots_[1])));
+  const auto elsewhere = Subscribe(3, Request(others_[0]));
+  ASSERT_TRUE(elsewhere);
+  EXPECT_EQ(elsewhere->candidates.size(), kRoots);
+  EXPECT_EQ(publisher_.size(), 2U);
+}
+
+// Guards against dead relays leaving daemons without a publisher, and against their admission
+// turning into a direct subscription of all.
+TEST_F(placing, AdmitsABoundedNumberWhoseRelaysFailedForAWhile) {
+  std::size_t admitted = 0;
+  for (std::size_t index = 0; index < others_.size(); ++index) {
+    admitted += Subscribe(10 + index, Request(others_[index], 2)) ? 0 : 1;
+  }
+  EXPECT_EQ(admitted, kMaxTemporaryPerService);
+  publisher_.Tick(clock_.Now());
+  clock_.Advance(kTemporaryStay);
+  EXPECT_EQ(publisher_.Tick(clock_.Now()).released.size(), kMaxTemporaryPerService);
+  EXPECT_EQ(publisher_.size(), 0U);
+  EXPECT_FALSE(Subscribe(30, Request(others_.back(), 2)));
+}
+
+// Guards against a control host that is overrun after many daemons restart.
+TEST_F(placing, AdmitsABoundedNumberWithinASecond) {
+  std::size_t admitted = 0;
+  for (std::uint64_t index = 0; index < 200; ++index) {
+    subscribe request = Request(roots_[0]);
+    request.service = service_name("other" + std::to_string(index));
+    const auto elsewhere = Subscribe(index, request);
+    if (!elsewhere) ++admitted;
+    if (!elsewhere) continue;
+    EXPECT_GE(elsewhere->retry_after_ms, kMinRetryAfter.count());
+    EXPECT_LE(elsewhere->retry_after_ms, kMaxRetryAfter.count());
+  }
+  EXPECT_EQ(admitted, kMaxAdmissionsPerSecond);
+}
+
+// Guards against a half-open connection taking the place of its daemon's new one.
+TEST_F(placing, ReplacesAnEarlierConnectionOfTheSameDaemon) {
+  Subscribe(1, Request(roots_[0]));
+  const auto actions =
+      publisher_.OnSubscribe(subscriber_id(2), Request(roots_[0]), clock_.Now(), random_);
+  EXPECT_EQ(actions.released, (std::vector<subscriber_id>{subscriber_id(1)}));
+  EXPECT_EQ(publisher_.size(), 1U);
+}
+
+class relaying : public ::testing::Test {
+ protected:
+  static subscriber Daemon(const std::string& host, std::uint64_t nonce) {
+    return subscriber_builder()
+        .Service(service_name("s0"))
+        .Host(kernel::host_id(host))
+        .ControlEndpoint(kernel::endpoint(host))
+        .Nonce(kernel::nonce(nonce))
+        .Build();
+  }
+
+  // Lets the relay hold version 1 from a publisher that is in touch with a majority.
+  void Feed() {
+    relay_.Subscribe(clock_.Now());
+    relay_.OnDownstream(
+        configuration{service_name("s0"),
+                      table_version(1),
+                      {},
+                      table::DeltaBetween({}, table::ScopeOf(Chain(2), service_name("s0"))),
+                      {},
+                      {},
+                      piece_number(1)},
+        clock_.Now());
+    relay_.OnDownstream(
+        members{{}, membership_revision(1), table_version(1), {}, true, {}, {}, piece_number(1)},
+        clock_.Now());
+    relay_.OnDownstream(heartbeat{kernel::heartbeat_round(1), table_version(1), {}}, clock_.Now());
+  }
+
+  kernel::manual_clock clock_;
+  kernel::seeded_random random_{1};
+  relay relay_{Daemon("relay", 50), kernel::nonce(500)};
+};
+
+TEST_F(relaying, PassesVersionsRoundsAndProofsDownAndQuestionsUp) {
+  Feed();
+  subscriber child = Daemon("child", 60);
+  const auto admitted =
+      relay_.OnUpstream(subscriber_id(1), child.Subscribe(clock_.Now()), clock_.Now(), random_);
+  for (const outgoing& sent : admitted.down) child.OnMessage(sent.message, clock_.Now());
+  EXPECT_EQ(child.rows(), relay_.own().rows());
+  EXPECT_EQ(child.version(), table_version(1));
+  ASSERT_EQ(admitted.up.size(), 1U);
+  const kernel::nonce question = std::get<proof_query>(admitted.up[0]).nonce;
+  const auto notice =
+      relay_.OnDownstream(version_notice{table_version(1), table_version(2)}, clock_.Now());
+  ASSERT_EQ(notice.down.size(), 1U);
+  child.OnMessage(notice.down[0].message, clock_.Now());
+  // The relay is not ready itself, as the proof answers only its children.
+  const auto answer =
+      relay_.OnDownstream(proof{question, table_version(2), membership_revision(1)}, clock_.Now());
+  EXPECT_FALSE(relay_.own().ready());
+  ASSERT_EQ(answer.down.size(), 1U);
+  EXPECT_TRUE(child.OnMessage(answer.down[0].message, clock_.Now()).became_ready);
+  const auto beat =
+      relay_.OnDownstream(heartbeat{kernel::heartbeat_round(2), {}, {}}, clock_.Now());
+  EXPECT_EQ(beat.down.size(), 1U);
+}
+
+// Guards against children that stay with a relay that has lost its own publisher.
+TEST_F(relaying, TurnsChildrenAwayWithoutAWorkingPublisher) {
+  subscriber child = Daemon("child", 60);
+  const auto refused = [&] {
+    return !relay_
+                .OnUpstream(subscriber_id(1), child.Subscribe(clock_.Now()), clock_.Now(), random_)
+                .released.empty();
+  };
+  EXPECT_TRUE(refused());
+  Feed();
+  clock_.Advance(kHeartbeatTimeout);
+  EXPECT_TRUE(refused());
+  EXPECT_TRUE(relay_.OnDownstream(heartbeat{kernel::heartbeat_round(1), {}, {}}, clock_.Now())
+                  .down.empty());
+}
+
+// Guards against a control side that does not see who is behind, and against reports that grow
+// with the number of daemons.
+TEST_F(relaying, ReportsWhatTheDaemonsBelowEnforceInABoundedSize) {
+  Feed();
+  for (std::uint64_t index = 0; index < 20; ++index) {
+    subscribe request;
+    request.service = service_name("s0");
+    request.subscriber = kernel::host_id("child-" + std::to_string(index));
+    relay_.OnUpstream(subscriber_id(index + 1), request, clock_.Now(), random_);
+    if (index >= 2) {
+      relay_.OnUpstream(subscriber_id(index + 1), applied{table_version(1), {}, {}, {}},
+                        clock_.Now(), random_);
+    }
+  }
+  const auto up = relay_.Tick(clock_.Now()).up;
+  const auto& report = std::get<applied>(up.back());
+  EXPECT_EQ(report.below, (std::vector<version_count>{{table_version(1), daemon_count(18)},
+                                                      {table_version(0), daemon_count(2)}}));
+  EXPECT_EQ(report.behind.size(), 2U);
+  EXPECT_TRUE(relay_.Tick(clock_.Now()).up.empty());
+  service_progress progress;
+  progress.version = table_version(100);
+  for (std::uint64_t version = 0; version < 50; ++version) {
+    AddReport(kernel::host_id(std::to_string(version)), applied{table_version(version), {}, {}, {}},
+              progress);
+  }
+  EXPECT_EQ(progress.counts.size(), kMaxVersionCounts);
+  EXPECT_EQ(progress.behind.size(), kMaxBehindNames);
+  EXPECT_EQ(CountAtLeast(progress, table_version(45)), daemon_count(5));
+  EXPECT_EQ(CountBehind(progress, table_version(45)), daemon_count(45));
+}
+
+// Guards against relays that send a daemon back and forth for ever.
+TEST(ReconnectPolicy, ReturnsToAControlHostAfterTwoFailedRelays) {
+  reconnect_policy policy({kernel::endpoint("control")}, kernel::seeded_random(1));
+  const redirect loop{{kernel::endpoint("r1"), kernel::endpoint("r2"), kernel::endpoint("r3")}, 0};
+  EXPECT_FALSE(policy.Next().is_relay);
+  policy.OnRedirect(loop);
+  EXPECT_EQ(policy.Next().endpoint, kernel::endpoint("r1"));
+  policy.OnRedirect(loop);
+  EXPECT_TRUE(policy.Next().is_relay);
+  policy.OnRedirect(loop);
+  EXPECT_FALSE(policy.Next().is_relay);
+  EXPECT_EQ(policy.failed_relays(), kFailedRelaysForDirect);
+  policy.OnHealthy();
+  EXPECT_EQ(policy.failed_relays(), failure_count(0));
+}
+
+// Guards against synchronized retries and against delays that grow without bound.
+TEST(ReconnectPolicy, BacksOffWithFullJitterUpToTheBound) {
+  reconnect_policy policy({kernel::endpoint("control")}, kernel::seeded_random(1));
+  EXPECT_EQ(policy.Next().delay.count(), 0);
+  std::int64_t longest = 0;
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    policy.OnFailure();
+    const std::int64_t delay = policy.Next().delay.count();
+    EXPECT_LE(delay, std::min<std::int64_t>(kMaxBackoff.count(), kMinBackoff.count()
+                                                                     << std::min(attempt, 10)));
+    longest = std::max(longest, delay);
+  }
+  EXPECT_GT(longest, kMaxBackoff.count() / 2);
+}
+
 }  // namespace
 }  // namespace cornelweir::distribution
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -95,7 +95,7 @@
   EXPECT_EQ(*both, (std::vector<member_change>{{upstream_id("a"), service_name("intake"), moved}}));
 }
 
-class LeaseTracker : public ::testing::Test {
+class leases : public ::testing::Test {
  protected:
   // Lets time pass as a running leader sees it. Upstreams named in renewing renew every 500 ms.
   std::vector<expired_lease> Run(kernel::milliseconds duration, int renewing) {
@@ -122,7 +122,7 @@
   lease_tracker tracker_;
 };
 
-TEST_F(LeaseTracker, ExpiresWhatDoesNotRenew) {
+TEST_F(leases, ExpiresWhatDoesNotRenew) {
   EXPECT_TRUE(Run(kernel::milliseconds(4'500), 8).empty());
   const auto expired = Run(kernel::milliseconds(500), 8);
   ASSERT_EQ(expired.size(), 1U);
@@ -130,13 +130,13 @@
 }
 
 // Guards against a failed link between the leader and many daemons emptying a service.
-TEST_F(LeaseTracker, ExpiresAtMostAShareOfAServiceWithinALeaseTime) {
+TEST_F(leases, ExpiresAtMostAShareOfAServiceWithinALeaseTime) {
   EXPECT_EQ(Run(kernel::milliseconds(9'500), 1).size(), 3U);
   EXPECT_EQ(Run(kernel::milliseconds(5'000), 1).size(), 3U);
 }
 
 // Guards against daemons that are known to be gone staying because of the share.
-TEST_F(LeaseTracker, RefusedConnectionsDoNotCountAgainstTheShare) {
+TEST_F(leases, RefusedConnectionsDoNotCountAgainstTheShare) {
   for (int index = 1; index < 9; ++index) {
     tracker_.OnConnectionRefused(upstream_id(std::to_string(index)), incarnation(1));
   }
@@ -144,14 +144,14 @@
 }
 
 // Guards against a leader that was cut off or paused removing everybody when it returns.
-TEST_F(LeaseTracker, ExpiresNothingAfterSilenceOrAPause) {
+TEST_F(leases, ExpiresNothingAfterSilenceOrAPause) {
   EXPECT_TRUE(Run(kernel::milliseconds(60'000), 0).empty());
   clock_.Advance(kernel::milliseconds(60'000));
   EXPECT_TRUE(tracker_.Expire(clock_.Now()).empty());
   EXPECT_TRUE(Run(kernel::milliseconds(4'500), 9).empty());
 }
 
-TEST_F(LeaseTracker, RefusesRenewalsOfOtherIncarnations) {
+TEST_F(leases, RefusesRenewalsOfOtherIncarnations) {
   EXPECT_FALSE(tracker_.Renew(upstream_id("1"), incarnation(2), clock_.Now()));
   EXPECT_FALSE(tracker_.Renew(upstream_id("new"), incarnation(1), clock_.Now()));
   EXPECT_TRUE(tracker_.Renew(upstream_id("1"), incarnation(1), clock_.Now()));
