--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -30,6 +30,7 @@
   X(kUpstreamJoined, 3006, kInfo, "upstream joined")                    \
   X(kUpstreamLeft, 3007, kInfo, "upstream left")                        \
   X(kLeaseExpired, 3008, kWarning, "lease expired")                     \
+  X(kControlLinkLost, 3009, kWarning, "link to control host lost")      \
   X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress")
 
 enum class event_id : std::uint16_t {
--- a/plugins/control/control_mesh.cc
+++ b/plugins/control/control_mesh.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "cornelweir/codec.h"
+#include "plugins/greeting.h"
 
 namespace cornelweir::plugins::control {
 namespace internal {
@@ -40,8 +41,7 @@
   const std::uint64_t generation = ++target.generation;
   transport::link_handlers handlers;
   handlers.opened = [this](const std::shared_ptr<transport::link>& link) {
-    const protocol::control_message greeting =
-        protocol::hello{protocol::kProtocolVersion, protocol::process_role::kControl, self_};
+    const protocol::control_message greeting = Greeting(protocol::process_role::kControl, self_);
     link->Send(codec::Encode(greeting));
   };
   handlers.closed = [this, host, generation](const std::shared_ptr<transport::link>&,
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "cornelweir/logging.h"
+#include "plugins/greeting.h"
 
 namespace cornelweir::plugins::control {
 namespace internal {
@@ -16,17 +17,6 @@
 constexpr kernel::milliseconds kLeaseCheckPeriod{250};
 constexpr kernel::milliseconds kMetricsPeriod{1'000};
 
-constexpr std::string_view kControlRole = "control";
-constexpr std::string_view kProxyRole = "proxy";
-
-// Whether the certificate of a peer allows the role that its greeting claims. Without TLS there is
-// no certificate; settings allow that on loopback only.
-bool MayClaim(const std::string& certificate_role, protocol::process_role claimed, bool tls) {
-  if (!tls) return true;
-  if (certificate_role == kControlRole) return true;
-  return claimed == protocol::process_role::kProxy && certificate_role == kProxyRole;
-}
-
 std::string_view StateName(membership::upstream_state state) {
   switch (state) {
     case membership::upstream_state::kStarting:
@@ -162,14 +152,8 @@
 
 void control_plugin::OnGreeting(const std::shared_ptr<transport::link>& link,
                                 std::string_view payload) {
-  const auto message = codec::Decode<protocol::daemon_message>(payload);
-  const auto* greeting = message ? std::get_if<protocol::hello>(&message.value()) : nullptr;
-  const bool tls = context_.tls != nullptr;
-  if (greeting == nullptr || greeting->protocol != protocol::kProtocolVersion ||
-      !internal::MayClaim(link->peer_role(), greeting->role, tls)) {
-    logging::event(logging::event_id::kMessageRefused)
-        .With("reason", "bad greeting")
-        .With("certificate_role", link->peer_role());
+  const auto greeting = ReadGreeting(*link, payload, context_.tls != nullptr);
+  if (!greeting) {
     link->Close("bad greeting");
     return;
   }
--- /dev/null
+++ b/plugins/greeting.cc
@@ -0,0 +1,40 @@
+#include "plugins/greeting.h"
+
+#include <variant>
+
+#include "cornelweir/codec.h"
+#include "cornelweir/logging.h"
+
+namespace cornelweir::plugins {
+namespace internal {
+
+// The organizational unit of a certificate names the role that its owner may take.
+constexpr std::string_view kControlRole = "control";
+constexpr std::string_view kProxyRole = "proxy";
+
+bool MayClaim(const std::string& certificate_role, protocol::process_role claimed) {
+  if (certificate_role == kControlRole) return true;
+  return claimed == protocol::process_role::kProxy && certificate_role == kProxyRole;
+}
+
+}  // namespace internal
+
+protocol::hello Greeting(protocol::process_role role, const kernel::host_id& host) {
+  return protocol::hello{protocol::kProtocolVersion, role, host};
+}
+
+std::optional<protocol::hello> ReadGreeting(const transport::link& link, std::string_view payload,
+                                            bool tls) {
+  // A greeting is an alternative of every message variant, so one of them is enough to read it.
+  const auto message = codec::Decode<protocol::daemon_message>(payload);
+  const auto* greeting = message ? std::get_if<protocol::hello>(&message.value()) : nullptr;
+  const bool allowed = greeting != nullptr && greeting->protocol == protocol::kProtocolVersion &&
+                       (!tls || internal::MayClaim(link.peer_role(), greeting->role));
+  if (allowed) return *greeting;
+  logging::event(logging::event_id::kMessageRefused)
+      .With("reason", "bad greeting")
+      .With("certificate_role", link.peer_role());
+  return std::nullopt;
+}
+
+}  // namespace cornelweir::plugins
--- /dev/null
+++ b/plugins/greeting.h
@@ -0,0 +1,24 @@
+#ifndef CORNELWEIR_PLUGINS_GREETING_H_
+#define CORNELWEIR_PLUGINS_GREETING_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cornelweir/protocol.h"
+#include "cornelweir/transport.h"
+
+namespace cornelweir::plugins {
+
+// The greeting of this process.
+protocol::hello Greeting(protocol::process_role role, const kernel::host_id& host);
+
+// Reads the first message of a link. Empty if it is not a greeting, is of another protocol
+// version, or claims a role that the peer's certificate does not allow. Without TLS there is no
+// certificate; settings allow that on loopback only.
+std::optional<protocol::hello> ReadGreeting(const transport::link& link, std::string_view payload,
+                                            bool tls);
+
+}  // namespace cornelweir::plugins
+
+#endif  // CORNELWEIR_PLUGINS_GREETING_H_
--- a/plugins/proxy/local_upstream.cc
+++ b/plugins/proxy/local_upstream.cc
@@ -70,9 +70,11 @@
 
 }  // namespace internal
 
-local_upstream::local_upstream(daemon_context& context, publisher_client& publisher)
+local_upstream::local_upstream(daemon_context& context, control_client& control,
+                               subscription& configuration)
     : context_(context),
-      publisher_(publisher),
+      control_(control),
+      configuration_(configuration),
       pool_(context.loop),
       probe_(context.loop),
       share_(kernel::upstream_id()),
@@ -147,8 +149,8 @@
 void local_upstream::SubmitAnnouncement() {
   if (announcing_ || !record_) return;
   announcing_ = true;
-  publisher_.Submit(control::announce_command{*record_}, [this,
-                                                          sent = *record_](const auto& outcome) {
+  control_.Submit(control::announce_command{*record_}, [this,
+                                                        sent = *record_](const auto& outcome) {
     announcing_ = false;
     const auto* announced = outcome ? std::get_if<control::announced_outcome>(&*outcome) : nullptr;
     if (announced == nullptr || !record_) return;
@@ -175,8 +177,8 @@
     Leave();
     return;
   }
-  publisher_.Renew({record_->id, record_->incarnation});
-  const auto& members = publisher_.subscriber().members();
+  control_.Renew({record_->id, record_->incarnation});
+  const auto& members = configuration_.held().members();
   const auto recorded = members.find(record_->id);
   if (recorded == members.end() || !(recorded->second == *record_)) SubmitAnnouncement();
   Configure();
@@ -193,14 +195,14 @@
 
 void local_upstream::Leave() {
   if (!record_) return;
-  publisher_.Submit(control::leave_command{record_->id, record_->incarnation}, [](const auto&) {});
+  control_.Submit(control::leave_command{record_->id, record_->incarnation}, [](const auto&) {});
   record_.reset();
 }
 
 void local_upstream::Configure() {
   if (!record_) return;
   const kernel::time_point now = context_.clock.Now();
-  const distribution::subscriber& held = publisher_.subscriber();
+  const distribution::subscriber& held = configuration_.held();
   const auto* service =
       table::FindRow<table::service_row>(held.rows(), table::KeyOf(record_->service));
   if (service == nullptr) return;
@@ -316,9 +318,8 @@
                    logging::event(logging::event_id::kUpstreamCrashed)
                        .With("upstream", record.id)
                        .With("in_progress", suspects.size());
-                   publisher_.Submit(
-                       control::crash_command{record.id, record.incarnation, suspects},
-                       [](const auto&) {});
+                   control_.Submit(control::crash_command{record.id, record.incarnation, suspects},
+                                   [](const auto&) {});
                    if (record_ && record_->incarnation == record.incarnation) Leave();
                  });
 }
--- a/plugins/proxy/local_upstream.h
+++ b/plugins/proxy/local_upstream.h
@@ -14,7 +14,8 @@
 #include "cornelweir/membership.h"
 #include "cornelweir/outcome.h"
 #include "plugins/daemon_context.h"
-#include "plugins/proxy/publisher_client.h"
+#include "plugins/proxy/control_client.h"
+#include "plugins/proxy/subscription.h"
 
 namespace cornelweir::plugins::proxy {
 
@@ -35,7 +36,7 @@
 // within the limits, and notices when it crashes.
 class local_upstream {
  public:
-  local_upstream(daemon_context& context, publisher_client& publisher);
+  local_upstream(daemon_context& context, control_client& control, subscription& configuration);
 
   void Start();
   // Announces the upstream as draining and refuses new requests.
@@ -67,7 +68,8 @@
   void CheckCrash();
 
   daemon_context& context_;
-  publisher_client& publisher_;
+  control_client& control_;
+  subscription& configuration_;
   http::connection_pool pool_;
   http::admin_client probe_;
   std::optional<membership::upstream_record> record_;
--- a/plugins/proxy/proxy_plugin.cc
+++ b/plugins/proxy/proxy_plugin.cc
@@ -13,6 +13,7 @@
 constexpr kernel::milliseconds kDrainNotice{1'000};
 // Time for the last messages to the control host.
 constexpr kernel::milliseconds kLeaveNotice{100};
+constexpr kernel::milliseconds kStatusPeriod{1'000};
 
 http::pool_limits PoolLimits(const settings::proxy_settings& settings) {
   http::pool_limits limits;
@@ -40,6 +41,7 @@
     return boost::leaf::new_error(plugin_error{"the plug-in 'proxy' needs the settings 'proxy'"});
   }
   auto plugin = std::make_shared<proxy_plugin>(context);
+  BOOST_LEAF_CHECK(plugin->configuration_.Listen());
   BOOST_LEAF_CHECK(plugin->server_.Listen(context.settings.proxy->data_listen));
   return plugin;
 }
@@ -47,31 +49,41 @@
 proxy_plugin::proxy_plugin(daemon_context& context)
     : context_(context),
       pool_(context.loop, internal::PoolLimits(*context.settings.proxy)),
-      publisher_(context, publisher_client::handlers{
-                              .changed = [this](const auto& result) { OnChanged(result); },
-                              .quarantined =
-                                  [this](const protocol::quarantined& list) {
-                                    router_.OnQuarantined(list.requests);
-                                  },
-                              .contact = [this] { local_.OnContact(); }}),
-      local_(context, publisher_),
-      router_(context, publisher_, local_, pool_),
+      control_(context, control_client::handlers{.quarantined =
+                                                     [this](const protocol::quarantined& list) {
+                                                       router_.OnQuarantined(list.requests);
+                                                     },
+                                                 .opened = [this] { ReportStatus(); }}),
+      configuration_(context, subscription::handlers{
+                                  .changed = [this](const auto& result) { OnChanged(result); },
+                                  .contact = [this] { local_.OnContact(); }}),
+      local_(context, control_, configuration_),
+      router_(context, control_, configuration_, local_, pool_),
       server_(context.loop, pool_, router_, internal::ServerLimits(*context.settings.proxy)),
-      shutdown_timer_(context.loop) {
+      shutdown_timer_(context.loop),
+      status_timer_(context.loop) {
   context_.admin.Handle(http::method::get, "/v1/proxy",
                         [this](const http::admin_request&, http::admin_reply reply) {
                           reply(internal::Response(200, StatusReport()));
                         });
   context_.admin.Handle(
       http::method::get, "/readyz", [this](const http::admin_request&, http::admin_reply reply) {
-        const bool ready = publisher_.subscriber().ready();
+        const bool ready = configuration_.held().ready();
         reply(internal::Response(ready ? 200 : 503, internal::json{{"ready", ready}}));
       });
 }
 
 void proxy_plugin::Start() {
-  publisher_.Start();
+  control_.Start();
+  configuration_.Start();
   local_.Start();
+  status_timer_.StartPeriodic(internal::kStatusPeriod, [this] { ReportStatus(); });
+}
+
+void proxy_plugin::ReportStatus() {
+  const distribution::subscriber& held = configuration_.held();
+  control_.Report(
+      {context_.settings.host, held.service(), held.version(), held.revision(), held.ready()});
 }
 
 void proxy_plugin::OnChanged(const distribution::subscriber_result& result) {
@@ -79,6 +91,7 @@
     router_.Configure();
     local_.Configure();
   }
+  if (result.version_changed || result.became_ready) ReportStatus();
 }
 
 void proxy_plugin::BeginShutdown(std::function<void()> done) {
@@ -93,32 +106,38 @@
 void proxy_plugin::FinishShutdown() {
   local_.Leave();
   shutdown_timer_.Start(internal::kLeaveNotice, [this] {
-    publisher_.Stop();
+    status_timer_.Cancel();
+    configuration_.Stop();
+    control_.Stop();
     local_.Stop();
     done_();
   });
 }
 
 codec::json proxy_plugin::StatusReport() const {
-  const distribution::subscriber& held = publisher_.subscriber();
+  const distribution::subscriber& held = configuration_.held();
   internal::json applied = internal::json::array();
-  for (const applied_version& version : publisher_.applied_versions()) {
+  for (const applied_version& version : configuration_.applied_versions()) {
     applied.push_back(
         {{"version", version.version.value()}, {"applied_at_us", version.applied_at_us}});
   }
   const auto& record = local_.record();
-  return internal::json{{"host", context_.settings.host.value()},
-                        {"service", held.service().value()},
-                        {"ready", held.ready()},
-                        {"version", held.version().value()},
-                        {"revision", held.revision().value()},
-                        {"rows", held.rows().size()},
-                        {"members", held.members().size()},
-                        {"upstream", record ? internal::json(record->id.value()) : nullptr},
-                        {"in_progress", local_.in_progress().value()},
-                        {"control_bytes_received", publisher_.control_bytes_received()},
-                        {"control_bytes_sent", publisher_.control_bytes_sent()},
-                        {"applied", std::move(applied)}};
+  return internal::json{
+      {"host", context_.settings.host.value()},
+      {"service", held.service().value()},
+      {"ready", held.ready()},
+      {"version", held.version().value()},
+      {"revision", held.revision().value()},
+      {"rows", held.rows().size()},
+      {"members", held.members().size()},
+      {"upstream", record ? internal::json(record->id.value()) : nullptr},
+      {"in_progress", local_.in_progress().value()},
+      {"control_bytes_received", configuration_.bytes_received() + control_.bytes_received()},
+      {"control_bytes_sent", configuration_.bytes_sent() + control_.bytes_sent()},
+      {"publisher", configuration_.publisher().value()},
+      {"children", configuration_.children()},
+      {"bytes_sent_to_children", configuration_.bytes_sent_to_children()},
+      {"applied", std::move(applied)}};
 }
 
 namespace {
--- a/plugins/proxy/proxy_plugin.h
+++ b/plugins/proxy/proxy_plugin.h
@@ -9,9 +9,10 @@
 #include "cornelweir/codec.h"
 #include "cornelweir/http.h"
 #include "plugins/daemon_context.h"
+#include "plugins/proxy/control_client.h"
 #include "plugins/proxy/local_upstream.h"
-#include "plugins/proxy/publisher_client.h"
 #include "plugins/proxy/request_router.h"
+#include "plugins/proxy/subscription.h"
 
 namespace cornelweir::plugins::proxy {
 
@@ -29,17 +30,20 @@
   void BeginShutdown(std::function<void()> done);
 
  private:
+  void ReportStatus();
   void OnChanged(const distribution::subscriber_result& result);
   void FinishShutdown();
   codec::json StatusReport() const;
 
   daemon_context& context_;
   http::connection_pool pool_;
-  publisher_client publisher_;
+  control_client control_;
+  subscription configuration_;
   local_upstream local_;
   request_router router_;
   http::proxy_server<request_router> server_;
   loop::timer shutdown_timer_;
+  loop::timer status_timer_;
   std::function<void()> done_;
 };
 
--- a/plugins/proxy/request_router.cc
+++ b/plugins/proxy/request_router.cc
@@ -33,10 +33,12 @@
 
 }  // namespace internal
 
-request_router::request_router(daemon_context& context, publisher_client& publisher,
-                               local_upstream& local, http::connection_pool& pool)
+request_router::request_router(daemon_context& context, control_client& control,
+                               subscription& configuration, local_upstream& local,
+                               http::connection_pool& pool)
     : context_(context),
-      publisher_(publisher),
+      control_(control),
+      configuration_(configuration),
       local_(local),
       pool_(pool),
       balancer_(context.settings.failure_domain),
@@ -49,7 +51,7 @@
 }
 
 void request_router::Configure() {
-  const distribution::subscriber& held = publisher_.subscriber();
+  const distribution::subscriber& held = configuration_.held();
   routes_ = routing::route_index(held.rows());
   std::vector<routing::upstream_candidate> candidates;
   for (const auto& [id, member] : held.members()) {
@@ -73,7 +75,7 @@
     HandleHop(head, exchange);
     return;
   }
-  if (draining_ || !publisher_.subscriber().ready()) {
+  if (draining_ || !configuration_.held().ready()) {
     RefuseNotRun(*exchange, draining_ ? outcome::refusal_reason::kShuttingDown
                                       : outcome::refusal_reason::kNotReady);
     return;
@@ -144,18 +146,18 @@
 
 void request_router::Claim(const call_ptr& request) {
   request->attempt = kernel::attempt_id(attempt_prefix_ + std::to_string(next_attempt_++));
-  publisher_.Submit(control::claim_command{request->key, request->attempt, request->fingerprint},
-                    [this, request](const std::optional<control::outcome>& outcome) {
-                      const auto* claimed =
-                          outcome ? std::get_if<control::claimed_outcome>(&*outcome) : nullptr;
-                      if (claimed == nullptr) {
-                        // The claim may still be granted later, so it is given back.
-                        ReleaseClaim(request);
-                        Refuse(request, outcome::refusal_reason::kClaimUnavailable);
-                        return;
-                      }
-                      OnClaimed(request, claimed->result);
-                    });
+  control_.Submit(control::claim_command{request->key, request->attempt, request->fingerprint},
+                  [this, request](const std::optional<control::outcome>& outcome) {
+                    const auto* claimed =
+                        outcome ? std::get_if<control::claimed_outcome>(&*outcome) : nullptr;
+                    if (claimed == nullptr) {
+                      // The claim may still be granted later, so it is given back.
+                      ReleaseClaim(request);
+                      Refuse(request, outcome::refusal_reason::kClaimUnavailable);
+                      return;
+                    }
+                    OnClaimed(request, claimed->result);
+                  });
 }
 
 void request_router::OnClaimed(const call_ptr& request, const claims::claim_result& result) {
@@ -187,7 +189,7 @@
 }
 
 void request_router::ReleaseClaim(const call_ptr& request) {
-  publisher_.Submit(control::release_command{request->key, request->attempt}, [](const auto&) {});
+  control_.Submit(control::release_command{request->key, request->attempt}, [](const auto&) {});
   request->claimed = false;
 }
 
@@ -198,8 +200,8 @@
   response.content_type = std::string(http::HeaderValue(result.headers, "content-type"));
   response.body_omitted = !result.body_prefix_is_whole;
   if (!response.body_omitted) response.body.bytes = result.body_prefix;
-  publisher_.Submit(control::complete_command{request->key, request->attempt, std::move(response)},
-                    [](const auto&) {});
+  control_.Submit(control::complete_command{request->key, request->attempt, std::move(response)},
+                  [](const auto&) {});
 }
 
 void request_router::Attempt(const call_ptr& request) {
--- a/plugins/proxy/request_router.h
+++ b/plugins/proxy/request_router.h
@@ -15,8 +15,9 @@
 #include "cornelweir/quarantine.h"
 #include "cornelweir/routing.h"
 #include "plugins/daemon_context.h"
+#include "plugins/proxy/control_client.h"
 #include "plugins/proxy/local_upstream.h"
-#include "plugins/proxy/publisher_client.h"
+#include "plugins/proxy/subscription.h"
 
 namespace cornelweir::plugins::proxy {
 
@@ -24,8 +25,8 @@
 // another one. A request_handler of the proxy server.
 class request_router {
  public:
-  request_router(daemon_context& context, publisher_client& publisher, local_upstream& local,
-                 http::connection_pool& pool);
+  request_router(daemon_context& context, control_client& control, subscription& configuration,
+                 local_upstream& local, http::connection_pool& pool);
 
   void HandleRequest(const http::request_head& head,
                      const std::shared_ptr<http::exchange>& exchange);
@@ -85,7 +86,8 @@
   kernel::time_point Now() const { return context_.clock.Now(); }
 
   daemon_context& context_;
-  publisher_client& publisher_;
+  control_client& control_;
+  subscription& configuration_;
   local_upstream& local_;
   http::connection_pool& pool_;
   routing::route_index routes_;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -40,11 +40,25 @@
 DOMAINS = ["a", "b", "c"]
 
 
+# Below the range from which the system takes ports of outgoing connections, so that a port that was
+# found free is still free when its process starts.
+FIRST_PORT, LAST_PORT = 12000, 32000
+_next_port = FIRST_PORT + (os.getpid() * 137) % (LAST_PORT - FIRST_PORT)
+
+
 def free_port():
-    """A port that nothing listens on at the moment of the call."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nothing listens on; each is given once by this process."""
+    global _next_port
+    while True:
+        port = _next_port
+        _next_port = FIRST_PORT + (port + 1 - FIRST_PORT) % (LAST_PORT - FIRST_PORT)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def endpoint():
