--- a/cornelweir/src/replication/node.cc
+++ b/cornelweir/src/replication/node.cc
@@ -19,6 +19,14 @@
   return kernel::heartbeat_round((term.value() << 32U) | counter);
 }
 
+// Whether a host on this disk is the one that the configuration means. Without a record, any disk
+// of the initial configuration is.
+bool IsRecorded(const group_configuration& configuration, const kernel::host_id& host,
+                kernel::disk_id disk, bool bootstrap) {
+  const disk_record* record = FindDisk(configuration, host);
+  return record != nullptr ? record->disk == disk : bootstrap;
+}
+
 bool HasDuplicates(std::vector<kernel::host_id> hosts) {
   std::sort(hosts.begin(), hosts.end());
   return std::adjacent_find(hosts.begin(), hosts.end()) != hosts.end();
@@ -70,7 +78,7 @@
   if (now_ >= election_deadline_) {
     leader_.reset();
     ResetElectionTimer();
-    if (IsQualifiedVoter()) Campaign(/*pre_vote=*/true);
+    if (MayCampaign()) Campaign(/*pre_vote=*/true);
   }
 }
 
@@ -82,8 +90,17 @@
 
 // ---- Elections.
 
-bool node::IsQualifiedVoter() const {
-  return IsVoter(configuration(), self_) && IsRecorded(self_, disk_, bootstrap_);
+// A host that the latest configuration removes or demotes is needed as a candidate until that entry
+// is committed: it may be the only one that holds it, and then it refuses its vote to all others.
+bool node::MayCampaign() const {
+  const auto qualifies = [&](const group_configuration& considered) {
+    return IsVoter(considered, self_) && IsRecorded(considered, self_, disk_, bootstrap_);
+  };
+  const auto latest = configurations_.rbegin();
+  if (qualifies(latest->second)) return true;
+  const auto previous = std::next(latest);
+  return latest->first > commit_ && previous != configurations_.rend() &&
+         qualifies(previous->second);
 }
 
 bool node::IsUpToDate(kernel::term last_term, kernel::log_index last_index) const {
@@ -110,7 +127,7 @@
 
 void node::Campaign(bool pre_vote) {
   votes_.clear();
-  votes_.insert(self_);
+  if (IsVoter(configuration(), self_)) votes_.insert(self_);
   leader_.reset();
   if (pre_vote) {
     role_ = role::kPreCandidate;
@@ -183,7 +200,10 @@
                            ? role_ == role::kPreCandidate && answer.term == Next(state_.term)
                            : role_ == role::kCandidate && answer.term == state_.term;
   if (!awaited || !answer.granted) return;
-  if (!IsVoter(configuration(), from) || !IsRecorded(from, answer.disk, answer.bootstrap)) return;
+  if (!IsVoter(configuration(), from) ||
+      !IsRecorded(configuration(), from, answer.disk, answer.bootstrap)) {
+    return;
+  }
   votes_.insert(from);
   CountVotes();
 }
@@ -298,16 +318,11 @@
 
 // ---- Leading.
 
-bool node::IsRecorded(const kernel::host_id& host, kernel::disk_id disk, bool bootstrap) const {
-  const disk_record* record = FindDisk(configuration(), host);
-  return record != nullptr ? record->disk == disk : bootstrap;
-}
-
 bool node::CountsAsVoter(const kernel::host_id& host) const {
   if (host == self_) return true;
   const auto found = progress_.find(host);
   return found != progress_.end() && found->second.heard &&
-         IsRecorded(host, found->second.disk, found->second.bootstrap);
+         IsRecorded(configuration(), host, found->second.disk, found->second.bootstrap);
 }
 
 bool node::HasCommittedInTerm() const { return log_.TermAt(commit_) == state_.term; }
--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -99,7 +99,7 @@
   void Send(const kernel::host_id& to, message body);
 
   // Elections.
-  bool IsQualifiedVoter() const;
+  bool MayCampaign() const;
   bool IsUpToDate(kernel::term last_term, kernel::log_index last_index) const;
   bool HeardLeaderRecently() const;
   void BecomeFollower(kernel::term term, std::optional<kernel::host_id> leader);
@@ -120,7 +120,6 @@
 
   // Leading.
   std::size_t Quorum() const { return configuration().voters.size() / 2 + 1; }
-  bool IsRecorded(const kernel::host_id& host, kernel::disk_id disk, bool bootstrap) const;
   bool CountsAsVoter(const kernel::host_id& host) const;
   bool HasCommittedInTerm() const;
   void SyncProgress();
