--- a/cornelweir/src/routing/balancer.cc
+++ b/cornelweir/src/routing/balancer.cc
@@ -1,6 +1,7 @@
 #include "cornelweir/src/routing/balancer.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <variant>
 
 #include "cornelweir/src/routing/limits.h"
@@ -10,11 +11,9 @@
 
 void balancer::Update(const table::row_map& rows, const std::vector<upstream_candidate>& candidates,
                       kernel::time_point now) {
-  std::unordered_map<kernel::service_name, bool> known;
-  for (auto& [id, state] : members_) {
-    known[state.candidate().service] = true;
-    state.Withdraw();
-  }
+  ++revision_;
+  std::unordered_set<kernel::service_name> known;
+  for (const auto& [id, state] : members_) known.insert(state.candidate().service);
   services_.clear();
   for (const auto& [key, content] : rows) {
     const auto* split = std::get_if<table::split_row>(&content);
@@ -25,9 +24,10 @@
   for (const upstream_candidate& candidate : candidates) {
     member& state = members_[candidate.id];
     // When the first members of a service become known, all are equally new to this daemon.
-    state.Announce(candidate, known.contains(candidate.service), now);
+    state.Announce(candidate, revision_, known.contains(candidate.service), now);
     if (subset* of = SubsetOf(state)) of->members.push_back(&state);
   }
+  for (auto& [id, state] : members_) state.WithdrawUnless(revision_);
   std::erase_if(members_, [](const auto& entry) {
     return !entry.second.announced() && entry.second.in_progress() == 0;
   });
@@ -71,11 +71,12 @@
 }
 
 void balancer::CollectUsable(const subset& candidates,
-                             const std::vector<kernel::upstream_id>& exclude,
+                             const std::vector<kernel::upstream_id>& exclude, bool unreachable_too,
                              kernel::time_point now) {
   usable_.clear();
   for (member* candidate : candidates.members) {
     if (!candidate->IsUsable(now)) continue;
+    if (!unreachable_too && !candidate->IsReachable(now)) continue;
     if (std::find(exclude.begin(), exclude.end(), candidate->candidate().id) != exclude.end()) {
       continue;
     }
@@ -83,6 +84,20 @@
   }
 }
 
+std::int64_t balancer::CollectSubsets(const service_members& service,
+                                      const std::vector<kernel::upstream_id>& exclude,
+                                      bool unreachable_too, kernel::time_point now) {
+  open_subsets_.clear();
+  std::int64_t total = 0;
+  for (const subset& candidates : service.subsets) {
+    CollectUsable(candidates, exclude, unreachable_too, now);
+    if (usable_.empty()) continue;
+    open_subsets_.push_back(&candidates);
+    total += candidates.weight;
+  }
+  return total;
+}
+
 void balancer::PreferOwnDomain(kernel::time_point now) {
   const auto is_preferred = [&](const member* candidate) {
     return candidate->candidate().domain == own_domain_ &&
@@ -129,7 +144,7 @@
   if (2 * bad > members) {
     // The fault is not one of single members; ejection would only concentrate the load.
     for (member* candidate : of->members) {
-      if (candidate->state() != member::health::kTrusted) candidate->Trust(now);
+      if (candidate->state() != member::health::kTrusted) candidate->Readmit(now);
     }
     return;
   }
@@ -149,7 +164,7 @@
     return left->ejected_until() < right->ejected_until();
   });
   const std::size_t bound = members / kEjectableDivisor;
-  for (std::size_t i = 0; i + bound < ejected.size(); ++i) ejected[i]->Trust(now);
+  for (std::size_t i = 0; i + bound < ejected.size(); ++i) ejected[i]->Readmit(now);
 }
 
 }  // namespace cornelweir::routing
--- a/cornelweir/src/routing/balancer.h
+++ b/cornelweir/src/routing/balancer.h
@@ -31,7 +31,8 @@
 
   // Chooses an upstream of the service that is not excluded: a subset by weight among those with
   // usable members, in it the less loaded of two random members, of the own failure domain as
-  // long as one of its members is not loaded. None if there is no usable member.
+  // long as one of its members is not loaded. Members to which connections were refused lately are
+  // chosen only if there are no others. None if there is no usable member.
   template <kernel::random_source Random>
   std::optional<kernel::upstream_id> Pick(const kernel::service_name& service,
                                           const std::vector<kernel::upstream_id>& exclude,
@@ -62,7 +63,11 @@
 
   // Fills usable_ with the members of the subset that may get a request.
   void CollectUsable(const subset& candidates, const std::vector<kernel::upstream_id>& exclude,
-                     kernel::time_point now);
+                     bool unreachable_too, kernel::time_point now);
+  // Fills open_subsets_ with the subsets that have such members. Returns the sum of their weights.
+  std::int64_t CollectSubsets(const service_members& service,
+                              const std::vector<kernel::upstream_id>& exclude, bool unreachable_too,
+                              kernel::time_point now);
   // Reduces usable_ to the own failure domain unless its members are loaded.
   void PreferOwnDomain(kernel::time_point now);
   // Removes one of usable_ by random, weighted by slots.
@@ -75,6 +80,7 @@
   static void KeepWithinBound(subset& of, kernel::time_point now);
 
   kernel::failure_domain own_domain_;
+  std::uint64_t revision_ = 0;
   std::unordered_map<kernel::upstream_id, member> members_;
   std::unordered_map<kernel::service_name, service_members> services_;
   // Scratch of Pick(), kept to avoid allocations.
@@ -107,21 +113,19 @@
                                                   kernel::time_point now, Random& random) {
   const auto found = services_.find(service);
   if (found == services_.end()) return std::nullopt;
-  open_subsets_.clear();
-  std::int64_t total = 0;
-  for (const subset& candidates : found->second.subsets) {
-    CollectUsable(candidates, exclude, now);
-    if (usable_.empty()) continue;
-    open_subsets_.push_back(&candidates);
-    total += candidates.weight;
+  bool unreachable_too = false;
+  std::int64_t total = CollectSubsets(found->second, exclude, unreachable_too, now);
+  if (total == 0) {
+    unreachable_too = true;
+    total = CollectSubsets(found->second, exclude, unreachable_too, now);
   }
-  if (open_subsets_.empty()) return std::nullopt;
+  if (total == 0) return std::nullopt;
   auto point =
       static_cast<std::int64_t>(kernel::UniformBelow(random, static_cast<std::uint64_t>(total)));
   std::size_t chosen = 0;
   while (point >= open_subsets_[chosen]->weight) point -= open_subsets_[chosen++]->weight;
 
-  CollectUsable(*open_subsets_[chosen], exclude, now);
+  CollectUsable(*open_subsets_[chosen], exclude, unreachable_too, now);
   PreferOwnDomain(now);
   member* pick = Draw(now, random);
   // A member that is being probed is not compared: its observations are from before its ejection.
--- a/cornelweir/src/routing/limits.h
+++ b/cornelweir/src/routing/limits.h
@@ -16,8 +16,9 @@
 
 // An upstream of the own failure domain with this part of its slots in use counts as loaded.
 inline constexpr double kLoadedUse = 0.7;
-// So does one that refuses or fails this part of its recent requests.
-inline constexpr double kLoadedPressure = 0.3;
+// So does one that refuses or fails this part of its recent requests. One refusal is enough for a
+// few seconds: each one costs a retry, which costs more than a hop to another failure domain.
+inline constexpr double kLoadedPressure = 0.05;
 // How much one full set of slots, or only refusals and failures, raises an upstream's cost.
 inline constexpr double kUseCost = 4.0;
 inline constexpr double kPressureCost = 4.0;
@@ -32,6 +33,11 @@
 // A latency older than this is not used: an upstream that was slow once is tried again.
 inline constexpr kernel::microseconds kLatencyMemory = std::chrono::seconds(10);
 
+// After a connection was refused the upstream gets nothing for this time, which doubles with each
+// further refusal up to the lease after which the membership drops an upstream that is gone.
+inline constexpr kernel::microseconds kFirstUnreachable = std::chrono::milliseconds(500);
+inline constexpr kernel::microseconds kLongestUnreachable = std::chrono::seconds(5);
+
 // Failures in a row that make an upstream count as failing.
 inline constexpr int kFailuresInARow = 5;
 // Or this part of at least so many requests in the window.
--- a/cornelweir/src/routing/member_state.cc
+++ b/cornelweir/src/routing/member_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 
 #include "cornelweir/src/routing/limits.h"
 
@@ -18,8 +19,8 @@
 
 }  // namespace
 
-void member_state::Announce(const upstream_candidate& candidate, bool slow_start,
-                            kernel::time_point now) {
+void member_state::Announce(const upstream_candidate& candidate, std::uint64_t revision,
+                            bool slow_start, kernel::time_point now) {
   if (!announced_ || candidate_.incarnation != candidate.incarnation) {
     const std::int64_t in_progress = in_progress_;
     *this = member_state();
@@ -29,6 +30,11 @@
   }
   candidate_ = candidate;
   announced_ = true;
+  revision_ = revision;
+}
+
+void member_state::WithdrawUnless(std::uint64_t revision) {
+  if (revision_ != revision) announced_ = false;
 }
 
 void member_state::OnStart() { ++in_progress_; }
@@ -40,6 +46,12 @@
     --in_progress_before_;
     return;
   }
+  if (kind == finish_kind::kUnreachable) {
+    unreachable_time_ = std::clamp(2 * unreachable_time_, kFirstUnreachable, kLongestUnreachable);
+    unreachable_until_ = now + unreachable_time_;
+    return;
+  }
+  if (kind != finish_kind::kCancelled) unreachable_time_ = kernel::microseconds::zero();
   switch (kind) {
     case finish_kind::kSuccess:
       latency_ = HasLatency(now)
@@ -61,6 +73,7 @@
       Observe(true, now);
       break;
     case finish_kind::kCancelled:
+    case finish_kind::kUnreachable:
       break;
   }
 }
@@ -78,8 +91,14 @@
   state_ = health::kTrusted;
   trusted_since_ = now;
   failures_in_a_row_ = 0;
-  std::fill(std::begin(requests_), std::end(requests_), 0);
-  std::fill(std::begin(failures_), std::end(failures_), 0);
+  requests_ = {};
+  failures_ = {};
+}
+
+void member_state::Readmit(kernel::time_point now) {
+  state_ = health::kTrusted;
+  trusted_since_ = now;
+  failures_in_a_row_ = kFailuresInARow;
 }
 
 bool member_state::IsUsable(kernel::time_point now) {
@@ -99,8 +118,8 @@
   std::int64_t failures = 0;
   for (const std::int64_t counted : {half_, half_ - 1}) {
     if (counted < half - 1) continue;
-    requests += requests_[counted & 1];
-    failures += failures_[counted & 1];
+    requests += requests_[static_cast<std::size_t>(counted & 1)];
+    failures += failures_[static_cast<std::size_t>(counted & 1)];
   }
   return requests >= kFailureSample &&
          static_cast<double>(failures) >= kFailingShare * static_cast<double>(requests);
@@ -139,14 +158,14 @@
 
 void member_state::CountForRate(bool failed, kernel::time_point now) {
   const std::int64_t half = HalfWindow(now);
+  const auto slot = static_cast<std::size_t>(half & 1);
   if (half != half_) {
-    if (half != half_ + 1) requests_[half_ & 1] = failures_[half_ & 1] = 0;
-    requests_[half & 1] = failures_[half & 1] = 0;
-    if (half != half_ + 1) requests_[(half - 1) & 1] = failures_[(half - 1) & 1] = 0;
+    requests_[slot] = failures_[slot] = 0;
+    if (half != half_ + 1) requests_[1 - slot] = failures_[1 - slot] = 0;
     half_ = half;
   }
-  ++requests_[half & 1];
-  if (failed) ++failures_[half & 1];
+  ++requests_[slot];
+  if (failed) ++failures_[slot];
 }
 
 }  // namespace cornelweir::routing::internal
--- a/cornelweir/src/routing/member_state.h
+++ b/cornelweir/src/routing/member_state.h
@@ -1,6 +1,7 @@
 #ifndef CORNELWEIR_SRC_ROUTING_MEMBER_STATE_H_
 #define CORNELWEIR_SRC_ROUTING_MEMBER_STATE_H_
 
+#include <array>
 #include <cstdint>
 #include <optional>
 
@@ -17,19 +18,27 @@
   enum class health : std::uint8_t { kTrusted, kEjected, kProbed };
 
   // Takes over announced data. A new incarnation loses what was observed of its predecessor.
-  void Announce(const upstream_candidate& candidate, bool slow_start, kernel::time_point now);
-  // The upstream is no longer announced; requests may still be in progress.
-  void Withdraw() { announced_ = false; }
+  // The revision tells the current announcement from earlier ones.
+  void Announce(const upstream_candidate& candidate, std::uint64_t revision, bool slow_start,
+                kernel::time_point now);
+  // Withdraws an announcement of an earlier revision; requests may still be in progress.
+  void WithdrawUnless(std::uint64_t revision);
 
   void OnStart();
   void OnFinish(finish_kind kind, kernel::microseconds latency, kernel::time_point now);
 
   void Eject(kernel::time_point now);
+  // Ends an ejection because the upstream recovered.
   void Trust(kernel::time_point now);
+  // Ends an ejection although the upstream may not have recovered. It counts as failing until a
+  // request succeeds.
+  void Readmit(kernel::time_point now);
 
   // Whether the upstream may get a request, apart from exclusions. Begins to probe an ejected
   // upstream whose time has passed.
   bool IsUsable(kernel::time_point now);
+  // Whether connections to the upstream's daemon can be expected to open.
+  bool IsReachable(kernel::time_point now) const { return now >= unreachable_until_; }
   // Whether the daemon's own observations say that requests to the upstream fail.
   bool IsFailing(kernel::time_point now) const;
   // Whether requests should go to other failure domains rather than here.
@@ -56,6 +65,7 @@
 
   upstream_candidate candidate_;
   bool announced_ = false;
+  std::uint64_t revision_ = 0;
   std::int64_t in_progress_ = 0;
   // Requests in progress that were started on an earlier incarnation. As many finishes are left
   // out of the observations.
@@ -67,11 +77,14 @@
   double pressure_ = 0;
   kernel::time_point pressure_at_{};
 
+  kernel::time_point unreachable_until_{};
+  kernel::microseconds unreachable_time_{};
+
   int failures_in_a_row_ = 0;
   // Requests and failures in the current and the previous half of the failure window.
   std::int64_t half_ = 0;
-  std::int64_t requests_[2] = {0, 0};
-  std::int64_t failures_[2] = {0, 0};
+  std::array<std::int64_t, 2> requests_{};
+  std::array<std::int64_t, 2> failures_{};
 
   health state_ = health::kTrusted;
   kernel::time_point ejected_until_{};
