Check distribution by random schedules and fix what they found

Cause: crashes, loss, reordering and lagging publishers combine in more ways than single tests cover.

Found and fixed, each with a test of its own beside the property: - a subscriber without the members of its scope was sent changes from revision 0 at each resync, which it can't use; it now gets all members; - a member change chosen by a narrower scope was applied, so a service that left and rejoined the scope between two held versions kept old members; a change is applied only if the held scope chose it; - a relay could pass members of its older scope on under its newer version; scope and members are now published together; - a report that was lost was never repeated, so the control side saw a daemon as behind for ever; reports are repeated every 10 s.

--- a/cornelweir/src/distribution/feed.cc
+++ b/cornelweir/src/distribution/feed.cc
@@ -36,12 +36,11 @@
 }
 
 void feed::PublishScope(const kernel::service_name& service, kernel::table_version version,
-                        const table::row_map& rows, messages& out) {
+                        const table::row_map& rows) {
   scope& entry = scopes_.try_emplace(service, service).first->second;
   if (version <= entry.history.version()) return;
   entry.history.Advance(version, rows);
   version_ = std::max(version_, version);
-  UpdateAll(out);
 }
 
 void feed::PublishMembers(const std::vector<membership::member_change>& changes,
@@ -49,11 +48,9 @@
   members_.Apply(changes, revision);
 }
 
-void feed::ResetMembers(const membership::member_map& members, kernel::membership_revision revision,
-                        messages& out) {
-  if (revision < members_.revision()) return;
-  members_.Reset(members, revision);
-  UpdateAll(out);
+void feed::ResetMembers(const membership::member_map& members,
+                        kernel::membership_revision revision) {
+  if (revision >= members_.revision()) members_.Reset(members, revision);
 }
 
 void feed::Heartbeat(kernel::heartbeat_round round, messages& out) {
@@ -74,7 +71,10 @@
   to.request = request;
   to.version = request.held_version;
   to.revision = request.held_revision;
-  to.members_scope = request.held_version;
+  to.members_scope.reset();
+  if (request.held_revision != kernel::membership_revision()) {
+    to.members_scope = request.held_version;
+  }
   to.queue.clear();
   to.report.version = request.held_version;
   to.report.revision = request.held_revision;
@@ -210,7 +210,7 @@
   if (chosen_by < needed) return;
   if (to.revision > members_.revision()) return;
   std::optional<std::vector<membership::member_change>> changes;
-  if (to.members_scope >= needed) {
+  if (to.members_scope && *to.members_scope >= needed) {
     if (to.revision == members_.revision()) return;
     changes = members_.ChangesSince(to.revision, from.history.services());
   }
--- a/cornelweir/src/distribution/feed.h
+++ b/cornelweir/src/distribution/feed.h
@@ -31,15 +31,14 @@
   // Takes a newer full table and brings all subscribers to it.
   void PublishTable(kernel::table_version version, const table::row_map& rows, messages& out);
 
-  // Takes a newer version of the scope of one service.
+  // Takes a newer version of the scope of one service. It is sent by the next UpdateAll().
   void PublishScope(const kernel::service_name& service, kernel::table_version version,
-                    const table::row_map& rows, messages& out);
+                    const table::row_map& rows);
 
   // Takes newer members. They are sent by the next UpdateAll().
   void PublishMembers(const std::vector<membership::member_change>& changes,
                       kernel::membership_revision revision);
-  void ResetMembers(const membership::member_map& members, kernel::membership_revision revision,
-                    messages& out);
+  void ResetMembers(const membership::member_map& members, kernel::membership_revision revision);
 
   // The version whose scope chose the members held here. A control host holds all members, so it
   // leaves this at the largest number.
@@ -91,8 +90,9 @@
     // What the subscriber holds once everything sent has arrived.
     kernel::table_version version;
     kernel::membership_revision revision;
-    // The version whose scope chose the members that the subscriber holds.
-    kernel::table_version members_scope;
+    // The version whose scope chose the members that the subscriber holds. Nothing if it lacks some
+    // or all of them, so that only a full list helps.
+    std::optional<kernel::table_version> members_scope;
     std::deque<transfer> queue;
     applied report;
   };
--- a/cornelweir/src/distribution/limits.h
+++ b/cornelweir/src/distribution/limits.h
@@ -22,6 +22,8 @@
 inline constexpr kernel::milliseconds kHeartbeatTimeout{3'000};
 // Between two requests for a resync, and between two repetitions of an unanswered proof query.
 inline constexpr kernel::milliseconds kResyncInterval{1'000};
+// Reports of what is enforced are repeated this often, in case one was lost with a connection.
+inline constexpr kernel::milliseconds kReportInterval{10'000};
 // Nonces that a publisher keeps for one subscriber: its own and those of its children's questions.
 inline constexpr std::size_t kMaxNoncesPerSubscriber = 4;
 
--- a/cornelweir/src/distribution/publisher.h
+++ b/cornelweir/src/distribution/publisher.h
@@ -14,7 +14,9 @@
 #include "cornelweir/src/distribution/relay_placement.h"
 #include "cornelweir/src/distribution/service_progress.h"
 #include "cornelweir/src/distribution/source_placement.h"
+#include "cornelweir/src/distribution/subscriber.h"
 #include "cornelweir/src/distribution/subscriber_actions.h"
+#include "cornelweir/src/distribution/subscriber_result.h"
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/kernel/random_source.h"
@@ -48,49 +50,38 @@
                                     kernel::time_point now) requires(Placement::kHoldsTable) {
     const auto changes = table.history().ChangesSince(feed_.members().revision());
     if (!changes && table.revision() < feed_.members().revision()) return {};
-    if (changes) return PublishMemberChanges(*changes, table.revision(), now);
     subscriber_actions actions;
-    feed_.ResetMembers(table.members(), table.revision(), actions.messages);
-    return actions;
-  }
-
-  // Takes a newer version of the scope that a relay holds.
-  subscriber_actions PublishScope(const kernel::service_name& service,
-                                  kernel::table_version version, const table::row_map& rows,
-                                  kernel::time_point /*now*/) requires(!Placement::kHoldsTable) {
-    subscriber_actions actions;
-    feed_.PublishScope(service, version, rows, actions.messages);
-    return actions;
-  }
-
-  // Takes changes to the members that a relay holds.
-  subscriber_actions PublishMemberChanges(const std::vector<membership::member_change>& changes,
-                                          kernel::membership_revision revision,
-                                          kernel::time_point now) {
-    subscriber_actions actions;
-    feed_.PublishMembers(changes, revision);
-    if (last_members_update_ && now - *last_members_update_ < kTickInterval) {
-      members_pending_ = true;
+    if (changes) {
+      feed_.PublishMembers(*changes, table.revision());
     } else {
-      UpdateMembers(now, actions);
+      feed_.ResetMembers(table.members(), table.revision());
     }
+    UpdateMembersSoon(now, actions);
     return actions;
   }
 
-  // Takes all members that a relay holds, for the scope of a version.
-  subscriber_actions PublishAllMembers(
-      const membership::member_map& members, kernel::membership_revision revision,
-      kernel::time_point /*now*/) requires(!Placement::kHoldsTable) {
+  // Takes what changed in the scope and members that a relay holds, all at once: members of an
+  // older scope must not pass for those of a newer one.
+  subscriber_actions PublishHeld(const subscriber& held, const subscriber_result& change,
+                                 kernel::time_point now) requires(!Placement::kHoldsTable) {
     subscriber_actions actions;
-    feed_.ResetMembers(members, revision, actions.messages);
+    if (change.version_changed) {
+      feed_.PublishScope(held.service(), held.version(), held.rows());
+    }
+    if (change.all_members_changed) {
+      feed_.ResetMembers(held.members(), held.revision());
+    } else if (change.revision_changed) {
+      feed_.PublishMembers(change.member_changes, held.revision());
+    }
+    feed_.SetMembersScope(held.members_scope());
+    if (change.version_changed || change.all_members_changed) {
+      feed_.UpdateAll(actions.messages);
+    } else if (change.revision_changed) {
+      UpdateMembersSoon(now, actions);
+    }
     return actions;
   }
 
-  // The newest version whose services the members of a relay cover.
-  void SetMembersScope(kernel::table_version version) requires(!Placement::kHoldsTable) {
-    feed_.SetMembersScope(version);
-  }
-
   // Passes a confirmed heartbeat round on.
   subscriber_actions Heartbeat(kernel::heartbeat_round round, kernel::time_point /*now*/) {
     subscriber_actions actions;
@@ -192,6 +183,14 @@
     actions.released.push_back(id);
   }
 
+  void UpdateMembersSoon(kernel::time_point now, subscriber_actions& actions) {
+    if (last_members_update_ && now - *last_members_update_ < kTickInterval) {
+      members_pending_ = true;
+    } else {
+      UpdateMembers(now, actions);
+    }
+  }
+
   void UpdateMembers(kernel::time_point now, subscriber_actions& actions) {
     members_pending_ = false;
     last_members_update_ = now;
--- a/cornelweir/src/distribution/relay.cc
+++ b/cornelweir/src/distribution/relay.cc
@@ -3,6 +3,8 @@
 #include <iterator>
 #include <variant>
 
+#include "cornelweir/src/distribution/limits.h"
+
 namespace cornelweir::distribution {
 
 relay::relay(subscriber own, kernel::nonce first_nonce)
@@ -35,7 +37,7 @@
   result.own = subscriber_.Tick(now);
   Collect(publisher_.Tick(now), result);
   Finish(now, result);
-  if (publisher_.size() > 0) Report(result);
+  if (publisher_.size() > 0) Report(now, result);
   return result;
 }
 
@@ -50,21 +52,8 @@
 
 void relay::Finish(kernel::time_point now, relay_result& result) {
   const subscriber_result& own = result.own;
-  // Members first: the scope of a new version may need them.
   if (own.version_changed || own.revision_changed) {
-    publisher_.SetMembersScope(subscriber_.members_scope());
-  }
-  if (own.version_changed) {
-    Collect(publisher_.PublishScope(subscriber_.service(), subscriber_.version(),
-                                    subscriber_.rows(), now),
-            result);
-  }
-  if (own.all_members_changed) {
-    Collect(publisher_.PublishAllMembers(subscriber_.members(), subscriber_.revision(), now),
-            result);
-  } else if (own.revision_changed) {
-    Collect(publisher_.PublishMemberChanges(own.member_changes, subscriber_.revision(), now),
-            result);
+    Collect(publisher_.PublishHeld(subscriber_, own, now), result);
   }
   if (own.round) {
     fed_ = true;
@@ -79,15 +68,16 @@
   result.own.send.clear();
 }
 
-void relay::Report(relay_result& result) {
+void relay::Report(kernel::time_point now, relay_result& result) {
   const service_progress progress = publisher_.Progress(subscriber_.service());
   applied report{subscriber_.version(), subscriber_.revision(), progress.counts, progress.behind};
   // The revision alone is not worth a message.
-  if (reported_ && reported_->version == report.version && reported_->below == report.below &&
-      reported_->behind == report.behind) {
+  if (reported_ && now - reported_at_ < kReportInterval && reported_->version == report.version &&
+      reported_->below == report.below && reported_->behind == report.behind) {
     return;
   }
   reported_ = report;
+  reported_at_ = now;
   result.up.emplace_back(std::move(report));
 }
 
--- a/cornelweir/src/distribution/relay.h
+++ b/cornelweir/src/distribution/relay.h
@@ -73,13 +73,14 @@
   bool IsFed(kernel::time_point now) const { return fed_ && !subscriber_.ShouldMove(now); }
   void Collect(subscriber_actions actions, relay_result& result);
   void Finish(kernel::time_point now, relay_result& result);
-  void Report(relay_result& result);
+  void Report(kernel::time_point now, relay_result& result);
 
   distribution::subscriber subscriber_;
   relay_publisher publisher_;
   // Whether the current publisher brought a heartbeat round.
   bool fed_ = false;
   std::optional<applied> reported_;
+  kernel::time_point reported_at_;
 };
 
 }  // namespace cornelweir::distribution
--- a/cornelweir/src/distribution/subscriber.cc
+++ b/cornelweir/src/distribution/subscriber.cc
@@ -34,6 +34,7 @@
   last_progress_ = now;
   last_resync_ = now;
   last_query_ = now;
+  last_report_ = now;
   subscribe request = Request();
   request.failed_relays = failed_relays;
   return request;
@@ -43,7 +44,7 @@
   subscriber_result result;
   std::visit([&](const auto& alternative) { On(alternative, now, result); }, message);
   if (result.version_changed || result.revision_changed) last_progress_ = now;
-  if (result.version_changed) result.send.emplace_back(applied{version_, revision_, {}, {}});
+  if (result.version_changed) Report(now, result);
   CheckReady(result);
   return result;
 }
@@ -54,6 +55,7 @@
     last_query_ = now;
     result.send.emplace_back(proof_query{nonce_});
   }
+  if (last_report_ && now - *last_report_ >= kReportInterval) Report(now, result);
   const bool behind = (newest_version_ > version_ && newest_version_ > refused_) ||
                       newest_revision_ > revision_ || !members_complete();
   if (behind && now - last_progress_ >= kResyncInterval) Resync(now, result);
@@ -120,6 +122,7 @@
   }
   version_ = message.version;
   result.version_changed = true;
+  TakeEarlyMembers(result);
 }
 
 void subscriber::On(const distribution::members& message, kernel::time_point now,
@@ -135,16 +138,14 @@
   last_progress_ = now;
   const auto whole = staged_members_.Add(message);
   if (!whole) return;
+  // Members that were chosen by another scope than the held one may lack services of that.
+  const kernel::table_version held = std::max(version_, refused_);
   if (whole->full) {
-    // Members for a scope that is on its way would hide those of services that are still routed to.
-    if (whole->scope_version > std::max(version_, refused_)) {
-      early_members_ = whole;
-    } else {
-      TakeAllMembers(*whole, result);
-    }
+    if (whole->scope_version > held) early_members_ = whole;
+    if (whole->scope_version == held) TakeAllMembers(*whole, result);
     return;
   }
-  if (whole->base != revision_ || !members_complete() || whole->scope_version < needed_scope_) {
+  if (whole->base != revision_ || !members_complete() || whole->scope_version != held) {
     Resync(now, result);
     return;
   }
@@ -187,14 +188,17 @@
   services_ = std::move(services);
   result.version_changed = true;
   result.rows_changed = true;
-  if (early_members_ && early_members_->scope_version <= version_) {
-    const distribution::members all = *std::exchange(early_members_, std::nullopt);
-    TakeAllMembers(all, result);
-  }
+  TakeEarlyMembers(result);
+}
+
+void subscriber::TakeEarlyMembers(subscriber_result& result) {
+  if (!early_members_ || early_members_->scope_version > version_) return;
+  const distribution::members all = *std::exchange(early_members_, std::nullopt);
+  if (all.scope_version == version_) TakeAllMembers(all, result);
 }
 
 void subscriber::TakeAllMembers(const distribution::members& message, subscriber_result& result) {
-  if (message.scope_version < needed_scope_ || message.revision < revision_) return;
+  if (message.revision < revision_) return;
   members_.clear();
   for (const membership::member_change& change : message.changes) {
     if (change.record) members_.insert_or_assign(change.id, *change.record);
@@ -206,6 +210,11 @@
   result.all_members_changed = true;
 }
 
+void subscriber::Report(kernel::time_point now, subscriber_result& result) {
+  last_report_ = now;
+  result.send.emplace_back(applied{version_, revision_, {}, {}});
+}
+
 void subscriber::Resync(kernel::time_point now, subscriber_result& result) {
   if (last_resync_ && now - *last_resync_ < kResyncInterval) return;
   last_resync_ = now;
--- a/cornelweir/src/distribution/subscriber.h
+++ b/cornelweir/src/distribution/subscriber.h
@@ -52,8 +52,9 @@
 
   subscriber_result OnMessage(const downstream_message& message, kernel::time_point now);
 
-  // Repeats an unanswered proof query, and asks for a resync if the publisher holds something newer
-  // that does not arrive. To be called every kTickInterval.
+  // Repeats an unanswered proof query and, every kReportInterval, the report of what is held, and
+  // asks for a resync if the publisher holds something newer that does not arrive. To be called
+  // every kTickInterval.
   subscriber_result Tick(kernel::time_point now);
 
   // Whether the publisher brought no new heartbeat round for kHeartbeatTimeout.
@@ -75,7 +76,9 @@
   void On(const heartbeat& message, kernel::time_point now, subscriber_result& result);
   void On(const proof& message, kernel::time_point now, subscriber_result& result);
   void MoveTo(kernel::table_version version, table::row_map rows, subscriber_result& result);
+  void TakeEarlyMembers(subscriber_result& result);
   void TakeAllMembers(const distribution::members& message, subscriber_result& result);
+  void Report(kernel::time_point now, subscriber_result& result);
   void Resync(kernel::time_point now, subscriber_result& result);
   void CheckReady(subscriber_result& result);
 
@@ -110,6 +113,7 @@
   kernel::time_point last_progress_;
   std::optional<kernel::time_point> last_resync_;
   std::optional<kernel::time_point> last_query_;
+  std::optional<kernel::time_point> last_report_;
 };
 
 // Sets up a subscriber.
--- /dev/null
+++ b/tests/distribution_properties_test.cc
@@ -0,0 +1,676 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdlib>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "cornelweir/distribution.h"
+
+namespace cornelweir::distribution {
+namespace {
+
+using kernel::membership_revision;
+using kernel::milliseconds;
+using kernel::service_name;
+using kernel::table_version;
+
+// A constant seed, so that every run gives the same verdict. Can be overridden to explore.
+const bool kConfigured = setenv("RC_PARAMS", "seed=20240229 max_success=2500", 0) == 0;
+
+constexpr int kControls = 3;
+constexpr int kDaemons = 7;
+// Daemons from this one on belong to service s1, which s0 calls. The others belong to s0.
+constexpr int kFirstOfS1 = 5;
+
+service_name ServiceOf(int daemon) { return service_name(daemon < kFirstOfS1 ? "s0" : "s1"); }
+
+table::row_map RandomTable(kernel::seeded_random& random) {
+  table::row_map rows;
+  const kernel::limit_name limit("standard");
+  rows[table::KeyOf(limit)] = table::limit_row{};
+  for (int index = 0; index < 3; ++index) {
+    const service_name name("s" + std::to_string(index));
+    const kernel::wait_name wait("w" + std::to_string(kernel::UniformBelow(random, 3)));
+    rows[table::KeyOf(wait)] =
+        table::wait_row{200 + static_cast<std::int64_t>(kernel::UniformBelow(random, 3)), 200};
+    table::service_row service{limit, wait, {}};
+    for (int callee = index + 1; callee < 3; ++callee) {
+      if (kernel::UniformBelow(random, 2) == 0) continue;
+      service.calls.emplace_back("s" + std::to_string(callee));
+    }
+    rows[table::KeyOf(name)] = service;
+    rows[table::SplitKey(name, kernel::subset_name("v1"))] = table::split_row{kernel::weight(1)};
+    if (kernel::UniformBelow(random, 2) == 0) {
+      rows[table::row_key{table::row_kind::kRoute, name.value()}] =
+          table::route_row{"/" + name.value(), name, true};
+    }
+  }
+  return rows;
+}
+
+enum class fault : std::uint8_t {
+  kNone,
+  kAccept,
+  kAnnounce,
+  kStaleAnnounce,
+  kDrain,
+  kLeave,
+  kCrashDaemon,
+  kCrashControl,
+  kIsolateControl,
+  kReconnectControl,
+  kCutDaemon,
+  kMendDaemon,
+  kMoveDaemon,
+  kCount,
+};
+
+// One step of a schedule: something happens, then time passes.
+struct step {
+  fault what = fault::kNone;
+  std::uint8_t target = 0;
+  std::uint8_t ticks = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const step& shown) {
+  return out << "{" << static_cast<int>(shown.what) << " " << static_cast<int>(shown.target) << " "
+             << static_cast<int>(shown.ticks) << "}";
+}
+
+// Control hosts that apply a common log, daemons that relay, and a network between them that
+// loses, repeats, delays and reorders messages while there are faults.
+class world {
+ public:
+  explicit world(std::uint64_t seed) : random_(seed) {
+    truth_.push_back({});
+    for (int index = 0; index < kControls; ++index) controls_.emplace_back(NextNonce());
+    for (int index = 0; index < kDaemons; ++index) {
+      daemons_.emplace_back();
+      Start(index);
+    }
+    Accept();
+    for (int index = 0; index < kDaemons; ++index) Announce(index, 0);
+  }
+
+  void Perform(const step& next) {
+    const int daemon = next.target % kDaemons;
+    const int control = next.target % kControls;
+    switch (next.what) {
+      case fault::kAccept:
+        Accept();
+        break;
+      case fault::kAnnounce:
+        Announce(daemon, 0);
+        break;
+      case fault::kStaleAnnounce:
+        Announce(daemon, 1 + next.target % 3);
+        break;
+      case fault::kDrain:
+        Drain(daemon);
+        break;
+      case fault::kLeave:
+        Leave(daemon);
+        break;
+      case fault::kCrashDaemon:
+        Crash(daemon);
+        break;
+      case fault::kCrashControl:
+        CrashControl(control);
+        break;
+      case fault::kIsolateControl:
+        Isolate(control);
+        break;
+      case fault::kReconnectControl:
+        isolated_ = -1;
+        break;
+      case fault::kCutDaemon:
+        daemons_[daemon].cut = true;
+        break;
+      case fault::kMendDaemon:
+        daemons_[daemon].cut = false;
+        break;
+      case fault::kMoveDaemon:
+        Fail(daemon);
+        break;
+      default:
+        break;
+    }
+    for (int tick = 0; tick < next.ticks % 16; ++tick) Tick();
+  }
+
+  // Ends all faults.
+  void Heal() {
+    faulty_ = false;
+    isolated_ = -1;
+    for (daemon_process& daemon : daemons_) daemon.cut = false;
+  }
+
+  bool Converged() const {
+    const table_version newest(truth_.size() - 1);
+    for (const daemon_process& daemon : daemons_) {
+      if (!daemon.node || !daemon.node->own().ready()) return false;
+      if (daemon.node->own().version() != newest) return false;
+      if (daemon.node->own().revision() != table_.revision()) return false;
+      if (!daemon.node->own().members_complete()) return false;
+    }
+    for (const char* name : {"s0", "s1"}) {
+      service_progress progress;
+      for (const control_process& control : controls_) {
+        AddProgress(control.source.Progress(service_name(name)), progress);
+      }
+      const int expected = name[1] == '0' ? kFirstOfS1 : kDaemons - kFirstOfS1;
+      if (CountAtLeast(progress, newest).value() != static_cast<std::uint64_t>(expected)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void Tick() {
+    clock_.Advance(kTickInterval);
+    while (!network_.empty() && network_.begin()->first <= clock_.Now()) {
+      const packet next = std::move(network_.begin()->second);
+      network_.erase(network_.begin());
+      Deliver(next);
+    }
+    if (++ticks_ % 5 == 0) ++round_;
+    for (int index = 0; index < kControls; ++index) TickControl(index);
+    for (int index = 0; index < kDaemons; ++index) TickDaemon(index);
+  }
+
+  // What each process holds, for a failure's output.
+  std::string Describe() const {
+    std::string text = "newest version " + std::to_string(truth_.size() - 1) + " revision " +
+                       std::to_string(table_.revision().value()) + "\n";
+    for (int index = 0; index < kDaemons; ++index) {
+      const daemon_process& daemon = daemons_[index];
+      text += "daemon " + std::to_string(index);
+      if (!daemon.node) {
+        text += " does not run\n";
+        continue;
+      }
+      const subscriber& own = daemon.node->own();
+      text += " version " + std::to_string(own.version().value()) + " revision " +
+              std::to_string(own.revision().value()) + (own.ready() ? " ready" : "") +
+              (own.members_complete() ? "" : " incomplete") +
+              (daemon.connection != 0 ? " at " : " next ") + daemon.next.endpoint.value() + "\n";
+    }
+    for (const control_process& control : controls_) {
+      text += "control: " + std::to_string(control.applied) + " entries, " +
+              std::to_string(control.source.size()) + " subscribers\n";
+    }
+    return text;
+  }
+
+  // The longest time that a running daemon was without a new heartbeat round.
+  milliseconds longest_silence() const { return longest_silence_; }
+  void WatchSilence() { watching_ = true; }
+  // Makes a daemon neither run nor leave the members: a dead relay that is still named.
+  void Kill(int index) {
+    Crash(index);
+    daemons_[index].restart = kernel::time_point::max();
+  }
+
+ private:
+  struct log_entry {
+    std::optional<table_version> accepted;
+    std::optional<membership::upstream_record> announced;
+    std::optional<std::pair<kernel::upstream_id, kernel::incarnation>> left;
+  };
+
+  struct question {
+    kernel::nonce nonce;
+    // The committed entries when the question arrived.
+    std::size_t position = 0;
+  };
+
+  struct control_process {
+    explicit control_process(std::uint64_t nonce) : source(kernel::nonce(nonce)) {}
+
+    publisher source;
+    membership::member_table members;
+    std::size_t applied = 0;
+    std::vector<question> questions;
+  };
+
+  struct daemon_process {
+    std::optional<relay> node;
+    std::optional<reconnect_policy<kernel::seeded_random>> policy;
+    std::uint64_t connection = 0;
+    kernel::time_point attempt;
+    next_publisher next;
+    kernel::time_point restart;
+    std::uint64_t incarnation = 0;
+    bool cut = false;
+    kernel::time_point last_round;
+    // The newest version that any process of this daemon enforced while ready.
+    table_version enforced;
+  };
+
+  struct connection {
+    int daemon = 0;
+    // A control host, or a daemon if to_daemon.
+    int target = 0;
+    bool to_daemon = false;
+  };
+
+  struct packet {
+    std::uint64_t connection = 0;
+    std::variant<downstream_message, upstream_message> message;
+  };
+
+  std::uint64_t NextNonce() { return random_.NextU64() >> 1U; }
+  bool Chance(std::uint64_t percent) { return kernel::UniformBelow(random_, 100) < percent; }
+
+  // The log.
+
+  void Accept() {
+    table::row_map rows = RandomTable(random_);
+    RC_ASSERT(table::Validate(rows).empty());
+    truth_.push_back(std::move(rows));
+    log_.push_back(log_entry{table_version(truth_.size() - 1), {}, {}});
+    Commit();
+  }
+
+  membership::upstream_record Record(int daemon) const {
+    membership::upstream_record record;
+    const std::string name = std::to_string(daemon);
+    record.id = kernel::upstream_id(name);
+    record.service = ServiceOf(daemon);
+    record.subset = kernel::subset_name("v1");
+    record.host = kernel::host_id(name);
+    record.daemon_data = kernel::endpoint("data" + name);
+    record.daemon_control = kernel::endpoint("d" + name);
+    record.incarnation = kernel::incarnation(daemons_[daemon].incarnation);
+    record.state = membership::upstream_state::kReady;
+    return record;
+  }
+
+  void Announce(int daemon, std::uint64_t age) {
+    membership::upstream_record record = Record(daemon);
+    if (age >= record.incarnation.value()) return;
+    record.incarnation = kernel::incarnation(record.incarnation.value() - age);
+    log_.push_back(log_entry{{}, record, {}});
+    Commit();
+  }
+
+  void Drain(int daemon) {
+    membership::upstream_record record = Record(daemon);
+    record.state = membership::upstream_state::kDraining;
+    log_.push_back(log_entry{{}, record, {}});
+    Commit();
+  }
+
+  void Leave(int daemon) {
+    const membership::upstream_record record = Record(daemon);
+    log_.push_back(log_entry{{}, {}, std::pair{record.id, record.incarnation}});
+    Commit();
+    departed_[record.id] = std::max(departed_[record.id], record.incarnation);
+    // The upstream starts again later.
+    ++daemons_[daemon].incarnation;
+  }
+
+  void Commit() {
+    Apply(log_.back(), log_.size(), table_);
+    for (const auto& [id, record] : table_.members()) {
+      RC_ASSERT(record.incarnation >= newest_[id]);
+      newest_[id] = record.incarnation;
+      const auto gone = departed_.find(id);
+      RC_ASSERT(gone == departed_.end() || gone->second < record.incarnation);
+    }
+    members_at_[table_.revision()] = table_.members();
+    committed_.emplace_back(truth_.size() - 1, table_.revision());
+  }
+
+  static void Apply(const log_entry& entry, std::size_t position,
+                    membership::member_table& members) {
+    if (entry.announced) members.Announce(*entry.announced, membership_revision(position));
+    if (entry.left) {
+      members.Leave(entry.left->first, entry.left->second, membership_revision(position));
+    }
+  }
+
+  // Control hosts.
+
+  void Isolate(int index) { isolated_ = index; }
+
+  void CrashControl(int index) {
+    std::vector<std::uint64_t> broken;
+    for (const auto& [id, link] : connections_) {
+      if (!link.to_daemon && link.target == index) broken.push_back(id);
+    }
+    const std::size_t kept = index == isolated_ ? controls_[index].applied : 0;
+    controls_[index] = control_process(NextNonce());
+    // A control host starts from what it has on its disk.
+    for (std::size_t position = 0; position < kept; ++position) ApplyNext(index);
+    for (const std::uint64_t id : broken) Fail(connections_.at(id).daemon);
+  }
+
+  void ApplyNext(int index) {
+    control_process& control = controls_[index];
+    const log_entry& entry = log_[control.applied++];
+    if (entry.accepted) {
+      Send(control.source.PublishTable(*entry.accepted, truth_[entry.accepted->value()],
+                                       clock_.Now()),
+           index);
+    } else {
+      Apply(entry, control.applied, control.members);
+      Send(control.source.PublishMembers(control.members, clock_.Now()), index);
+    }
+  }
+
+  void TickControl(int index) {
+    control_process& control = controls_[index];
+    if (index != isolated_) {
+      while (control.applied < log_.size() && (!faulty_ || Chance(60))) ApplyNext(index);
+      for (std::size_t next = 0; next < control.questions.size();) {
+        const question asked = control.questions[next];
+        if (asked.position > control.applied || (faulty_ && Chance(50))) {
+          ++next;
+          continue;
+        }
+        control.questions.erase(control.questions.begin() + static_cast<std::ptrdiff_t>(next));
+        const auto& [version, revision] = committed_[asked.position - 1];
+        Send(control.source.OnProof(proof{asked.nonce, table_version(version), revision},
+                                    clock_.Now()),
+             index);
+      }
+      if (ticks_ % 5 == 0) {
+        Send(control.source.Heartbeat(kernel::heartbeat_round(round_), clock_.Now()), index);
+      }
+    }
+    Send(control.source.Tick(clock_.Now()), index);
+  }
+
+  void Send(const subscriber_actions& actions, int control) {
+    for (const outgoing& sent : actions.messages) Send(sent.to.value(), sent.message);
+    for (const proof_request& request : actions.proof_requests) {
+      controls_[control].questions.push_back(question{request.nonce, log_.size()});
+    }
+    for (const subscriber_id released : actions.released) Released(released.value());
+  }
+
+  // The network.
+
+  template <class Message>
+  void Send(std::uint64_t id, const Message& message) {
+    const int copies = !faulty_ ? 1 : Chance(5) ? 0 : Chance(5) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      const auto delay = faulty_ && Chance(30) ? kernel::UniformBelow(random_, 300) : 1;
+      network_.emplace(clock_.Now() + milliseconds(delay), packet{id, message});
+    }
+  }
+
+  // A released subscriber learns so from its last message. Without that one (it is lost, or it
+  // goes to a process that is no more) the connection just ends.
+  void Released(std::uint64_t id) { released_.insert(id); }
+
+  bool Reachable(const connection& link) const {
+    return !daemons_[link.daemon].cut && !(link.to_daemon && daemons_[link.target].cut);
+  }
+
+  void Deliver(const packet& next) {
+    const auto found = connections_.find(next.connection);
+    if (found == connections_.end() || !Reachable(found->second)) return;
+    const connection link = found->second;
+    if (const auto* down = std::get_if<downstream_message>(&next.message)) {
+      Handle(link.daemon, daemons_[link.daemon].node->OnDownstream(*down, clock_.Now()));
+      return;
+    }
+    const auto& up = std::get<upstream_message>(next.message);
+    const subscriber_id from(next.connection);
+    if (link.to_daemon) {
+      Handle(link.target, daemons_[link.target].node->OnUpstream(from, up, clock_.Now(), random_));
+      return;
+    }
+    publisher& source = controls_[link.target].source;
+    if (const auto* request = std::get_if<subscribe>(&up)) {
+      Send(source.OnSubscribe(from, *request, clock_.Now(), random_), link.target);
+    } else if (const auto* query = std::get_if<proof_query>(&up)) {
+      Send(source.OnProofQuery(from, *query, clock_.Now()), link.target);
+    } else {
+      Send(source.OnApplied(from, std::get<applied>(up), clock_.Now()), link.target);
+    }
+  }
+
+  // Daemons.
+
+  void Start(int index) {
+    daemon_process& daemon = daemons_[index];
+    const std::string name = std::to_string(index);
+    ++daemon.incarnation;
+    daemon.node.emplace(subscriber_builder()
+                            .Service(ServiceOf(index))
+                            .Host(kernel::host_id(name))
+                            .ControlEndpoint(kernel::endpoint("d" + name))
+                            .Nonce(kernel::nonce(NextNonce()))
+                            .Build(),
+                        kernel::nonce(NextNonce()));
+    std::vector<kernel::endpoint> hosts;
+    for (int control = 0; control < kControls; ++control) {
+      hosts.emplace_back("c" + std::to_string(control));
+    }
+    daemon.policy.emplace(std::move(hosts), kernel::seeded_random(NextNonce()));
+    daemon.last_round = clock_.Now();
+    Schedule(index);
+  }
+
+  void Crash(int index) {
+    daemon_process& daemon = daemons_[index];
+    if (!daemon.node) return;
+    std::vector<int> children;
+    for (const auto& [id, link] : connections_) {
+      if (link.to_daemon && link.target == index) children.push_back(link.daemon);
+    }
+    Close(daemon.connection);
+    daemon.node.reset();
+    for (const int child : children) Fail(child);
+    daemon.restart = clock_.Now() + milliseconds(kernel::UniformBelow(random_, 2'000));
+  }
+
+  void Schedule(int index) {
+    daemon_process& daemon = daemons_[index];
+    daemon.connection = 0;
+    daemon.next = daemon.policy->Next();
+    daemon.attempt = clock_.Now() + daemon.next.delay;
+  }
+
+  // Ends a connection; the publisher sees it at once.
+  void Close(std::uint64_t id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) return;
+    const connection link = found->second;
+    connections_.erase(found);
+    if (!link.to_daemon) {
+      controls_[link.target].source.OnDisconnect(subscriber_id(id), clock_.Now());
+    } else if (daemons_[link.target].node) {
+      daemons_[link.target].node->OnDisconnect(subscriber_id(id), clock_.Now());
+    }
+  }
+
+  void Fail(int index) {
+    daemon_process& daemon = daemons_[index];
+    if (!daemon.node || daemon.connection == 0) return;
+    Close(daemon.connection);
+    daemon.policy->OnFailure();
+    Schedule(index);
+  }
+
+  void Connect(int index) {
+    daemon_process& daemon = daemons_[index];
+    connection link;
+    link.daemon = index;
+    link.to_daemon = daemon.next.endpoint.value()[0] == 'd';
+    link.target = std::stoi(daemon.next.endpoint.value().substr(1));
+    const bool runs = !link.to_daemon || daemons_[link.target].node.has_value();
+    if (!runs || !Reachable(link)) {
+      daemon.policy->OnFailure();
+      Schedule(index);
+      return;
+    }
+    daemon.connection = ++last_connection_;
+    connections_[daemon.connection] = link;
+    Send(daemon.connection,
+         upstream_message(daemon.node->Subscribe(clock_.Now(), daemon.policy->failed_relays())));
+  }
+
+  void TickDaemon(int index) {
+    daemon_process& daemon = daemons_[index];
+    if (!daemon.node) {
+      if (clock_.Now() < daemon.restart) return;
+      Start(index);
+    }
+    if (watching_) {
+      longest_silence_ =
+          std::max(longest_silence_,
+                   std::chrono::duration_cast<milliseconds>(clock_.Now() - daemon.last_round));
+    }
+    if (daemon.connection == 0) {
+      if (clock_.Now() >= daemon.attempt) Connect(index);
+      return;
+    }
+    if (released_.contains(daemon.connection) && Chance(20)) {
+      Fail(index);
+      return;
+    }
+    if (daemon.node->ShouldMove(clock_.Now())) {
+      Fail(index);
+      return;
+    }
+    Handle(index, daemon.node->Tick(clock_.Now()));
+  }
+
+  void Handle(int index, const relay_result& result) {
+    daemon_process& daemon = daemons_[index];
+    Check(index, result.own);
+    for (const upstream_message& message : result.up) Send(daemon.connection, message);
+    for (const outgoing& sent : result.down) Send(sent.to.value(), sent.message);
+    for (const subscriber_id released : result.released) Released(released.value());
+    if (result.own.round) {
+      daemon.policy->OnHealthy();
+      daemon.last_round = clock_.Now();
+    }
+    if (result.own.moved) {
+      Close(daemon.connection);
+      daemon.policy->OnRedirect(*result.own.moved);
+      Schedule(index);
+    }
+  }
+
+  void Check(int index, const subscriber_result& result) {
+    daemon_process& daemon = daemons_[index];
+    const subscriber& own = daemon.node->own();
+    RC_ASSERT(!result.refused);
+    if (result.version_changed) {
+      RC_ASSERT(own.version().value() < truth_.size());
+      RC_ASSERT(table::IsClosed(own.rows()));
+      RC_ASSERT(own.rows() == table::ScopeOf(truth_[own.version().value()], own.service()));
+    }
+    if ((result.version_changed || result.revision_changed) && own.members_complete()) {
+      CheckMembers(own);
+    }
+    if (!own.ready()) return;
+    RC_ASSERT(own.version() >= daemon.enforced);
+    daemon.enforced = own.version();
+  }
+
+  void CheckMembers(const subscriber& own) const {
+    const auto services = ServicesIn(own.rows(), own.service());
+    const auto in_scope = [&](const membership::member_map& all) {
+      membership::member_map kept;
+      for (const auto& [id, record] : all) {
+        if (services.contains(record.service)) kept.emplace(id, record);
+      }
+      return kept;
+    };
+    if (own.revision() == membership_revision()) return;
+    RC_ASSERT(members_at_.contains(own.revision()));
+    RC_ASSERT(in_scope(own.members()) == in_scope(members_at_.at(own.revision())));
+  }
+
+  kernel::seeded_random random_;
+  kernel::manual_clock clock_;
+  std::uint64_t ticks_ = 0;
+  std::uint64_t round_ = 0;
+  bool faulty_ = true;
+  bool watching_ = false;
+  milliseconds longest_silence_{0};
+  int isolated_ = -1;
+
+  std::vector<table::row_map> truth_;
+  std::vector<log_entry> log_;
+  membership::member_table table_;
+  std::map<membership_revision, membership::member_map> members_at_;
+  // Version and revision after each entry.
+  std::vector<std::pair<std::size_t, membership_revision>> committed_;
+  std::map<kernel::upstream_id, kernel::incarnation> departed_;
+  std::map<kernel::upstream_id, kernel::incarnation> newest_;
+
+  std::vector<control_process> controls_;
+  std::vector<daemon_process> daemons_;
+  std::uint64_t last_connection_ = 0;
+  std::map<std::uint64_t, connection> connections_;
+  std::set<std::uint64_t> released_;
+  std::multimap<kernel::time_point, packet> network_;
+};
+
+rc::Gen<step> AnyStep() {
+  return rc::gen::build<step>(
+      rc::gen::set(&step::what, rc::gen::map(rc::gen::inRange(0, static_cast<int>(fault::kCount)),
+                                             [](int value) { return static_cast<fault>(value); })),
+      rc::gen::set(&step::target), rc::gen::set(&step::ticks));
+}
+
+// Guards against versions that move back (also over restarts), tables that are open or mixed from
+// several versions, members that are not those of their revision, stale announcements that revive
+// an upstream, and daemons that do not catch up after faults end.
+RC_GTEST_PROP(Distribution, KeepsItsPromisesUnderFaultsAndConvergesAfterThem,
+              (std::uint64_t seed)) {
+  world simulated(seed);
+  for (const step& next : *rc::gen::container<std::vector<step>>(AnyStep())) {
+    simulated.Perform(next);
+  }
+  simulated.Heal();
+  // A daemon notices a silent publisher after 3 s, waits up to 5 s before each attempt, and may
+  // need one attempt each for two relays and two control hosts.
+  constexpr milliseconds kBound = kHeartbeatTimeout + 4 * kMaxBackoff;
+  bool converged = false;
+  for (milliseconds spent{0}; spent < kBound && !converged; spent += kTickInterval) {
+    simulated.Tick();
+    converged = simulated.Converged();
+  }
+  if (!converged) RC_FAIL(simulated.Describe());
+}
+
+// Guards against relays that are dead but still named keeping a daemon without a publisher, also
+// each time after a control host has sent it away again, and against control hosts that then serve
+// everybody.
+TEST(Distribution, NoDeadRelayStarvesADaemon) {
+  for (std::uint64_t seed = 0; seed < 150; ++seed) {
+    world simulated(seed);
+    simulated.Heal();
+    for (int tick = 0; tick < 100; ++tick) simulated.Tick();
+    for (std::uint64_t killed = 0; killed <= seed % 4; ++killed) {
+      simulated.Kill(static_cast<int>((seed / 4 + killed) % kFirstOfS1));
+    }
+    simulated.WatchSilence();
+    for (milliseconds spent{0}; spent < 2 * kTemporaryStay; spent += kTickInterval) {
+      simulated.Tick();
+      ASSERT_LE(simulated.longest_silence(), kHeartbeatTimeout + kMaxBackoff)
+          << "seed " << seed << "\n"
+          << simulated.Describe();
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cornelweir::distribution
--- a/tests/distribution_test.cc
+++ b/tests/distribution_test.cc
@@ -19,6 +19,7 @@
 using kernel::membership_revision;
 using kernel::service_name;
 using kernel::table_version;
+using members_message = distribution::members;
 
 // Services s0..s<n-1>; each calls the next one.
 table::row_map Chain(int services, std::int64_t request_ms = 2000) {
@@ -232,6 +233,47 @@
   EXPECT_EQ(daemon.rows(), table::ScopeOf(Chain(2, 900), service_name("s0")));
 }
 
+// Guards against a daemon that lacks the members of a service being sent changes only, which it
+// can't use, after each request for a resync.
+TEST_F(publishing, SendsAllMembersToASubscriberThatHoldsNone) {
+  membership::member_table members;
+  members.Announce(Member("a", "s1"), membership_revision(1));
+  publisher_.PublishMembers(members, clock_.Now());
+  publisher_.PublishTable(table_version(1), Chain(2), clock_.Now());
+  subscribe request;
+  request.service = service_name("s0");
+  request.held_version = table_version(1);
+  const auto actions = publisher_.OnSubscribe(id_, request, clock_.Now(), random_);
+  ASSERT_EQ(actions.messages.size(), 1U);
+  EXPECT_TRUE(std::get<members_message>(actions.messages[0].message).full);
+}
+
+// Guards against changes from a publisher whose scope lacks a service passing for all changes.
+TEST(Subscriber, RefusesMemberChangesChosenByAnotherScope) {
+  subscriber daemon = MakeSubscriber();
+  daemon.OnMessage(
+      configuration{service_name("s0"),
+                    table_version(1),
+                    {},
+                    table::DeltaBetween({}, table::ScopeOf(Chain(2), service_name("s0"))),
+                    {},
+                    {},
+                    piece_number(1)},
+      {});
+  members_message message{{}, membership_revision(1), table_version(1), {}, true, {},
+                          {}, piece_number(1)};
+  daemon.OnMessage(message, {});
+  EXPECT_TRUE(daemon.members_complete());
+  message = members_message{
+      membership_revision(1), membership_revision(2), table_version(2), {}, false, {}, {},
+      piece_number(1)};
+  daemon.OnMessage(message, {});
+  EXPECT_EQ(daemon.revision(), membership_revision(1));
+  message.scope_version = table_version(1);
+  daemon.OnMessage(message, {});
+  EXPECT_EQ(daemon.revision(), membership_revision(2));
+}
+
 // Guards against a version that is not closed or not valid being enforced.
 TEST(Subscriber, RefusesVersionsThatItCannotEnforce) {
   subscriber daemon = MakeSubscriber();
@@ -566,6 +608,54 @@
                   .down.empty());
 }
 
+// Guards against the members of an older scope being passed on as those of a newer one.
+TEST_F(relaying, PassesTheMembersOfANewServiceOnWithItsScope) {
+  Feed();
+  subscriber child = Daemon("child", 60);
+  const auto admitted =
+      relay_.OnUpstream(subscriber_id(1), child.Subscribe(clock_.Now()), clock_.Now(), random_);
+  for (const outgoing& sent : admitted.down) child.OnMessage(sent.message, clock_.Now());
+  table::row_map wider = Chain(3);
+  std::get<table::service_row>(wider[table::KeyOf(service_name("s0"))]).calls.emplace_back("s2");
+  wider = table::ScopeOf(wider, service_name("s0"));
+  const members_message early{{},
+                              membership_revision(2),
+                              table_version(2),
+                              {{kernel::upstream_id("b"), service_name("s2"), Member("b", "s2")}},
+                              true,
+                              {},
+                              {},
+                              piece_number(1)};
+  EXPECT_TRUE(relay_.OnDownstream(early, clock_.Now()).down.empty());
+  const configuration delta{service_name("s0"),
+                            table_version(2),
+                            table_version(1),
+                            table::DeltaBetween(relay_.own().rows(), wider),
+                            {},
+                            {},
+                            piece_number(1)};
+  for (const outgoing& sent : relay_.OnDownstream(delta, clock_.Now()).down) {
+    child.OnMessage(sent.message, clock_.Now());
+  }
+  EXPECT_EQ(child.rows(), wider);
+  EXPECT_EQ(child.members().size(), 1U);
+  EXPECT_TRUE(child.members_complete());
+}
+
+// Guards against a report that is lost with a connection never reaching the control side.
+TEST_F(relaying, RepeatsReports) {
+  Feed();
+  const auto repeats = [&] {
+    const auto up = relay_.Tick(clock_.Now()).up;
+    return std::any_of(up.begin(), up.end(), [](const upstream_message& message) {
+      return std::holds_alternative<applied>(message);
+    });
+  };
+  EXPECT_FALSE(repeats());
+  clock_.Advance(kReportInterval);
+  EXPECT_TRUE(repeats());
+}
+
 // Guards against a control side that does not see who is behind, and against reports that grow
 // with the number of daemons.
 TEST_F(relaying, ReportsWhatTheDaemonsBelowEnforceInABoundedSize) {
