--- a/cornelweir/src/distribution/feed.cc
+++ b/cornelweir/src/distribution/feed.cc
@@ -23,10 +23,19 @@
 
 void feed::PublishTable(kernel::table_version version, const table::row_map& rows, messages& out) {
   if (version <= version_) return;
+  const std::vector<table::row_change> delta = table::DeltaBetween(table_, rows);
   table_ = rows;
   version_ = version;
   for (auto& [service, entry] : scopes_) {
-    entry.history.Advance(version, table::ScopeOf(rows, service));
+    // To derive every scope anew would take most of the time of a change.
+    const bool touched = std::any_of(delta.begin(), delta.end(), [&](const auto& change) {
+      return entry.history.MayContain(change);
+    });
+    if (touched) {
+      entry.history.Advance(version, table::ScopeOf(rows, service));
+    } else {
+      entry.history.AdvanceUnchanged(version);
+    }
   }
   for (const auto& [key, content] : rows) {
     if (key.kind != table::row_kind::kService) break;
--- a/cornelweir/src/distribution/scope_history.cc
+++ b/cornelweir/src/distribution/scope_history.cc
@@ -22,9 +22,6 @@
     taken.changed.push_back(change.key);
   }
   const bool changed = !taken.changed.empty();
-  const bool skips = version.value() - version_.value() > 1;
-  version_ = version;
-  if (changed || skips) history_.push_back(std::move(taken));
   if (changed) {
     rows_ = rows;
     changed_version_ = version;
@@ -34,10 +31,35 @@
     }
     services_ = std::move(services);
   }
-  TrimHistory();
+  Move(std::move(taken));
   return changed;
 }
 
+void scope_history::AdvanceUnchanged(kernel::table_version version) {
+  if (version > version_) Move(step{version_, version, {}});
+}
+
+bool scope_history::MayContain(const table::row_change& change) const {
+  const table::row_key& key = change.key;
+  if (rows_.contains(key)) return true;
+  switch (key.kind) {
+    case table::row_kind::kService:
+      return services_.contains(kernel::service_name(key.name));
+    case table::row_kind::kSplit:
+      return services_.contains(table::SplitService(key));
+    case table::row_kind::kRoute:
+      return change.content &&
+             services_.contains(std::get<table::route_row>(*change.content).service);
+    default:
+      // A limit or wait that is new here is in scope only if a service refers to it.
+      return std::any_of(services_.begin(), services_.end(), [&](const auto& name) {
+        const auto* row = table::FindRow<table::service_row>(rows_, table::KeyOf(name));
+        return row != nullptr &&
+               (table::KeyOf(row->limit) == key || table::KeyOf(row->wait) == key);
+      });
+  }
+}
+
 std::optional<std::vector<table::row_change>> scope_history::ChangesSince(
     kernel::table_version held) const {
   if (held < floor_ || held > version_) return std::nullopt;
@@ -59,7 +81,10 @@
   return changes;
 }
 
-void scope_history::TrimHistory() {
+void scope_history::Move(step taken) {
+  version_ = taken.version;
+  const bool skips = taken.version.value() - taken.base.value() > 1;
+  if (skips || !taken.changed.empty()) history_.push_back(std::move(taken));
   if (version_.value() <= kMaxVersionHistory) return;
   const kernel::table_version oldest(version_.value() - kMaxVersionHistory);
   while (!history_.empty() && history_.front().base < oldest) {
--- a/cornelweir/src/distribution/scope_history.h
+++ b/cornelweir/src/distribution/scope_history.h
@@ -45,6 +45,12 @@
   // ignored.
   bool Advance(kernel::table_version version, const table::row_map& rows);
 
+  // Moves to a newer version that has the same rows.
+  void AdvanceUnchanged(kernel::table_version version);
+
+  // Whether a change to the whole table may change the rows of this scope.
+  bool MayContain(const table::row_change& change) const;
+
   // The latest content of each row that changed after held. Nothing if the history does not reach
   // back to held or if held was skipped here.
   std::optional<std::vector<table::row_change>> ChangesSince(kernel::table_version held) const;
@@ -57,7 +63,7 @@
     std::vector<table::row_key> changed;
   };
 
-  void TrimHistory();
+  void Move(step taken);
 
   kernel::service_name service_;
   table::row_map rows_;
