--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -11,26 +11,28 @@
 // Every event that the programs log: name, number, severity, message. docs/LOG_EVENTS.md
 // describes each; CI compares the two. Numbers are never used again for another event.
 // 1000s: process. 2000s: control. 3000s: distribution and membership. 4000s: request path.
-#define CORNELWEIR_LOG_EVENTS(X)                                        \
-  X(kProcessStarted, 1001, kInfo, "process started")                    \
-  X(kProcessStopping, 1002, kInfo, "graceful shutdown began")           \
-  X(kProcessStopped, 1003, kInfo, "process stopped")                    \
-  X(kSettingsRefused, 1004, kError, "settings refused")                 \
-  X(kListenFailed, 1005, kError, "cannot listen")                       \
-  X(kLeaderElected, 2001, kInfo, "became leader")                       \
-  X(kLeadershipLost, 2002, kWarning, "no longer leader")                \
-  X(kStorageFailed, 2003, kError, "storage failed")                     \
-  X(kVersionAccepted, 2004, kInfo, "version accepted")                  \
-  X(kMessageRefused, 2005, kWarning, "message refused")                 \
-  X(kPublisherConnected, 3001, kInfo, "connected to publisher")         \
-  X(kPublisherLost, 3002, kWarning, "publisher lost")                   \
-  X(kVersionApplied, 3003, kInfo, "version applied")                    \
-  X(kVersionRefused, 3004, kError, "version refused")                   \
-  X(kFreshnessProved, 3005, kInfo, "freshness proved, taking requests") \
-  X(kUpstreamJoined, 3006, kInfo, "upstream joined")                    \
-  X(kUpstreamLeft, 3007, kInfo, "upstream left")                        \
-  X(kLeaseExpired, 3008, kWarning, "lease expired")                     \
-  X(kControlLinkLost, 3009, kWarning, "link to control host lost")      \
+#define CORNELWEIR_LOG_EVENTS(X)                                           \
+  X(kProcessStarted, 1001, kInfo, "process started")                       \
+  X(kProcessStopping, 1002, kInfo, "graceful shutdown began")              \
+  X(kProcessStopped, 1003, kInfo, "process stopped")                       \
+  X(kSettingsRefused, 1004, kError, "settings refused")                    \
+  X(kListenFailed, 1005, kError, "cannot listen")                          \
+  X(kKeysReloaded, 1006, kInfo, "keys reloaded")                           \
+  X(kKeysRefused, 1007, kError, "keys can't be loaded, the old ones stay") \
+  X(kLeaderElected, 2001, kInfo, "became leader")                          \
+  X(kLeadershipLost, 2002, kWarning, "no longer leader")                   \
+  X(kStorageFailed, 2003, kError, "storage failed")                        \
+  X(kVersionAccepted, 2004, kInfo, "version accepted")                     \
+  X(kMessageRefused, 2005, kWarning, "message refused")                    \
+  X(kPublisherConnected, 3001, kInfo, "connected to publisher")            \
+  X(kPublisherLost, 3002, kWarning, "publisher lost")                      \
+  X(kVersionApplied, 3003, kInfo, "version applied")                       \
+  X(kVersionRefused, 3004, kError, "version refused")                      \
+  X(kFreshnessProved, 3005, kInfo, "freshness proved, taking requests")    \
+  X(kUpstreamJoined, 3006, kInfo, "upstream joined")                       \
+  X(kUpstreamLeft, 3007, kInfo, "upstream left")                           \
+  X(kLeaseExpired, 3008, kWarning, "lease expired")                        \
+  X(kControlLinkLost, 3009, kWarning, "link to control host lost")         \
   X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress")
 
 enum class event_id : std::uint16_t {
--- a/plugins/proxy/local_upstream.cc
+++ b/plugins/proxy/local_upstream.cc
@@ -21,6 +21,8 @@
 constexpr kernel::milliseconds kAnnouncementTimeout{4'000};
 // Connections of a crashed process break within this time of each other.
 constexpr kernel::milliseconds kCrashWindow{50};
+// A process that was restarted announces itself within this time.
+constexpr kernel::milliseconds kRestartWindow{5'000};
 constexpr kernel::milliseconds kProbeTimeout{500};
 
 std::int64_t WallClockMs() {
@@ -37,6 +39,8 @@
   kernel::request_count slots;
   kernel::request_count connections;
   std::string state;
+  // When the process started, by its own clock. Tells a new process from its predecessor.
+  std::int64_t started_at_ms = 0;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"id", &announcement::id},
@@ -45,7 +49,8 @@
                       kernel::field{"endpoint", &announcement::endpoint},
                       kernel::field{"slots", &announcement::slots},
                       kernel::field{"connections", &announcement::connections},
-                      kernel::field{"state", &announcement::state}};
+                      kernel::field{"state", &announcement::state},
+                      kernel::field{"started_at_ms", &announcement::started_at_ms}};
   }
 };
 
@@ -80,7 +85,8 @@
       share_(kernel::upstream_id()),
       maintenance_timer_(context.loop),
       expiry_timer_(context.loop),
-      crash_timer_(context.loop) {
+      probe_timer_(context.loop),
+      forget_timer_(context.loop) {
   context_.admin.Handle(http::method::put, "/v1/announcement",
                         [this](const http::admin_request& request, http::admin_reply reply) {
                           OnAnnouncement(request, std::move(reply));
@@ -94,7 +100,8 @@
 void local_upstream::Stop() {
   maintenance_timer_.Cancel();
   expiry_timer_.Cancel();
-  crash_timer_.Cancel();
+  probe_timer_.Cancel();
+  forget_timer_.Cancel();
 }
 
 kernel::incarnation local_upstream::NewIncarnation() {
@@ -127,8 +134,11 @@
   next.slots = said.slots;
   next.connections = said.connections;
   next.state = draining_ ? membership::upstream_state::kDraining : *state;
-  const bool same_process =
-      record_ && record_->id == next.id && !internal::IsRestart(record_->state, next.state);
+  const bool same_process = record_ && record_->id == next.id &&
+                            started_at_ms_ == said.started_at_ms &&
+                            !internal::IsRestart(record_->state, next.state);
+  if (record_ && !same_process) ReportCrash(*record_);
+  started_at_ms_ = said.started_at_ms;
   next.incarnation = same_process ? record_->incarnation : NewIncarnation();
   if (!membership::IsValid(next)) {
     reply(internal::Answer(422, "a name or a count is out of range"));
@@ -302,26 +312,33 @@
 }
 
 void local_upstream::NoteBroken(kernel::fingerprint fingerprint) {
-  if (broken_.empty()) crash_timer_.Start(internal::kCrashWindow, [this] { CheckCrash(); });
+  if (broken_.empty()) probe_timer_.Start(internal::kCrashWindow, [this] { ProbeAfterBreak(); });
   broken_.push_back(fingerprint);
+  forget_timer_.Start(internal::kRestartWindow, [this] { ForgetBroken(); });
 }
 
+void local_upstream::ForgetBroken() { broken_.clear(); }
+
 // A broken connection alone does not tell a crash from a closed connection; a process that no
 // longer accepts connections does.
-void local_upstream::CheckCrash() {
-  std::vector<kernel::fingerprint> suspects = std::exchange(broken_, {});
-  if (!record_ || suspects.empty()) return;
-  const membership::upstream_record record = *record_;
+void local_upstream::ProbeAfterBreak() {
+  if (!record_ || broken_.empty()) return;
   probe_.Request(endpoint_, http::method::get, "/health", "", internal::kProbeTimeout,
-                 [this, suspects = std::move(suspects), record](const auto& answer) {
+                 [this, probed = *record_](const auto& answer) {
                    if (answer || answer.error().fault != http::http_fault::kConnectFailed) return;
-                   logging::event(logging::event_id::kUpstreamCrashed)
-                       .With("upstream", record.id)
-                       .With("in_progress", suspects.size());
-                   control_.Submit(control::crash_command{record.id, record.incarnation, suspects},
-                                   [](const auto&) {});
-                   if (record_ && record_->incarnation == record.incarnation) Leave();
+                   ReportCrash(probed);
+                   if (record_ && record_->incarnation == probed.incarnation) Leave();
                  });
 }
 
+void local_upstream::ReportCrash(const membership::upstream_record& crashed) {
+  if (broken_.empty()) return;
+  logging::event(logging::event_id::kUpstreamCrashed)
+      .With("upstream", crashed.id)
+      .With("in_progress", broken_.size());
+  control_.Submit(
+      control::crash_command{crashed.id, crashed.incarnation, std::exchange(broken_, {})},
+      [](const auto&) {});
+}
+
 }  // namespace cornelweir::plugins::proxy
--- a/plugins/proxy/local_upstream.h
+++ b/plugins/proxy/local_upstream.h
@@ -65,7 +65,9 @@
   void Refuse(const admission::refused_ticket& refused);
   void ArmExpiry();
   void NoteBroken(kernel::fingerprint fingerprint);
-  void CheckCrash();
+  void ProbeAfterBreak();
+  void ReportCrash(const membership::upstream_record& crashed);
+  void ForgetBroken();
 
   daemon_context& context_;
   control_client& control_;
@@ -83,10 +85,14 @@
   // Requests that are queued or in progress.
   std::unordered_map<admission::ticket, local_request> requests_;
   std::uint64_t next_ticket_ = 1;
+  // Requests whose connections broke lately. They are reported if the upstream turns out to have
+  // crashed: it refuses connections, or it announces itself as a new process.
   std::vector<kernel::fingerprint> broken_;
+  std::int64_t started_at_ms_ = 0;
   loop::timer maintenance_timer_;
   loop::timer expiry_timer_;
-  loop::timer crash_timer_;
+  loop::timer probe_timer_;
+  loop::timer forget_timer_;
 };
 
 }  // namespace cornelweir::plugins::proxy
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -65,7 +65,11 @@
     BOOST_LEAF_CHECK(admin_.Listen(settings_.admin_listen));
     for (const kernel::plugin_handle& plugin : plugins_) plugin.start();
     loop_.OnSignal([this](loop::process_signal signal) {
-      if (signal != loop::process_signal::kHangUp) BeginShutdown();
+      if (signal == loop::process_signal::kHangUp) {
+        ReloadKeys();
+      } else {
+        BeginShutdown();
+      }
     });
     event(event_id::kProcessStarted)
         .With("host", settings_.host)
@@ -81,6 +85,28 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
   }
 
+  boost::leaf::result<transport::tls_context> LoadKeys() const {
+    return transport::LoadTlsContext(
+        {settings_.tls.certificate_file, settings_.tls.key_file, settings_.tls.authority_file});
+  }
+
+  // Replaces the keys in the context that everybody shares. Open links keep theirs; a key that
+  // can't be read leaves the old ones in force.
+  void ReloadKeys() {
+    if (!tls_) return;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          BOOST_LEAF_AUTO(fresh, LoadKeys());
+          *tls_ = std::move(*fresh);
+          event(event_id::kKeysReloaded);
+          return {};
+        },
+        [](const transport::transport_error& error) {
+          event(event_id::kKeysRefused).With("reason", error.detail);
+        },
+        [] { event(event_id::kKeysRefused); });
+  }
+
   void BeginShutdown() {
     if (shutting_down_) return;
     shutting_down_ = true;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -197,7 +197,7 @@
             )
             control.process.start(["--set", "control.bootstrap=true"])
 
-    def start_target(self, target, upstream_options=()):
+    def start_target(self, target, upstream_options=(), with_upstream=True):
         settings = self._settings(
             target.name,
             {
@@ -221,6 +221,8 @@
             self.folder / f"{target.name}.log",
         )
         target.daemon.start()
+        if not with_upstream:
+            return
         target.record = self.folder / f"{target.name}.record"
         target.upstream = Process(
             f"upstream-{target.name}",
