--- a/cornelweir/src/replication/limits.h
+++ b/cornelweir/src/replication/limits.h
@@ -23,6 +23,9 @@
 inline constexpr std::size_t kMaxBatchEntries = 256;
 // Entries that were sent to one host and not yet acknowledged.
 inline constexpr std::uint64_t kMaxInFlightEntries = 1024;
+// Bytes of entries that are sent to one host between two of its acknowledgements, so that a slow
+// host can't make its leader queue the whole backlog for it.
+inline constexpr std::size_t kMaxInFlightBytes = std::size_t{4} << 20;
 
 // Entries that a leader holds uncommitted before it refuses proposals.
 inline constexpr std::uint64_t kMaxBacklogEntries = 4096;
@@ -35,6 +38,10 @@
 // Entries kept in memory behind the latest snapshot, so that a host that missed a few hundred
 // changes is caught up by entries instead of the whole snapshot.
 inline constexpr std::uint64_t kRetainedEntries = 1024;
+inline constexpr std::size_t kRetainedBytes = std::size_t{8} << 20;
+// A learner counts as caught up with this many committed entries left: under load the exact commit
+// index is out of reach for any host that only answers.
+inline constexpr std::uint64_t kMaxPromotionLag = 256;
 inline constexpr std::size_t kSnapshotPieceBytes = std::size_t{128} << 10;
 inline constexpr std::size_t kMaxSnapshotBytes = std::size_t{256} << 20;
 
--- a/cornelweir/src/replication/log_entry.h
+++ b/cornelweir/src/replication/log_entry.h
@@ -1,6 +1,7 @@
 #ifndef CORNELWEIR_SRC_REPLICATION_LOG_ENTRY_H_
 #define CORNELWEIR_SRC_REPLICATION_LOG_ENTRY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <tuple>
@@ -32,6 +33,10 @@
   friend bool operator==(const log_entry&, const log_entry&) = default;
 };
 
+// An upper bound of the bytes that an entry takes once it is encoded, given host ids of at most 64
+// bytes.
+std::size_t EncodedBound(const log_entry& entry);
+
 }  // namespace cornelweir::replication
 
 #endif  // CORNELWEIR_SRC_REPLICATION_LOG_ENTRY_H_
--- a/cornelweir/src/replication/node.cc
+++ b/cornelweir/src/replication/node.cc
@@ -27,6 +27,19 @@
   return record != nullptr ? record->disk == disk : bootstrap;
 }
 
+// Whether the entries are what a leader can have sent. Others would break the log or, without
+// voters, the group.
+bool IsWellFormed(const append_entries& request) {
+  kernel::log_index expected = Next(request.previous_index);
+  for (const log_entry& entry : request.entries) {
+    if (entry.index != expected || entry.term > request.term) return false;
+    if ((entry.kind == entry_kind::kConfiguration) != entry.configuration.has_value()) return false;
+    if (entry.configuration && entry.configuration->voters.empty()) return false;
+    expected = Next(expected);
+  }
+  return true;
+}
+
 bool HasDuplicates(std::vector<kernel::host_id> hosts) {
   std::sort(hosts.begin(), hosts.end());
   return std::adjacent_find(hosts.begin(), hosts.end()) != hosts.end();
@@ -222,6 +235,7 @@
 }
 
 void node::Handle(const kernel::host_id& from, const append_entries& request) {
+  if (!IsWellFormed(request)) return;
   append_reply reply{state_.term, false, {}, request.round, disk_, bootstrap_};
   if (!AcceptLeader(from, request.term, request.confirmed)) {
     Send(from, reply);
@@ -249,8 +263,8 @@
     if (entry.index <= log_.base()) continue;
     const std::optional<kernel::term> held = log_.TermAt(entry.index);
     if (held == entry.term) continue;
-    // A conflict with a committed entry or a gap can't come from a correct leader.
-    if (entry.index <= commit_ || entry.index > Next(log_.last())) return;
+    // A conflict with a committed entry can't come from a correct leader.
+    if (entry.index <= commit_) return;
     if (held) TruncateLog(entry.index);
     AppendToLog(entry);
   }
@@ -275,7 +289,7 @@
     Send(from, reply);
     return;
   }
-  if (request.total > kMaxSnapshotBytes) return;
+  if (request.total > kMaxSnapshotBytes || request.configuration.voters.empty()) return;
   if (!partial_ || partial_->index != request.snapshot_index ||
       partial_->term != request.snapshot_term) {
     partial_ = partial_snapshot{request.snapshot_index, request.snapshot_term, {}};
@@ -379,6 +393,7 @@
     peer->next = std::max(peer->next, Next(peer->match));
     peer->probing = false;
     peer->waiting = false;
+    peer->bytes_in_flight = 0;
     if (peer->next > log_.base()) peer->sending.reset();
     AdvanceCommit();
   } else if (!peer->sending) {
@@ -410,12 +425,19 @@
   ConfirmRound();
 }
 
+bool node::HasWindow(const internal::peer_progress& peer) const {
+  return peer.probing || (peer.next.value() - peer.match.value() <= kMaxInFlightEntries &&
+                          peer.bytes_in_flight < kMaxInFlightBytes);
+}
+
+bool node::IsCaughtUp(const internal::peer_progress& peer) const {
+  return peer.match.value() + kMaxPromotionLag >= commit_.value();
+}
+
 bool node::WantsToSend(const internal::peer_progress& peer) const {
   if (peer.waiting) return false;
   if (peer.sending || peer.next <= log_.base()) return true;
-  if (peer.next <= log_.last()) {
-    return peer.probing || peer.next.value() - peer.match.value() <= kMaxInFlightEntries;
-  }
+  if (peer.next <= log_.last()) return HasWindow(peer);
   return !peer.probing && peer.commit_sent < commit_;
 }
 
@@ -443,8 +465,9 @@
   const kernel::log_index previous = Previous(peer.next);
   append_entries append{state_.term, previous,  *log_.TermAt(previous), {}, commit_,
                         round,       confirmed_};
-  if (peer.probing || peer.next.value() - peer.match.value() <= kMaxInFlightEntries) {
-    append.entries = log_.Slice(peer.next, kMaxBatchEntries, kMaxBatchBytes);
+  if (HasWindow(peer)) append.entries = log_.Slice(peer.next, kMaxBatchEntries, kMaxBatchBytes);
+  for (const log_entry& entry : append.entries) {
+    peer.bytes_in_flight += EncodedBound(entry);
   }
   if (peer.probing) {
     peer.waiting = true;
@@ -521,10 +544,11 @@
 }
 
 void node::SetCommit(kernel::log_index commit) {
+  commit = std::min(commit, log_.last());
   if (commit <= commit_) return;
   if (role_ == role::kLeader) {
     for (kernel::log_index index = Next(commit_); index <= commit; index = Next(index)) {
-      backlog_bytes_ -= std::min(backlog_bytes_, log_.At(index).payload.bytes.size());
+      backlog_bytes_ -= std::min(backlog_bytes_, EncodedBound(log_.At(index)));
     }
   }
   commit_ = commit;
@@ -545,12 +569,14 @@
                                                kernel::time_point now) {
   Observe(now);
   if (role_ != role::kLeader || payload.bytes.size() > kMaxPayloadBytes) return std::nullopt;
+  log_entry proposed{state_.term, Next(log_.last()), entry_kind::kCommand, std::move(payload)};
+  const std::size_t bytes = EncodedBound(proposed);
   if (log_.last().value() - commit_.value() >= kMaxBacklogEntries ||
-      backlog_bytes_ + payload.bytes.size() > kMaxBacklogBytes) {
+      backlog_bytes_ + bytes > kMaxBacklogBytes) {
     return std::nullopt;
   }
-  backlog_bytes_ += payload.bytes.size();
-  AppendToLog(log_entry{state_.term, Next(log_.last()), entry_kind::kCommand, std::move(payload)});
+  backlog_bytes_ += bytes;
+  AppendToLog(std::move(proposed));
   return log_.last();
 }
 
@@ -580,7 +606,7 @@
       const auto found = progress_.find(host);
       if (record == nullptr || found == progress_.end()) return false;
       if (!found->second.heard || found->second.disk != record->disk ||
-          found->second.match < commit_) {
+          !IsCaughtUp(found->second)) {
         return false;
       }
     }
@@ -627,7 +653,7 @@
     const disk_record* known = FindDisk(next, host);
     const bool replaced = known == nullptr || known->disk != peer.disk;
     const bool promotable =
-        !replaced && known->promote && IsLearner(next, host) && peer.match >= commit_;
+        !replaced && known->promote && IsLearner(next, host) && IsCaughtUp(peer);
     if (!replaced && !promotable) continue;
     const bool was_voter = IsVoter(next, host);
     const bool promote = replaced && (was_voter || (known != nullptr && known->promote));
@@ -716,8 +742,14 @@
   taken.configuration = std::prev(after)->second;
   snapshot_ = std::make_shared<const snapshot>(std::move(taken));
   compaction_pending_ = true;
-  const std::uint64_t retained = std::min(index.value(), kRetainedEntries);
-  log_.MoveBase(kernel::log_index(index.value() - retained));
+  kernel::log_index base = index;
+  std::size_t bytes = 0;
+  while (base > log_.base() && index.value() - base.value() < kRetainedEntries) {
+    bytes += EncodedBound(log_.At(base));
+    if (bytes > kRetainedBytes) break;
+    base = Previous(base);
+  }
+  log_.MoveBase(base);
   // The configuration in effect at the new base is kept.
   configurations_.erase(configurations_.begin(),
                         std::prev(configurations_.upper_bound(log_.base())));
--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -128,6 +128,8 @@
                                  bool bootstrap);
   void Handle(const kernel::host_id& from, const append_reply& answer);
   void Handle(const kernel::host_id& from, const snapshot_reply& answer);
+  bool HasWindow(const internal::peer_progress& peer) const;
+  bool IsCaughtUp(const internal::peer_progress& peer) const;
   bool WantsToSend(const internal::peer_progress& peer) const;
   void SendTo(const kernel::host_id& host, internal::peer_progress& peer);
   void StartRound(bool voters_only);
--- a/cornelweir/src/replication/peer_progress.h
+++ b/cornelweir/src/replication/peer_progress.h
@@ -1,6 +1,7 @@
 #ifndef CORNELWEIR_SRC_REPLICATION_PEER_PROGRESS_H_
 #define CORNELWEIR_SRC_REPLICATION_PEER_PROGRESS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 
@@ -19,6 +20,8 @@
   kernel::log_index match;
   kernel::log_index next;
   kernel::log_index commit_sent;
+  // Bytes of entries sent since the latest acknowledgement.
+  std::size_t bytes_in_flight = 0;
   // Set while a snapshot is being sent. A newer snapshot doesn't replace it, so that frequent
   // compaction can't restart the transfer again and again.
   std::shared_ptr<const snapshot> sending;
--- a/cornelweir/src/replication/replicated_log.cc
+++ b/cornelweir/src/replication/replicated_log.cc
@@ -17,7 +17,7 @@
   for (kernel::log_index index = from; index <= last() && slice.size() < max_entries;
        index = Next(index)) {
     const log_entry& entry = At(index);
-    bytes += entry.payload.bytes.size();
+    bytes += EncodedBound(entry);
     if (!slice.empty() && bytes > max_bytes) break;
     slice.push_back(entry);
   }
--- a/cornelweir/src/replication/replicated_log.h
+++ b/cornelweir/src/replication/replicated_log.h
@@ -30,8 +30,8 @@
     return entries_[index.value() - base_.value() - 1];
   }
 
-  // Entries from index on, at most max_entries; at most max_bytes of payload unless the first
-  // entry alone has more.
+  // Entries from index on, at most max_entries; encoded at most max_bytes unless the first entry
+  // alone has more.
   std::vector<log_entry> Slice(kernel::log_index from, std::size_t max_entries,
                                std::size_t max_bytes) const;
 
--- a/cornelweir/src/storage/limits.h
+++ b/cornelweir/src/storage/limits.h
@@ -8,7 +8,7 @@
 
 // A record must be readable by the codec, whose limit is 1 MiB.
 inline constexpr std::size_t kMaxRecordBytes = std::size_t{1} << 20;
-// Payload after which a batch of entries is split into a further record. With one entry of the
+// Bytes after which a batch of entries is split into a further record. With one entry of the
 // largest size added, the record stays below kMaxRecordBytes.
 inline constexpr std::size_t kRecordSplitBytes = std::size_t{256} << 10;
 inline constexpr std::size_t kRecordSplitEntries = 1024;
--- a/cornelweir/src/storage/log_store.cc
+++ b/cornelweir/src/storage/log_store.cc
@@ -403,12 +403,12 @@
   internal::log_record pending{state, {}};
   std::size_t bytes = 0;
   for (const replication::log_entry& entry : entries) {
-    bytes += entry.payload.bytes.size();
+    bytes += replication::EncodedBound(entry);
     if (!pending.entries.empty() &&
         (bytes > kRecordSplitBytes || pending.entries.size() >= kRecordSplitEntries)) {
       BOOST_LEAF_CHECK(Settle(WriteRecord(pending)));
       pending = internal::log_record();
-      bytes = entry.payload.bytes.size();
+      bytes = replication::EncodedBound(entry);
     }
     pending.entries.push_back(entry);
   }
