--- a/programs/cornelweir_upstream.cc
+++ b/programs/cornelweir_upstream.cc
@@ -7,6 +7,7 @@
 #include <boost/program_options.hpp>
 #include <cstdint>
 #include <cstdlib>
+#include <exception>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -305,4 +306,11 @@
 }  // namespace
 }  // namespace cornelweir::upstream
 
-int main(int argc, char** argv) { return cornelweir::upstream::Main(argc, argv); }
+int main(int argc, char** argv) {
+  try {
+    return cornelweir::upstream::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "cornelweir-upstream: " << error.what() << "\n";
+    return EXIT_FAILURE;
+  }
+}
--- a/tests/http_admin_test.cc
+++ b/tests/http_admin_test.cc
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class AdminTest : public testing::Test {
+class admin_fixture : public testing::Test {
  protected:
   void StartServer(admin_limits limits = {}) {
     server_.emplace(loop_, limits);
@@ -42,7 +42,7 @@
   std::optional<admin_server> server_;
 };
 
-TEST_F(AdminTest, RoutesByMethodAndLongestPrefix) {
+TEST_F(admin_fixture, RoutesByMethodAndLongestPrefix) {
   StartServer();
   server_->Handle(method::post, "/v1", [](const admin_request&, admin_reply reply) {
     reply({202, "text/plain", "short"});
@@ -54,7 +54,7 @@
 }
 
 // Guards against a reply that is sent only if the handler answers at once.
-TEST_F(AdminTest, AnswersLater) {
+TEST_F(admin_fixture, AnswersLater) {
   StartServer();
   std::optional<outcome<client_response>> answer;
   client_.Request(server_->local_endpoint(), method::get, "/v1/later", "", seconds(30),
--- a/tests/http_proxy_test.cc
+++ b/tests/http_proxy_test.cc
@@ -28,7 +28,7 @@
   }
 };
 
-class ProxyTest : public testing::Test {
+class proxy_fixture : public testing::Test {
  protected:
   void StartProxy(proxy_limits limits = {}, pool_limits pool = {}) {
     pool_.emplace(loop_, pool);
@@ -55,7 +55,7 @@
   std::shared_ptr<raw_peer> Connect() { return raw_peer::Connect(loop_, proxy_->local_endpoint()); }
 
   // Answers each request that ends with a blank line.
-  void AnswerWith(std::string response) {
+  void AnswerWith(const std::string& response) {
     server_.on_bytes = [response](raw_peer& peer) {
       if (!peer.received.ends_with("\r\n\r\n")) return;
       peer.received.clear();
@@ -126,7 +126,7 @@
 constexpr char kGet[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
 // Guards against a connection that is not used again on either side.
-TEST_F(ProxyTest, KeepsBothConnectionsAlive) {
+TEST_F(proxy_fixture, KeepsBothConnectionsAlive) {
   StartProxy();
   AnswerWith(Answer("ok"));
   const auto caller = Connect();
@@ -144,7 +144,7 @@
 }
 
 // Guards against a refused connection being reported as possibly run.
-TEST_F(ProxyTest, ReportsARefusedConnectionAsNotSent) {
+TEST_F(proxy_fixture, ReportsARefusedConnectionAsNotSent) {
   StartProxy();
   tcp::acceptor closed(loop_.context(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
   const kernel::endpoint nowhere = EndpointOf(closed.local_endpoint());
@@ -160,7 +160,7 @@
 }
 
 // Guards against bodies that are cut or mixed up on their way, or that break keep-alive.
-TEST_F(ProxyTest, StreamsLargeBodiesInBothDirections) {
+TEST_F(proxy_fixture, StreamsLargeBodiesInBothDirections) {
   StartProxy();
   const std::string upload = Pattern(std::size_t{3} << 20, 7);
   const std::string download = Pattern(std::size_t{3} << 20, 11);
@@ -179,7 +179,7 @@
 }
 
 // Guards against unbounded buffering: a caller that does not read must hold back the server.
-TEST_F(ProxyTest, HoldsBackAServerWhoseCallerDoesNotRead) {
+TEST_F(proxy_fixture, HoldsBackAServerWhoseCallerDoesNotRead) {
   StartProxy();
   const std::string body = Pattern(std::size_t{32} << 20, 3);
   AnswerWith(Answer(body));
@@ -199,7 +199,7 @@
 
 // Guards against chunked framing that is lost or passed on as body bytes, and against headers
 // of one connection that reach the next.
-TEST_F(ProxyTest, RelaysChunkedBodiesWithoutHopHeaders) {
+TEST_F(proxy_fixture, RelaysChunkedBodiesWithoutHopHeaders) {
   StartProxy();
   std::string seen;
   server_.on_bytes = [&](raw_peer& peer) {
@@ -224,7 +224,7 @@
 }
 
 // Guards against states of the two parsers that depend on where the network splits a message.
-TEST_F(ProxyTest, GivesTheSameAnswersHoweverMessagesAreSplit) {
+TEST_F(proxy_fixture, GivesTheSameAnswersHoweverMessagesAreSplit) {
   StartProxy();
   kernel::seeded_random random(20261204);
   const auto split_and_send = [&](raw_peer& peer, std::string_view bytes) {
@@ -244,21 +244,23 @@
     std::string message = start + "Transfer-Encoding: chunked\r\n\r\n";
     for (std::size_t at = 0; at < body.size();) {
       const std::size_t size = 1 + kernel::UniformBelow(random, body.size() - at);
-      message += Chunk(std::string_view(body).substr(at, size));
+      message += Chunk(body.substr(at, size));
       at += size;
     }
     return message + "0\r\n\r\n";
   };
-  const auto body_of = [](const std::string& message) {
+  // The body of a message if it has arrived as a whole.
+  const auto body_of = [](const std::string& message) -> std::optional<std::string> {
     if (message.find("chunked") != std::string::npos) {
-      return message.ends_with("0\r\n\r\n") ? std::optional(Dechunk(message)) : std::nullopt;
+      if (!message.ends_with("0\r\n\r\n")) return std::nullopt;
+      return Dechunk(message);
     }
     const std::size_t at = message.find("\r\n\r\n");
     const std::size_t length = message.find("Content-Length: ");
-    if (at == std::string::npos || length == std::string::npos) return std::optional<std::string>();
-    if (message.size() < at + 4 + std::stoul(message.substr(length + 16)))
-      return std::optional<std::string>();
-    return std::optional(message.substr(at + 4));
+    if (at == std::string::npos || length == std::string::npos) return std::nullopt;
+    const std::size_t size = at + 4 + std::stoul(message.substr(length + 16));
+    if (message.size() < size) return std::nullopt;
+    return message.substr(at + 4);
   };
   const auto caller = Connect();
   for (int i = 0; i < 300; ++i) {
@@ -288,7 +290,7 @@
 }
 
 // Guards against a body that is expected after a response that has none.
-TEST_F(ProxyTest, RelaysResponsesWithoutABody) {
+TEST_F(proxy_fixture, RelaysResponsesWithoutABody) {
   StartProxy();
   const auto caller = Connect();
   AnswerWith("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
@@ -310,7 +312,7 @@
 
 // Guards against a caller that waits for 100 (Continue) in vain, and against interim responses
 // taken for the final one.
-TEST_F(ProxyTest, HandlesInterimResponses) {
+TEST_F(proxy_fixture, HandlesInterimResponses) {
   StartProxy();
   server_.on_bytes = [](raw_peer& peer) {
     if (!peer.received.ends_with("body")) return;
@@ -337,7 +339,7 @@
 
 // Guards against request smuggling and against resources held by malformed requests: each is
 // refused, reaches no upstream, and ends its connection.
-TEST_F(ProxyTest, RefusesMalformedRequests) {
+TEST_F(proxy_fixture, RefusesMalformedRequests) {
   proxy_limits limits;
   limits.body_bytes = 1000;
   limits.read_timeout = milliseconds(10);
@@ -384,7 +386,7 @@
 
 // Guards against a body that turns out malformed, too large or too slow while it is forwarded and
 // that the upstream takes for a whole one.
-TEST_F(ProxyTest, CutsTheUpstreamOffWhenTheBodyFails) {
+TEST_F(proxy_fixture, CutsTheUpstreamOffWhenTheBodyFails) {
   proxy_limits limits;
   limits.body_bytes = 1000;
   limits.read_timeout = milliseconds(10);
@@ -410,7 +412,7 @@
 }
 
 // Guards against a cut response that the caller takes for a whole one.
-TEST_F(ProxyTest, PassesOnThatAResponseWasCut) {
+TEST_F(proxy_fixture, PassesOnThatAResponseWasCut) {
   StartProxy();
   const std::vector<std::string> cut_responses = {
       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
@@ -436,7 +438,7 @@
 
 // Guards against a request that may have run being reported as not sent: here the server closes a
 // new or a reused connection without an answer.
-TEST_F(ProxyTest, ReportsAConnectionThatBreaksBeforeTheResponse) {
+TEST_F(proxy_fixture, ReportsAConnectionThatBreaksBeforeTheResponse) {
   StartProxy();
   int requests = 0;
   server_.on_bytes = [&](raw_peer& peer) {
@@ -458,7 +460,7 @@
 }
 
 // Guards against requests written to a connection that the server closed while it was idle.
-TEST_F(ProxyTest, DropsIdleConnectionsThatTheServerCloses) {
+TEST_F(proxy_fixture, DropsIdleConnectionsThatTheServerCloses) {
   StartProxy();
   AnswerWith(Answer("ok"));
   const auto caller = Connect();
@@ -471,7 +473,7 @@
 
 // Guards against an answer that arrives after its request timed out and is taken for the answer
 // to the next request.
-TEST_F(ProxyTest, NeverReusesAConnectionThatTimedOut) {
+TEST_F(proxy_fixture, NeverReusesAConnectionThatTimedOut) {
   StartProxy();
   timeout_ = milliseconds(10);
   server_.on_bytes = nullptr;
@@ -486,7 +488,7 @@
 }
 
 // Guards against bytes that follow a response on a connection being taken for the next response.
-TEST_F(ProxyTest, NeverReusesAConnectionWithUnexpectedBytes) {
+TEST_F(proxy_fixture, NeverReusesAConnectionWithUnexpectedBytes) {
   StartProxy();
   AnswerWith(Answer("first") + Answer("stray"));
   const auto caller = Connect();
@@ -497,7 +499,7 @@
 }
 
 // Guards against work that goes on for callers that have left.
-TEST_F(ProxyTest, CancelsTheAttemptWhenTheCallerIsGone) {
+TEST_F(proxy_fixture, CancelsTheAttemptWhenTheCallerIsGone) {
   StartProxy();
   const auto caller = Connect();
   caller->Send(kGet);
@@ -510,7 +512,7 @@
 }
 
 // Guards against a queued request that keeps its place after its caller has left.
-TEST_F(ProxyTest, TellsAWaitingHandlerThatTheCallerIsGone) {
+TEST_F(proxy_fixture, TellsAWaitingHandlerThatTheCallerIsGone) {
   StartProxy();
   std::shared_ptr<exchange> held;
   bool gone = false;
@@ -528,7 +530,7 @@
 }
 
 // Guards against more connections to an upstream than it accepts, and an unbounded queue for them.
-TEST_F(ProxyTest, BoundsConnectionsAndWaiters) {
+TEST_F(proxy_fixture, BoundsConnectionsAndWaiters) {
   pool_limits limits;
   limits.connections = 1;
   limits.waiters = 1;
@@ -560,7 +562,7 @@
 }
 
 // Guards against a waiter that never hears of its timeout.
-TEST_F(ProxyTest, EndsTheWaitForAConnection) {
+TEST_F(proxy_fixture, EndsTheWaitForAConnection) {
   pool_limits limits;
   limits.connections = 1;
   limits.wait_timeout = milliseconds(10);
@@ -575,7 +577,7 @@
 }
 
 // Guards against a second attempt that sends only the rest of a body.
-TEST_F(ProxyTest, ResendsTheRetainedBody) {
+TEST_F(proxy_fixture, ResendsTheRetainedBody) {
   StartProxy();
   const std::string body = Pattern(40'000, 7);
   std::string resent;
@@ -604,7 +606,7 @@
 }
 
 // Guards against a second attempt with a body whose start is lost.
-TEST_F(ProxyTest, DoesNotResendABodyThatIsNotRetained) {
+TEST_F(proxy_fixture, DoesNotResendABodyThatIsNotRetained) {
   StartProxy();
   const std::string body = Pattern(kMaxRetainedBodyBytes + 1, 7);
   server_.on_bytes = [&](raw_peer& peer) {
@@ -628,7 +630,7 @@
 
 // Guards against the answer of an upstream that refused the work reaching the caller although
 // another one could still do it.
-TEST_F(ProxyTest, ForwardsElsewhereAfterADeclinedResponse) {
+TEST_F(proxy_fixture, ForwardsElsewhereAfterADeclinedResponse) {
   StartProxy();
   AnswerWith("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy");
   raw_server second(loop_);
@@ -649,7 +651,7 @@
 }
 
 // Guards against requests that are lost or answered out of order when they arrive together.
-TEST_F(ProxyTest, AnswersPipelinedRequestsInOrder) {
+TEST_F(proxy_fixture, AnswersPipelinedRequestsInOrder) {
   StartProxy();
   handler_.handle = [](const request_head& head, const std::shared_ptr<exchange>& request) {
     request->Refuse(429, head.target, {});
@@ -666,7 +668,7 @@
 }
 
 // Guards against a caller that waits forever because the handler forgot its request.
-TEST_F(ProxyTest, AnswersARequestThatTheHandlerDrops) {
+TEST_F(proxy_fixture, AnswersARequestThatTheHandlerDrops) {
   StartProxy();
   handler_.handle = [](const request_head&, const std::shared_ptr<exchange>&) {};
   const auto caller = Connect();
@@ -675,7 +677,7 @@
 }
 
 // Guards against a shutdown that interrupts a request, or that waits for idle callers.
-TEST_F(ProxyTest, DrainsGracefully) {
+TEST_F(proxy_fixture, DrainsGracefully) {
   StartProxy();
   server_.on_bytes = nullptr;
   const auto idle = Connect();
