Keep property parameters of each test in one place; refuse remote operators

Cause: the test environment overrode the number of schedules that two property tests ask for, so ctest ran 100 instead of 6000 and 2500. The operators' interface has no authentication.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -23,13 +23,18 @@
   target_link_libraries(cornelweir_plugin_${name} PUBLIC ${arg_DEPENDS})
 endfunction()
 
-# Defines a test program tests/<name>_test.cc that is run with a constant RapidCheck seed.
+# Defines a test program tests/<name>_test.cc. RapidCheck runs with constant parameters, by default
+# one seed and 100 cases a property; RC_PARAMS replaces them. Run the program by hand with RC_PARAMS
+# in the environment for other seeds and longer runs.
 function(cornelweir_test name)
-  cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(arg "" "RC_PARAMS" "DEPENDS" ${ARGN})
+  if(NOT arg_RC_PARAMS)
+    set(arg_RC_PARAMS "seed=20261204")
+  endif()
   add_executable(${name}_test ${CMAKE_CURRENT_SOURCE_DIR}/${name}_test.cc)
   target_include_directories(${name}_test PRIVATE ${PROJECT_SOURCE_DIR})
   target_link_libraries(${name}_test PRIVATE ${arg_DEPENDS} GTest::gtest GTest::gtest_main
     ${RAPIDCHECK_LIBRARY} Threads::Threads)
   add_test(NAME ${name} COMMAND ${name}_test)
-  set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204")
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=${arg_RC_PARAMS}")
 endfunction()
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -31,6 +31,11 @@
   return "unknown";
 }
 
+bool IsLoopback(const kernel::endpoint& endpoint) {
+  boost::asio::ip::tcp::endpoint parsed;
+  return transport::ParseEndpoint(endpoint, parsed) && parsed.address().is_loopback();
+}
+
 replication::group_configuration InitialGroup(const settings::control_settings& settings) {
   replication::group_configuration group;
   for (const settings::control_peer& peer : settings.peers) group.voters.push_back(peer.host);
@@ -45,6 +50,11 @@
     return boost::leaf::new_error(
         plugin_error{"the plug-in 'control' needs the settings 'control'"});
   }
+  if (!internal::IsLoopback(context.settings.admin_listen)) {
+    return boost::leaf::new_error(
+        plugin_error{"admin_listen: the operators' interface has no authentication, so a control "
+                     "host offers it on a loopback address only"});
+  }
   const settings::control_settings& settings = *context.settings.control;
   // Given once, at the first start of an initial host. A setting that stayed on would let a host
   // that lost its disk found the group again, so a folder that has an identity is refused.
--- a/programs/cornelweir_upstream.cc
+++ b/programs/cornelweir_upstream.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/program_options.hpp>
+#include <chrono>
 #include <cstdint>
 #include <cstdlib>
 #include <exception>
@@ -173,7 +174,8 @@
                                       {"endpoint", server_.local_endpoint().value()},
                                       {"slots", settings_.slots},
                                       {"connections", settings_.connections},
-                                      {"state", std::string(StateName(state_))}};
+                                      {"state", std::string(StateName(state_))},
+                                      {"started_at_ms", started_at_ms_}};
     client_.Request(kernel::endpoint(settings_.daemon), http::method::put, "/v1/announcement",
                     announcement.dump(), kAnnouncementTimeout,
                     [](const http::outcome<http::client_response>&) {
@@ -240,6 +242,10 @@
   kernel::seeded_random random_;
   http::admin_server server_;
   http::admin_client client_;
+  // Tells the daemon this process from its predecessor.
+  const std::int64_t started_at_ms_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          std::chrono::system_clock::now().time_since_epoch())
+                                          .count();
   loop::timer announcement_timer_;
   loop::timer phase_timer_;
   upstream_state state_ = upstream_state::kStarting;
