--- a/cornelweir/src/storage/log_store.cc
+++ b/cornelweir/src/storage/log_store.cc
@@ -187,7 +187,12 @@
   return opened;
 }
 
-recovered_state log_store::Load() { return std::move(recovered_); }
+recovered_state log_store::Load() {
+  recovered_state loaded = std::move(recovered_);
+  recovered_ = recovered_state();
+  recovered_.disk = loaded.disk;
+  return loaded;
+}
 
 boost::leaf::result<void> log_store::ListSegments() {
   segments_.clear();
--- a/cornelweir/src/storage/record.cc
+++ b/cornelweir/src/storage/record.cc
@@ -12,6 +12,7 @@
 constexpr std::uint32_t kRecordMark = 0x52435743;
 constexpr std::size_t kLengthOffset = 4;
 constexpr std::size_t kChecksumOffset = 8;
+constexpr std::size_t kHeaderChecksumOffset = 16;
 // The unit in which disks write.
 constexpr std::size_t kSectorBytes = 512;
 
@@ -31,16 +32,21 @@
   return value;
 }
 
-std::uint64_t Checksum(std::string_view payload) {
-  return XXH64(payload.data(), payload.size(), payload.size());
+std::uint64_t Checksum(std::string_view bytes) { return XXH64(bytes.data(), bytes.size(), 0); }
+
+std::uint32_t HeaderChecksum(std::string_view record) {
+  return static_cast<std::uint32_t>(Checksum(record.substr(0, kHeaderChecksumOffset)));
+}
+
+bool HasIntactHeader(std::string_view rest) {
+  return rest.size() >= kRecordHeaderBytes && GetNumber<std::uint32_t>(rest) == kRecordMark &&
+         GetNumber<std::uint32_t>(rest.substr(kHeaderChecksumOffset)) == HeaderChecksum(rest);
 }
 
 bool IsComplete(std::string_view rest) {
-  if (rest.size() < kRecordHeaderBytes || GetNumber<std::uint32_t>(rest) != kRecordMark) {
-    return false;
-  }
+  if (!HasIntactHeader(rest)) return false;
   const std::size_t length = GetNumber<std::uint32_t>(rest.substr(kLengthOffset));
-  if (length > kMaxRecordBytes || length > rest.size() - kRecordHeaderBytes) return false;
+  if (length > rest.size() - kRecordHeaderBytes) return false;
   return Checksum(rest.substr(kRecordHeaderBytes, length)) ==
          GetNumber<std::uint64_t>(rest.substr(kChecksumOffset));
 }
@@ -74,6 +80,7 @@
   PutNumber(kRecordMark, bytes);
   PutNumber(static_cast<std::uint32_t>(payload.size()), bytes);
   PutNumber(Checksum(payload), bytes);
+  PutNumber(HeaderChecksum(bytes), bytes);
   bytes.append(payload);
   return bytes;
 }
@@ -87,13 +94,12 @@
   }
   if (HasRecordAfter(content, offset)) return {record_state::kDamaged, {}};
   if (rest.size() < kRecordHeaderBytes) return {record_state::kTorn, {}};
-  const std::size_t length = GetNumber<std::uint32_t>(rest.substr(kLengthOffset));
-  const bool marked = GetNumber<std::uint32_t>(rest) == kRecordMark;
-  if (marked && length <= kMaxRecordBytes && length > rest.size() - kRecordHeaderBytes) {
-    return {record_state::kTorn, {}};
+  if (HasIntactHeader(rest)) {
+    const std::size_t length = GetNumber<std::uint32_t>(rest.substr(kLengthOffset));
+    if (length > rest.size() - kRecordHeaderBytes) return {record_state::kTorn, {}};
   }
-  // A complete length with wrong content is a torn write only if part of it never reached the disk.
-  // Otherwise bytes that may have been acknowledged have changed.
+  // A record of full length with wrong content is a torn write only if part of it never reached the
+  // disk. Otherwise bytes that may have been acknowledged have changed.
   const bool torn = HasUnwrittenSector(content, offset, content.size());
   return {torn ? record_state::kTorn : record_state::kDamaged, {}};
 }
--- a/cornelweir/src/storage/record.h
+++ b/cornelweir/src/storage/record.h
@@ -8,9 +8,10 @@
 
 namespace cornelweir::storage::internal {
 
-// A record is a mark, the length of its payload, a checksum (xxHash64 over length and payload) and
-// the payload; numbers are little-endian.
-inline constexpr std::size_t kRecordHeaderBytes = 16;
+// A record is a mark, the length of its payload, the xxHash64 of the payload, the lower half of the
+// xxHash64 of these three, and the payload; numbers are little-endian. The header has a checksum of
+// its own because a changed length would otherwise look like a record that was written in part.
+inline constexpr std::size_t kRecordHeaderBytes = 20;
 
 std::string FrameRecord(std::string_view payload);
 
--- a/tests/replication_test.cc
+++ b/tests/replication_test.cc
@@ -304,8 +304,9 @@
   EXPECT_FALSE(propose(four));
   EXPECT_TRUE(propose({kThree.voters, {added}}));
   EXPECT_TRUE(propose(four));
-  for (const auto& [host, member] : group.nodes_)
+  for (const auto& [host, member] : group.nodes_) {
     EXPECT_TRUE(IsVoter(member.configuration(), added));
+  }
 }
 
 // Guards against a group without a leader: the host that alone holds its own removal refuses its
