Weigh crashes by the requests in progress, index the crash ledger

Cause: every request in progress at two crashes was quarantined or not by a fixed weight, so that a harmful request among 20 needed four crashes, and each report scanned all suspects.

Change: reports of a whole crash (ReportCrash) also single out the only request that was in progress at an earlier crash as well; it is quarantined at its second crash whatever else was in progress. The ledger gives up the weakest evidence first, remembers 16 crashes per request, and finds what to forget by index.

A property found that a report repeated after four further crashes counted again; more crashes are remembered now.

--- a/cornelweir/quarantine.h
+++ b/cornelweir/quarantine.h
@@ -6,9 +6,12 @@
 
 #include "cornelweir/src/quarantine/crash_ledger.h"
 #include "cornelweir/src/quarantine/crash_ledger_state.h"
+#include "cornelweir/src/quarantine/crash_report.h"
 #include "cornelweir/src/quarantine/limits.h"
 #include "cornelweir/src/quarantine/quarantine_list.h"
 #include "cornelweir/src/quarantine/quarantined_fingerprint.h"
 #include "cornelweir/src/quarantine/suspect.h"
+#include "cornelweir/src/quarantine/suspect_filter.h"
+#include "cornelweir/src/quarantine/upstream_crash.h"
 
 #endif  // CORNELWEIR_QUARANTINE_H_
--- a/cornelweir/src/quarantine/crash_ledger.cc
+++ b/cornelweir/src/quarantine/crash_ledger.cc
@@ -1,68 +1,58 @@
 #include "cornelweir/src/quarantine/crash_ledger.h"
 
 #include <algorithm>
-#include <cstdint>
+#include <cstddef>
 
 #include "cornelweir/src/quarantine/limits.h"
 
 namespace cornelweir::quarantine {
-namespace internal {
 
-bool IsProven(const suspect& entry) {
-  if (entry.crashes.size() < kMinCrashes) return false;
-  return entry.evidence >= kQuarantineEvidence || entry.crashes.size() >= kMaxCrashes;
-}
+std::vector<kernel::fingerprint> crash_ledger::ReportCrash(const crash_report& report,
+                                                           kernel::time_point now) {
+  Expire(now);
+  std::vector<kernel::fingerprint> requests = report.requests;
+  std::sort(requests.begin(), requests.end());
+  requests.erase(std::unique(requests.begin(), requests.end()), requests.end());
+  const auto in_progress = static_cast<std::int64_t>(requests.size());
+  if (requests.size() > kMaxReportedRequests) requests.resize(kMaxReportedRequests);
 
-// The key of the entry with the smallest value, the first one among equals.
-template <class Map, class Projection>
-typename Map::iterator Smallest(Map& map, Projection projection) {
-  return std::min_element(map.begin(), map.end(), [&](const auto& left, const auto& right) {
-    return projection(left.second) < projection(right.second);
-  });
+  const upstream_crash crash{report.upstream, report.process};
+  const auto repeated =
+      std::count_if(requests.begin(), requests.end(),
+                    [&](kernel::fingerprint request) { return WasInEarlierCrash(request, crash); });
+  std::vector<kernel::fingerprint> quarantined;
+  for (const kernel::fingerprint request : requests) {
+    const bool known = state_.quarantined.contains(request);
+    const bool only_repeated = repeated == 1 && WasInEarlierCrash(request, crash);
+    if (Count(request, crash, in_progress, only_repeated) && !known) {
+      quarantined.push_back(request);
+    }
+  }
+  return quarantined;
 }
 
-}  // namespace internal
-
 bool crash_ledger::Report(kernel::fingerprint request, const kernel::upstream_id& upstream,
                           kernel::incarnation process, kernel::time_point now,
                           kernel::request_count in_progress) {
   Expire(now);
-  if (!state_.suspects.contains(request) && state_.suspects.size() >= kMaxSuspects) {
-    state_.suspects.erase(
-        internal::Smallest(state_.suspects, [](const suspect& entry) { return entry.last_crash; }));
-  }
-  suspect& entry = state_.suspects[request];
-  const upstream_crash crash{upstream, process};
-  if (std::find(entry.crashes.begin(), entry.crashes.end(), crash) == entry.crashes.end()) {
-    entry.crashes.push_back(crash);
-    if (entry.crashes.size() > kMaxCrashes) entry.crashes.erase(entry.crashes.begin());
-    entry.evidence += kFullEvidence / std::max<std::int64_t>(in_progress.value(), 1);
-    entry.last_crash = state_.latest;
-    if (internal::IsProven(entry)) Quarantine(request);
-  }
+  Count(request, upstream_crash{upstream, process}, in_progress.value(), false);
   return state_.quarantined.contains(request);
 }
 
-void crash_ledger::Quarantine(kernel::fingerprint request) {
-  if (!state_.quarantined.contains(request) && state_.quarantined.size() >= kMaxQuarantined) {
-    state_.quarantined.erase(
-        internal::Smallest(state_.quarantined, [](kernel::log_time until) { return until; }));
-  }
-  state_.quarantined[request] = kernel::log_time(state_.latest.value() + kQuarantineTime.count());
-}
-
 bool crash_ledger::Release(kernel::fingerprint request) {
-  state_.suspects.erase(request);
-  return state_.quarantined.erase(request) > 0;
+  Forget(request);
+  const bool quarantined = state_.quarantined.contains(request);
+  EndQuarantine(request);
+  return quarantined;
 }
 
 void crash_ledger::Expire(kernel::time_point now) {
   state_.latest = std::max(state_.latest, kernel::ToLogTime(now));
-  std::erase_if(state_.quarantined,
-                [&](const auto& entry) { return entry.second <= state_.latest; });
-  std::erase_if(state_.suspects, [&](const auto& entry) {
-    return entry.second.last_crash.value() + kSuspicionTime.count() <= state_.latest.value();
-  });
+  while (!by_end_.empty() && by_end_.begin()->first <= state_.latest) {
+    EndQuarantine(by_end_.begin()->second);
+  }
+  const kernel::log_time oldest(state_.latest.value() - kSuspicionTime.count());
+  while (!by_age_.empty() && by_age_.begin()->first <= oldest) Forget(by_age_.begin()->second);
 }
 
 std::vector<quarantined_fingerprint> crash_ledger::Quarantined() const {
@@ -72,4 +62,78 @@
   return list;
 }
 
+void crash_ledger::Restore(crash_ledger_state state) {
+  state_ = std::move(state);
+  by_age_.clear();
+  by_evidence_.clear();
+  by_end_.clear();
+  for (const auto& [request, entry] : state_.suspects) Index(request, entry);
+  for (const auto& [request, until] : state_.quarantined) by_end_.emplace(until, request);
+}
+
+bool crash_ledger::WasInEarlierCrash(kernel::fingerprint request,
+                                     const upstream_crash& crash) const {
+  const auto found = state_.suspects.find(request);
+  return found != state_.suspects.end() &&
+         std::any_of(found->second.crashes.begin(), found->second.crashes.end(),
+                     [&](const upstream_crash& earlier) { return earlier != crash; });
+}
+
+bool crash_ledger::Count(kernel::fingerprint request, const upstream_crash& crash,
+                         std::int64_t in_progress, bool only_repeated) {
+  suspect entry;
+  const auto found = state_.suspects.find(request);
+  if (found != state_.suspects.end()) {
+    entry = found->second;
+    if (std::find(entry.crashes.begin(), entry.crashes.end(), crash) != entry.crashes.end()) {
+      return false;
+    }
+    Forget(request);
+  } else if (state_.suspects.size() >= kMaxSuspects) {
+    Forget(by_evidence_.begin()->second);
+  }
+  entry.crashes.push_back(crash);
+  if (entry.crashes.size() > kRememberedCrashes) entry.crashes.erase(entry.crashes.begin());
+  entry.evidence += kFullEvidence / std::max<std::int64_t>(in_progress, 1);
+  entry.last_crash = state_.latest;
+  Index(request, entry);
+  const std::size_t crashes = entry.crashes.size();
+  state_.suspects.emplace(request, std::move(entry));
+  if (crashes < kMinCrashes) return false;
+  if (!only_repeated && crashes < kMaxCrashes &&
+      state_.suspects.at(request).evidence < kQuarantineEvidence) {
+    return false;
+  }
+  Quarantine(request);
+  return true;
+}
+
+void crash_ledger::Quarantine(kernel::fingerprint request) {
+  EndQuarantine(request);
+  if (state_.quarantined.size() >= kMaxQuarantined) EndQuarantine(by_end_.begin()->second);
+  const kernel::log_time until(state_.latest.value() + kQuarantineTime.count());
+  state_.quarantined.emplace(request, until);
+  by_end_.emplace(until, request);
+}
+
+void crash_ledger::EndQuarantine(kernel::fingerprint request) {
+  const auto found = state_.quarantined.find(request);
+  if (found == state_.quarantined.end()) return;
+  by_end_.erase({found->second, request});
+  state_.quarantined.erase(found);
+}
+
+void crash_ledger::Forget(kernel::fingerprint request) {
+  const auto found = state_.suspects.find(request);
+  if (found == state_.suspects.end()) return;
+  by_age_.erase({found->second.last_crash, request});
+  by_evidence_.erase({{found->second.evidence, found->second.last_crash}, request});
+  state_.suspects.erase(found);
+}
+
+void crash_ledger::Index(kernel::fingerprint request, const suspect& entry) {
+  by_age_.emplace(entry.last_crash, request);
+  by_evidence_.emplace(weakness{entry.evidence, entry.last_crash}, request);
+}
+
 }  // namespace cornelweir::quarantine
--- /dev/null
+++ b/cornelweir/src/quarantine/crash_report.h
@@ -0,0 +1,28 @@
+#ifndef CORNELWEIR_SRC_QUARANTINE_CRASH_REPORT_H_
+#define CORNELWEIR_SRC_QUARANTINE_CRASH_REPORT_H_
+
+#include <tuple>
+#include <vector>
+
+#include "cornelweir/src/kernel/field.h"
+#include "cornelweir/src/kernel/ids.h"
+
+namespace cornelweir::quarantine {
+
+// A crash of an upstream process and the requests that it may be due to.
+struct crash_report {
+  kernel::upstream_id upstream;
+  kernel::incarnation process;
+  std::vector<kernel::fingerprint> requests;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"upstream", &crash_report::upstream},
+                      kernel::field{"process", &crash_report::process},
+                      kernel::field{"requests", &crash_report::requests}};
+  }
+  friend bool operator==(const crash_report&, const crash_report&) = default;
+};
+
+}  // namespace cornelweir::quarantine
+
+#endif  // CORNELWEIR_SRC_QUARANTINE_CRASH_REPORT_H_
--- a/cornelweir/src/quarantine/suspect.h
+++ b/cornelweir/src/quarantine/suspect.h
@@ -6,25 +6,14 @@
 #include <vector>
 
 #include "cornelweir/src/kernel/field.h"
-#include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/kernel/log_time.h"
+#include "cornelweir/src/quarantine/upstream_crash.h"
 
 namespace cornelweir::quarantine {
 
-// One crash of an upstream process.
-struct upstream_crash {
-  kernel::upstream_id upstream;
-  kernel::incarnation process;
-
-  static constexpr auto Fields() {
-    return std::tuple{kernel::field{"upstream", &upstream_crash::upstream},
-                      kernel::field{"process", &upstream_crash::process}};
-  }
-  friend bool operator==(const upstream_crash&, const upstream_crash&) = default;
-};
-
 // The crashes at which a request was in progress.
 struct suspect {
+  // The latest ones, at most kRememberedCrashes.
   std::vector<upstream_crash> crashes;
   // The sum of the evidence of the crashes; see kFullEvidence.
   std::int64_t evidence = 0;
