Bound the claim table's work and memory, test claims and outcomes

Cause: the claim table copied each key into its expiry index, could forget a million claims in one call, and refused claims while it was full of released ones, which are only kept against delayed copies of commands.

Change: the index refers to the claims; a call forgets at most 10,000; a full table gives up released claims that are older than a minute; keys and attempt ids have bounds; expired claims can't be completed or released.

--- a/cornelweir/src/claims/claim_table.cc
+++ b/cornelweir/src/claims/claim_table.cc
@@ -1,6 +1,7 @@
 #include "cornelweir/src/claims/claim_table.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <utility>
 
@@ -9,9 +10,8 @@
 namespace cornelweir::claims {
 namespace internal {
 
-std::int64_t BytesOf(const std::optional<stored_response>& response) {
-  if (!response) return 0;
-  return static_cast<std::int64_t>(response->content_type.size() + response->body.bytes.size());
+std::int64_t BytesOf(const stored_response& response) {
+  return static_cast<std::int64_t>(response.content_type.size() + response.body.bytes.size());
 }
 
 bool HasReleased(const claim& entry, const kernel::attempt_id& attempt) {
@@ -20,90 +20,64 @@
 
 }  // namespace internal
 
-void claim_table::Advance(kernel::time_point now) {
-  state_.latest = std::max(state_.latest, kernel::ToLogTime(now));
-}
-
-void claim_table::SetExpiry(claim_map::iterator entry, kernel::microseconds retention) {
-  by_expiry_.erase({entry->second.expires, entry->first});
-  entry->second.expires = kernel::log_time(state_.latest.value() + retention.count());
-  by_expiry_.emplace(entry->second.expires, entry->first);
-}
-
-void claim_table::Erase(claim_map::iterator entry) {
-  by_expiry_.erase({entry->second.expires, entry->first});
-  stored_bytes_ =
-      kernel::byte_count(stored_bytes_.value() - internal::BytesOf(entry->second.response));
-  state_.claims.erase(entry);
-}
-
 claim_result claim_table::Claim(const kernel::idempotency_key& key,
                                 const kernel::attempt_id& attempt, kernel::fingerprint content,
                                 kernel::time_point now) {
-  Advance(now);
-  auto found = state_.claims.find(key);
-  if (found != state_.claims.end() && found->second.expires <= state_.latest) {
-    Erase(found);
-    found = state_.claims.end();
+  Expire(now);
+  if (key.value().size() > kMaxStoredKeyBytes || attempt.value().size() > kMaxAttemptBytes) {
+    return {claim_status::kFull, std::nullopt};
   }
+  auto found = Find(key);
   if (found == state_.claims.end()) {
-    if (state_.claims.size() >= max_claims_) return {claim_status::kFull, std::nullopt};
-    found = state_.claims.emplace(key, claim{}).first;
+    found = Add(key);
+    if (found == state_.claims.end()) return {claim_status::kFull, std::nullopt};
+  } else if (found->second.state == claim_state::kReleased) {
+    if (internal::HasReleased(found->second, attempt)) return {claim_status::kHeld, std::nullopt};
   } else {
-    claim& entry = found->second;
-    if (entry.state == claim_state::kReleased) {
-      if (internal::HasReleased(entry, attempt)) return {claim_status::kHeld, std::nullopt};
-    } else {
-      if (entry.content != content) return {claim_status::kMismatch, std::nullopt};
-      if (entry.state == claim_state::kCompleted) return {claim_status::kCompleted, entry.response};
-      return {entry.holder == attempt ? claim_status::kGranted : claim_status::kHeld, std::nullopt};
-    }
+    const claim& entry = found->second;
+    if (entry.content != content) return {claim_status::kMismatch, std::nullopt};
+    if (entry.state == claim_state::kCompleted) return {claim_status::kCompleted, entry.response};
+    return {entry.holder == attempt ? claim_status::kGranted : claim_status::kHeld, std::nullopt};
   }
-  found->second.state = claim_state::kHeld;
-  found->second.holder = attempt;
+  SetState(found, claim_state::kHeld, attempt, After(kClaimRetention));
   found->second.content = content;
-  SetExpiry(found, kClaimRetention);
   return {claim_status::kGranted, std::nullopt};
 }
 
 bool claim_table::Complete(const kernel::idempotency_key& key, const kernel::attempt_id& attempt,
                            stored_response response) {
-  const auto found = state_.claims.find(key);
-  if (found == state_.claims.end() || found->second.holder != attempt) return false;
-  claim& entry = found->second;
-  if (entry.state == claim_state::kReleased) return false;
-  if (entry.state == claim_state::kCompleted) return true;
-  if (response.content_type.size() > kMaxContentTypeBytes) response.content_type.clear();
-  const auto bytes =
-      static_cast<std::int64_t>(response.content_type.size() + response.body.bytes.size());
-  if (response.body.bytes.size() > kMaxBodyBytes ||
-      stored_bytes_.value() + bytes > max_stored_bytes_.value()) {
-    response.content_type.clear();
-    response.body.bytes.clear();
-    response.body_omitted = true;
+  const auto found = Find(key);
+  if (found == state_.claims.end() || found->second.state == claim_state::kReleased ||
+      found->second.holder != attempt) {
+    return false;
   }
-  entry.state = claim_state::kCompleted;
-  entry.response = std::move(response);
-  stored_bytes_ = kernel::byte_count(stored_bytes_.value() + internal::BytesOf(entry.response));
+  if (found->second.state == claim_state::kCompleted) return true;
+  const std::int64_t free = max_stored_bytes_.value() - stored_bytes_.value();
+  if (response.content_type.size() > kMaxContentTypeBytes ||
+      response.body.bytes.size() > kMaxBodyBytes || internal::BytesOf(response) > free) {
+    response = stored_response{response.status, {}, {}, true};
+  }
+  stored_bytes_ = kernel::byte_count(stored_bytes_.value() + internal::BytesOf(response));
+  found->second.response = std::move(response);
+  SetState(found, claim_state::kCompleted, attempt, found->second.expires);
   return true;
 }
 
 bool claim_table::Release(const kernel::idempotency_key& key, const kernel::attempt_id& attempt) {
-  auto found = state_.claims.find(key);
-  bool held = false;
+  if (key.value().size() > kMaxStoredKeyBytes || attempt.value().size() > kMaxAttemptBytes) {
+    return false;
+  }
+  auto found = Find(key);
+  const bool held = found != state_.claims.end() && found->second.state == claim_state::kHeld &&
+                    found->second.holder == attempt;
   if (found == state_.claims.end()) {
-    if (state_.claims.size() >= max_claims_) return false;
-    found = state_.claims.emplace(key, claim{}).first;
-    found->second.state = claim_state::kReleased;
-    SetExpiry(found, kReleaseRetention);
-  } else if (found->second.state == claim_state::kHeld && found->second.holder == attempt) {
-    held = true;
-    found->second.state = claim_state::kReleased;
-    found->second.holder = {};
-    SetExpiry(found, kReleaseRetention);
+    found = Add(key);
+    if (found == state_.claims.end()) return false;
   }
   claim& entry = found->second;
-  if (entry.holder != attempt && !internal::HasReleased(entry, attempt)) {
+  if (!held && entry.state != claim_state::kReleased && entry.holder == attempt) return false;
+  if (held) SetState(found, claim_state::kReleased, {}, After(kReleaseRetention));
+  if (!internal::HasReleased(entry, attempt)) {
     entry.released.push_back(attempt);
     if (entry.released.size() > kMaxReleasedAttempts) entry.released.erase(entry.released.begin());
   }
@@ -111,21 +85,76 @@
 }
 
 void claim_table::Expire(kernel::time_point now) {
-  Advance(now);
-  while (!by_expiry_.empty() && by_expiry_.begin()->first <= state_.latest) {
-    Erase(state_.claims.find(by_expiry_.begin()->second));
+  state_.latest = std::max(state_.latest, kernel::ToLogTime(now));
+  std::size_t left = kMaxForgottenPerCall;
+  for (expiry_index* index : {&by_expiry_, &released_by_expiry_}) {
+    for (; left > 0 && !index->empty(); --left) {
+      const auto first = *index->begin();
+      if (first->second.expires > state_.latest) break;
+      Erase(first);
+    }
   }
 }
 
 void claim_table::Restore(claim_table_state state) {
-  state_ = std::move(state);
   by_expiry_.clear();
+  released_by_expiry_.clear();
+  state_ = std::move(state);
   std::int64_t bytes = 0;
-  for (const auto& [key, entry] : state_.claims) {
-    by_expiry_.emplace(entry.expires, key);
-    bytes += internal::BytesOf(entry.response);
+  for (auto entry = state_.claims.begin(); entry != state_.claims.end(); ++entry) {
+    IndexOf(entry->second).insert(entry);
+    if (entry->second.response) bytes += internal::BytesOf(*entry->second.response);
   }
   stored_bytes_ = kernel::byte_count(bytes);
 }
 
+claim_table::claim_map::iterator claim_table::Find(const kernel::idempotency_key& key) {
+  const auto found = state_.claims.find(key);
+  if (found == state_.claims.end() || found->second.expires > state_.latest) return found;
+  Erase(found);
+  return state_.claims.end();
+}
+
+claim_table::claim_map::iterator claim_table::Add(const kernel::idempotency_key& key) {
+  if (state_.claims.size() >= max_claims_) {
+    const kernel::log_time oldest = After(kReleaseRetention - kMinReleaseRetention);
+    if (released_by_expiry_.empty() || (*released_by_expiry_.begin())->second.expires > oldest) {
+      return state_.claims.end();
+    }
+    Erase(*released_by_expiry_.begin());
+  }
+  claim entry;
+  entry.state = claim_state::kReleased;
+  entry.expires = After(kReleaseRetention);
+  const auto added = state_.claims.emplace(key, std::move(entry)).first;
+  released_by_expiry_.insert(added);
+  return added;
+}
+
+claim_table::expiry_index& claim_table::IndexOf(const claim& entry) {
+  return entry.state == claim_state::kReleased ? released_by_expiry_ : by_expiry_;
+}
+
+void claim_table::SetState(claim_map::iterator entry, claim_state state,
+                           const kernel::attempt_id& holder, kernel::log_time expires) {
+  IndexOf(entry->second).erase(entry);
+  entry->second.state = state;
+  entry->second.holder = holder;
+  entry->second.expires = expires;
+  IndexOf(entry->second).insert(entry);
+}
+
+void claim_table::Erase(claim_map::iterator entry) {
+  IndexOf(entry->second).erase(entry);
+  if (entry->second.response) {
+    stored_bytes_ =
+        kernel::byte_count(stored_bytes_.value() - internal::BytesOf(*entry->second.response));
+  }
+  state_.claims.erase(entry);
+}
+
+kernel::log_time claim_table::After(kernel::microseconds retention) const {
+  return kernel::log_time(state_.latest.value() + retention.count());
+}
+
 }  // namespace cornelweir::claims
--- a/cornelweir/src/claims/claim_table.h
+++ b/cornelweir/src/claims/claim_table.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <set>
-#include <utility>
+#include <tuple>
 
 #include "cornelweir/src/claims/claim_result.h"
 #include "cornelweir/src/claims/claim_table_state.h"
@@ -25,8 +25,9 @@
                        kernel::byte_count max_stored_bytes = kMaxStoredBytes)
       : max_claims_(max_claims), max_stored_bytes_(max_stored_bytes) {}
 
-  // Claims a key for an attempt. A repeated claim by the holder is granted again; one by an
-  // attempt that has released the key is not.
+  // Claims a key for an attempt. Keys are compared as they are: a key that callers choose must be
+  // scoped to the tenant and the route before. A repeated claim by the holder is granted again; one
+  // by an attempt that has released the key is not.
   claim_result Claim(const kernel::idempotency_key& key, const kernel::attempt_id& attempt,
                      kernel::fingerprint content, kernel::time_point now);
 
@@ -39,26 +40,44 @@
   // even if its claim arrives after its release. Returns false if the attempt did not hold it.
   bool Release(const kernel::idempotency_key& key, const kernel::attempt_id& attempt);
 
-  // Forgets claims whose retention has passed.
+  // Forgets claims whose retention has passed, at most kMaxForgottenPerCall. The others have no
+  // effect any more, and later calls forget them.
   void Expire(kernel::time_point now);
 
   std::size_t size() const { return state_.claims.size(); }
   kernel::byte_count stored_bytes() const { return stored_bytes_; }
 
+  // The whole state; Snapshot() is a copy of it.
+  const claim_table_state& state() const { return state_; }
   claim_table_state Snapshot() const { return state_; }
   void Restore(claim_table_state state);
 
  private:
   using claim_map = std::map<kernel::idempotency_key, claim>;
+  // Claims by the time at which they expire. Keys are not copied.
+  struct earlier {
+    bool operator()(claim_map::const_iterator a, claim_map::const_iterator b) const {
+      return std::tie(a->second.expires, a->first) < std::tie(b->second.expires, b->first);
+    }
+  };
+  using expiry_index = std::set<claim_map::iterator, earlier>;
 
-  void Advance(kernel::time_point now);
-  void SetExpiry(claim_map::iterator entry, kernel::microseconds retention);
+  // The claim of a key, or the end if there is none that still counts.
+  claim_map::iterator Find(const kernel::idempotency_key& key);
+  // Adds a claim of the key, or returns the end if there is no room.
+  claim_map::iterator Add(const kernel::idempotency_key& key);
+  expiry_index& IndexOf(const claim& entry);
+  void SetState(claim_map::iterator entry, claim_state state, const kernel::attempt_id& holder,
+                kernel::log_time expires);
   void Erase(claim_map::iterator entry);
+  kernel::log_time After(kernel::microseconds retention) const;
 
   std::size_t max_claims_;
   kernel::byte_count max_stored_bytes_;
   claim_table_state state_;
-  std::set<std::pair<kernel::log_time, kernel::idempotency_key>> by_expiry_;
+  // Derived from the state: claims that are held or completed, and released ones.
+  expiry_index by_expiry_;
+  expiry_index released_by_expiry_;
   kernel::byte_count stored_bytes_;
 };
 
--- a/tests/claims_test.cc
+++ b/tests/claims_test.cc
@@ -1,28 +1,192 @@
 #include "cornelweir/claims.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
 
 namespace cornelweir::claims {
 namespace {
 
-const kernel::time_point kStart{std::chrono::seconds(1000)};
-const kernel::idempotency_key kKey("key");
-const kernel::attempt_id kFirst("first");
-const kernel::attempt_id kSecond("second");
+using kernel::attempt_id;
+using kernel::idempotency_key;
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const kernel::time_point kStart{seconds(1000)};
+const idempotency_key kKey("key");
+const attempt_id kFirst("first");
+const attempt_id kSecond("second");
 const kernel::fingerprint kContent(1);
 
+idempotency_key Key(int number) { return idempotency_key("key" + std::to_string(number)); }
+
+stored_response Response(std::size_t body) {
+  return {response_status(201), "text/plain", {std::string(body, 'x')}, false};
+}
+
+claim_status Claim(claim_table& table, const idempotency_key& key, const attempt_id& attempt,
+                   kernel::time_point now = kStart) {
+  return table.Claim(key, attempt, kContent, now).status;
+}
+
 // Guards against a resent request running a second time.
 TEST(ClaimTable, GrantsAKeyToOneAttempt) {
   claim_table table;
-  EXPECT_EQ(table.Claim(kKey, kFirst, kContent, kStart).status, claim_status::kGranted);
-  EXPECT_EQ(table.Claim(kKey, kFirst, kContent, kStart).status, claim_status::kGranted);
-  EXPECT_EQ(table.Claim(kKey, kSecond, kContent, kStart).status, claim_status::kHeld);
+  EXPECT_EQ(Claim(table, kKey, kFirst), claim_status::kGranted);
+  EXPECT_EQ(Claim(table, kKey, kFirst), claim_status::kGranted);
+  EXPECT_EQ(Claim(table, kKey, kSecond), claim_status::kHeld);
   EXPECT_EQ(table.Claim(kKey, kSecond, kernel::fingerprint(2), kStart).status,
             claim_status::kMismatch);
-  EXPECT_TRUE(table.Complete(kKey, kFirst, {response_status(201), "text/plain", {"done"}, false}));
-  const auto again = table.Claim(kKey, kSecond, kContent, kStart);
-  EXPECT_EQ(again.status, claim_status::kCompleted);
-  EXPECT_EQ(again.response->body.bytes, "done");
+  EXPECT_FALSE(table.Complete(kKey, kSecond, Response(1)));
+  EXPECT_FALSE(table.Release(kKey, kSecond));
+  EXPECT_TRUE(table.Complete(kKey, kFirst, Response(4)));
+  EXPECT_TRUE(table.Complete(kKey, kFirst, Response(9)));
+  EXPECT_FALSE(table.Release(kKey, kFirst));
+  EXPECT_EQ(table.Claim(kKey, kSecond, kContent, kStart),
+            (claim_result{claim_status::kCompleted, Response(4)}));
+}
+
+// Guards against a delayed copy of a claim command being granted to an attempt that has ended,
+// which would keep the key from everybody for a day.
+TEST(ClaimTable, ReleasedAttemptCannotClaimAgain) {
+  claim_table table;
+  Claim(table, kKey, kFirst);
+  EXPECT_TRUE(table.Release(kKey, kFirst));
+  EXPECT_EQ(Claim(table, kKey, kFirst), claim_status::kHeld);
+  EXPECT_EQ(Claim(table, kKey, kSecond), claim_status::kGranted);
+  // The release may also arrive before the claim.
+  EXPECT_FALSE(table.Release(Key(2), kFirst));
+  EXPECT_EQ(Claim(table, Key(2), kFirst), claim_status::kHeld);
+  EXPECT_EQ(Claim(table, Key(2), kSecond), claim_status::kGranted);
+}
+
+TEST(ClaimTable, KeepsClaimsForADay) {
+  claim_table table;
+  Claim(table, kKey, kFirst);
+  table.Complete(kKey, kFirst, Response(4));
+  table.Expire(kStart + hours(24) - seconds(1));
+  EXPECT_EQ(Claim(table, kKey, kSecond, kStart + hours(23)), claim_status::kCompleted);
+  EXPECT_EQ(Claim(table, kKey, kSecond, kStart + hours(24)), claim_status::kGranted);
+  EXPECT_EQ(table.stored_bytes(), kernel::byte_count(0));
+}
+
+// Guards against the table growing without bound, and against being full of released claims.
+TEST(ClaimTable, FullTableGivesUpReleasedClaimsOnly) {
+  claim_table table(2);
+  Claim(table, Key(1), kFirst);
+  Claim(table, Key(2), kFirst);
+  EXPECT_EQ(Claim(table, Key(3), kFirst), claim_status::kFull);
+  table.Release(Key(1), kFirst);
+  EXPECT_EQ(Claim(table, Key(3), kFirst), claim_status::kFull);
+  EXPECT_EQ(Claim(table, Key(3), kFirst, kStart + minutes(1)), claim_status::kGranted);
+  EXPECT_EQ(Claim(table, Key(2), kSecond, kStart + minutes(1)), claim_status::kHeld);
+  EXPECT_EQ(table.size(), 2U);
+  EXPECT_EQ(Claim(table, idempotency_key(std::string(kMaxStoredKeyBytes + 1, 'k')), kFirst,
+                  kStart + hours(48)),
+            claim_status::kFull);
+}
+
+TEST(ClaimTable, OmitsBodiesThatAreTooLarge) {
+  claim_table table(10, kernel::byte_count(kMaxBodyBytes + 20));
+  for (int i = 1; i <= 3; ++i) Claim(table, Key(i), kFirst);
+  table.Complete(Key(1), kFirst, Response(kMaxBodyBytes + 1));
+  table.Complete(Key(2), kFirst, Response(kMaxBodyBytes));
+  table.Complete(Key(3), kFirst, Response(1));
+  const stored_response omitted{response_status(201), {}, {}, true};
+  EXPECT_EQ(table.Claim(Key(1), kSecond, kContent, kStart).response, omitted);
+  EXPECT_EQ(table.Claim(Key(2), kSecond, kContent, kStart).response, Response(kMaxBodyBytes));
+  EXPECT_EQ(table.Claim(Key(3), kSecond, kContent, kStart).response, omitted);
+}
+
+// Guards against one call forgetting so many claims that the loop stands still.
+TEST(ClaimTable, ForgetsABoundedNumberPerCall) {
+  claim_table table;
+  const int count = static_cast<int>(kMaxForgottenPerCall) + 1;
+  for (int i = 0; i < count; ++i) Claim(table, Key(i), kFirst);
+  table.Expire(kStart + hours(24));
+  ASSERT_EQ(table.size(), 1U);
+  const idempotency_key left = table.state().claims.begin()->first;
+  EXPECT_FALSE(table.Complete(left, kFirst, Response(1))) << "it has expired like the others";
+}
+
+// Guards against a key running twice under any mix of claims, completions, releases, expiry and
+// resent commands, and against a replica restored from a snapshot deciding differently.
+RC_GTEST_PROP(ClaimTable, RunsAKeyAtMostOnce, ()) {
+  claim_table table(6, kernel::byte_count(40));
+  claim_table copy(6, kernel::byte_count(40));
+  kernel::time_point now = kStart;
+  std::uint64_t next_attempt = 0;
+  // Attempts that may run or have run, by key, since when; and those that have released a key.
+  std::map<idempotency_key, std::pair<attempt_id, kernel::time_point>> runs;
+  std::set<std::pair<idempotency_key, attempt_id>> ended;
+  std::vector<std::pair<idempotency_key, attempt_id>> sent;
+  const auto schedule =
+      *rc::gen::container<std::vector<std::uint32_t>>(300, rc::gen::inRange(0U, 1U << 30));
+  for (const std::uint32_t step : schedule) {
+    const std::uint32_t value = step / 16;
+    const std::uint32_t choice = step % 16;
+    if (choice < 10) {
+      std::pair<idempotency_key, attempt_id> command{
+          Key(static_cast<int>(value % 8)), attempt_id("a" + std::to_string(next_attempt++))};
+      // Some commands are sent again.
+      if (choice < 4 && !sent.empty()) command = sent[value % sent.size()];
+      sent.push_back(command);
+      const auto& [key, attempt] = command;
+      const auto result = table.Claim(key, attempt, kContent, now);
+      RC_ASSERT(copy.Claim(key, attempt, kContent, now) == result);
+      const auto running = runs.find(key);
+      const bool taken = running != runs.end() && now - running->second.second < kClaimRetention;
+      if (result.status == claim_status::kGranted) {
+        RC_ASSERT(!taken || running->second.first == attempt);
+        RC_ASSERT(!ended.contains(command));
+        if (!taken) runs[key] = {attempt, now};
+      } else if (taken) {
+        RC_ASSERT(result.status != claim_status::kFull);
+      }
+    } else if (choice < 14 && !sent.empty()) {
+      const auto command = sent[value % sent.size()];
+      const auto& [key, attempt] = command;
+      const auto running = runs.find(key);
+      const bool holds = running != runs.end() && running->second.first == attempt &&
+                         now - running->second.second < kClaimRetention;
+      if (choice < 12) {
+        const bool done = table.Complete(key, attempt, Response(value % 20));
+        RC_ASSERT(copy.Complete(key, attempt, Response(value % 20)) == done);
+        RC_ASSERT(!done || holds);
+      } else {
+        const bool released = table.Release(key, attempt);
+        RC_ASSERT(copy.Release(key, attempt) == released);
+        RC_ASSERT(!released || holds);
+        if (released) {
+          runs.erase(key);
+          ended.insert(command);
+        }
+      }
+    } else if (choice == 14) {
+      const bool long_step = value % 16 == 0;
+      now += long_step ? kernel::microseconds(hours(value / 16 % 30)) : seconds(value / 16 % 5);
+      if (long_step) {
+        sent.clear();
+        ended.clear();
+      }
+      table.Expire(now);
+      copy.Expire(now);
+    } else {
+      copy.Restore(table.Snapshot());
+    }
+    RC_ASSERT(table.size() <= 6U);
+    RC_ASSERT(table.stored_bytes() <= kernel::byte_count(40));
+    RC_ASSERT(table.Snapshot() == copy.Snapshot());
+  }
 }
 
 }  // namespace
--- a/tests/outcome_test.cc
+++ b/tests/outcome_test.cc
@@ -1,10 +1,17 @@
 #include "cornelweir/outcome.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <vector>
 
 namespace cornelweir::outcome {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -19,22 +26,89 @@
   }
   request_outcome parsed = request_outcome::kUnknown;
   EXPECT_FALSE(ParseOutcome("Ran", parsed));
+  EXPECT_EQ(parsed, request_outcome::kUnknown);
   EXPECT_EQ(OutcomeName(request_outcome::kNotRun), "not-run");
+  EXPECT_EQ(RefusalText(refusal_reason::kShuttingDown), "the daemon is shutting down");
+}
+
+// Guards against a hop telling the next one more time than is left, and against a chain of calls
+// of the longest allowed depth using up a deadline by reserves alone.
+TEST(Deadline, ShrinksByTheWayBackOfTheResponse) {
+  deadline limit = deadline::After(milliseconds(100), kStart);
+  EXPECT_EQ(limit.Shrunk(kStart).Remaining(kStart), milliseconds(97));
+  EXPECT_EQ(limit.RemainingMs(kStart + microseconds(1)), milliseconds(99));
+  EXPECT_EQ(limit.Remaining(kStart + seconds(1)), microseconds(0));
+  EXPECT_EQ(limit.Shrunk(kStart + seconds(1)), limit);
+  EXPECT_TRUE(limit.Passed(kStart + milliseconds(100)));
+  for (int hop = 0; hop < 32; ++hop) limit = limit.Shrunk(kStart);
+  EXPECT_GT(limit.Remaining(kStart), milliseconds(1));
 }
 
-// Guards against a request that may have run being repeated although that is not allowed.
+// What speaks against a retry, in the order in which it is looked at.
 TEST(DecideRetry, RepeatsOnlyWhatDidNotRunOrMayBeRepeated) {
   retry_budget budget;
   const deadline limit = deadline::After(seconds(1), kStart);
+  const auto decide = [&](const attempt_result& result) {
+    return DecideRetry(result, limit, budget, kStart);
+  };
   attempt_result result;
-  EXPECT_EQ(DecideRetry(result, limit, budget, kStart), retry_decision::kMayHaveRun);
+  EXPECT_EQ(decide(result), retry_decision::kMayHaveRun);
+  result.outcome = request_outcome::kRan;
+  EXPECT_EQ(decide(result), retry_decision::kMayHaveRun);
   result.outcome = request_outcome::kNotRun;
-  EXPECT_EQ(DecideRetry(result, limit, budget, kStart), retry_decision::kRetry);
+  EXPECT_EQ(decide(result), retry_decision::kRetry);
   result.outcome = request_outcome::kUnknown;
   result.idempotent = true;
-  EXPECT_EQ(DecideRetry(result, limit, budget, kStart), retry_decision::kRetry);
+  EXPECT_EQ(decide(result), retry_decision::kRetry);
+  result.attempts = kMaxAttempts;
+  EXPECT_EQ(decide(result), retry_decision::kAttemptsUsed);
   result.arrived_as_retry = true;
-  EXPECT_EQ(DecideRetry(result, limit, budget, kStart), retry_decision::kArrivedAsRetry);
+  EXPECT_EQ(decide(result), retry_decision::kArrivedAsRetry);
+  result.answered = true;
+  EXPECT_EQ(decide(result), retry_decision::kAnswered);
+  result = {};
+  result.outcome = request_outcome::kNotRun;
+  result.refusal = refusal_reason::kQuarantined;
+  EXPECT_EQ(decide(result), retry_decision::kRefusedEverywhere);
+  result.refusal = refusal_reason::kQueueFull;
+  EXPECT_EQ(DecideRetry(result, limit, budget, limit.at()), retry_decision::kDeadlinePassed);
+  // Two retries were made; the constant part of the budget is three.
+  EXPECT_EQ(decide(result), retry_decision::kRetry);
+  EXPECT_EQ(decide(result), retry_decision::kBudgetUsed);
+}
+
+// Guards against retries multiplying the load of a service that fails: in every window of ten
+// seconds they are at most a tenth of the requests in it, plus the constant part.
+RC_GTEST_PROP(RetryBudget, HoldsInEveryWindow, ()) {
+  retry_budget budget;
+  std::vector<kernel::time_point> requests;
+  std::vector<kernel::time_point> retries;
+  kernel::time_point now = kStart;
+  const auto schedule =
+      *rc::gen::container<std::vector<std::uint32_t>>(500, rc::gen::inRange(0U, 1U << 20));
+  const auto rest = *rc::gen::inRange(1, 400);
+  const auto in_window = [&](const std::vector<kernel::time_point>& times,
+                             kernel::microseconds window = kRetryWindow) {
+    return std::count_if(times.begin(), times.end(),
+                         [&](kernel::time_point at) { return now - at < window; });
+  };
+  for (const std::uint32_t step : schedule) {
+    now += milliseconds(step / 8 % static_cast<std::uint32_t>(rest));
+    if (step % 8 < 6) {
+      budget.OnRequest(now);
+      requests.push_back(now);
+    } else {
+      const bool can = budget.CanRetry(now);
+      RC_ASSERT(budget.TryRetry(now) == can);
+      if (can) {
+        retries.push_back(now);
+        RC_ASSERT(in_window(retries) <= in_window(requests) / kRequestsPerRetry + kRetryFloor);
+      } else {
+        // Retries are counted for up to one bucket longer than the window.
+        RC_ASSERT(in_window(retries, kRetryWindow + kRetryBucket) >= kRetryFloor);
+      }
+    }
+  }
 }
 
 }  // namespace
