--- a/cornelweir/src/http/admin_server.cc
+++ b/cornelweir/src/http/admin_server.cc
@@ -190,6 +190,7 @@
 }
 
 void admin_core::Close() {
+  on_drained_ = nullptr;
   if (listener_) listener_->Close();
   draining_ = true;
   const auto open = std::exchange(sessions_, {});
--- a/cornelweir/src/http/caller_connection.h
+++ b/cornelweir/src/http/caller_connection.h
@@ -42,6 +42,7 @@
   void Forward(const kernel::endpoint& endpoint, const header_list& extra,
                kernel::microseconds timeout, forward_callbacks callbacks);
   bool CanRetry() const;
+  std::string_view retained_body() const { return retained_; }
   void Abandon();
 
   // For the attempt in progress. Body pieces come from the retained start of the body first, then
--- a/cornelweir/src/http/client.cc
+++ b/cornelweir/src/http/client.cc
@@ -16,9 +16,11 @@
 // One request from its start to its outcome.
 class client_operation : public std::enable_shared_from_this<client_operation> {
  public:
-  client_operation(loop::event_loop& loop, connection_pool& pool, kernel::endpoint endpoint,
+  client_operation(loop::event_loop& loop, std::shared_ptr<connection_pool> pool,
+                   std::weak_ptr<client::owner_token> owner, kernel::endpoint endpoint,
                    std::size_t max_body_bytes, client::callback done)
-      : pool_(pool),
+      : pool_(std::move(pool)),
+        owner_(std::move(owner)),
         endpoint_(std::move(endpoint)),
         max_body_bytes_(max_body_bytes),
         done_(std::move(done)),
@@ -36,7 +38,7 @@
     request_.prepare_payload();
     deadline_.Start(timeout, [self = shared_from_this()] { self->Fail(http_fault::kTimeout); });
     ticket_ =
-        pool_.Acquire(endpoint_, [self = shared_from_this()](outcome<connection_ptr> acquired) {
+        pool_->Acquire(endpoint_, [self = shared_from_this()](outcome<connection_ptr> acquired) {
           if (!acquired) return self->Fail(acquired.error().fault);
           self->connection_ = acquired.value();
           self->Write();
@@ -118,13 +120,14 @@
     finished_ = true;
     const auto self = shared_from_this();
     deadline_.Cancel();
-    pool_.Cancel(ticket_);
-    if (connection_) pool_.Release(endpoint_, connection_, reusable);
+    pool_->Cancel(ticket_);
+    if (connection_) pool_->Release(endpoint_, connection_, reusable);
     const auto done = std::move(done_);
-    done(std::move(result));
+    if (!owner_.expired()) done(std::move(result));
   }
 
-  connection_pool& pool_;
+  std::shared_ptr<connection_pool> pool_;
+  std::weak_ptr<client::owner_token> owner_;
   kernel::endpoint endpoint_;
   std::size_t max_body_bytes_;
   client::callback done_;
@@ -142,11 +145,14 @@
 }  // namespace internal
 
 client::client(loop::event_loop& loop, pool_limits limits, std::size_t max_body_bytes)
-    : loop_(loop), pool_(loop, limits), max_body_bytes_(max_body_bytes) {}
+    : loop_(loop),
+      pool_(std::make_shared<connection_pool>(loop, limits)),
+      owner_(std::make_shared<owner_token>()),
+      max_body_bytes_(max_body_bytes) {}
 
 void client::Send(const kernel::endpoint& endpoint, client_request request,
                   kernel::microseconds timeout, callback done) {
-  std::make_shared<internal::client_operation>(loop_, pool_, endpoint, max_body_bytes_,
+  std::make_shared<internal::client_operation>(loop_, pool_, owner_, endpoint, max_body_bytes_,
                                                std::move(done))
       ->Start(std::move(request), timeout);
 }
--- a/cornelweir/src/http/client.h
+++ b/cornelweir/src/http/client.h
@@ -4,6 +4,7 @@
 #include <boost/beast/http/verb.hpp>
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "cornelweir/src/http/connection_pool.h"
@@ -36,19 +37,24 @@
 class client {
  public:
   using callback = std::function<void(outcome<client_response>)>;
+  // Lives as long as the client; callbacks are not called after it.
+  struct owner_token {};
 
   explicit client(loop::event_loop& loop, pool_limits limits = {},
                   std::size_t max_body_bytes = kMaxAdminBodyBytes);
 
-  // Calls back once, never from within Send(). The timeout covers the whole exchange.
+  // Calls back once, never from within Send(), unless the client is destroyed before. The timeout
+  // covers the whole exchange.
   void Send(const kernel::endpoint& endpoint, client_request request, kernel::microseconds timeout,
             callback done);
 
-  connection_pool& pool() { return pool_; }
+  connection_pool& pool() { return *pool_; }
 
  private:
   loop::event_loop& loop_;
-  connection_pool pool_;
+  // Shared with the requests in progress.
+  std::shared_ptr<connection_pool> pool_;
+  std::shared_ptr<owner_token> owner_;
   std::size_t max_body_bytes_;
 };
 
--- a/cornelweir/src/http/connection_pool.cc
+++ b/cornelweir/src/http/connection_pool.cc
@@ -29,6 +29,7 @@
     server& target = ServerOf(endpoint);
     if (!target.valid) {
       FailLater(issued, http_fault::kBadEndpoint);
+      servers_.erase(endpoint);
     } else if (connection_ptr idle = TakeIdle(target)) {
       DeliverLater(endpoint, issued, std::move(idle));
     } else if (target.open < limits_.connections) {
@@ -157,9 +158,13 @@
   void Discard(const kernel::endpoint& endpoint, server& target, connection& closed) {
     closed.Close();
     --target.open;
-    if (const auto next = NextWaiter(target)) Connect(endpoint, target, *next);
+    if (const auto next = NextWaiter(target)) return Connect(endpoint, target, *next);
+    if (IsUnused(target)) servers_.erase(endpoint);
   }
 
+  // Upstreams come and go with new addresses, so those without connections are forgotten.
+  static bool IsUnused(const server& target) { return target.open == 0 && target.waiters.empty(); }
+
   void Deliver(const kernel::endpoint& endpoint, ticket issued, connection_ptr ready) {
     const auto found = callbacks_.find(issued);
     if (found == callbacks_.end()) return Release(endpoint, std::move(ready), true);
@@ -239,6 +244,7 @@
       });
       remaining = remaining || !target.idle.empty();
     }
+    std::erase_if(servers_, [](const auto& each) { return IsUnused(each.second); });
     if (remaining) ArmSweep();
   }
 
--- a/cornelweir/src/http/exchange.cc
+++ b/cornelweir/src/http/exchange.cc
@@ -33,6 +33,10 @@
   if (connection) connection->Forward(endpoint, extra, timeout, std::move(callbacks));
 }
 
+std::string_view exchange::RetainedBody() const {
+  return connection_ ? connection_->retained_body() : std::string_view();
+}
+
 bool exchange::CanRetry() const { return connection_ && connection_->CanRetry(); }
 
 }  // namespace cornelweir::http
--- a/cornelweir/src/http/exchange.h
+++ b/cornelweir/src/http/exchange.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "cornelweir/src/http/forward_result.h"
 #include "cornelweir/src/http/header_list.h"
@@ -34,7 +35,8 @@
   bool open() const { return connection_ != nullptr; }
 
   // Calls back once if the caller closes its connection while no attempt is in progress; an
-  // attempt reports it in its result. The caller's connection is closed already.
+  // attempt reports it in its result. The caller's connection is closed already. A caller that
+  // closes only its sending side counts as gone, since the two can't be told apart.
   void OnCallerGone(std::function<void()> callback);
 
   // Answers the request without an upstream.
@@ -52,6 +54,10 @@
   // body that was read already is retained.
   bool CanRetry() const;
 
+  // What was read of the body so far, up to kMaxRetainedBodyBytes; empty if it is longer. The text
+  // changes with the next bytes of the body.
+  std::string_view RetainedBody() const;
+
  private:
   friend class internal::caller_connection;
 
--- a/cornelweir/src/http/proxy_core.cc
+++ b/cornelweir/src/http/proxy_core.cc
@@ -41,6 +41,7 @@
 }
 
 void proxy_core::Close() {
+  on_drained_ = nullptr;
   if (listener_) listener_->Close();
   draining_ = true;
   const auto open = connections_;
--- a/tests/http_admin_test.cc
+++ b/tests/http_admin_test.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cornelweir/http.h"
 #include "cornelweir/loop.h"
@@ -67,5 +68,103 @@
   EXPECT_EQ(answer->value().body, "late");
 }
 
+struct refused_message {
+  std::string request;
+  std::string status;
+};
+
+// Guards against messages that use up memory or connections, or that are read in two ways.
+TEST_F(admin_fixture, RefusesBadMessages) {
+  admin_limits limits;
+  limits.read_timeout = milliseconds(50);
+  limits.body_bytes = 100;
+  StartServer(limits);
+  const std::string post = "POST /v1/edits HTTP/1.1\r\nHost: h\r\n";
+  const std::vector<refused_message> cases = {
+      {post + "Content-Length: 101\r\n\r\n", "413"},
+      {post + "Transfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, 'x'), "413"},
+      {post + "X: " + std::string(17'000, 'x') + "\r\n\r\n", "431"},
+      {post + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+      {post + "Transfer-Encoding: gzip\r\n\r\n", "400"},
+      {"not http\r\n\r\n", "400"},
+  };
+  for (const refused_message& each : cases) {
+    const auto peer = raw_peer::Connect(loop_, server_->local_endpoint());
+    peer->Send(each.request);
+    RunUntil(loop_, [&] { return peer->closed; });
+    EXPECT_TRUE(peer->received.starts_with("HTTP/1.1 " + each.status)) << peer->received;
+  }
+  const auto slow = raw_peer::Connect(loop_, server_->local_endpoint());
+  slow->Send(post);
+  RunUntil(loop_, [&] { return slow->closed; });
+  EXPECT_EQ(slow->received, "");
+}
+
+// Guards against a client that waits forever because the handler forgot its request.
+TEST_F(admin_fixture, AnswersARequestThatTheHandlerDrops) {
+  StartServer();
+  server_->Handle(method::get, "/v1/dropped", [](const admin_request&, const admin_reply&) {});
+  EXPECT_EQ(Request(method::get, "/v1/dropped", "").value().status, 500);
+}
+
+// Guards against connections beyond the limit that take part in the service.
+TEST_F(admin_fixture, BoundsConnections) {
+  admin_limits limits;
+  limits.connections = 1;
+  StartServer(limits);
+  EXPECT_EQ(Request(method::post, "/v1/edits", "a").value().status, 200);
+  const auto second = raw_peer::Connect(loop_, server_->local_endpoint());
+  RunUntil(loop_, [&] { return second->closed; });
+  EXPECT_EQ(Request(method::post, "/v1/edits", "a").value().status, 200);
+}
+
+// Guards against a shutdown that loses an answer in progress.
+TEST_F(admin_fixture, DrainsGracefully) {
+  StartServer();
+  std::optional<outcome<client_response>> answer;
+  client_.Request(server_->local_endpoint(), method::get, "/v1/later", "", seconds(30),
+                  [&](outcome<client_response> result) { answer = std::move(result); });
+  RunUntil(loop_, [&] { return held_.has_value(); });
+  bool drained = false;
+  server_->BeginDrain([&] { drained = true; });
+  (*held_)({200, "text/plain", "late"});
+  RunUntil(loop_, [&] { return drained && answer.has_value(); });
+  EXPECT_EQ(answer->value().body, "late");
+}
+
+// Guards against errors that leave open whether a request may have run.
+TEST_F(admin_fixture, ClientErrorsTellWhetherAnythingWasSent) {
+  raw_server server(loop_);
+  std::string response;
+  server.on_bytes = [&](raw_peer& peer) {
+    if (peer.closed) return;
+    if (!response.empty()) peer.Send(response);
+    if (response != "HTTP/1.1 200 OK\r\n") peer.CloseWhenSent();
+  };
+  kernel::endpoint target = server.endpoint();
+  const auto failure = [&](kernel::microseconds timeout) {
+    std::optional<http_error> error;
+    client_.Request(target, method::get, "/", "", timeout,
+                    [&](const outcome<client_response>& result) { error = result.error(); });
+    RunUntil(loop_, [&] { return error.has_value(); });
+    return *error;
+  };
+  EXPECT_EQ(failure(seconds(30)), (http_error{http_fault::kConnectionBroken, true}));
+  response = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+  EXPECT_EQ(failure(seconds(30)), (http_error{http_fault::kConnectionBroken, true}));
+  response = "no response\r\n\r\n";
+  EXPECT_EQ(failure(seconds(30)), (http_error{http_fault::kMalformed, true}));
+  response = "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n";
+  EXPECT_EQ(failure(seconds(30)), (http_error{http_fault::kTooLarge, true}));
+  response = "HTTP/1.1 200 OK\r\n";
+  EXPECT_EQ(failure(milliseconds(10)), (http_error{http_fault::kTimeout, true}));
+  target = kernel::endpoint("host:80");
+  EXPECT_EQ(failure(seconds(30)), (http_error{http_fault::kBadEndpoint, false}));
+  tcp::acceptor closed(loop_.context(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  target = EndpointOf(closed.local_endpoint());
+  closed.close();
+  EXPECT_EQ(failure(seconds(30)), (http_error{http_fault::kConnectFailed, false}));
+}
+
 }  // namespace
 }  // namespace cornelweir::http
--- a/tests/http_test_support.h
+++ b/tests/http_test_support.h
@@ -68,6 +68,11 @@
     if (outgoing_.size() == 1) Write();
   }
 
+  void CloseWhenSent() {
+    close_when_sent_ = true;
+    if (outgoing_.empty()) Close();
+  }
+
   void Close() {
     boost::system::error_code ignored;
     socket_.close(ignored);
@@ -99,13 +104,18 @@
           self->sent += size;
           self->outgoing_.pop_front();
           if (error) self->outgoing_.clear();
-          if (!self->outgoing_.empty()) self->Write();
+          if (!self->outgoing_.empty()) {
+            self->Write();
+          } else if (self->close_when_sent_) {
+            self->Close();
+          }
         });
   }
 
   tcp::socket socket_;
   std::array<char, 65536> buffer_;
   std::deque<std::string> outgoing_;
+  bool close_when_sent_ = false;
 };
 
 // A server whose connections a test drives byte by byte.
