--- a/bench/distribution_bench.cc
+++ b/bench/distribution_bench.cc
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <deque>
+#include <exception>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -444,7 +445,7 @@
 }  // namespace
 }  // namespace cornelweir::distribution
 
-int main(int argc, char** argv) {
+int main(int argc, char** argv) try {
   namespace options = boost::program_options;
   std::uint64_t seed = 1;
   int changes = 200;
@@ -460,4 +461,7 @@
   }
   cornelweir::distribution::Run(seed, changes);
   return 0;
+} catch (const std::exception& error) {
+  std::cerr << "cornelweir-bench-distribution: " << error.what() << "\n";
+  return 1;
 }
--- a/cornelweir/src/distribution/feed.cc
+++ b/cornelweir/src/distribution/feed.cc
@@ -28,9 +28,9 @@
   version_ = version;
   for (auto& [service, entry] : scopes_) {
     // To derive every scope anew would take most of the time of a change.
-    const bool touched = std::any_of(delta.begin(), delta.end(), [&](const auto& change) {
-      return entry.history.MayContain(change);
-    });
+    const bool touched = std::any_of(
+        delta.begin(), delta.end(),
+        [&history = entry.history](const auto& change) { return history.MayContain(change); });
     if (touched) {
       entry.history.Advance(version, table::ScopeOf(rows, service));
     } else {
@@ -74,7 +74,7 @@
   const auto [entry, inserted] = subscribers_.try_emplace(id);
   subscription& to = entry->second;
   // A transfer that is still queued continues. To restart it at each request would never end it.
-  if (!inserted && !to.queue.empty() && to.service == request.service) return;
+  if (!inserted && !to.queue.empty()) return;
   if (!inserted) Detach(id, to);
   to.service = request.service;
   to.request = request;
@@ -104,7 +104,11 @@
   const auto found = subscribers_.find(id);
   // A report that was overtaken by a newer one says nothing.
   if (found == subscribers_.end() || report.version < found->second.report.version) return;
-  found->second.report = report;
+  applied& kept = found->second.report;
+  kept = report;
+  // The lists come from another process and may be longer than they should be.
+  if (kept.below.size() > kMaxVersionCounts) kept.below.resize(kMaxVersionCounts);
+  if (kept.behind.size() > kMaxBehindNames) kept.behind.resize(kMaxBehindNames);
 }
 
 void feed::SendProof(subscriber_id id, const proof& answer, messages& out) {
--- a/cornelweir/src/distribution/feed.h
+++ b/cornelweir/src/distribution/feed.h
@@ -63,6 +63,10 @@
   void Tick(messages& out);
 
   bool Holds(subscriber_id id) const { return subscribers_.contains(id); }
+  bool Holds(subscriber_id id, const kernel::service_name& service) const {
+    const auto found = subscribers_.find(id);
+    return found != subscribers_.end() && found->second.service == service;
+  }
 
   // The subscription of a daemon.
   std::optional<subscriber_id> FindHost(const kernel::service_name& service,
--- a/cornelweir/src/distribution/publisher.h
+++ b/cornelweir/src/distribution/publisher.h
@@ -94,7 +94,8 @@
   subscriber_actions OnSubscribe(subscriber_id id, const subscribe& request, kernel::time_point now,
                                  Random& random) {
     subscriber_actions actions;
-    if (!feed_.Holds(id)) {
+    if (!feed_.Holds(id, request.service)) {
+      Remove(id);
       // A daemon has one publisher at a time, so an earlier connection of it is a dead one.
       if (const auto earlier = feed_.FindHost(request.service, request.subscriber)) {
         Remove(*earlier);
