--- a/cornelweir/src/kernel/clock.h
+++ b/cornelweir/src/kernel/clock.h
@@ -14,7 +14,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<decision_clock>;
-  static constexpr bool is_steady = true;
+  // The name that the standard library asks for.
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
 };
 
 using time_point = decision_clock::time_point;
--- a/cornelweir/src/settings/endpoint_text.cc
+++ b/cornelweir/src/settings/endpoint_text.cc
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-namespace cornelweir::settings::internal {
+namespace cornelweir::settings {
 
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text) {
   const std::size_t colon = text.rfind(':');
@@ -24,4 +24,4 @@
   return boost::asio::ip::tcp::endpoint(address, port);
 }
 
-}  // namespace cornelweir::settings::internal
+}  // namespace cornelweir::settings
