--- a/cornelweir/src/control/state_machine.cc
+++ b/cornelweir/src/control/state_machine.cc
@@ -144,7 +144,6 @@
 
 outcome state_machine::Run(const release_quarantine_command& command, context& at) {
   at.effects.quarantine_changed = crashes_.Release(command.fingerprint);
-  if (!at.effects.quarantine_changed) return refused_outcome{"no such request is quarantined"};
   return done_outcome{};
 }
 
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -276,7 +276,7 @@
       {"role", node.IsLeader()                                                      ? "leader"
                : replication::IsVoter(node.configuration(), context_.settings.host) ? "follower"
                                                                                     : "learner"},
-      {"leader", node.leader() ? json(node.leader()->value()) : json(nullptr)},
+      {"leader", node.leader() ? node.leader()->value() : std::string()},
       {"failed", replica_.failed()},
       {"term", node.current_term().value()},
       {"commit_index", node.commit_index().value()},
--- a/plugins/control/operator_api.cc
+++ b/plugins/control/operator_api.cc
@@ -26,8 +26,12 @@
   return Response(503, json{{"result", "unavailable"}, {"reason", std::string(reason)}});
 }
 
-http::admin_response Refused(int status, std::string_view reason) {
-  return Response(status, json{{"result", "refused"}, {"reason", std::string(reason)}});
+http::admin_response Malformed(std::string_view reason) {
+  return Response(400, json{{"result", "malformed"}, {"reason", std::string(reason)}});
+}
+
+http::admin_response Absent(std::string_view reason) {
+  return Response(404, json{{"result", "absent"}, {"reason", std::string(reason)}});
 }
 
 json RowList(const table::row_map& rows) {
@@ -48,7 +52,9 @@
 http::admin_response OutcomeResponse(const std::optional<cornelweir::control::outcome>& outcome) {
   if (!outcome) return Unavailable("no leader confirmed the change; send it again with its id");
   json body = codec::ToJson(*outcome);
-  body["result"] = body["type"];
+  // The only command of operators whose outcome has no content.
+  const bool released = std::holds_alternative<cornelweir::control::done_outcome>(*outcome);
+  body["result"] = released ? json("released") : body["type"];
   body.erase("type");
   return Response(StatusOf(*outcome), body);
 }
@@ -98,7 +104,7 @@
 void operator_api::PostCommand(const request& from, reply answer) {
   Command command;
   if (const std::string fault = internal::DecodeCommand(from.body, command); !fault.empty()) {
-    answer(internal::Refused(400, fault));
+    answer(internal::Malformed(fault));
     return;
   }
   auto shared = std::make_shared<reply>(std::move(answer));
@@ -178,7 +184,7 @@
   const kernel::table_version version(value);
   const auto rows = owner_.local().machine().history().RowsOf(version);
   if (error != std::errc() || rest != number.data() + number.size() || !rows) {
-    answer(internal::Refused(404, "the version is unknown or past the retention"));
+    answer(internal::Absent("the version is unknown or past the retention"));
     return;
   }
   // A version never changes once it is accepted, so no proof of freshness is needed.
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,6 +1,7 @@
 """The demo: one deployment under load while versions change and processes die."""
 
 import shutil
+import subprocess
 import sys
 import tempfile
 import threading
@@ -47,22 +48,24 @@
         )
         self.converged = []
         self.broken = []
-        self.changes = 0
-
-    def change_id(self):
-        self.changes += 1
-        return f"demo-{self.changes}"
 
     def log(self, text):
         print(f"[{self.name}] {text}", flush=True)
 
+    def ctl(self, *arguments):
+        """Runs one verb of the command-line tool, as an operator would."""
+        command = [self.fleet.programs / "cornelweirctl", *arguments,
+                   "--control", self.fleet.control_endpoints()]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+        if done.returncode != 0:
+            self.broken.append(
+                f"cornelweirctl {' '.join(arguments)} exited {done.returncode}: {done.stderr}")
+        return done.stdout
+
     def accept(self, note):
         before = time.time()
-        status, answer = self.fleet.accept(self.change_id(), note)
-        if status != 200:
-            self.broken.append(f"accept was answered {status}: {answer}")
-            return
-        version = answer["version"]
+        self.ctl("accept", "--note", note)
+        version = self.fleet.get("/v1/table")["version"]
         late = self.fleet.wait_for_version(version)
         for target in late:
             self.broken.append(f"{target.name} does not enforce version {version}")
@@ -76,17 +79,9 @@
         self.log(f"version {version} ({note}) in force everywhere after {seconds * 1000:.0f} ms")
 
     def set_weights(self, v1, v2, note):
-        rows = {r["key"]["name"]: r for r in self.fleet.get("/v1/draft")["rows"]
-                if r["key"]["kind"] == "split"}
-        edits = []
-        for name, row in rows.items():
-            weight = v1 if name.endswith("/v1") else v2
-            edits.append({"key": row["key"], "expected_row_version": row["row_version"],
-                          "content": {"type": "split", "weight": weight}})
-        status, answer = self.fleet.post(
-            "/v1/edits", {"change_id": self.change_id(), "author": "demo", "edits": edits})
-        if status != 200:
-            self.broken.append(f"edit was answered {status}: {answer}")
+        for service in self.fleet.services:
+            self.ctl("set", f"split/{service}/v1", f"weight={v1}")
+            self.ctl("set", f"split/{service}/v2", f"weight={v2}")
         self.accept(note)
 
     def leader(self):
@@ -96,7 +91,7 @@
     def prepare(self):
         self.log(f"starting {len(self.fleet.targets)} targets and 3 control hosts")
         self.fleet.start()
-        self.fleet.set_table(self.fleet.table({"v1": 100, "v2": 100}), self.change_id())
+        self.fleet.set_table(self.fleet.table({"v1": 100, "v2": 100}), "first-table")
         self.accept("first table")
         # Shares of service limits grow only after a lease time.
         time.sleep(6.5)
