Keep the repair of a disk over other changes, send lost content once

Cause: a change of the group by an operator dropped the mark that a host with a replaced disk is to become a voter again, so it stayed a learner. A host that didn't answer was sent the same batch or piece (up to 256 KiB) at every heartbeat.

Change: the mark stays while the host is a learner before and after the change. While an answer is awaited, heartbeats have no content; their answer tells whether the content has arrived.

Checked: 12 unit tests; with the mark dropped on a scratch copy (trial), ReplacesALostDiskByWayOfALearner fails.

--- a/cornelweir/src/replication/node.cc
+++ b/cornelweir/src/replication/node.cc
@@ -441,6 +441,9 @@
   return !peer.probing && peer.commit_sent < commit_;
 }
 
+// Sends what the host is missing, as far as it may be in flight. While an answer is awaited, only a
+// heartbeat without content: its answer tells whether the content arrived, and a host that is down
+// isn't sent the same content again and again.
 void node::SendTo(const kernel::host_id& host, internal::peer_progress& peer) {
   const kernel::heartbeat_round round = RoundOf(state_.term, round_counter_);
   if (!peer.sending && peer.next <= log_.base()) {
@@ -449,15 +452,10 @@
   }
   if (peer.sending) {
     const snapshot& sent = *peer.sending;
-    install_snapshot piece{state_.term,
-                           sent.index,
-                           sent.term,
-                           sent.configuration,
-                           peer.offset,
-                           sent.data.bytes.size(),
-                           {sent.data.bytes.substr(peer.offset, kSnapshotPieceBytes)},
-                           round,
-                           confirmed_};
+    install_snapshot piece{
+        state_.term, sent.index, sent.term, sent.configuration, peer.offset, sent.data.bytes.size(),
+        {},          round,      confirmed_};
+    if (!peer.waiting) piece.piece.bytes = sent.data.bytes.substr(peer.offset, kSnapshotPieceBytes);
     peer.waiting = true;
     Send(host, std::move(piece));
     return;
@@ -465,7 +463,9 @@
   const kernel::log_index previous = Previous(peer.next);
   append_entries append{state_.term, previous,  *log_.TermAt(previous), {}, commit_,
                         round,       confirmed_};
-  if (HasWindow(peer)) append.entries = log_.Slice(peer.next, kMaxBatchEntries, kMaxBatchBytes);
+  if (HasWindow(peer) && !peer.waiting) {
+    append.entries = log_.Slice(peer.next, kMaxBatchEntries, kMaxBatchBytes);
+  }
   for (const log_entry& entry : append.entries) {
     peer.bytes_in_flight += EncodedBound(entry);
   }
@@ -610,9 +610,11 @@
         return false;
       }
     }
-    if (record != nullptr) {
-      configuration.disks.push_back(disk_record{host, record->disk, false});
-    }
+    if (record == nullptr) continue;
+    // A host that is being repaired stays so while the rest of the group changes.
+    const bool promote =
+        record->promote && IsLearner(current, host) && IsLearner(configuration, host);
+    configuration.disks.push_back(disk_record{host, record->disk, promote});
   }
   if (changes > 1) return false;
   AppendConfiguration(std::move(configuration));
--- a/tests/replication_test.cc
+++ b/tests/replication_test.cc
@@ -217,20 +217,24 @@
   EXPECT_TRUE(TakeDurable(fresh).messages.empty());
 }
 
-// Guards against a replaced disk staying out of the group, or a voter under the old record.
+// Guards against a replaced disk staying out of the group, also if the group changes in between, or
+// a voter under the old record.
 TEST(Replication, ReplacesALostDiskByWayOfALearner) {
   small_group group(kThree);
   group.Run(milliseconds(1000));
   const host_id lost = group.Leader() == &group.At("c") ? host_id("a") : host_id("c");
   group.nodes_.insert_or_assign(lost,
                                 HostWithDisk(lost.value(), 9, /*bootstrap=*/false).Seed(9).Build());
-  bool was_learner = false;
+  bool changed = false;
   for (int i = 0; i < 100; ++i) {
     group.Run(milliseconds(5));
-    was_learner = was_learner || IsLearner(group.Leader()->configuration(), lost);
+    const group_configuration& current = group.Leader()->configuration();
+    if (changed || !IsLearner(current, lost)) continue;
+    changed =
+        group.Leader()->ProposeConfiguration({current.voters, {lost, host_id("d")}}, group.Now());
   }
   const group_configuration& repaired = group.Leader()->configuration();
-  EXPECT_TRUE(was_learner);
+  EXPECT_TRUE(changed);
   EXPECT_TRUE(IsVoter(repaired, lost));
   ASSERT_NE(FindDisk(repaired, lost), nullptr);
   EXPECT_EQ(FindDisk(repaired, lost)->disk, kernel::disk_id(9));
