Scope claims by tenant and route, report crashes as a whole, announce with a share

Cause: two tenants that chose the same key would have shared one claim and one stored response. A crash was counted request by request. A new upstream was announced as ready while its daemon's share of the service limit was still 0, so requests sent to it were refused.

Change: the claim key holds tenant and route, and the fingerprint of a claim is the request's content; the ledger gets whole crash reports without requests that completed a moment ago; an upstream without a share is announced as starting; a daemon that can't be reached is avoided for a while.

Not run yet: the build of this tree.

--- a/cornelweir/src/control/state_machine.cc
+++ b/cornelweir/src/control/state_machine.cc
@@ -53,9 +53,9 @@
 
 void state_machine::Expire(applied_effects& effects) {
   claims_.Expire(now());
-  const std::size_t before = crashes_.Quarantined().size();
+  const std::size_t before = crashes_.state().quarantined.size();
   crashes_.Expire(now());
-  effects.quarantine_changed = crashes_.Quarantined().size() != before;
+  effects.quarantine_changed = crashes_.state().quarantined.size() != before;
 }
 
 template <class Command>
@@ -133,12 +133,8 @@
 }
 
 outcome state_machine::Run(const crash_command& command, context& at) {
-  const kernel::request_count in_progress(static_cast<std::int64_t>(command.in_progress.size()));
-  for (const kernel::fingerprint& suspect : command.in_progress) {
-    const bool held =
-        crashes_.Report(suspect, command.upstream, command.incarnation, now(), in_progress);
-    at.effects.quarantine_changed |= held;
-  }
+  const quarantine::crash_report report{command.upstream, command.incarnation, command.in_progress};
+  if (!crashes_.ReportCrash(report, now()).empty()) at.effects.quarantine_changed = true;
   return done_outcome{};
 }
 
--- a/cornelweir/src/outcome/refusal_reason.cc
+++ b/cornelweir/src/outcome/refusal_reason.cc
@@ -13,7 +13,7 @@
 
 // In the order of refusal_reason. A refusal by the tenant's limit is not tried elsewhere: one
 // tenant above its limit would use up the retry budget that all tenants of the service share.
-constexpr std::array<refusal_traits, 12> kRefusals = {{
+constexpr std::array<refusal_traits, 13> kRefusals = {{
     {"no route matches the path", false},
     {"the service has no usable upstream", false},
     {"the queue is full", true},
@@ -24,6 +24,7 @@
     {"the request is quarantined because upstreams crashed while they ran it", false},
     {"the idempotency key can't be claimed now", false},
     {"the route needs an idempotency key", false},
+    {"the idempotency key was used for another method or target", false},
     {"the daemon has no proven configuration yet", true},
     {"the daemon is shutting down", true},
 }};
--- a/cornelweir/src/outcome/refusal_reason.h
+++ b/cornelweir/src/outcome/refusal_reason.h
@@ -18,6 +18,7 @@
   kQuarantined,
   kClaimUnavailable,
   kKeyMissing,
+  kKeyMismatch,
   kNotReady,
   kShuttingDown,
 };
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -325,7 +325,7 @@
 }
 
 namespace {
-const daemon_plugin_registration<control_plugin> registered{};
+const daemon_plugin_registration<control_plugin> kRegistered{};
 }  // namespace
 
 }  // namespace cornelweir::plugins::control
--- a/plugins/metrics/metrics_plugin.cc
+++ b/plugins/metrics/metrics_plugin.cc
@@ -42,7 +42,7 @@
 };
 
 namespace {
-const daemon_plugin_registration<metrics_plugin> registered{};
+const daemon_plugin_registration<metrics_plugin> kRegistered{};
 }  // namespace
 
 }  // namespace cornelweir::plugins::metrics_endpoint
--- a/plugins/proxy/local_upstream.cc
+++ b/plugins/proxy/local_upstream.cc
@@ -133,13 +133,15 @@
   next.daemon_control = context_.settings.proxy->mesh_listen;
   next.slots = said.slots;
   next.connections = said.connections;
-  next.state = draining_ ? membership::upstream_state::kDraining : *state;
   const bool same_process = record_ && record_->id == next.id &&
                             started_at_ms_ == said.started_at_ms &&
-                            !internal::IsRestart(record_->state, next.state);
+                            !internal::IsRestart(said_state_, *state);
   if (record_ && !same_process) ReportCrash(*record_);
   started_at_ms_ = said.started_at_ms;
   next.incarnation = same_process ? record_->incarnation : NewIncarnation();
+  if (!record_ || record_->id != next.id) share_ = admission::limit_share(next.id);
+  said_state_ = *state;
+  next.state = AnnouncedState();
   if (!membership::IsValid(next)) {
     reply(internal::Answer(422, "a name or a count is out of range"));
     return;
@@ -147,7 +149,6 @@
   endpoint_ = said.endpoint;
   last_announcement_ = context_.clock.Now();
   const bool changed = !record_ || !(*record_ == next);
-  if (!record_ || record_->id != next.id) share_ = admission::limit_share(next.id);
   record_ = next;
   if (changed) {
     Configure();
@@ -156,6 +157,17 @@
   reply(internal::Answer(200, "announced"));
 }
 
+// An upstream whose daemon has no share of the service's limit yet would refuse every request, so
+// it is announced as starting until the share has grown.
+membership::upstream_state local_upstream::AnnouncedState() const {
+  using membership::upstream_state;
+  if (draining_) return upstream_state::kDraining;
+  const bool ready = said_state_ == upstream_state::kReady;
+  const bool has_share = share_.Current(context_.clock.Now()) > kernel::request_count(0);
+  const bool was_ready = record_ && record_->state == upstream_state::kReady;
+  return ready && !has_share && !was_ready ? upstream_state::kStarting : said_state_;
+}
+
 void local_upstream::SubmitAnnouncement() {
   if (announcing_ || !record_) return;
   announcing_ = true;
@@ -188,10 +200,11 @@
     return;
   }
   control_.Renew({record_->id, record_->incarnation});
+  Configure();
+  record_->state = AnnouncedState();
   const auto& members = configuration_.held().members();
   const auto recorded = members.find(record_->id);
   if (recorded == members.end() || !(recorded->second == *record_)) SubmitAnnouncement();
-  Configure();
 }
 
 void local_upstream::BeginDrain() {
@@ -284,6 +297,9 @@
   const bool broken = result.outcome == http::forward_status::kBrokenBeforeResponse ||
                       result.outcome == http::forward_status::kBrokenDuringResponse;
   if (broken && result.sent) NoteBroken(request.fingerprint);
+  if (result.outcome == http::forward_status::kComplete) {
+    completed_.OnCompleted(request.fingerprint, context_.clock.Now());
+  }
   Admit(admission_.Release(ticket, context_.clock.Now()));
   ArmExpiry();
   request.callbacks.on_done(result);
@@ -332,13 +348,13 @@
 }
 
 void local_upstream::ReportCrash(const membership::upstream_record& crashed) {
-  if (broken_.empty()) return;
+  const auto suspects = completed_.Suspects(std::exchange(broken_, {}), context_.clock.Now());
+  if (suspects.empty()) return;
   logging::event(logging::event_id::kUpstreamCrashed)
       .With("upstream", crashed.id)
-      .With("in_progress", broken_.size());
-  control_.Submit(
-      control::crash_command{crashed.id, crashed.incarnation, std::exchange(broken_, {})},
-      [](const auto&) {});
+      .With("suspects", suspects.size());
+  control_.Submit(control::crash_command{crashed.id, crashed.incarnation, suspects},
+                  [](const auto&) {});
 }
 
 }  // namespace cornelweir::plugins::proxy
--- a/plugins/proxy/local_upstream.h
+++ b/plugins/proxy/local_upstream.h
@@ -13,6 +13,7 @@
 #include "cornelweir/kernel.h"
 #include "cornelweir/membership.h"
 #include "cornelweir/outcome.h"
+#include "cornelweir/quarantine.h"
 #include "plugins/daemon_context.h"
 #include "plugins/proxy/control_client.h"
 #include "plugins/proxy/subscription.h"
@@ -59,6 +60,7 @@
   void Maintain();
   void SubmitAnnouncement();
   kernel::incarnation NewIncarnation();
+  membership::upstream_state AnnouncedState() const;
   void Admit(const std::vector<admission::ticket>& tickets);
   void Forward(admission::ticket ticket);
   void OnDone(admission::ticket ticket, const http::forward_result& result);
@@ -88,7 +90,10 @@
   // Requests whose connections broke lately. They are reported if the upstream turns out to have
   // crashed: it refuses connections, or it announces itself as a new process.
   std::vector<kernel::fingerprint> broken_;
+  quarantine::suspect_filter completed_;
   std::int64_t started_at_ms_ = 0;
+  // What the upstream said last; record_ holds what is announced to the group.
+  membership::upstream_state said_state_ = membership::upstream_state::kStarting;
   loop::timer maintenance_timer_;
   loop::timer expiry_timer_;
   loop::timer probe_timer_;
--- a/plugins/proxy/proxy_plugin.cc
+++ b/plugins/proxy/proxy_plugin.cc
@@ -141,7 +141,7 @@
 }
 
 namespace {
-const daemon_plugin_registration<proxy_plugin> registered{};
+const daemon_plugin_registration<proxy_plugin> kRegistered{};
 }  // namespace
 
 }  // namespace cornelweir::plugins::proxy
--- a/plugins/proxy/request_headers.cc
+++ b/plugins/proxy/request_headers.cc
@@ -17,6 +17,8 @@
       return 404;
     case outcome::refusal_reason::kKeyMissing:
       return 400;
+    case outcome::refusal_reason::kKeyMismatch:
+      return 422;
     case outcome::refusal_reason::kTenantLimit:
       return 429;
     case outcome::refusal_reason::kDeadlinePassed:
@@ -69,13 +71,25 @@
   return outcome::deadline::After(allowed, now);
 }
 
-kernel::fingerprint FingerprintOf(const http::request_head& head) {
-  const std::string_view key = head.Header(kKeyHeader);
-  if (!key.empty()) return kernel::fingerprint(XXH64(key.data(), key.size(), 0));
+kernel::fingerprint ContentOf(const http::request_head& head) {
   const auto method = static_cast<std::uint64_t>(head.method);
   return kernel::fingerprint(XXH64(head.target.data(), head.target.size(), method + 1));
 }
 
+kernel::fingerprint FingerprintOf(const http::request_head& head) {
+  const std::string_view key = head.Header(kKeyHeader);
+  if (key.empty()) return ContentOf(head);
+  const kernel::tenant_id tenant = TenantOf(head);
+  const std::uint64_t seed = XXH64(tenant.value().data(), tenant.value().size(), 0);
+  return kernel::fingerprint(XXH64(key.data(), key.size(), seed));
+}
+
+kernel::idempotency_key ClaimKeyOf(const http::request_head& head,
+                                   const kernel::route_name& route) {
+  return kernel::idempotency_key(TenantOf(head).value() + "/" + route.value() + "/" +
+                                 std::string(head.Header(kKeyHeader)));
+}
+
 void RefuseNotRun(http::exchange& request, outcome::refusal_reason reason) {
   const std::string_view text = outcome::RefusalText(reason);
   constexpr auto kNotRun = outcome::request_outcome::kNotRun;
--- a/plugins/proxy/request_headers.h
+++ b/plugins/proxy/request_headers.h
@@ -34,9 +34,16 @@
 outcome::deadline DeadlineOf(const http::request_head& head, kernel::milliseconds allowed,
                              kernel::time_point now);
 
-// A digest of what makes a request the same request: its key, or its method and target.
+// A digest of the request's method and target.
+kernel::fingerprint ContentOf(const http::request_head& head);
+
+// A digest by which a resend of a request is recognized: of its tenant and key, or of its content.
 kernel::fingerprint FingerprintOf(const http::request_head& head);
 
+// The key under which a request is claimed. Callers choose their keys without knowing of each
+// other, so one is valid for its tenant and route only.
+kernel::idempotency_key ClaimKeyOf(const http::request_head& head, const kernel::route_name& route);
+
 // Answers a request that did not run.
 void RefuseNotRun(http::exchange& request, outcome::refusal_reason reason);
 
--- a/plugins/proxy/request_router.cc
+++ b/plugins/proxy/request_router.cc
@@ -9,7 +9,7 @@
 namespace cornelweir::plugins::proxy {
 namespace internal {
 
-constexpr std::size_t kMaxKeyBytes = claims::kMaxKeyBytes;
+constexpr std::size_t kMaxKeyBytes = 128;
 
 // Reasons of daemons travel as text; one that is not known counts as a full queue, which another
 // upstream may accept.
@@ -97,7 +97,7 @@
       DeadlineOf(head, kernel::milliseconds(match->wait.request_ms), request->started);
   request->fingerprint = FingerprintOf(head);
   request->arrived_as_retry = !head.Header(kRetryHeader).empty();
-  request->key = kernel::idempotency_key(std::string(head.Header(kKeyHeader)));
+  request->content = ContentOf(head);
   if (quarantine_.Contains(request->fingerprint, request->started)) {
     Refuse(request, outcome::refusal_reason::kQuarantined);
     return;
@@ -107,11 +107,12 @@
     Attempt(request);
     return;
   }
-  const std::size_t key_bytes = request->key.value().size();
+  const std::size_t key_bytes = head.Header(kKeyHeader).size();
   if (key_bytes == 0 || key_bytes > internal::kMaxKeyBytes) {
     Refuse(request, outcome::refusal_reason::kKeyMissing);
     return;
   }
+  request->key = ClaimKeyOf(head, match->name);
   Claim(request);
 }
 
@@ -146,7 +147,7 @@
 
 void request_router::Claim(const call_ptr& request) {
   request->attempt = kernel::attempt_id(attempt_prefix_ + std::to_string(next_attempt_++));
-  control_.Submit(control::claim_command{request->key, request->attempt, request->fingerprint},
+  control_.Submit(control::claim_command{request->key, request->attempt, request->content},
                   [this, request](const std::optional<control::outcome>& outcome) {
                     const auto* claimed =
                         outcome ? std::get_if<control::claimed_outcome>(&*outcome) : nullptr;
@@ -173,6 +174,8 @@
     case claims::claim_status::kCompleted:
       break;
     case claims::claim_status::kMismatch:
+      Refuse(request, outcome::refusal_reason::kKeyMismatch);
+      return;
     case claims::claim_status::kFull:
       Refuse(request, outcome::refusal_reason::kClaimUnavailable);
       return;
@@ -302,7 +305,7 @@
                internal::ParseReason(http::HeaderValue(result.headers, kReasonHeader)));
       return;
     case forward_status::kNotSent:
-      finish(routing::finish_kind::kFailure);
+      finish(routing::finish_kind::kUnreachable);
       OnNotRun(request, kernel::upstream_id(), outcome::refusal_reason::kNoUpstream);
       return;
     case forward_status::kBrokenBeforeResponse:
@@ -352,6 +355,8 @@
 bool request_router::Retry(const call_ptr& request, outcome::request_outcome known,
                            std::optional<outcome::refusal_reason> refusal) {
   if (!request->exchange->open() || !request->exchange->CanRetry()) return false;
+  // The daemon beside an upstream speaks for that upstream only; others may be up.
+  if (refusal == outcome::refusal_reason::kNoUpstream) refusal.reset();
   outcome::attempt_result result;
   result.outcome = known;
   result.refusal = refusal;
--- a/plugins/proxy/request_router.h
+++ b/plugins/proxy/request_router.h
@@ -49,6 +49,7 @@
     admission::priority_class priority = admission::priority_class::kNormal;
     outcome::deadline deadline;
     kernel::fingerprint fingerprint;
+    kernel::fingerprint content;
     kernel::idempotency_key key;
     kernel::attempt_id attempt;
     bool claimed = false;
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -172,14 +172,17 @@
 
 int Main(int argc, char** argv) {
   arguments given;
-  po::options_description options("Usage: cornelweird --settings FILE [--set KEY=VALUE]...");
+  po::options_description options("Usage: cornelweird [--settings] FILE [--set KEY=VALUE]...");
   options.add_options()("help,h", "print this text")("version", "print the version")(
       "settings,s", po::value(&given.settings_file), "settings file (JSON with comments)")(
       "set", po::value(&given.overrides)->composing(), "override one key of the settings")(
       "check", po::bool_switch(&given.check), "check the settings and exit");
   po::variables_map values;
   try {
-    po::store(po::parse_command_line(argc, argv, options), values);
+    po::positional_options_description positional;
+    positional.add("settings", 1);
+    po::store(po::command_line_parser(argc, argv).options(options).positional(positional).run(),
+              values);
     po::notify(values);
   } catch (const po::error& error) {
     std::cerr << "cornelweird: " << error.what() << '\n';
