Do the TLS handshake before cornelweirctl sends a request

Cause: the check for a stream with TLS named an overload that does not exist, so it was never true, and every request over TLS failed without a handshake.

Checked: a new test, with certificates that it makes itself, failed before (exit code 3, no request received) and passes now: the client talks to a host that its authority signed, and neither side accepts a foreign certificate.

--- a/programs/cornelweirctl/http_exchange.h
+++ b/programs/cornelweirctl/http_exchange.h
@@ -66,7 +66,7 @@
   }
 
   void Handshake() {
-    if constexpr (requires { stream_.async_handshake(boost::asio::ssl::stream_base::client, 0); }) {
+    if constexpr (requires { stream_.handshake(boost::asio::ssl::stream_base::client); }) {
       stream_.async_handshake(boost::asio::ssl::stream_base::client, Next([this] { Write(); }));
     } else {
       Write();
