--- a/tests/roles_test.cc
+++ b/tests/roles_test.cc
@@ -39,9 +39,8 @@
       accepted = ReadGreeting(*from, payload, /*tls=*/true);
       from->Close("read");
     };
-    auto opened = transport::listener::Open(
-        context_, kernel::endpoint("127.0.0.1:0"),
-        Load(authority_.Issue("server", "control")), serving);
+    auto opened = transport::listener::Open(context_, kernel::endpoint("127.0.0.1:0"),
+                                            Load(authority_.Issue("server", "control")), serving);
     if (!opened) return std::nullopt;
     server = opened.value();
     link_handlers calling;
