--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -15,8 +15,6 @@
   X(kProcessStarted, 1001, kInfo, "process started")                       \
   X(kProcessStopping, 1002, kInfo, "graceful shutdown began")              \
   X(kProcessStopped, 1003, kInfo, "process stopped")                       \
-  X(kSettingsRefused, 1004, kError, "settings refused")                    \
-  X(kListenFailed, 1005, kError, "cannot listen")                          \
   X(kKeysReloaded, 1006, kInfo, "keys reloaded")                           \
   X(kKeysRefused, 1007, kError, "keys can't be loaded, the old ones stay") \
   X(kLeaderElected, 2001, kInfo, "became leader")                          \
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -100,19 +100,19 @@
         [&]() -> boost::leaf::result<void> {
           BOOST_LEAF_AUTO(fresh, LoadKeys());
           *tls_ = std::move(*fresh);
-          event{event_id::kKeysReloaded};
+          event{event_id::kKeysReloaded}.With("file", settings_.tls.certificate_file);
           return {};
         },
         [](const transport::transport_error& error) {
           event{event_id::kKeysRefused}.With("reason", error.detail);
         },
-        [] { event{event_id::kKeysRefused}; });
+        [] { event{event_id::kKeysRefused}.With("reason", "unexpected failure"); });
   }
 
   void BeginShutdown() {
     if (shutting_down_) return;
     shutting_down_ = true;
-    event{event_id::kProcessStopping};
+    event{event_id::kProcessStopping}.With("host", settings_.host);
     shutdown_timer_.Start(kMaxShutdown, [this] { loop_.Stop(); });
     open_plugins_ = plugins_.size();
     for (const kernel::plugin_handle& plugin : plugins_) {
@@ -160,7 +160,7 @@
         daemon process(settings);
         BOOST_LEAF_CHECK(process.Start());
         process.Run();
-        event{event_id::kProcessStopped};
+        event{event_id::kProcessStopped}.With("host", settings.host);
         return EXIT_SUCCESS;
       },
       [](const settings::settings_error& error) { return ReportSettings(error); },
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -21,7 +21,7 @@
 const row_key kSplit{row_kind::kSplit, "forms/v1"};
 
 // A state machine that is fed commands with growing indexes.
-class control_test : public ::testing::Test {
+class changes : public ::testing::Test {
  protected:
   outcome Run(command body) {
     applied_effects effects;
@@ -57,7 +57,7 @@
 };
 
 // Guards against two edits based on the same row version both being taken.
-TEST_F(control_test, OneOfTwoRacingEditsWinsAndTheOtherSeesBoth) {
+TEST_F(changes, OneOfTwoRacingEditsWinsAndTheOtherSeesBoth) {
   EditAll();
   const row_edit first{kSplit, kernel::row_version(1), table::split_row{kernel::weight(10)}};
   const row_edit second{kSplit, kernel::row_version(1), table::split_row{kernel::weight(20)}};
@@ -71,7 +71,7 @@
 }
 
 // Guards against an edit of a deleted row being applied to a new row of the same name.
-TEST_F(control_test, ARowThatIsCreatedAgainHasANewVersion) {
+TEST_F(changes, ARowThatIsCreatedAgainHasANewVersion) {
   EditAll();
   Edit("delete", {{kSplit, kernel::row_version(1), std::nullopt}});
   Edit("create", {{kSplit, kernel::row_version(0), table::split_row{kernel::weight(5)}}});
@@ -81,7 +81,7 @@
 }
 
 // Guards against a resend after a lost answer being applied twice or answered differently.
-TEST_F(control_test, AResentChangeGetsItsFirstOutcome) {
+TEST_F(changes, AResentChangeGetsItsFirstOutcome) {
   EditAll();
   const outcome first = Accept("accept");
   ASSERT_TRUE(std::holds_alternative<accepted_outcome>(first));
@@ -95,7 +95,7 @@
 }
 
 // Guards against a version with faults being published in part.
-TEST_F(control_test, AnInvalidDraftIsRefusedWithEveryFault) {
+TEST_F(changes, AnInvalidDraftIsRefusedWithEveryFault) {
   EditAll();
   Edit("a", {{kWait, kernel::row_version(1), std::nullopt},
              {kLimit, kernel::row_version(1), std::nullopt}});
@@ -107,7 +107,7 @@
 }
 
 // Guards against a rollback that moves versions back.
-TEST_F(control_test, RestoringMakesANewVersionWithOldContents) {
+TEST_F(changes, RestoringMakesANewVersionWithOldContents) {
   EditAll();
   Accept("v1");
   const table::row_map old = machine_.history().rows();
@@ -122,7 +122,7 @@
 }
 
 // Guards against a snapshot that forgets what decides later outcomes.
-TEST_F(control_test, ASnapshotKeepsOutcomesVersionsAndClaims) {
+TEST_F(changes, ASnapshotKeepsOutcomesVersionsAndClaims) {
   EditAll();
   Accept("v1");
   Run(claim_command{kernel::idempotency_key("k"), kernel::attempt_id("a1"),
--- a/tests/roles_test.cc
+++ b/tests/roles_test.cc
@@ -17,12 +17,12 @@
 using transport::link;
 using transport::link_handlers;
 
-class roles_test : public ::testing::Test {
+class greetings : public ::testing::Test {
  protected:
-  roles_test()
+  greetings()
       : folder_(std::filesystem::temp_directory_path() /
                 ("cornelweir-roles-" + std::to_string(getpid()))) {}
-  ~roles_test() override { std::filesystem::remove_all(folder_); }
+  ~greetings() override { std::filesystem::remove_all(folder_); }
 
   static transport::tls_context Load(const transport::tls_files& files) {
     auto loaded = transport::LoadTlsContext(files);
@@ -60,7 +60,7 @@
   boost::asio::io_context context_{1};
 };
 
-TEST_F(roles_test, AProxyMayBeAProxyAndAControlHostMayBeBoth) {
+TEST_F(greetings, AProxyMayBeAProxyAndAControlHostMayBeBoth) {
   const auto proxy = Load(authority_.Issue("a", "proxy"));
   const auto control = Load(authority_.Issue("b", "control"));
   EXPECT_TRUE(Greet(proxy, protocol::process_role::kProxy));
@@ -69,26 +69,26 @@
 }
 
 // Guards against a daemon's key being enough to join the replicated log.
-TEST_F(roles_test, AProxyMayNotClaimToBeAControlHost) {
+TEST_F(greetings, AProxyMayNotClaimToBeAControlHost) {
   EXPECT_FALSE(Greet(Load(authority_.Issue("a", "proxy")), protocol::process_role::kControl));
 }
 
 // Guards against a certificate without a known role being taken for a proxy's.
-TEST_F(roles_test, AnUnknownRoleGetsNothing) {
+TEST_F(greetings, AnUnknownRoleGetsNothing) {
   const auto other = Load(authority_.Issue("a", "operator"));
   EXPECT_FALSE(Greet(other, protocol::process_role::kProxy));
   EXPECT_FALSE(Greet(other, protocol::process_role::kControl));
 }
 
 // Guards against peers without keys, or with keys of another authority, getting a link.
-TEST_F(roles_test, AnUnauthenticatedPeerGetsNothing) {
+TEST_F(greetings, AnUnauthenticatedPeerGetsNothing) {
   EXPECT_FALSE(Greet(nullptr, protocol::process_role::kProxy));
   tests::test_authority stranger(folder_ / "stranger");
   EXPECT_FALSE(Greet(Load(stranger.Issue("a", "control")), protocol::process_role::kControl));
 }
 
 // Guards against a start with keys that can't be used.
-TEST_F(roles_test, AMissingKeyFileIsReportedWithItsName) {
+TEST_F(greetings, AMissingKeyFileIsReportedWithItsName) {
   transport::tls_files files = authority_.Issue("a", "proxy");
   files.key_file = (folder_ / "absent.key").string();
   const std::string detail = boost::leaf::try_handle_all(
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // A listener that echoes, and one client, on one loop.
-class transport_test : public ::testing::Test {
+class linking : public ::testing::Test {
  protected:
   void Listen() {
     link_handlers handlers;
@@ -29,7 +29,7 @@
   std::shared_ptr<listener> listener_;
 };
 
-TEST_F(transport_test, CarriesWholeMessagesInOrder) {
+TEST_F(linking, CarriesWholeMessagesInOrder) {
   Listen();
   std::vector<std::string> received;
   const std::string large(200'000, 'x');
@@ -53,7 +53,7 @@
 }
 
 // Guards against an owner that waits for ever because a failed connect was not reported.
-TEST_F(transport_test, ReportsARefusedConnectionOnce) {
+TEST_F(linking, ReportsARefusedConnectionOnce) {
   Listen();
   const kernel::endpoint gone = listener_->local_endpoint();
   listener_->Close();
@@ -68,7 +68,7 @@
 }
 
 // Guards against a message above the limit being buffered without bound.
-TEST_F(transport_test, ClosesOnAMessageAboveTheLimit) {
+TEST_F(linking, ClosesOnAMessageAboveTheLimit) {
   Listen();
   bool closed = false;
   link_handlers handlers;
