Report on the leader how far the other hosts' logs match

Cause: cornelweirctl status shows this position, and it was always 0.

Change: the node tells the position that it knows on the leader.

--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -59,6 +59,11 @@
   ready TakeReady();
 
   bool IsLeader() const { return role_ == role::kLeader; }
+  // Up to where another host's log is known to match the leader's; 0 on a host that does not lead.
+  kernel::log_index MatchIndex(const kernel::host_id& host) const {
+    const auto found = progress_.find(host);
+    return IsLeader() && found != progress_.end() ? found->second.match : kernel::log_index();
+  }
   std::optional<kernel::host_id> leader() const { return leader_; }
   kernel::term current_term() const { return state_.term; }
   kernel::log_index commit_index() const { return commit_; }
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -290,6 +290,7 @@
     if (peer.host == context_.settings.host) continue;
     peers.push_back({{"host", peer.host.value()},
                      {"voter", replication::IsVoter(node.configuration(), peer.host)},
+                     {"match_index", node.MatchIndex(peer.host).value()},
                      {"reachable", mesh_.IsConnected(peer.host)}});
   }
   status["peers"] = std::move(peers);
