Read the wall clock in one place for all plug-ins

Cause: three plug-in files had the same conversion of the system clock.

Change: plugins/wall_clock.h; behaviour is the same.

--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -1,11 +1,11 @@
 #include "plugins/control/replica.h"
 
-#include <chrono>
 #include <utility>
 
 #include "cornelweir/codec.h"
 #include "cornelweir/logging.h"
 #include "cornelweir/protocol.h"
+#include "plugins/wall_clock.h"
 
 namespace cornelweir::plugins::control {
 namespace internal {
@@ -14,11 +14,6 @@
 // Entries between two snapshots: bounds the log that a restart has to read.
 constexpr std::uint64_t kCompactionInterval = 10'000;
 
-std::int64_t WallClockMs() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<kernel::milliseconds>(since_epoch).count();
-}
-
 }  // namespace internal
 
 replica::replica(loop::event_loop& loop, replication::node node,
@@ -66,7 +61,7 @@
     callback(std::nullopt);
     return;
   }
-  const state::log_record record{internal::WallClockMs(), std::move(command)};
+  const state::log_record record{SinceEpochMs().count(), std::move(command)};
   const auto index = node_.Propose(kernel::byte_string{codec::Encode(record)}, Now());
   if (!index) {
     callback(std::nullopt);
--- a/plugins/proxy/local_upstream.cc
+++ b/plugins/proxy/local_upstream.cc
@@ -1,7 +1,6 @@
 #include "plugins/proxy/local_upstream.h"
 
 #include <algorithm>
-#include <chrono>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -10,6 +9,7 @@
 #include "cornelweir/codec.h"
 #include "cornelweir/logging.h"
 #include "plugins/proxy/request_headers.h"
+#include "plugins/wall_clock.h"
 
 namespace cornelweir::plugins::proxy {
 namespace internal {
@@ -25,11 +25,6 @@
 constexpr kernel::milliseconds kRestartWindow{5'000};
 constexpr kernel::milliseconds kProbeTimeout{500};
 
-std::int64_t WallClockMs() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<kernel::milliseconds>(since_epoch).count();
-}
-
 // What an upstream says of itself.
 struct announcement {
   kernel::upstream_id id;
@@ -105,7 +100,7 @@
 }
 
 kernel::incarnation local_upstream::NewIncarnation() {
-  const kernel::incarnation by_clock(static_cast<std::uint64_t>(internal::WallClockMs()));
+  const kernel::incarnation by_clock(static_cast<std::uint64_t>(SinceEpochMs().count()));
   last_incarnation_ = std::max(by_clock, Next(last_incarnation_));
   return last_incarnation_;
 }
--- a/plugins/proxy/subscription.cc
+++ b/plugins/proxy/subscription.cc
@@ -1,12 +1,12 @@
 #include "plugins/proxy/subscription.h"
 
-#include <chrono>
 #include <utility>
 #include <variant>
 
 #include "cornelweir/codec.h"
 #include "cornelweir/logging.h"
 #include "plugins/greeting.h"
+#include "plugins/wall_clock.h"
 
 namespace cornelweir::plugins::proxy {
 namespace internal {
@@ -14,11 +14,6 @@
 // Versions whose time of application is kept for the status page.
 constexpr std::size_t kMaxAppliedVersions = 64;
 
-std::int64_t WallClockUs() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<kernel::microseconds>(since_epoch).count();
-}
-
 distribution::relay MakeRelay(daemon_context& context) {
   distribution::subscriber own = distribution::subscriber_builder()
                                      .Service(context.settings.proxy->service)
@@ -203,7 +198,7 @@
 
 void subscription::NoteChange(const distribution::subscriber_result& result) {
   if (result.version_changed) {
-    applied_versions_.push_back({held().version(), internal::WallClockUs()});
+    applied_versions_.push_back({held().version(), SinceEpoch().count()});
     if (applied_versions_.size() > internal::kMaxAppliedVersions) applied_versions_.pop_front();
     logging::event(logging::event_id::kVersionApplied).With("version", held().version());
   }
