--- a/cornelweir/admission.h
+++ b/cornelweir/admission.h
@@ -11,6 +11,7 @@
 #include "cornelweir/src/admission/priority_class.h"
 #include "cornelweir/src/admission/refused_ticket.h"
 #include "cornelweir/src/admission/share_member.h"
+#include "cornelweir/src/admission/slot_queue.h"
 #include "cornelweir/src/admission/ticket.h"
 
 #endif  // CORNELWEIR_ADMISSION_H_
--- a/cornelweir/control.h
+++ b/cornelweir/control.h
@@ -8,6 +8,7 @@
 #include "cornelweir/src/control/draft.h"
 #include "cornelweir/src/control/limits.h"
 #include "cornelweir/src/control/outcomes.h"
+#include "cornelweir/src/control/policy_store.h"
 #include "cornelweir/src/control/state_machine.h"
 #include "cornelweir/src/control/version_history.h"
 
--- a/cornelweir/http.h
+++ b/cornelweir/http.h
@@ -15,8 +15,11 @@
 #include "cornelweir/src/http/http_error.h"
 #include "cornelweir/src/http/limits.h"
 #include "cornelweir/src/http/outcome.h"
+#include "cornelweir/src/http/pipeline_server.h"
 #include "cornelweir/src/http/proxy_server.h"
 #include "cornelweir/src/http/request_head.h"
 #include "cornelweir/src/http/stored_response.h"
+#include "cornelweir/src/http/upstream_client.h"
+#include "cornelweir/src/http/whole_message.h"
 
 #endif  // CORNELWEIR_HTTP_H_
--- a/cornelweir/membership.h
+++ b/cornelweir/membership.h
@@ -10,6 +10,9 @@
 #include "cornelweir/src/membership/member_history.h"
 #include "cornelweir/src/membership/member_snapshot.h"
 #include "cornelweir/src/membership/member_table.h"
+#include "cornelweir/src/membership/roster.h"
+#include "cornelweir/src/membership/roster_entry.h"
+#include "cornelweir/src/membership/upstream_announcement.h"
 #include "cornelweir/src/membership/upstream_record.h"
 
 #endif  // CORNELWEIR_MEMBERSHIP_H_
--- a/cornelweir/outcome.h
+++ b/cornelweir/outcome.h
@@ -10,5 +10,6 @@
 #include "cornelweir/src/outcome/request_outcome.h"
 #include "cornelweir/src/outcome/retry_budget.h"
 #include "cornelweir/src/outcome/retry_decision.h"
+#include "cornelweir/src/outcome/shared_retry_budget.h"
 
 #endif  // CORNELWEIR_OUTCOME_H_
--- a/cornelweir/protocol.h
+++ b/cornelweir/protocol.h
@@ -3,6 +3,8 @@
 
 // The messages between the system's own processes, as types.
 
+#include "cornelweir/src/protocol/data_messages.h"
+#include "cornelweir/src/protocol/fleet_messages.h"
 #include "cornelweir/src/protocol/limits.h"
 #include "cornelweir/src/protocol/messages.h"
 
--- a/cornelweir/routing.h
+++ b/cornelweir/routing.h
@@ -6,8 +6,10 @@
 #include "cornelweir/src/routing/balancer.h"
 #include "cornelweir/src/routing/finish_kind.h"
 #include "cornelweir/src/routing/limits.h"
+#include "cornelweir/src/routing/peer_choice.h"
 #include "cornelweir/src/routing/route_index.h"
 #include "cornelweir/src/routing/route_match.h"
 #include "cornelweir/src/routing/upstream_candidate.h"
+#include "cornelweir/src/routing/weighted_order.h"
 
 #endif  // CORNELWEIR_ROUTING_H_
--- a/cornelweir/settings.h
+++ b/cornelweir/settings.h
@@ -11,6 +11,7 @@
 #include "cornelweir/src/settings/load_settings.h"
 #include "cornelweir/src/settings/proxy_settings.h"
 #include "cornelweir/src/settings/settings_error.h"
+#include "cornelweir/src/settings/sidecar_settings.h"
 #include "cornelweir/src/settings/tls_settings.h"
 
 #endif  // CORNELWEIR_SETTINGS_H_
--- a/cornelweir/src/admission/limits.h
+++ b/cornelweir/src/admission/limits.h
@@ -19,6 +19,16 @@
 // Memberships of the last lease time that are remembered.
 inline constexpr std::size_t kMaxRememberedMemberships = 16;
 
+// How long requests hold a slot, before the first one has ended.
+inline constexpr kernel::microseconds kAssumedRunTime = std::chrono::milliseconds(50);
+// Weight of one run in the mean, as a divisor.
+inline constexpr std::int64_t kRunTimeSmoothing = 16;
+// A request with less than this part of the mean run time left is not worth starting.
+inline constexpr std::int64_t kLeastRunTimePercent = 60;
+// A request may be expected to end later than its objective by this part of the time from there to
+// its deadline. The mean hides a long tail, and a late response is worth less than one elsewhere.
+inline constexpr std::int64_t kLateSharePercent = 30;
+
 }  // namespace cornelweir::admission
 
 #endif  // CORNELWEIR_SRC_ADMISSION_LIMITS_H_
--- a/cornelweir/src/codec/cbor.cc
+++ b/cornelweir/src/codec/cbor.cc
@@ -8,6 +8,8 @@
 namespace cornelweir::codec {
 namespace internal {
 
+constexpr std::size_t kFrameLengthBytes = 4;
+
 // Walks a document without building it and stops at kMaxNesting levels.
 class nesting_checker {
  public:
@@ -68,4 +70,30 @@
   return document;
 }
 
+std::string Frame(std::string_view header, std::string_view payload) {
+  std::string message;
+  message.reserve(internal::kFrameLengthBytes + header.size() + payload.size());
+  for (std::size_t i = 0; i < internal::kFrameLengthBytes; ++i) {
+    message.push_back(static_cast<char>((header.size() >> (8 * i)) & 0xffU));
+  }
+  message.append(header);
+  message.append(payload);
+  return message;
+}
+
+boost::leaf::result<framed_message> Unframe(std::string_view message) {
+  if (message.size() < internal::kFrameLengthBytes) {
+    return boost::leaf::new_error(codec_error{codec_fault::kMalformed, "frame"});
+  }
+  std::size_t size = 0;
+  for (std::size_t i = 0; i < internal::kFrameLengthBytes; ++i) {
+    size |= static_cast<std::size_t>(static_cast<unsigned char>(message[i])) << (8 * i);
+  }
+  message.remove_prefix(internal::kFrameLengthBytes);
+  if (size > message.size()) {
+    return boost::leaf::new_error(codec_error{codec_fault::kMalformed, "frame"});
+  }
+  return framed_message{message.substr(0, size), message.substr(size)};
+}
+
 }  // namespace cornelweir::codec
--- a/cornelweir/src/codec/cbor.h
+++ b/cornelweir/src/codec/cbor.h
@@ -30,6 +30,18 @@
   return value;
 }
 
+// A message whose payload stays outside its encoding, so that large payloads are not copied through
+// the data model.
+struct framed_message {
+  std::string_view header;
+  std::string_view payload;
+};
+
+// Puts an encoded header and a payload into one message.
+std::string Frame(std::string_view header, std::string_view payload);
+// Splits such a message. The parts refer to it. Errors carry a codec_error.
+boost::leaf::result<framed_message> Unframe(std::string_view message);
+
 }  // namespace cornelweir::codec
 
 #endif  // CORNELWEIR_SRC_CODEC_CBOR_H_
--- a/cornelweir/src/codec/json_value.h
+++ b/cornelweir/src/codec/json_value.h
@@ -2,6 +2,7 @@
 #define CORNELWEIR_SRC_CODEC_JSON_VALUE_H_
 
 #include <boost/leaf.hpp>
+#include <chrono>
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -91,6 +92,30 @@
   }
 };
 
+// Durations travel as their count; each field has one unit.
+template <class Rep, class Period>
+struct json_traits<std::chrono::duration<Rep, Period>> {
+  using duration = std::chrono::duration<Rep, Period>;
+  static json To(duration value) { return value.count(); }
+  static boost::leaf::result<void> From(const json& from, duration& value,
+                                        const std::string& place) {
+    Rep count{};
+    BOOST_LEAF_CHECK(FromJson(from, count, place));
+    value = duration(count);
+    return {};
+  }
+};
+
+template <>
+struct json_traits<double> {
+  static json To(double value) { return value; }
+  static boost::leaf::result<void> From(const json& from, double& value, const std::string& place) {
+    if (!from.is_number()) return internal::WrongType(place);
+    value = from.get<double>();
+    return {};
+  }
+};
+
 // Kinds of rows travel by name, so that messages and operators' requests read alike.
 template <>
 struct json_traits<table::row_kind> {
@@ -162,6 +187,19 @@
   }
 };
 
+template <class First, class Second>
+struct json_traits<std::pair<First, Second>> {
+  using pair = std::pair<First, Second>;
+  static json To(const pair& value) {
+    return json::array({ToJson(value.first), ToJson(value.second)});
+  }
+  static boost::leaf::result<void> From(const json& from, pair& value, const std::string& place) {
+    if (!from.is_array() || from.size() != 2) return internal::WrongType(place);
+    BOOST_LEAF_CHECK(FromJson(from[0], value.first, place + ".first"));
+    return FromJson(from[1], value.second, place + ".second");
+  }
+};
+
 template <class T>
 struct json_traits<std::optional<T>> {
   static json To(const std::optional<T>& value) { return value ? ToJson(*value) : json(nullptr); }
--- a/cornelweir/src/control/commands.h
+++ b/cornelweir/src/control/commands.h
@@ -12,6 +12,7 @@
 #include "cornelweir/claims.h"
 #include "cornelweir/kernel.h"
 #include "cornelweir/membership.h"
+#include "cornelweir/policy.h"
 #include "cornelweir/table.h"
 
 namespace cornelweir::control {
@@ -170,9 +171,22 @@
   }
 };
 
+// Replaces the policy as a whole, on top of a named version. The proposer has validated it.
+struct replace_policy_command {
+  static constexpr std::string_view kType = "replace_policy";
+
+  policy::policy_delta delta;
+  kernel::policy_digest digest;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"delta", &replace_policy_command::delta},
+                      kernel::field{"digest", &replace_policy_command::digest}};
+  }
+};
+
 using command = std::variant<edit_command, accept_command, restore_command, announce_command,
                              leave_command, claim_command, complete_command, release_command,
-                             crash_command, release_quarantine_command>;
+                             crash_command, release_quarantine_command, replace_policy_command>;
 
 // A command as it stands in the log, with the leader's wall clock.
 struct log_record {
--- a/cornelweir/src/control/limits.h
+++ b/cornelweir/src/control/limits.h
@@ -15,6 +15,9 @@
 inline constexpr std::size_t kMaxAuthorBytes = 128;
 inline constexpr std::size_t kMaxNoteBytes = 1'024;
 
+// Policies whose resend is recognized: a day of changes at the highest rate of the design size.
+inline constexpr std::size_t kMaxRememberedPolicies = 33'000;
+
 }  // namespace cornelweir::control
 
 #endif  // CORNELWEIR_SRC_CONTROL_LIMITS_H_
--- a/cornelweir/src/control/outcomes.h
+++ b/cornelweir/src/control/outcomes.h
@@ -122,8 +122,25 @@
   }
 };
 
+// The outcome of replacing the policy, and the version in force after it.
+struct policy_outcome {
+  static constexpr std::string_view kType = "policy";
+
+  bool accepted = false;
+  // Whether this command, and not an earlier one with the same content, made the change.
+  bool changed = false;
+  kernel::policy_version current;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"accepted", &policy_outcome::accepted},
+                      kernel::field{"changed", &policy_outcome::changed},
+                      kernel::field{"current", &policy_outcome::current}};
+  }
+};
+
 using outcome = std::variant<edited_outcome, conflict_outcome, invalid_outcome, accepted_outcome,
-                             announced_outcome, claimed_outcome, done_outcome, refused_outcome>;
+                             announced_outcome, claimed_outcome, done_outcome, refused_outcome,
+                             policy_outcome>;
 
 }  // namespace cornelweir::control
 
--- a/cornelweir/src/control/state_machine.cc
+++ b/cornelweir/src/control/state_machine.cc
@@ -143,6 +143,12 @@
   return done_outcome{};
 }
 
+outcome state_machine::Run(const replace_policy_command& command, context& at) {
+  const policy_outcome result = policy_.Replace(command.delta, command.digest);
+  at.effects.policy_changed = result.changed;
+  return result;
+}
+
 state_snapshot state_machine::Snapshot() const {
   state_snapshot snapshot;
   snapshot.now_ms = now_ms_;
@@ -152,6 +158,7 @@
   snapshot.members = members_.Snapshot();
   snapshot.claims = claims_.Snapshot();
   snapshot.crashes = crashes_.Snapshot();
+  snapshot.policy = policy_.Snapshot();
   return snapshot;
 }
 
@@ -163,6 +170,7 @@
   members_.Restore(snapshot.members);
   claims_.Restore(snapshot.claims);
   crashes_.Restore(snapshot.crashes);
+  policy_.Restore(snapshot.policy);
 }
 
 }  // namespace cornelweir::control
--- a/cornelweir/src/control/state_machine.h
+++ b/cornelweir/src/control/state_machine.h
@@ -14,6 +14,7 @@
 #include "cornelweir/src/control/commands.h"
 #include "cornelweir/src/control/draft.h"
 #include "cornelweir/src/control/outcomes.h"
+#include "cornelweir/src/control/policy_store.h"
 #include "cornelweir/src/control/version_history.h"
 
 namespace cornelweir::control {
@@ -23,6 +24,7 @@
   bool table_changed = false;
   bool members_changed = false;
   bool quarantine_changed = false;
+  bool policy_changed = false;
   // The upstream that joined or changed, or that left, if there is one.
   std::optional<membership::upstream_record> announced = std::nullopt;
   std::optional<kernel::upstream_id> left = std::nullopt;
@@ -37,6 +39,7 @@
   membership::member_snapshot members;
   claims::claim_table_state claims;
   quarantine::crash_ledger_state crashes;
+  policy_store_state policy;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"now_ms", &state_snapshot::now_ms},
@@ -45,7 +48,8 @@
                       kernel::field{"outcomes", &state_snapshot::outcomes},
                       kernel::field{"members", &state_snapshot::members},
                       kernel::field{"claims", &state_snapshot::claims},
-                      kernel::field{"crashes", &state_snapshot::crashes}};
+                      kernel::field{"crashes", &state_snapshot::crashes},
+                      kernel::field{"policy", &state_snapshot::policy}};
   }
 };
 
@@ -61,6 +65,7 @@
   const membership::member_table& members() const { return members_; }
   const quarantine::crash_ledger& crashes() const { return crashes_; }
   const claims::claim_table& claims() const { return claims_; }
+  const policy_store& policy() const { return policy_; }
   kernel::time_point now() const;
 
   state_snapshot Snapshot() const;
@@ -79,6 +84,7 @@
   outcome Run(const release_command& command, context& at);
   outcome Run(const crash_command& command, context& at);
   outcome Run(const release_quarantine_command& command, context& at);
+  outcome Run(const replace_policy_command& command, context& at);
 
   // Runs a change of an operator once; a resend gets the first outcome.
   template <class Command>
@@ -95,6 +101,7 @@
   membership::member_table members_;
   claims::claim_table claims_;
   quarantine::crash_ledger crashes_;
+  policy_store policy_;
 };
 
 }  // namespace cornelweir::control
--- a/cornelweir/src/http/caller_connection.cc
+++ b/cornelweir/src/http/caller_connection.cc
@@ -8,6 +8,7 @@
 #include "cornelweir/src/http/connection.h"
 #include "cornelweir/src/http/forward_operation.h"
 #include "cornelweir/src/http/proxy_core.h"
+#include "cornelweir/src/http/request_check.h"
 
 namespace cornelweir::http::internal {
 
@@ -21,64 +22,6 @@
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-bool IsForwarded(http::method method) {
-  switch (method) {
-    case http::method::get:
-    case http::method::head:
-    case http::method::post:
-    case http::method::put:
-    case http::method::patch:
-    case http::method::delete_:
-    case http::method::options:
-      return true;
-    default:
-      return false;
-  }
-}
-
-bool IsParserError(const error_code& error) {
-  return error.category() == beast_http::make_error_code(beast_http::error::bad_version).category();
-}
-
-// The status that answers a request that can't be read, or 0 if the caller is gone.
-int StatusOf(const error_code& error) {
-  if (error == beast_http::error::header_limit || error == beast_http::error::buffer_overflow) {
-    return 431;
-  }
-  if (error == beast_http::error::body_limit) return 413;
-  if (error == boost::asio::error::timed_out) return 408;
-  if (error == beast_http::error::partial_message || !IsParserError(error)) return 0;
-  return 400;
-}
-
-struct refusal {
-  int status = 0;
-  std::string_view reason;
-};
-
-// What is wrong with a header that the parser accepts. Ambiguous framing is refused because the
-// next server might see a different end of the request (request smuggling).
-refusal CheckHead(const message_reader<true>::parser& parser) {
-  const auto& message = parser.get();
-  if (message.version() != 11) return {505, "only HTTP/1.1 is served"};
-  if (!IsForwarded(message.method())) return {400, "unsupported method"};
-  if (message.target().empty() || message.target().front() != '/') {
-    return {400, "the target must be a path"};
-  }
-  if (message.count(beast_http::field::host) != 1) return {400, "one host header is required"};
-  const std::size_t lengths = message.count(beast_http::field::content_length);
-  const std::size_t encodings = message.count(beast_http::field::transfer_encoding);
-  if (lengths + encodings > 1) return {400, "conflicting body lengths"};
-  if (encodings == 1 && !beast::iequals(message[beast_http::field::transfer_encoding], "chunked")) {
-    return {400, "unsupported transfer encoding"};
-  }
-  if (message.count(beast_http::field::expect) > 0 &&
-      !beast::iequals(message[beast_http::field::expect], "100-continue")) {
-    return {417, "unsupported expectation"};
-  }
-  return {};
-}
-
 }  // namespace
 
 caller_connection::caller_connection(std::shared_ptr<proxy_core> core,
@@ -135,12 +78,12 @@
   if (phase_ != phase::kHead) return;
   is_head_ = false;
   if (error) {
-    const int status = StatusOf(error);
+    const int status = StatusOfReadError(error);
     if (status == 0) return Close();
     return RefuseAndClose(status, "the request header can't be read", false);
   }
   auto& parser = reader_.message();
-  const refusal fault = CheckHead(parser);
+  const request_fault fault = CheckRequestHead(parser.get());
   if (fault.status != 0) return RefuseAndClose(fault.status, fault.reason, false);
 
   timer_.Cancel();
@@ -282,7 +225,7 @@
 
 void caller_connection::RefuseBody(const error_code& error, bool sent) {
   if (!CanAnswer()) return;
-  const int status = StatusOf(error);
+  const int status = StatusOfReadError(error);
   if (status == 0) return Close();
   EndExchange();
   RefuseAndClose(status, "the request body can't be read", sent);
--- /dev/null
+++ b/cornelweir/src/http/pipeline_core.cc
@@ -0,0 +1,76 @@
+#include "cornelweir/src/http/pipeline_core.h"
+
+#include <utility>
+#include <vector>
+
+#include "cornelweir/src/http/pipeline_connection.h"
+#include "cornelweir/src/http/socket_options.h"
+
+namespace cornelweir::http::internal {
+namespace {
+
+// How exactly time limits of callers are kept.
+constexpr kernel::milliseconds kWatchPeriod{250};
+
+}  // namespace
+
+pipeline_core::pipeline_core(loop::event_loop& loop, pipeline_server::handler handler,
+                             pipeline_server::refusal refusal)
+    : handle(std::move(handler)), refuse(std::move(refusal)), loop_(loop), watch_(loop) {}
+
+boost::leaf::result<void> pipeline_core::Listen(const kernel::endpoint& endpoint) {
+  listener_ = std::make_shared<listener>(
+      loop_, [this](boost::asio::ip::tcp::socket socket) { Accept(std::move(socket)); });
+  BOOST_LEAF_CHECK(listener_->Listen(endpoint));
+  watch_.StartPeriodic(kWatchPeriod, [this] { CheckTimes(); });
+  return {};
+}
+
+kernel::endpoint pipeline_core::local_endpoint() const {
+  return listener_ ? listener_->local_endpoint() : kernel::endpoint();
+}
+
+void pipeline_core::Accept(boost::asio::ip::tcp::socket socket) {
+  // Beyond the limit the connection is closed at once: nothing of it has been read.
+  if (connections_.size() >= limits.connections) return;
+  SetConnectionOptions(socket);
+  auto accepted = std::make_shared<pipeline_connection>(shared_from_this(), std::move(socket));
+  connections_.insert(accepted);
+  accepted->Start();
+}
+
+void pipeline_core::CheckTimes() {
+  const std::vector<std::shared_ptr<pipeline_connection>> open(connections_.begin(),
+                                                               connections_.end());
+  const kernel::time_point now = Now();
+  for (const auto& connection : open) connection->CheckTime(now);
+}
+
+void pipeline_core::Remove(const std::shared_ptr<pipeline_connection>& connection) {
+  connections_.erase(connection);
+  if (draining_ && connections_.empty() && on_drained_) {
+    loop_.Post(std::exchange(on_drained_, nullptr));
+  }
+}
+
+void pipeline_core::BeginDrain(std::function<void()> done) {
+  draining_ = true;
+  last_responses_ = true;
+  on_drained_ = std::move(done);
+  if (listener_) listener_->Close();
+  const std::vector<std::shared_ptr<pipeline_connection>> open(connections_.begin(),
+                                                               connections_.end());
+  for (const auto& connection : open) connection->CloseIfIdle();
+  if (connections_.empty() && on_drained_) loop_.Post(std::exchange(on_drained_, nullptr));
+}
+
+void pipeline_core::Close() {
+  watch_.Cancel();
+  on_drained_ = nullptr;
+  handle = nullptr;
+  if (listener_) listener_->Close();
+  const auto open = std::exchange(connections_, {});
+  for (const auto& connection : open) connection->Close();
+}
+
+}  // namespace cornelweir::http::internal
--- /dev/null
+++ b/cornelweir/src/http/pipeline_core.h
@@ -0,0 +1,56 @@
+#ifndef CORNELWEIR_SRC_HTTP_PIPELINE_CORE_H_
+#define CORNELWEIR_SRC_HTTP_PIPELINE_CORE_H_
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "cornelweir/src/http/listener.h"
+#include "cornelweir/src/http/pipeline_server.h"
+#include "cornelweir/src/kernel/clock.h"
+#include "cornelweir/src/loop/timer.h"
+
+namespace cornelweir::http::internal {
+
+// What the connections of a pipeline server share. One timer watches all of them.
+class pipeline_core : public std::enable_shared_from_this<pipeline_core> {
+ public:
+  pipeline_core(loop::event_loop& loop, pipeline_server::handler handle,
+                pipeline_server::refusal refuse);
+
+  boost::leaf::result<void> Listen(const kernel::endpoint& endpoint);
+  kernel::endpoint local_endpoint() const;
+  void BeginLastResponses() { last_responses_ = true; }
+  void BeginDrain(std::function<void()> done);
+  void Close();
+  void Remove(const std::shared_ptr<pipeline_connection>& connection);
+
+  kernel::time_point Now() const { return clock_.Now(); }
+  bool last_responses() const { return last_responses_; }
+  bool draining() const { return draining_; }
+  std::size_t connections() const { return connections_.size(); }
+
+  pipeline_limits limits;
+  pipeline_server::handler handle;
+  pipeline_server::refusal refuse;
+  // Bytes pass through here on their way to the connection that reads them.
+  std::array<char, std::size_t{64} << 10> scratch;
+
+ private:
+  void Accept(boost::asio::ip::tcp::socket socket);
+  void CheckTimes();
+
+  loop::event_loop& loop_;
+  kernel::steady_clock_source clock_;
+  loop::timer watch_;
+  std::shared_ptr<listener> listener_;
+  std::set<std::shared_ptr<pipeline_connection>> connections_;
+  std::function<void()> on_drained_;
+  bool last_responses_ = false;
+  bool draining_ = false;
+};
+
+}  // namespace cornelweir::http::internal
+
+#endif  // CORNELWEIR_SRC_HTTP_PIPELINE_CORE_H_
--- /dev/null
+++ b/cornelweir/src/http/pipeline_server.cc
@@ -0,0 +1,38 @@
+#include "cornelweir/src/http/pipeline_server.h"
+
+#include <utility>
+
+#include "cornelweir/src/http/pipeline_connection.h"
+#include "cornelweir/src/http/pipeline_core.h"
+
+namespace cornelweir::http {
+
+void pipeline_request::Respond(whole_response response) {
+  if (answered_) return;
+  answered_ = true;
+  on_gone_ = nullptr;
+  response_ = std::move(response);
+  if (const auto connection = connection_.lock()) connection->Flush();
+}
+
+pipeline_server::pipeline_server(loop::event_loop& loop, handler handle, refusal refuse)
+    : core_(std::make_shared<internal::pipeline_core>(loop, std::move(handle), std::move(refuse))) {
+}
+
+pipeline_server::~pipeline_server() { core_->Close(); }
+
+boost::leaf::result<void> pipeline_server::Listen(const kernel::endpoint& endpoint) {
+  return core_->Listen(endpoint);
+}
+
+kernel::endpoint pipeline_server::local_endpoint() const { return core_->local_endpoint(); }
+
+void pipeline_server::SetLimits(const pipeline_limits& limits) { core_->limits = limits; }
+
+void pipeline_server::BeginLastResponses() { core_->BeginLastResponses(); }
+
+void pipeline_server::BeginDrain(std::function<void()> done) { core_->BeginDrain(std::move(done)); }
+
+std::size_t pipeline_server::connections() const { return core_->connections(); }
+
+}  // namespace cornelweir::http
--- /dev/null
+++ b/cornelweir/src/http/request_check.h
@@ -0,0 +1,76 @@
+#ifndef CORNELWEIR_SRC_HTTP_REQUEST_CHECK_H_
+#define CORNELWEIR_SRC_HTTP_REQUEST_CHECK_H_
+
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <string_view>
+
+namespace cornelweir::http::internal {
+
+// Why a request is refused before it is routed.
+struct request_fault {
+  int status = 0;
+  std::string_view reason;
+};
+
+inline bool IsForwarded(boost::beast::http::verb method) {
+  using boost::beast::http::verb;
+  switch (method) {
+    case verb::get:
+    case verb::head:
+    case verb::post:
+    case verb::put:
+    case verb::patch:
+    case verb::delete_:
+    case verb::options:
+      return true;
+    default:
+      return false;
+  }
+}
+
+inline bool IsParserError(const boost::system::error_code& error) {
+  namespace beast_http = boost::beast::http;
+  return error.category() == beast_http::make_error_code(beast_http::error::bad_version).category();
+}
+
+// The status that answers a request that can't be read, or 0 if the caller is gone.
+inline int StatusOfReadError(const boost::system::error_code& error) {
+  using fault = boost::beast::http::error;
+  if (error == fault::header_limit || error == fault::buffer_overflow) return 431;
+  if (error == fault::body_limit) return 413;
+  if (error == boost::asio::error::timed_out) return 408;
+  if (error == fault::partial_message || !IsParserError(error)) return 0;
+  return 400;
+}
+
+// What is wrong with a header that the parser accepts. Ambiguous framing is refused because the
+// next server might see a different end of the request (request smuggling).
+template <class Message>
+request_fault CheckRequestHead(const Message& message) {
+  namespace beast = boost::beast;
+  using field = boost::beast::http::field;
+  if (message.version() != 11) return {505, "only HTTP/1.1 is served"};
+  if (!IsForwarded(message.method())) return {400, "unsupported method"};
+  if (message.target().empty() || message.target().front() != '/') {
+    return {400, "the target must be a path"};
+  }
+  if (message.count(field::host) != 1) return {400, "one host header is required"};
+  const auto lengths = message.count(field::content_length);
+  const auto encodings = message.count(field::transfer_encoding);
+  if (lengths + encodings > 1) return {400, "conflicting body lengths"};
+  if (encodings == 1 && !beast::iequals(message[field::transfer_encoding], "chunked")) {
+    return {400, "unsupported transfer encoding"};
+  }
+  if (message.count(field::expect) > 0 && !beast::iequals(message[field::expect], "100-continue")) {
+    return {417, "unsupported expectation"};
+  }
+  return {};
+}
+
+}  // namespace cornelweir::http::internal
+
+#endif  // CORNELWEIR_SRC_HTTP_REQUEST_CHECK_H_
--- /dev/null
+++ b/cornelweir/src/http/upstream_connection.h
@@ -0,0 +1,97 @@
+#ifndef CORNELWEIR_SRC_HTTP_UPSTREAM_CONNECTION_H_
+#define CORNELWEIR_SRC_HTTP_UPSTREAM_CONNECTION_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cornelweir/src/http/upstream_client.h"
+#include "cornelweir/src/kernel/clock.h"
+#include "cornelweir/src/loop/timer.h"
+
+namespace cornelweir::http::internal {
+
+// What the connections to one upstream share.
+class upstream_core : public std::enable_shared_from_this<upstream_core> {
+ public:
+  upstream_core(loop::event_loop& loop, upstream_limits limits);
+
+  std::shared_ptr<upstream_connection> Take();
+  void Keep(const std::shared_ptr<upstream_connection>& connection);
+  void Remove(const std::shared_ptr<upstream_connection>& connection);
+  void CloseIdle();
+  void Close();
+
+  loop::event_loop& event_loop() { return loop_; }
+  kernel::time_point Now() const { return clock_.Now(); }
+
+  const upstream_limits limits;
+  boost::asio::ip::tcp::endpoint endpoint;
+  std::uint64_t opened = 0;
+  // Bytes pass through here on their way to the connection that reads them.
+  std::array<char, std::size_t{64} << 10> scratch;
+
+ private:
+  void CloseExpired();
+
+  loop::event_loop& loop_;
+  kernel::steady_clock_source clock_;
+  loop::timer watch_;
+  // The latest used last.
+  std::vector<std::shared_ptr<upstream_connection>> idle_;
+  std::set<std::shared_ptr<upstream_connection>> open_;
+};
+
+// A connection to an upstream.
+class upstream_connection : public std::enable_shared_from_this<upstream_connection> {
+ public:
+  explicit upstream_connection(const std::shared_ptr<upstream_core>& core);
+
+  void Run(const whole_request& request, kernel::microseconds timeout,
+           std::shared_ptr<upstream_exchange> exchange);
+  // Whether the connection can take another request.
+  bool IsUsable();
+  void Close();
+
+  kernel::time_point idle_until;
+
+ private:
+  using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Connect();
+  void Write();
+  void AwaitBytes();
+  void OnReadable();
+  void BeginResponse();
+  void Parse(bool at_end);
+  void OnResponse();
+  void End(upstream_status status, whole_response response);
+  void KeepOrClose();
+
+  std::weak_ptr<upstream_core> core_;
+  boost::asio::ip::tcp::socket socket_;
+  loop::timer timer_;
+  loop::timer connect_timer_;
+  std::shared_ptr<upstream_exchange> exchange_;
+  std::string output_;
+  std::string input_;
+  std::unique_ptr<parser> parser_;
+  bool is_head_ = false;
+  bool connected_ = false;
+  bool write_began_ = false;
+  bool writing_ = false;
+  bool waiting_ = false;
+  bool keep_alive_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace cornelweir::http::internal
+
+#endif  // CORNELWEIR_SRC_HTTP_UPSTREAM_CONNECTION_H_
--- /dev/null
+++ b/cornelweir/src/http/whole_message.h
@@ -0,0 +1,37 @@
+#ifndef CORNELWEIR_SRC_HTTP_WHOLE_MESSAGE_H_
+#define CORNELWEIR_SRC_HTTP_WHOLE_MESSAGE_H_
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace cornelweir::http {
+
+// Headers as plain text, in order, for messages that leave the connection that they came on.
+using header_pairs = std::vector<std::pair<std::string, std::string>>;
+
+// The value of the first header with this name, without regard to case, or an empty text.
+std::string_view FindHeader(const header_pairs& headers, std::string_view name);
+// Whether the name is that of a header that concerns one connection only or frames the body
+// (RFC 9110, section 7.6.1).
+bool IsHopHeader(std::string_view name);
+
+// A request with its whole body.
+struct whole_request {
+  std::string method;
+  std::string target;
+  header_pairs headers;
+  std::string body;
+};
+
+// A response with its whole body.
+struct whole_response {
+  int status = 0;
+  header_pairs headers;
+  std::string body;
+};
+
+}  // namespace cornelweir::http
+
+#endif  // CORNELWEIR_SRC_HTTP_WHOLE_MESSAGE_H_
--- a/cornelweir/src/kernel/ids.h
+++ b/cornelweir/src/kernel/ids.h
@@ -21,6 +21,11 @@
 
 // The number of an accepted table. Grows by one with every accepted version.
 using table_version = strong_id<struct table_version_tag, std::uint64_t>;
+// The number of an accepted policy. Chosen by operators; grows from one policy to the next in steps
+// of any size.
+using policy_version = strong_id<struct policy_version_tag, std::uint64_t>;
+// A digest of the content of one policy, which tells two policies under one version apart.
+using policy_digest = strong_id<struct policy_digest_tag, std::uint64_t>;
 // The number of an edit of one row.
 using row_version = strong_id<struct row_version_tag, std::uint64_t>;
 // The number of the announced membership: the log index of the latest change to it.
@@ -47,6 +52,9 @@
 // A digest that tells one request's content from another's.
 using fingerprint = strong_id<struct fingerprint_tag, std::uint64_t>;
 
+// A request between two daemons, unique on their link.
+using call_id = strong_id<struct call_id_tag, std::uint64_t>;
+
 // An IP address and port in the form "127.0.0.1:8080".
 using endpoint = strong_id<struct endpoint_tag, std::string>;
 
--- a/cornelweir/src/kernel/quantity.h
+++ b/cornelweir/src/kernel/quantity.h
@@ -11,6 +11,11 @@
 using milliseconds = std::chrono::milliseconds;
 using microseconds = std::chrono::microseconds;
 
+// Whole milliseconds of a time, rounded towards zero.
+constexpr milliseconds ToMilliseconds(microseconds time) {
+  return std::chrono::duration_cast<milliseconds>(time);
+}
+
 // A number of requests: in progress, queued or allowed.
 using request_count = strong_id<struct request_count_tag, std::int64_t>;
 // A share of traffic relative to the other weights of the same service.
--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -22,6 +22,10 @@
   X(kStorageFailed, 2003, kError, "storage failed")                        \
   X(kVersionAccepted, 2004, kInfo, "version accepted")                     \
   X(kMessageRefused, 2005, kWarning, "message refused")                    \
+  X(kPolicyDecided, 2006, kInfo, "policy change decided")                  \
+  X(kPolicyInForce, 2007, kInfo, "policy applied to the state")            \
+  X(kGroupChanged, 2008, kInfo, "group of control hosts changes")          \
+  X(kPolicyInvalid, 2009, kWarning, "policy refused as invalid")           \
   X(kPublisherConnected, 3001, kInfo, "connected to publisher")            \
   X(kPublisherLost, 3002, kWarning, "publisher lost")                      \
   X(kVersionApplied, 3003, kInfo, "version applied")                       \
@@ -31,7 +35,18 @@
   X(kUpstreamLeft, 3007, kInfo, "upstream left")                           \
   X(kLeaseExpired, 3008, kWarning, "lease expired")                        \
   X(kControlLinkLost, 3009, kWarning, "link to control host lost")         \
-  X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress")
+  X(kDaemonReported, 3010, kInfo, "daemon reported")                       \
+  X(kControlHostLost, 3011, kWarning, "control host given up")             \
+  X(kControlHostConnected, 3012, kInfo, "connected to control host")       \
+  X(kPolicyApplied, 3013, kInfo, "policy in force")                        \
+  X(kUpstreamChanged, 3014, kInfo, "upstream changed")                     \
+  X(kPeerLost, 3015, kWarning, "link to peer lost")                        \
+  X(kReadinessChanged, 3016, kInfo, "readiness changed")                   \
+  X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress") \
+  X(kRequestEnded, 4002, kInfo, "request ended")                           \
+  X(kRequestSentAgain, 4003, kInfo, "request sent again")                  \
+  X(kAnnouncementRefused, 4004, kWarning, "announcement refused")          \
+  X(kRequestRefused, 4005, kInfo, "request refused")
 
 enum class event_id : std::uint16_t {
 // An enumerator can't stand in parentheses.
--- a/cornelweir/src/membership/limits.h
+++ b/cornelweir/src/membership/limits.h
@@ -27,6 +27,12 @@
 // without positive evidence. The same share bounds ejection in the daemons.
 inline constexpr std::size_t kExpiryShare = 3;
 
+// A daemon that no control host heard of for so long is dropped from the roster. Its peers notice
+// its loss at once on their own links; this only bounds the roster.
+inline constexpr kernel::milliseconds kDaemonLease{8'000};
+// How long a dropped daemon is remembered, so that late reports of it can be told from new ones.
+inline constexpr kernel::milliseconds kForgetDaemonAfter{60'000};
+
 }  // namespace cornelweir::membership
 
 #endif  // CORNELWEIR_SRC_MEMBERSHIP_LIMITS_H_
--- /dev/null
+++ b/cornelweir/src/membership/roster_entry.h
@@ -0,0 +1,45 @@
+#ifndef CORNELWEIR_SRC_MEMBERSHIP_ROSTER_ENTRY_H_
+#define CORNELWEIR_SRC_MEMBERSHIP_ROSTER_ENTRY_H_
+
+#include <cstdint>
+#include <tuple>
+
+#include "cornelweir/src/kernel/field.h"
+#include "cornelweir/src/kernel/ids.h"
+
+namespace cornelweir::membership {
+
+// A daemon, and the service of the upstream beside it. What the upstream's state is, its daemon
+// tells the others itself.
+struct roster_entry {
+  // Where other daemons reach it.
+  kernel::endpoint daemon;
+  kernel::failure_domain failure_domain;
+  kernel::service_name service;
+  // The start of the daemon's process, and the number of its report since. Later ones replace
+  // earlier ones.
+  kernel::incarnation incarnation;
+  std::uint64_t sequence = 0;
+  // The daemon is shutting down.
+  bool leaving = false;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"daemon", &roster_entry::daemon},
+                      kernel::field{"domain", &roster_entry::failure_domain},
+                      kernel::field{"service", &roster_entry::service},
+                      kernel::field{"incarnation", &roster_entry::incarnation},
+                      kernel::field{"sequence", &roster_entry::sequence},
+                      kernel::field{"leaving", &roster_entry::leaving}};
+  }
+  friend bool operator==(const roster_entry&, const roster_entry&) = default;
+
+  // Whether this entry says the same of the daemon, apart from when.
+  bool SaysTheSameAs(const roster_entry& other) const {
+    return failure_domain == other.failure_domain && service == other.service &&
+           leaving == other.leaving && incarnation == other.incarnation;
+  }
+};
+
+}  // namespace cornelweir::membership
+
+#endif  // CORNELWEIR_SRC_MEMBERSHIP_ROSTER_ENTRY_H_
--- a/cornelweir/src/outcome/limits.h
+++ b/cornelweir/src/outcome/limits.h
@@ -30,6 +30,10 @@
 // Attempts of one request at one entry daemon, the first included.
 inline constexpr int kMaxAttempts = 3;
 
+// The part of a shared budget that requests sent again may use. A request that runs again makes its
+// own calls again, and those count against the budgets of the services that it calls.
+inline constexpr double kOwnRetryShare = 0.6;
+
 }  // namespace cornelweir::outcome
 
 #endif  // CORNELWEIR_SRC_OUTCOME_LIMITS_H_
--- /dev/null
+++ b/cornelweir/src/outcome/shared_retry_budget.cc
@@ -0,0 +1,43 @@
+#include "cornelweir/src/outcome/shared_retry_budget.h"
+
+#include <algorithm>
+
+#include "cornelweir/src/outcome/limits.h"
+
+namespace cornelweir::outcome {
+namespace {
+
+std::int64_t NumberOf(kernel::time_point now, kernel::microseconds bucket) {
+  return now.time_since_epoch() / bucket;
+}
+
+}  // namespace
+
+shared_retry_budget::bucket& shared_retry_budget::At(kernel::time_point now) {
+  const kernel::microseconds length = kernel::microseconds(allowance_.window) / kBuckets;
+  const std::int64_t number = NumberOf(now, length);
+  bucket& current = buckets_[static_cast<std::size_t>(number) % buckets_.size()];
+  if (current.number != number) current = bucket{number, 0, 0};
+  return current;
+}
+
+void shared_retry_budget::OnRequest(kernel::time_point now) { ++At(now).requests; }
+
+bool shared_retry_budget::Take(std::size_t daemons, kernel::time_point now) {
+  bucket& current = At(now);
+  const auto oldest = current.number - static_cast<std::int64_t>(kBuckets);
+  std::int64_t requests = 0;
+  std::int64_t retries = 0;
+  for (const bucket& counted : buckets_) {
+    if (counted.number >= oldest) retries += counted.retries;
+    if (counted.number > oldest) requests += counted.requests;
+  }
+  const double allowed =
+      kOwnRetryShare * (allowance_.ratio * static_cast<double>(requests) +
+                        allowance_.slack / static_cast<double>(std::max<std::size_t>(daemons, 1)));
+  if (static_cast<double>(retries + 1) > allowed) return false;
+  ++current.retries;
+  return true;
+}
+
+}  // namespace cornelweir::outcome
--- /dev/null
+++ b/cornelweir/src/policy/policy_table.h
@@ -0,0 +1,68 @@
+#ifndef CORNELWEIR_SRC_POLICY_POLICY_TABLE_H_
+#define CORNELWEIR_SRC_POLICY_POLICY_TABLE_H_
+
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "cornelweir/src/kernel/field.h"
+#include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/policy/caller_limits.h"
+#include "cornelweir/src/policy/route.h"
+#include "cornelweir/src/policy/service.h"
+
+namespace cornelweir::policy {
+
+// Everything that daemons enforce, as one version that is replaced as a whole. Version 0 is the
+// empty policy, before operators sent the first one.
+struct policy_table {
+  kernel::policy_version version;
+  std::vector<service> services;
+  caller_limits limits;
+  // In the order in which operators sent them.
+  std::vector<route> routes;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"version", &policy_table::version},
+                      kernel::field{"services", &policy_table::services},
+                      kernel::field{"limits", &policy_table::limits},
+                      kernel::field{"routes", &policy_table::routes}};
+  }
+  friend bool operator==(const policy_table&, const policy_table&) = default;
+};
+
+// What changes from one policy to another. Most changes touch a few of many routes, so the log and
+// the feeds to daemons carry deltas.
+struct policy_delta {
+  kernel::policy_version base;
+  kernel::policy_version version;
+  std::optional<std::vector<service>> services;
+  std::optional<caller_limits> limits;
+  std::vector<route_key> removed;
+  // Changed in place, or appended if the base does not have them.
+  std::vector<route> changed;
+  // All keys, if the order can't be had by removing and appending.
+  std::optional<std::vector<route_key>> order;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"base", &policy_delta::base},
+                      kernel::field{"version", &policy_delta::version},
+                      kernel::field{"services", &policy_delta::services},
+                      kernel::field{"limits", &policy_delta::limits},
+                      kernel::field{"removed", &policy_delta::removed},
+                      kernel::field{"changed", &policy_delta::changed},
+                      kernel::field{"order", &policy_delta::order}};
+  }
+  friend bool operator==(const policy_delta&, const policy_delta&) = default;
+};
+
+// The delta that turns the first table into the second one.
+policy_delta Diff(const policy_table& from, const policy_table& to);
+
+// Applies a delta. Empty if the delta has another base or names routes that the base lacks.
+std::optional<policy_table> Apply(const policy_table& base, const policy_delta& delta);
+
+}  // namespace cornelweir::policy
+
+#endif  // CORNELWEIR_SRC_POLICY_POLICY_TABLE_H_
--- /dev/null
+++ b/cornelweir/src/policy/route_index.cc
@@ -0,0 +1,36 @@
+#include "cornelweir/src/policy/route_index.h"
+
+#include <algorithm>
+
+namespace cornelweir::policy {
+namespace {
+
+std::string HostKey(std::string_view host) {
+  std::string key(host.substr(0, host.find(':')));
+  std::transform(key.begin(), key.end(), key.begin(), [](char letter) {
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+  });
+  return key;
+}
+
+}  // namespace
+
+route_index::route_index(const policy_table& table) {
+  for (const route& listed : table.routes) hosts_[HostKey(listed.host)].push_back(&listed);
+  for (auto& [host, routes] : hosts_) {
+    std::stable_sort(routes.begin(), routes.end(), [](const route* left, const route* right) {
+      return left->path_prefix.size() > right->path_prefix.size();
+    });
+  }
+}
+
+const route* route_index::Match(std::string_view host, std::string_view path) const {
+  const auto found = hosts_.find(HostKey(host));
+  if (found == hosts_.end()) return nullptr;
+  for (const route* candidate : found->second) {
+    if (path.starts_with(candidate->path_prefix)) return candidate;
+  }
+  return nullptr;
+}
+
+}  // namespace cornelweir::policy
--- /dev/null
+++ b/cornelweir/src/policy/route_index.h
@@ -0,0 +1,30 @@
+#ifndef CORNELWEIR_SRC_POLICY_ROUTE_INDEX_H_
+#define CORNELWEIR_SRC_POLICY_ROUTE_INDEX_H_
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cornelweir/src/policy/policy_table.h"
+
+namespace cornelweir::policy {
+
+// Finds the route of a request. Refers to the table that it was built from.
+class route_index {
+ public:
+  route_index() = default;
+  explicit route_index(const policy_table& table);
+
+  // The route of this host with the longest prefix that begins the path, or null. The host is
+  // compared without regard to case and without its port.
+  const route* Match(std::string_view host, std::string_view path) const;
+
+ private:
+  // Routes of each host, longest prefix first.
+  std::unordered_map<std::string, std::vector<const route*>> hosts_;
+};
+
+}  // namespace cornelweir::policy
+
+#endif  // CORNELWEIR_SRC_POLICY_ROUTE_INDEX_H_
--- a/cornelweir/src/protocol/limits.h
+++ b/cornelweir/src/protocol/limits.h
@@ -17,6 +17,21 @@
 inline constexpr kernel::milliseconds kHeartbeatPeriod{500};
 inline constexpr kernel::milliseconds kRenewPeriod{1'000};
 
+
+// Between a control host and a daemon without other messages. Three lost ones are noticed well
+// within the time in which a change must be in force.
+inline constexpr kernel::milliseconds kFleetHeartbeat{200};
+inline constexpr kernel::milliseconds kFleetSilence{700};
+// A control host that has not heard for so long of a round that a majority confirmed says that it
+// is not current.
+inline constexpr kernel::milliseconds kCurrentFor{500};
+// Pieces in which bodies travel between daemons, so that other requests get between them.
+inline constexpr std::size_t kBodyPieceBytes = std::size_t{64} << 10;
+// Without any message for so long, a link with requests on it is probed, and given up after as
+// long again.
+inline constexpr kernel::milliseconds kLinkProbeAfter{300};
+inline constexpr kernel::milliseconds kLinkSilence{900};
+
 }  // namespace cornelweir::protocol
 
 #endif  // CORNELWEIR_SRC_PROTOCOL_LIMITS_H_
--- a/cornelweir/src/protocol/messages.h
+++ b/cornelweir/src/protocol/messages.h
@@ -14,10 +14,11 @@
 #include "cornelweir/kernel.h"
 #include "cornelweir/quarantine.h"
 #include "cornelweir/replication.h"
+#include "cornelweir/src/protocol/fleet_messages.h"
 
 namespace cornelweir::protocol {
 
-enum class process_role : std::uint8_t { kControl, kProxy };
+enum class process_role : std::uint8_t { kControl, kProxy, kSidecar };
 
 // The first message in both directions of a link.
 struct hello {
@@ -121,7 +122,8 @@
 };
 
 // Between control hosts.
-using control_message = std::variant<hello, replicate, submit, submit_reply, renew>;
+using control_message =
+    std::variant<hello, replicate, submit, submit_reply, renew, roster_share, join_request>;
 // From a daemon to its publisher.
 using daemon_message = std::variant<hello, distribution::subscribe, distribution::applied,
                                     distribution::proof_query, submit, renew, proxy_status>;
@@ -131,6 +133,10 @@
                  distribution::members, distribution::heartbeat, distribution::proof,
                  distribution::redirect, submit_reply, quarantined>;
 
+// From a sidecar to its control host, and back.
+using report_message = std::variant<hello, daemon_report>;
+using fleet_message = std::variant<hello, fleet_update>;
+
 }  // namespace cornelweir::protocol
 
 #endif  // CORNELWEIR_SRC_PROTOCOL_MESSAGES_H_
--- a/cornelweir/src/replication/limits.h
+++ b/cornelweir/src/replication/limits.h
@@ -45,6 +45,12 @@
 inline constexpr std::size_t kSnapshotPieceBytes = std::size_t{128} << 10;
 inline constexpr std::size_t kMaxSnapshotBytes = std::size_t{256} << 20;
 
+// A voter that is silent for so long gives up its place if another host is ready to take it. Longer
+// than an ordinary restart, shorter than the time in which a successor is expected to count.
+inline constexpr kernel::milliseconds kReplaceVoterAfter{2'000};
+// A learner that is silent for so long is forgotten; it asks to join again when it is back.
+inline constexpr kernel::milliseconds kForgetLearnerAfter{10'000};
+
 inline constexpr std::size_t kMaxHosts = 64;
 
 }  // namespace cornelweir::replication
--- a/cornelweir/src/replication/node.cc
+++ b/cornelweir/src/replication/node.cc
@@ -669,6 +669,26 @@
   }
 }
 
+std::vector<peer_status> node::Peers() const {
+  std::vector<peer_status> peers;
+  if (role_ != role::kLeader) return peers;
+  for (const auto& [host, progress] : progress_) {
+    const disk_record* known = FindDisk(configuration(), host);
+    const bool same_disk = known != nullptr && known->disk == progress.disk;
+    // A host that was never heard counts from the start of this leader's term.
+    const kernel::time_point since =
+        progress.heard ? progress.last_heard : std::max(progress.last_heard, leading_since_);
+    peers.push_back({host, now_ - since, progress.heard && same_disk && IsCaughtUp(progress)});
+  }
+  return peers;
+}
+
+std::optional<kernel::microseconds> node::SinceLeader() const {
+  if (role_ == role::kLeader) return kernel::microseconds::zero();
+  if (!leader_contact_) return std::nullopt;
+  return now_ - *leader_contact_;
+}
+
 // ---- Reads.
 
 void node::RequestReadIndex(kernel::nonce nonce, kernel::time_point now) {
--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -19,6 +19,7 @@
 #include "cornelweir/src/replication/log_entry.h"
 #include "cornelweir/src/replication/message.h"
 #include "cornelweir/src/replication/peer_progress.h"
+#include "cornelweir/src/replication/peer_status.h"
 #include "cornelweir/src/replication/ready.h"
 #include "cornelweir/src/replication/replicated_log.h"
 #include "cornelweir/src/replication/snapshot.h"
@@ -64,6 +65,10 @@
     const auto found = progress_.find(host);
     return IsLeader() && found != progress_.end() ? found->second.match : kernel::log_index();
   }
+  // The other hosts of the group as the leader sees them; empty on a host that does not lead.
+  std::vector<peer_status> Peers() const;
+  // How long ago this host heard from a leader; empty if it never did, zero on the leader.
+  std::optional<kernel::microseconds> SinceLeader() const;
   std::optional<kernel::host_id> leader() const { return leader_; }
   kernel::term current_term() const { return state_.term; }
   kernel::log_index commit_index() const { return commit_; }
--- a/cornelweir/src/routing/limits.h
+++ b/cornelweir/src/routing/limits.h
@@ -55,6 +55,15 @@
 // Requests that must succeed one after another before an ejected upstream is trusted.
 inline constexpr int kProbesToRecover = 3;
 
+// The response time of upstreams of which none has answered yet.
+inline constexpr kernel::microseconds kAssumedResponseTime = std::chrono::milliseconds(50);
+// How much slower an upstream with all slots in use is taken to be than an idle one.
+inline constexpr double kFillCost = 1.0;
+// How much an upstream that fails every request is taken to be slower.
+inline constexpr double kFailureCost = 10.0;
+// What the way to another failure domain is taken to cost: its latency and its bytes.
+inline constexpr double kOtherDomainCost = 1.25;
+
 }  // namespace cornelweir::routing
 
 #endif  // CORNELWEIR_SRC_ROUTING_LIMITS_H_
--- a/cornelweir/src/settings/control_settings.h
+++ b/cornelweir/src/settings/control_settings.h
@@ -17,6 +17,17 @@
   std::vector<control_peer> peers;
   // Whether a host without data founds a new group. Otherwise it joins as a learner.
   bool bootstrap = false;
+  // Hosts to ask for the group, in place of a list of peers. Their ports are replaced by that of
+  // mesh_listen; a host of such a group is known by its mesh endpoint.
+  std::vector<kernel::endpoint> seeds;
+  // How many control hosts may be lost at the same time. The group grows until it has a majority
+  // without them.
+  std::int64_t tolerated_losses = 1;
+  // Where operators replace and read the policy, if a plug-in offers that.
+  kernel::endpoint policy_listen;
+  // Whether the file system keeps the inodes and birth times of files, by which a copied data folder
+  // is recognized.
+  bool stable_inodes = true;
 };
 
 }  // namespace cornelweir::settings
--- a/cornelweir/src/settings/daemon_settings.h
+++ b/cornelweir/src/settings/daemon_settings.h
@@ -8,6 +8,7 @@
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/settings/control_settings.h"
 #include "cornelweir/src/settings/proxy_settings.h"
+#include "cornelweir/src/settings/sidecar_settings.h"
 #include "cornelweir/src/settings/tls_settings.h"
 
 namespace cornelweir::settings {
@@ -21,7 +22,10 @@
   std::vector<std::string> plugins;
   std::optional<control_settings> control;
   std::optional<proxy_settings> proxy;
+  std::optional<sidecar_settings> sidecar;
   tls_settings tls;
+  // Links without TLS are allowed off loopback: the network is trusted as a whole.
+  bool trusted_network = false;
 };
 
 }  // namespace cornelweir::settings
--- a/cornelweir/src/settings/limits.h
+++ b/cornelweir/src/settings/limits.h
@@ -20,6 +20,10 @@
 inline constexpr std::int64_t kDefaultConnectionsPerPeer = 32;
 inline constexpr std::int64_t kMaxConnectionsPerPeer = 1'024;
 
+inline constexpr std::int64_t kMaxPort = 65'535;
+inline constexpr std::int64_t kMaxRetryWindowMs = 600'000;
+inline constexpr std::int64_t kMaxRetrySlack = 100'000;
+
 }  // namespace cornelweir::settings
 
 #endif  // CORNELWEIR_SRC_SETTINGS_LIMITS_H_
--- a/cornelweir/src/settings/load_settings.cc
+++ b/cornelweir/src/settings/load_settings.cc
@@ -50,10 +50,34 @@
 void ReadControl(section_reader& reader, const kernel::host_id& own, control_settings& control) {
   reader.AbsolutePath("data_folder", control.data_folder);
   reader.Endpoint("mesh_listen", port_rule::kMayBeZero, control.mesh_listen);
+  reader.OptionalFlag("bootstrap", control.bootstrap);
+  if (reader.Has("seeds")) {
+    reader.Endpoints("seeds", kMaxControlHosts, control.seeds);
+    reader.OptionalNumber("tolerated_losses", 0, kMaxControlHosts / 2, control.tolerated_losses);
+    if (reader.Has("policy_listen")) {
+      reader.Endpoint("policy_listen", port_rule::kMayBeZero, control.policy_listen);
+    }
+    reader.OptionalFlag("stable_inodes", control.stable_inodes);
+    return;
+  }
   reader.Sections("peers", kMaxControlHosts,
                   [&](section_reader& element) { ReadPeer(element, own, control); });
   CheckPeers(reader, own, control.peers);
-  reader.OptionalFlag("bootstrap", control.bootstrap);
+}
+
+void ReadSidecar(section_reader& reader, sidecar_settings& sidecar) {
+  reader.Name("service", sidecar.service);
+  reader.Endpoint("upstream", port_rule::kNotZero, sidecar.upstream);
+  reader.Endpoint("callers_listen", port_rule::kMayBeZero, sidecar.callers_listen);
+  reader.Endpoint("peers_listen", port_rule::kMayBeZero, sidecar.peers_listen);
+  reader.Endpoint("readiness_listen", port_rule::kMayBeZero, sidecar.readiness_listen);
+  reader.Endpoint("announce_listen", port_rule::kMayBeZero, sidecar.announce_listen);
+  reader.Endpoints("seeds", kMaxControlHosts, sidecar.seeds);
+  reader.OptionalNumber("control_port", 1, kMaxPort, sidecar.control_port);
+  reader.OptionalFraction("retry_ratio", sidecar.retry_ratio);
+  reader.OptionalNumber("retry_window_ms", 1, kMaxRetryWindowMs, sidecar.retry_window_ms);
+  reader.OptionalNumber("retry_slack", 0, kMaxRetrySlack, sidecar.retry_slack);
+  reader.OptionalNumber("shutdown_ms", 0, kMaxDrainMs, sidecar.shutdown_ms);
 }
 
 void ReadProxy(section_reader& reader, proxy_settings& proxy) {
@@ -79,7 +103,7 @@
 }
 
 void CheckTls(settings_document& document, const daemon_settings& settings) {
-  if (settings.tls.enabled) return;
+  if (settings.tls.enabled || settings.trusted_network) return;
   std::vector<std::pair<const char*, kernel::endpoint>> listens;
   listens.emplace_back("admin_listen", settings.admin_listen);
   if (settings.control) {
@@ -89,10 +113,14 @@
     listens.emplace_back("proxy.data_listen", settings.proxy->data_listen);
     listens.emplace_back("proxy.mesh_listen", settings.proxy->mesh_listen);
   }
+  if (settings.sidecar) {
+    listens.emplace_back("sidecar.callers_listen", settings.sidecar->callers_listen);
+    listens.emplace_back("sidecar.peers_listen", settings.sidecar->peers_listen);
+  }
   for (const auto& [place, endpoint] : listens) {
     const auto parsed = ParseEndpoint(endpoint.value());
     if (!parsed || parsed->address().is_loopback()) continue;
-    document.AddFault(place, "is not a loopback address, so tls.enabled must be true");
+    document.AddFault(place, "is not a loopback address, so tls.enabled or trusted_network must be true");
   }
 }
 
@@ -123,6 +151,15 @@
   if (reader.OptionalSection("proxy", [&](section_reader& inner) { ReadProxy(inner, proxy); })) {
     settings.proxy = std::move(proxy);
   }
+  sidecar_settings sidecar;
+  if (reader.OptionalSection("sidecar",
+                             [&](section_reader& inner) { ReadSidecar(inner, sidecar); })) {
+    settings.sidecar = std::move(sidecar);
+  }
+  reader.OptionalFlag("trusted_network", settings.trusted_network);
+  if (settings.control && !settings.control->seeds.empty()) {
+    settings.host = kernel::host_id(settings.control->mesh_listen.value());
+  }
   reader.OptionalSection("tls", [&](section_reader& inner) { ReadTls(inner, settings.tls); });
   reader.RefuseUnknownKeys();
   CheckPlugins(reader, settings);
--- a/cornelweir/src/settings/section_reader.cc
+++ b/cornelweir/src/settings/section_reader.cc
@@ -210,6 +210,16 @@
   value = number;
 }
 
+void section_reader::OptionalFraction(std::string_view key, double& value) {
+  const json* found = Find(key);
+  if (found == nullptr) return;
+  if (!found->is_number() || found->get<double>() < 0 || found->get<double>() > 1) {
+    AddFault(key, "must be a number from 0 to 1");
+    return;
+  }
+  value = found->get<double>();
+}
+
 bool section_reader::OptionalSection(std::string_view key,
                                      const std::function<void(section_reader&)>& read) {
   const json* found = Find(key);
--- a/cornelweir/src/storage/log_store.cc
+++ b/cornelweir/src/storage/log_store.cc
@@ -163,14 +163,20 @@
   BOOST_LEAF_AUTO(actual, file.Identity());
   recovered_.disk = identity.disk;
   recovered_.bootstrap = identity.bootstrap;
-  return internal::IsSameFile(identity.file, actual);
+  return check_ == copy_check::kNone || internal::IsSameFile(identity.file, actual);
 }
 
 // ---- Reading.
 
+bool log_store::HasIdentity(const std::filesystem::path& folder) {
+  std::error_code error;
+  return std::filesystem::exists(folder / kIdentityName, error);
+}
+
 boost::leaf::result<std::shared_ptr<log_store>> log_store::Open(
-    const std::filesystem::path& folder) {
+    const std::filesystem::path& folder, copy_check check) {
   BOOST_LEAF_AUTO(opened, Lock(folder));
+  opened->check_ = check;
   BOOST_LEAF_CHECK(opened->ListSegments());
   BOOST_LEAF_AUTO(identified, opened->LoadIdentity());
   bool belongs = identified && !opened->segments_.empty();
@@ -254,7 +260,9 @@
       }
       BOOST_LEAF_AUTO(file, internal::file::OpenForAppend(loaded.path));
       BOOST_LEAF_AUTO(actual, file.Identity());
-      if (header.disk != recovered_.disk || !internal::IsSameFile(header.file, actual)) {
+      const bool same_file =
+          check_ == copy_check::kNone || internal::IsSameFile(header.file, actual);
+      if (header.disk != recovered_.disk || !same_file) {
         return false;
       }
       state_ = header.state;
--- a/cornelweir/src/storage/log_store.h
+++ b/cornelweir/src/storage/log_store.h
@@ -31,12 +31,21 @@
 // the original may have become, so it must not speak for it.
 class log_store {
  public:
+  // How a copy of a data folder is told from the original. By files: their inodes and birth times,
+  // which a file system must keep for as long as the file exists. Where it does not, only the
+  // identity that the store itself wrote counts, and a copy is not recognized.
+  enum class copy_check : std::uint8_t { kByFiles, kNone };
+
   // Gives a new data folder an identity with the bootstrap flag. Done once by the operator on each
   // host of the initial configuration; fails if the folder has an identity.
   static boost::leaf::result<void> Bootstrap(const std::filesystem::path& folder);
 
   // Opens a data folder and reads it. Cuts a torn tail; refuses damage elsewhere.
-  static boost::leaf::result<std::shared_ptr<log_store>> Open(const std::filesystem::path& folder);
+  static boost::leaf::result<std::shared_ptr<log_store>> Open(
+      const std::filesystem::path& folder, copy_check check = copy_check::kByFiles);
+
+  // Whether the folder has an identity.
+  static bool HasIdentity(const std::filesystem::path& folder);
 
   // What the folder held when it was opened. Moves it out: to be called once.
   recovered_state Load();
@@ -91,6 +100,7 @@
   boost::leaf::result<void> CheckUsable() const;
 
   std::filesystem::path folder_;
+  copy_check check_ = copy_check::kByFiles;
   internal::file lock_;
   internal::file active_;
   std::vector<segment> segments_;
--- a/plugins/control/control_mesh.cc
+++ b/plugins/control/control_mesh.cc
@@ -1,5 +1,6 @@
 #include "plugins/control/control_mesh.h"
 
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -22,6 +23,28 @@
   }
 }
 
+void control_mesh::SetPeers(const std::set<kernel::host_id>& hosts) {
+  for (const kernel::host_id& host : hosts) {
+    if (host != self_) peers_[host].mesh = kernel::endpoint(host.value());
+  }
+  for (auto next = peers_.begin(); next != peers_.end();) {
+    if (hosts.contains(next->first)) {
+      ++next;
+      continue;
+    }
+    const std::shared_ptr<transport::link> link = next->second.link;
+    next = peers_.erase(next);
+    if (link) link->Close("the host is not in the group");
+  }
+}
+
+void control_mesh::Broadcast(const protocol::control_message& message) {
+  const std::string payload = codec::Encode(message);
+  for (auto& [host, peer] : peers_) {
+    if (peer.link) peer.link->Send(payload);
+  }
+}
+
 void control_mesh::Start() {
   Maintain();
   maintenance_.StartPeriodic(internal::kMaintenancePeriod, [this] { Maintain(); });
@@ -50,9 +73,9 @@
 }
 
 void control_mesh::OnClosed(const kernel::host_id& host, std::uint64_t generation) {
-  peer& target = peers_.at(host);
-  if (target.generation != generation) return;
-  target.link.reset();
+  const auto found = peers_.find(host);
+  if (found == peers_.end() || found->second.generation != generation) return;
+  found->second.link.reset();
   Fail(&host);
 }
 
--- a/plugins/control/control_mesh.h
+++ b/plugins/control/control_mesh.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 
 #include "cornelweir/kernel.h"
@@ -30,6 +31,9 @@
   void set_tls(transport::tls_context tls) { tls_ = std::move(tls); }
 
   bool Send(const kernel::host_id& to, const protocol::control_message& message);
+  // The hosts to keep links to, in a group whose hosts are known by their mesh endpoints.
+  void SetPeers(const std::set<kernel::host_id>& hosts);
+  void Broadcast(const protocol::control_message& message);
   bool IsConnected(const kernel::host_id& host) const;
 
   // Passes a command on to the leader and waits for its outcome.
--- a/plugins/control/control_plugin.h
+++ b/plugins/control/control_plugin.h
@@ -15,7 +15,9 @@
 #include "cornelweir/transport.h"
 #include "plugins/control/control_mesh.h"
 #include "plugins/control/daemon_gateway.h"
+#include "plugins/control/fleet_feed.h"
 #include "plugins/control/operator_api.h"
+#include "plugins/control/policy_service.h"
 #include "plugins/control/replica.h"
 #include "plugins/daemon_context.h"
 
@@ -42,6 +44,9 @@
   // Renews leases on the leader.
   void Renew(const protocol::renew& renewals);
 
+  // Tells the other control hosts of daemons that are connected here.
+  void ShareRoster(const protocol::roster_share& shared) { mesh_.Broadcast(shared); }
+
   replica& local() { return replica_; }
   codec::json StatusReport() const;
 
@@ -56,11 +61,17 @@
   void FlushRenewals();
   void ExpireLeases();
   void ReportMetrics();
+  void KeepGroup();
+  void OnJoin(const protocol::join_request& request);
+  std::size_t WantedVoters() const;
+  bool IsFounding() const;
 
   daemon_context& context_;
   replica replica_;
   control_mesh mesh_;
   daemon_gateway gateway_;
+  fleet_feed feed_;
+  policy_service policy_;
   operator_api api_;
   membership::lease_tracker leases_;
   std::shared_ptr<transport::listener> listener_;
@@ -71,6 +82,10 @@
   loop::timer renewal_timer_;
   loop::timer lease_timer_;
   loop::timer metrics_timer_;
+  loop::timer group_timer_;
+  // Hosts that asked to join, and until when the request counts.
+  std::map<kernel::host_id, kernel::time_point> applicants_;
+  kernel::time_point started_at_;
 };
 
 }  // namespace cornelweir::plugins::control
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -109,7 +109,8 @@
     if (ready.snapshot) {
       Restore(*ready.snapshot);
       handlers_.applied(
-          {.table_changed = true, .members_changed = true, .quarantine_changed = true});
+          {.table_changed = true, .members_changed = true, .quarantine_changed = true,
+           .policy_changed = true});
     }
     for (const replication::log_entry& entry : ready.committed) ApplyEntry(entry);
     FinishReads(ready.reads);
--- a/plugins/daemon_context.h
+++ b/plugins/daemon_context.h
@@ -7,6 +7,7 @@
 #include "cornelweir/metrics.h"
 #include "cornelweir/settings.h"
 #include "cornelweir/transport.h"
+#include "plugins/policy_port.h"
 
 namespace cornelweir::plugins {
 
@@ -20,6 +21,8 @@
   const kernel::steady_clock_source& clock;
   // Null if the settings switch TLS off.
   transport::tls_context tls;
+  // Set by the plug-in that keeps the policy, for those after it in the settings.
+  policy_port policy = {};
 };
 
 // Why a plug-in can't be created.
--- /dev/null
+++ b/plugins/sidecar/peer.cc
@@ -0,0 +1,251 @@
+#include "plugins/sidecar/peer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "cornelweir/codec.h"
+#include "cornelweir/logging.h"
+#include "plugins/greeting.h"
+#include "plugins/sidecar/data_frame.h"
+
+namespace cornelweir::plugins::sidecar {
+namespace internal {
+
+constexpr kernel::microseconds kFirstBackoff = std::chrono::milliseconds(50);
+constexpr kernel::microseconds kLongestBackoff = std::chrono::seconds(1);
+// Weight of one sample in the means of response time and failures.
+constexpr double kSampleWeight = 0.1;
+// Time in which what was observed falls to about a third without further samples, so that an
+// upstream that was slow or failing once is tried again.
+constexpr double kForgetSeconds = 3.0;
+// An idle link is probed at this interval, so that one that fell silent is known before it is
+// needed.
+constexpr kernel::milliseconds kIdleProbePeriod{1'000};
+
+}  // namespace internal
+
+peer::peer(daemon_context& context, membership::roster_entry entry, upstream_gate* gate)
+    : context_(context), entry_(std::move(entry)), gate_(gate) {}
+
+peer::~peer() {
+  if (alive_) *alive_ = false;
+  if (link_) link_->Close("the peer is not needed any more");
+}
+
+void peer::Connect() {
+  alive_ = std::make_shared<bool>(true);
+  opened_ = false;
+  transport::link_handlers handlers;
+  handlers.opened = [this, alive = alive_](const std::shared_ptr<transport::link>& link) {
+    if (!*alive) return;
+    opened_ = true;
+    heard_at_ = probed_at_ = Now();
+    const protocol::report_message greeting =
+        Greeting(protocol::process_role::kSidecar, context_.settings.host);
+    link->Send(codec::Encode(greeting));
+  };
+  handlers.message = [this, alive = alive_](const std::shared_ptr<transport::link>&,
+                                            std::string_view payload) {
+    if (*alive) OnMessage(payload);
+  };
+  handlers.closed = [this, alive = alive_](const std::shared_ptr<transport::link>&,
+                                           const std::string& reason) {
+    if (*alive) OnClosed(reason);
+  };
+  link_ = transport::link::Connect(context_.loop.context(), entry_.daemon, context_.tls,
+                                   std::move(handlers));
+}
+
+void peer::Maintain() {
+  if (gate_ != nullptr) return;
+  const kernel::time_point now = Now();
+  if (!link_) {
+    if (now >= retry_at_) Connect();
+    return;
+  }
+  if (!opened_) return;
+  const kernel::microseconds silent = now - heard_at_;
+  const bool waiting = !pending_.empty();
+  const kernel::microseconds limit =
+      waiting ? kernel::microseconds(protocol::kLinkSilence)
+              : kernel::microseconds(protocol::kLinkSilence + internal::kIdleProbePeriod);
+  if (silent >= limit && probed_at_ > heard_at_) {
+    link_->Close("the peer is silent");
+    return;
+  }
+  const kernel::microseconds period = waiting
+                                          ? kernel::microseconds(protocol::kLinkProbeAfter)
+                                          : kernel::microseconds(internal::kIdleProbePeriod);
+  if (silent >= period && now - probed_at_ >= period) {
+    probed_at_ = now;
+    SendData(*link_, protocol::link_probe{kernel::nonce(next_probe_++)});
+  }
+}
+
+void peer::Close() {
+  retry_at_ = kernel::time_point::max();
+  if (link_) link_->Close("the daemon is shutting down");
+}
+
+void peer::OnClosed(const std::string& reason) {
+  if (opened_) {
+    logging::event(logging::event_id::kPeerLost)
+        .With("peer", entry_.daemon)
+        .With("reason", reason)
+        .With("in_progress", pending_.size());
+    backoff_ = kernel::microseconds::zero();
+  }
+  backoff_ = std::clamp(backoff_ * 2, internal::kFirstBackoff, internal::kLongestBackoff);
+  if (retry_at_ != kernel::time_point::max()) retry_at_ = Now() + backoff_;
+  link_.reset();
+  opened_ = false;
+  report_.reset();
+  const auto lost = std::exchange(pending_, {});
+  for (const auto& [id, call] : lost) call.done(run_result{});
+}
+
+void peer::OnMessage(std::string_view payload) {
+  heard_at_ = Now();
+  const auto frame = ReadData(payload);
+  if (!frame) {
+    link_->Close("malformed message");
+    return;
+  }
+  if (const auto* report = std::get_if<protocol::upstream_report>(&frame->message)) {
+    OnReport(*report);
+  } else if (const auto* response = std::get_if<protocol::run_response>(&frame->message)) {
+    OnResponse(*response, frame->payload);
+  } else if (const auto* piece = std::get_if<protocol::body_piece>(&frame->message)) {
+    OnPiece(*piece, frame->payload);
+  } else if (const auto* failed = std::get_if<protocol::run_failed>(&frame->message)) {
+    NoteLoad(failed->load);
+    run_result result;
+    result.failure = failed->failure;
+    result.retry_after = failed->retry_after;
+    End(failed->id, std::move(result));
+  }
+}
+
+void peer::OnReport(const protocol::upstream_report& report) {
+  // Another process behind the same daemon has nothing to do with what was observed before.
+  if (!report_ || report_->upstream != report.upstream) {
+    response_time_us_ = 0;
+    failures_ = 0;
+  }
+  report_ = report;
+  sent_since_ = 0;
+}
+
+void peer::NoteLoad(const protocol::upstream_load& load) {
+  if (!report_) return;
+  report_->load = load;
+  sent_since_ = 0;
+}
+
+void peer::OnResponse(const protocol::run_response& message, std::string_view payload) {
+  NoteLoad(message.load);
+  const auto found = pending_.find(message.id);
+  if (found == pending_.end()) return;
+  http::whole_response& response = found->second.response;
+  response.status = message.status;
+  response.headers = message.headers;
+  OnPiece({message.id, message.last}, payload);
+}
+
+void peer::OnPiece(const protocol::body_piece& message, std::string_view payload) {
+  const auto found = pending_.find(message.id);
+  if (found == pending_.end()) return;
+  found->second.response.body.append(payload);
+  if (!message.last) return;
+  run_result result;
+  result.response = std::move(found->second.response);
+  End(message.id, std::move(result));
+}
+
+void peer::End(kernel::call_id id, run_result result) {
+  const auto found = pending_.find(id);
+  if (found == pending_.end()) return;
+  const pending ended = std::move(found->second);
+  pending_.erase(found);
+  Observe(result, Now() - ended.sent_at);
+  ended.done(std::move(result));
+}
+
+void peer::Observe(const run_result& result, kernel::microseconds took) {
+  const kernel::time_point now = Now();
+  const double idle_seconds = std::chrono::duration<double>(now - observed_at_).count();
+  failures_ *= std::exp(-idle_seconds / internal::kForgetSeconds);
+  observed_at_ = now;
+  const bool refused = !result.response &&
+                       (result.failure == protocol::run_failure::kNoRoom ||
+                        result.failure == protocol::run_failure::kNoUpstream);
+  if (refused) return;
+  constexpr int kServerError = 500;
+  const bool failed = !result.response || result.response->status >= kServerError;
+  failures_ += internal::kSampleWeight * ((failed ? 1.0 : 0.0) - failures_);
+  // A failure may come fast; it says nothing of how long a response takes.
+  if (failed && !(result.failure == protocol::run_failure::kTimeout && !result.response)) return;
+  const auto sample = static_cast<double>(took.count());
+  response_time_us_ = response_time_us_ == 0
+                          ? sample
+                          : response_time_us_ + internal::kSampleWeight * (sample - response_time_us_);
+}
+
+bool peer::Serves(const kernel::service_name& service) const {
+  if (gate_ != nullptr) return gate_->Report().open && gate_->service() == service;
+  return link_ && opened_ && report_ && report_->open && report_->service == service;
+}
+
+routing::peer_candidate peer::Candidate(bool own_domain) const {
+  const protocol::upstream_load load = gate_ != nullptr ? gate_->Load() : report_->load;
+  routing::peer_candidate candidate;
+  candidate.slots = load.slots;
+  candidate.occupied = load.in_progress + load.queued;
+  candidate.sent_since = gate_ != nullptr ? 0 : sent_since_;
+  const double idle_seconds = std::chrono::duration<double>(Now() - observed_at_).count();
+  const double memory = std::exp(-idle_seconds / internal::kForgetSeconds);
+  candidate.failures = failures_ * memory;
+  candidate.response_time =
+      memory < 0.1 ? kernel::microseconds::zero()
+                   : kernel::microseconds(static_cast<std::int64_t>(response_time_us_));
+  candidate.own_domain = own_domain;
+  return candidate;
+}
+
+kernel::call_id peer::Run(protocol::run_request request, const std::string& body,
+                          run_callback done) {
+  const kernel::call_id id(next_call_++);
+  pending& added = pending_[id];
+  added.done = std::move(done);
+  added.sent_at = Now();
+  if (gate_ != nullptr) {
+    const auto ticket = gate_->Run(std::move(request), body, [this, id](run_result result) {
+      End(id, std::move(result));
+    });
+    pending_.at(id).ticket = ticket;
+    return id;
+  }
+  // The silence of a link counts from the first request that waits for an answer.
+  if (pending_.size() == 1) heard_at_ = std::max(heard_at_, Now() - protocol::kLinkProbeAfter);
+  ++sent_since_;
+  request.id = id;
+  SendWithBody(*link_, std::move(request), body);
+  return id;
+}
+
+void peer::Cancel(kernel::call_id id) {
+  const auto found = pending_.find(id);
+  if (found == pending_.end()) return;
+  const admission::ticket ticket = found->second.ticket;
+  pending_.erase(found);
+  if (gate_ != nullptr) {
+    gate_->Cancel(ticket);
+  } else if (link_ && opened_) {
+    SendData(*link_, protocol::cancel_request{id});
+  }
+}
+
+}  // namespace cornelweir::plugins::sidecar
--- /dev/null
+++ b/plugins/sidecar/peer_set.cc
@@ -0,0 +1,74 @@
+#include "plugins/sidecar/peer_set.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelweir::plugins::sidecar {
+namespace internal {
+
+constexpr kernel::milliseconds kMaintenancePeriod{50};
+
+}  // namespace internal
+
+peer_set::peer_set(daemon_context& context, upstream_gate& gate)
+    : context_(context), gate_(gate), timer_(context.loop) {
+  membership::roster_entry self;
+  self.daemon = context.settings.sidecar->peers_listen;
+  self.failure_domain = context.settings.failure_domain;
+  self.service = context.settings.sidecar->service;
+  peers_.emplace(self.daemon, std::make_shared<peer>(context, self, &gate));
+}
+
+void peer_set::Start() {
+  timer_.StartPeriodic(internal::kMaintenancePeriod, [this] {
+    for (const auto& [endpoint, daemon] : peers_) daemon->Maintain();
+    for (const auto& daemon : retired_) daemon->Maintain();
+    std::erase_if(retired_, [](const auto& daemon) { return !daemon->busy(); });
+  });
+}
+
+void peer_set::Stop() {
+  timer_.Cancel();
+  for (const auto& [endpoint, daemon] : peers_) daemon->Close();
+}
+
+void peer_set::Update(const std::map<kernel::endpoint, membership::roster_entry>& roster) {
+  const kernel::endpoint self = context_.settings.sidecar->peers_listen;
+  for (const auto& [endpoint, entry] : roster) {
+    if (endpoint == self) continue;
+    const auto found = peers_.find(endpoint);
+    if (found != peers_.end()) {
+      found->second->Update(entry);
+      continue;
+    }
+    const auto added = peers_.emplace(endpoint, std::make_shared<peer>(context_, entry, nullptr));
+    added.first->second->Maintain();
+  }
+  for (auto next = peers_.begin(); next != peers_.end();) {
+    if (next->first == self || roster.contains(next->first)) {
+      ++next;
+      continue;
+    }
+    // A daemon that leaves answers what it has taken before it closes its links.
+    next->second->Retire();
+    retired_.push_back(std::move(next->second));
+    next = peers_.erase(next);
+  }
+}
+
+std::shared_ptr<peer> peer_set::Choose(const kernel::service_name& service,
+                                       const std::vector<std::shared_ptr<peer>>& exclude) {
+  usable_.clear();
+  candidates_.clear();
+  for (const auto& [endpoint, daemon] : peers_) {
+    if (!daemon->Serves(service)) continue;
+    if (std::find(exclude.begin(), exclude.end(), daemon) != exclude.end()) continue;
+    usable_.push_back(daemon);
+    candidates_.push_back(daemon->Candidate(daemon->entry().failure_domain ==
+                                            context_.settings.failure_domain));
+  }
+  const auto chosen = routing::ChoosePeer(candidates_, context_.random);
+  return chosen ? usable_[*chosen] : nullptr;
+}
+
+}  // namespace cornelweir::plugins::sidecar
--- /dev/null
+++ b/plugins/sidecar/request_dialect.h
@@ -0,0 +1,86 @@
+#ifndef CORNELWEIR_PLUGINS_SIDECAR_REQUEST_DIALECT_H_
+#define CORNELWEIR_PLUGINS_SIDECAR_REQUEST_DIALECT_H_
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "cornelweir/http.h"
+#include "cornelweir/kernel.h"
+#include "cornelweir/membership.h"
+#include "cornelweir/protocol.h"
+#include "plugins/sidecar/call.h"
+
+namespace cornelweir::plugins::sidecar {
+
+// What an upstream's response says.
+enum class upstream_verdict : std::uint8_t {
+  // It is the response to the request.
+  kResponse,
+  // The upstream did not run the request.
+  kNotRun,
+  // Another upstream has the address. It did not run the request.
+  kOtherUpstream,
+  // It is a late response to an earlier request.
+  kForeign,
+  // It is no response that an upstream gives.
+  kUnusable,
+};
+
+// How an announcement was taken.
+enum class announcement_answer : std::uint8_t { kTaken, kOutdated, kRefused };
+
+using announce_handler =
+    std::function<announcement_answer(const membership::upstream_announcement&)>;
+using withdraw_handler = std::function<void(const kernel::upstream_id&)>;
+
+// The names and formats that callers and upstreams use. It decides nothing.
+template <class T>
+concept request_dialect = requires(http::whole_request request, const http::whole_response& response,
+                                   const protocol::run_request& run, http::admin_server& server,
+                                   std::string_view text, const call& decoded) {
+  { T::kName } -> std::convertible_to<std::string_view>;
+  { T::kReadinessPath } -> std::convertible_to<std::string_view>;
+  // The call, or the response that refuses it.
+  { T::DecodeCall(std::move(request)) } -> std::same_as<std::variant<call, http::whole_response>>;
+  // A request that could not be read.
+  { T::RefuseUnread(400, text) } -> std::same_as<http::whole_response>;
+  // retry_after is left out of the response if it is zero.
+  {
+    T::Reply(decoded, reply_kind::kNotRun, kernel::milliseconds(), text)
+    } -> std::same_as<http::whole_response>;
+  {
+    T::EncodeRun(run, std::string(), kernel::upstream_id(), kernel::milliseconds())
+    } -> std::same_as<http::whole_request>;
+  { T::Judge(run, response) } -> std::same_as<upstream_verdict>;
+  { T::RequestId(run) } -> std::same_as<std::string_view>;
+  T::ServeAnnouncements(server, announce_handler(), withdraw_handler());
+};
+
+// A dialect as a table of functions, so that what uses it is compiled once.
+struct dialect_functions {
+  std::variant<call, http::whole_response> (*decode_call)(http::whole_request);
+  http::whole_response (*refuse_unread)(int status, std::string_view reason);
+  http::whole_response (*reply)(const call&, reply_kind, kernel::milliseconds retry_after,
+                                std::string_view reason);
+  http::whole_request (*encode_run)(const protocol::run_request&, std::string body,
+                                    const kernel::upstream_id&, kernel::milliseconds time_left);
+  upstream_verdict (*judge)(const protocol::run_request&, const http::whole_response&);
+  std::string_view (*request_id)(const protocol::run_request&);
+  void (*serve_announcements)(http::admin_server&, announce_handler, withdraw_handler);
+  std::string_view readiness_path;
+};
+
+template <request_dialect T>
+dialect_functions FunctionsOf() {
+  return {&T::DecodeCall, &T::RefuseUnread, &T::Reply,
+          &T::EncodeRun,  &T::Judge,        &T::RequestId,
+          &T::ServeAnnouncements, T::kReadinessPath};
+}
+
+}  // namespace cornelweir::plugins::sidecar
+
+#endif  // CORNELWEIR_PLUGINS_SIDECAR_REQUEST_DIALECT_H_
--- /dev/null
+++ b/plugins/sidecar/sidecar_plugin.h
@@ -0,0 +1,44 @@
+#ifndef CORNELWEIR_PLUGINS_SIDECAR_SIDECAR_PLUGIN_H_
+#define CORNELWEIR_PLUGINS_SIDECAR_SIDECAR_PLUGIN_H_
+
+#include <boost/leaf.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "plugins/daemon_context.h"
+#include "plugins/sidecar/request_dialect.h"
+#include "plugins/sidecar/sidecar_node.h"
+
+namespace cornelweir::plugins::sidecar {
+
+// The plug-in of a daemon beside an upstream whose callers and upstreams speak the dialect.
+template <request_dialect Dialect>
+class sidecar_plugin {
+ public:
+  static constexpr std::string_view kName = Dialect::kName;
+
+  static boost::leaf::result<std::shared_ptr<sidecar_plugin>> Create(daemon_context& context) {
+    if (!context.settings.sidecar) {
+      return boost::leaf::new_error(
+          plugin_error{"the plug-in '" + std::string(kName) + "' needs the settings 'sidecar'"});
+    }
+    auto plugin = std::make_shared<sidecar_plugin>(context);
+    BOOST_LEAF_CHECK(plugin->node_.Listen());
+    return plugin;
+  }
+
+  explicit sidecar_plugin(daemon_context& context) : node_(context, FunctionsOf<Dialect>()) {}
+
+  void Start() { node_.Start(); }
+  void BeginShutdown(std::function<void()> done) { node_.BeginShutdown(std::move(done)); }
+
+ private:
+  sidecar_node node_;
+};
+
+}  // namespace cornelweir::plugins::sidecar
+
+#endif  // CORNELWEIR_PLUGINS_SIDECAR_SIDECAR_PLUGIN_H_
--- /dev/null
+++ b/plugins/sidecar/upstream_gate.cc
@@ -0,0 +1,263 @@
+#include "plugins/sidecar/upstream_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cornelweir/logging.h"
+
+namespace cornelweir::plugins::sidecar {
+namespace internal {
+
+// How often queued requests are checked against their deadlines.
+constexpr kernel::milliseconds kQueueCheckPeriod{10};
+// Refused connections in a row after which the upstream counts as gone. One alone may be a limit on
+// its connections.
+constexpr int kMaxConnectFailures = 2;
+
+}  // namespace internal
+
+upstream_gate::upstream_gate(daemon_context& context, const dialect_functions& dialect,
+                             std::function<void()> on_change)
+    : context_(context),
+      dialect_(dialect),
+      on_change_(std::move(on_change)),
+      client_(context.loop, http::upstream_limits()),
+      queue_timer_(context.loop) {
+  client_.SetEndpoint(context.settings.sidecar->upstream);
+}
+
+const kernel::service_name& upstream_gate::service() const {
+  return announced_ ? announced_->service : context_.settings.sidecar->service;
+}
+
+bool upstream_gate::IsOpen() const {
+  return announced_ && !announced_->draining && !down_ && !shutting_down_;
+}
+
+protocol::upstream_load upstream_gate::Load() const {
+  return {queue_.slots(), queue_.running(), queue_.queued()};
+}
+
+protocol::upstream_report upstream_gate::Report() const {
+  protocol::upstream_report report;
+  report.service = service();
+  if (announced_) report.upstream = announced_->id;
+  report.open = IsOpen();
+  report.warm_up = std::max(warm_at_ - Now(), kernel::microseconds::zero());
+  report.load = Load();
+  return report;
+}
+
+void upstream_gate::Changed(std::string_view what) {
+  logging::event(logging::event_id::kUpstreamChanged)
+      .With("upstream", announced_ ? announced_->id.value() : std::string())
+      .With("service", service())
+      .With("open", IsOpen())
+      .With("reason", what);
+  if (!IsOpen()) RefuseAll(queue_.Clear(), protocol::run_failure::kNoUpstream);
+  UpdateSlots();
+  on_change_();
+}
+
+void upstream_gate::UpdateSlots() {
+  StartAll(queue_.SetSlots(IsOpen() ? announced_->slots : 0, Now()));
+}
+
+announcement_answer upstream_gate::Announce(const membership::upstream_announcement& announcement) {
+  if (announcement.address != context_.settings.sidecar->upstream || announcement.slots < 1) {
+    return announcement_answer::kRefused;
+  }
+  if (announced_) {
+    const auto known = std::pair(announced_->started_at, announced_->sequence);
+    const bool same_process = announced_->id == announcement.id &&
+                              announced_->started_at == announcement.started_at;
+    if (announcement.started_at < announced_->started_at) return announcement_answer::kOutdated;
+    if (same_process && std::pair(announcement.started_at, announcement.sequence) < known) {
+      return announcement_answer::kOutdated;
+    }
+    // An upstream that has withdrawn or drains does not come back within the same process.
+    if (same_process && announced_->draining && !announcement.draining) {
+      return announcement_answer::kOutdated;
+    }
+  }
+  const bool replaced = !announced_ || announced_->id != announcement.id ||
+                        announced_->started_at != announcement.started_at;
+  const bool changed = replaced || down_ || announced_->draining != announcement.draining ||
+                       announced_->slots != announcement.slots ||
+                       announced_->service != announcement.service;
+  if (replaced) client_.CloseIdle();
+  announced_ = announcement;
+  warm_at_ = Now() + announcement.warm_up;
+  down_ = false;
+  connect_failures_ = 0;
+  if (changed) Changed(replaced ? "announced" : "state");
+  return announcement_answer::kTaken;
+}
+
+void upstream_gate::Withdraw(const kernel::upstream_id& id) {
+  if (!announced_ || announced_->id != id || announced_->draining) return;
+  announced_->draining = true;
+  Changed("withdrawn");
+}
+
+void upstream_gate::BeginShutdown() {
+  shutting_down_ = true;
+  Changed("shutdown");
+}
+
+void upstream_gate::NoteConnectFailure() {
+  if (++connect_failures_ < internal::kMaxConnectFailures || down_) return;
+  down_ = true;
+  Changed("refuses connections");
+}
+
+admission::ticket upstream_gate::Run(protocol::run_request request, std::string body,
+                                     run_callback done) {
+  const kernel::time_point now = Now();
+  const admission::ticket id(next_ticket_++);
+  run& added = runs_[id];
+  added.deadline = now + request.time_left;
+  added.objective = now + request.objective_left;
+  added.request = std::move(request);
+  added.body = std::move(body);
+  added.done = std::move(done);
+  const bool here = IsOpen() && added.request.service == service();
+  admission::slot_decision decision;
+  if (here) {
+    decision =
+        queue_.Submit({id, added.request.priority, added.objective, added.deadline}, now);
+  }
+  switch (decision.outcome) {
+    case admission::slot_decision::kind::kRun:
+      Start(id);
+      break;
+    case admission::slot_decision::kind::kQueue:
+      WatchQueue();
+      break;
+    case admission::slot_decision::kind::kRefuse:
+      RefuseAll({id}, here ? protocol::run_failure::kNoRoom : protocol::run_failure::kNoUpstream);
+      break;
+  }
+  RefuseAll(decision.displaced, protocol::run_failure::kNoRoom);
+  return id;
+}
+
+void upstream_gate::WatchQueue() {
+  if (queue_timer_.running() || queue_.queued() == 0) return;
+  queue_timer_.Start(internal::kQueueCheckPeriod, [this] {
+    RefuseAll(queue_.Expire(Now()), protocol::run_failure::kNoRoom);
+    WatchQueue();
+  });
+}
+
+void upstream_gate::RefuseAll(const std::vector<admission::ticket>& ids,
+                              protocol::run_failure failure) {
+  const kernel::microseconds wait = queue_.ExpectedWait();
+  for (const admission::ticket& id : ids) {
+    run_result result;
+    result.failure = failure;
+    if (failure == protocol::run_failure::kNoRoom) result.retry_after = wait;
+    context_.loop.Post([this, id, result] { Finish(id, result); });
+  }
+}
+
+void upstream_gate::StartAll(const std::vector<admission::ticket>& ids) {
+  for (const admission::ticket& id : ids) Start(id);
+}
+
+void upstream_gate::Start(admission::ticket id) {
+  run& started = runs_.at(id);
+  started.started = Now();
+  started.upstream = announced_->id;
+  const kernel::microseconds left = started.deadline - started.started;
+  started.exchange = client_.Send(
+      dialect_.encode_run(started.request, std::move(started.body), announced_->id,
+                          std::max(kernel::ToMilliseconds(left), kernel::milliseconds(1))),
+      std::max(left, kernel::microseconds(1)),
+      [this, id](const http::whole_response& response) {
+        const auto found = runs_.find(id);
+        if (found == runs_.end()) return http::response_use::kRefuse;
+        switch (dialect_.judge(found->second.request, response)) {
+          case upstream_verdict::kForeign:
+            return http::response_use::kSkip;
+          case upstream_verdict::kUnusable:
+            return http::response_use::kRefuse;
+          default:
+            return http::response_use::kTake;
+        }
+      },
+      [this, id](http::upstream_result result) { OnEnded(id, std::move(result)); });
+}
+
+void upstream_gate::OnEnded(admission::ticket id, http::upstream_result result) {
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) return;
+  const bool connected = result.status != http::upstream_status::kNotSent;
+  if (connected) connect_failures_ = 0;
+  std::optional<kernel::microseconds> run_time;
+  if (result.status == http::upstream_status::kResponse) {
+    run_time = Now() - found->second.started;
+  }
+  run_result ended = ResultOf(found->second, std::move(result));
+  if (!ended.response) run_time.reset();
+  const std::vector<admission::ticket> next = queue_.Release(id, run_time, Now());
+  Finish(id, std::move(ended));
+  StartAll(next);
+  if (!connected) NoteConnectFailure();
+}
+
+run_result upstream_gate::ResultOf(const run& ended, http::upstream_result result) {
+  run_result translated;
+  switch (result.status) {
+    case http::upstream_status::kNotSent:
+      translated.failure = protocol::run_failure::kNoUpstream;
+      return translated;
+    case http::upstream_status::kBroken:
+      translated.failure = protocol::run_failure::kBroken;
+      return translated;
+    case http::upstream_status::kTimeout:
+      translated.failure = protocol::run_failure::kTimeout;
+      return translated;
+    case http::upstream_status::kResponse:
+      break;
+  }
+  switch (dialect_.judge(ended.request, result.response)) {
+    case upstream_verdict::kOtherUpstream:
+      // What was announced here is gone; whatever replaced it will announce itself.
+      if (announced_ && announced_->id == ended.upstream && !down_) {
+        down_ = true;
+        context_.loop.Post([this] { Changed("another upstream has the address"); });
+      }
+      [[fallthrough]];
+    case upstream_verdict::kNotRun:
+      translated.failure = protocol::run_failure::kRejected;
+      return translated;
+    default:
+      translated.response = std::move(result.response);
+      return translated;
+  }
+}
+
+void upstream_gate::Finish(admission::ticket id, run_result result) {
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) return;
+  run ended = std::move(found->second);
+  runs_.erase(found);
+  if (ended.wanted) ended.done(std::move(result));
+}
+
+void upstream_gate::Cancel(admission::ticket id) {
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) return;
+  found->second.wanted = false;
+  if (queue_.Cancel(id)) {
+    runs_.erase(found);
+    return;
+  }
+  if (!found->second.exchange || !policy::MayRepeat(found->second.request.repetition)) return;
+  found->second.exchange->Cancel();
+  runs_.erase(found);
+  StartAll(queue_.Release(id, std::nullopt, Now()));
+}
+
+}  // namespace cornelweir::plugins::sidecar
--- /dev/null
+++ b/plugins/sidecar/upstream_gate.h
@@ -0,0 +1,93 @@
+#ifndef CORNELWEIR_PLUGINS_SIDECAR_UPSTREAM_GATE_H_
+#define CORNELWEIR_PLUGINS_SIDECAR_UPSTREAM_GATE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cornelweir/admission.h"
+#include "cornelweir/http.h"
+#include "cornelweir/kernel.h"
+#include "cornelweir/loop.h"
+#include "cornelweir/membership.h"
+#include "cornelweir/protocol.h"
+#include "plugins/daemon_context.h"
+#include "plugins/sidecar/request_dialect.h"
+#include "plugins/sidecar/run_result.h"
+
+namespace cornelweir::plugins::sidecar {
+
+// The only way to the upstream on this host. It knows at once when the upstream drains, is replaced
+// or is full, so a request that it refuses did not reach the upstream.
+class upstream_gate {
+ public:
+  upstream_gate(daemon_context& context, const dialect_functions& dialect,
+                std::function<void()> on_change);
+
+  // Runs a request, now or when a slot is free. done is called once, never from within Run().
+  admission::ticket Run(protocol::run_request request, std::string body, run_callback done);
+  // The result is not wanted any more. A request that may run again is broken off; another one is
+  // left to end.
+  void Cancel(admission::ticket id);
+
+  announcement_answer Announce(const membership::upstream_announcement& announcement);
+  void Withdraw(const kernel::upstream_id& id);
+  // Refuses what has not begun to run, and everything from now on.
+  void BeginShutdown();
+
+  protocol::upstream_report Report() const;
+  protocol::upstream_load Load() const;
+  // The service of the upstream, as it announced itself last, or as the settings say.
+  const kernel::service_name& service() const;
+  bool busy() const { return !runs_.empty(); }
+  std::uint64_t connections_opened() const { return client_.opened(); }
+
+ private:
+  struct run {
+    protocol::run_request request;
+    std::string body;
+    run_callback done;
+    kernel::time_point deadline;
+    kernel::time_point objective;
+    kernel::time_point started;
+    kernel::upstream_id upstream;
+    std::shared_ptr<http::upstream_exchange> exchange;
+    bool wanted = true;
+  };
+
+  kernel::time_point Now() const { return context_.clock.Now(); }
+  bool IsOpen() const;
+  void Start(admission::ticket id);
+  void StartAll(const std::vector<admission::ticket>& ids);
+  void OnEnded(admission::ticket id, http::upstream_result result);
+  run_result ResultOf(const run& ended, http::upstream_result result);
+  void Finish(admission::ticket id, run_result result);
+  void RefuseAll(const std::vector<admission::ticket>& ids, protocol::run_failure failure);
+  void NoteConnectFailure();
+  void WatchQueue();
+  void Changed(std::string_view what);
+  void UpdateSlots();
+
+  daemon_context& context_;
+  const dialect_functions& dialect_;
+  std::function<void()> on_change_;
+  http::upstream_client client_;
+  admission::slot_queue queue_;
+  std::map<admission::ticket, run> runs_;
+  std::uint64_t next_ticket_ = 1;
+  std::optional<membership::upstream_announcement> announced_;
+  kernel::time_point warm_at_;
+  // The upstream withdrew, refused connections, or fell silent; its next announcement opens again.
+  bool down_ = false;
+  bool shutting_down_ = false;
+  int connect_failures_ = 0;
+  loop::timer queue_timer_;
+};
+
+}  // namespace cornelweir::plugins::sidecar
+
+#endif  // CORNELWEIR_PLUGINS_SIDECAR_UPSTREAM_GATE_H_
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -34,6 +34,9 @@
 constexpr int kExitBadSettings = 3;
 constexpr int kExitCannotStart = 4;
 
+// Names the settings file if the command line does not.
+constexpr const char* kSettingsVariable = "CORNELWEIR_SETTINGS";
+
 // A graceful shutdown that takes longer than this is cut short.
 constexpr std::chrono::seconds kMaxShutdown{120};
 
@@ -198,6 +201,9 @@
     std::cout << "cornelweird " << kVersion << '\n';
     return EXIT_SUCCESS;
   }
+  if (const char* named = std::getenv(kSettingsVariable); given.settings_file.empty() && named) {
+    given.settings_file = named;
+  }
   if (given.settings_file.empty()) {
     std::cerr << options;
     return kExitUsage;
