--- a/cornelweir/src/http/upstream_connection.cc
+++ b/cornelweir/src/http/upstream_connection.cc
@@ -250,6 +250,7 @@
   }
   if (!exchange || exchange->over_) return;
   exchange->over_ = true;
+  std::erase_if(response.headers, [](const auto& header) { return IsHopHeader(header.first); });
   exchange->done_({status, std::move(response)});
 }
 
