Queue requests by objective, calls of running requests first

Cause: under overload every queue grew until most responses were late; calls of running requests were refused, which wasted their parents' slots. Change: a queued request must be expected to meet its objective, counted from the caller's first attempt; routes that only few services call count as nested, go first and may take until their deadline; large responses stay in their failure domain.

--- a/cornelweir/src/admission/limits.h
+++ b/cornelweir/src/admission/limits.h
@@ -25,9 +25,14 @@
 inline constexpr std::int64_t kRunTimeSmoothing = 16;
 // A request with less than this part of the mean run time left is not worth starting.
 inline constexpr std::int64_t kLeastRunTimePercent = 60;
-// A request may be expected to end later than its objective by this part of the time from there to
-// its deadline. The mean hides a long tail, and a late response is worth less than one elsewhere.
-inline constexpr std::int64_t kLateSharePercent = 30;
+// Requests of a route after which it is known who calls it, and the time in requests after which a
+// caller that no longer calls it is forgotten.
+inline constexpr std::uint64_t kCallersKnownAfter = 24;
+inline constexpr std::uint64_t kCallerMemory = 128;
+
+// The run time that a queued request is planned with, as a part of the mean: the mean hides a long
+// tail.
+inline constexpr std::int64_t kPlannedRunTimePercent = 120;
 
 }  // namespace cornelweir::admission
 
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -28,12 +28,13 @@
 }
 
 // Whether a request at this position of the queue would be served so late that its caller is better
-// off with an early refusal.
+// off with an early refusal. What waits for a nested request has its slot already, so that one may
+// take until its deadline.
 bool slot_queue::IsTooLate(const slot_request& request, std::int64_t position,
                            kernel::time_point now) const {
-  const kernel::time_point expected_end = now + WaitAt(position) + run_time_;
-  const auto spare = std::max(request.deadline - request.objective, kernel::microseconds::zero());
-  return expected_end > request.objective + spare * kLateSharePercent / 100;
+  const kernel::microseconds wait = WaitAt(position);
+  const kernel::microseconds run = run_time_ * kPlannedRunTimePercent / 100;
+  return now + wait + run > (request.nested ? request.deadline : request.objective);
 }
 
 slot_decision slot_queue::Submit(const slot_request& request, kernel::time_point now) {
@@ -43,7 +44,7 @@
     running_.insert(request.id);
     return {kind::kRun, {}};
   }
-  const position at{request.priority, request.deadline, arrivals_++};
+  const position at{!request.nested, request.priority, request.objective, arrivals_++};
   const auto ahead = std::distance(queue_.begin(), queue_.lower_bound(at));
   if (IsTooLate(request, ahead, now)) return {};
   queue_.emplace(at, request);
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -44,6 +44,7 @@
   header_pairs headers;
   policy::repetition repetition = policy::repetition::kOnce;
   std::int32_t priority = 0;
+  kernel::route_name route;
   // What is left when the message is sent.
   kernel::microseconds time_left{};
   kernel::microseconds objective_left{};
@@ -58,6 +59,7 @@
                       kernel::field{"h", &run_request::headers},
                       kernel::field{"r", &run_request::repetition},
                       kernel::field{"p", &run_request::priority},
+                      kernel::field{"n", &run_request::route},
                       kernel::field{"l", &run_request::time_left},
                       kernel::field{"o", &run_request::objective_left},
                       kernel::field{"e", &run_request::last}};
--- a/cornelweir/src/routing/limits.h
+++ b/cornelweir/src/routing/limits.h
@@ -61,8 +61,11 @@
 inline constexpr double kFillCost = 1.0;
 // How much an upstream that fails every request is taken to be slower.
 inline constexpr double kFailureCost = 10.0;
-// What the way to another failure domain is taken to cost: its latency and its bytes.
+// What the way to an upstream is taken to cost, as a factor: its latency, and the bytes that cross
+// from one failure domain to another.
+inline constexpr double kOwnDomainCost = 1.0;
 inline constexpr double kOtherDomainCost = 1.25;
+inline constexpr double kOtherDomainLargeCost = 2.5;
 
 }  // namespace cornelweir::routing
 
--- a/cornelweir/src/routing/peer_choice.cc
+++ b/cornelweir/src/routing/peer_choice.cc
@@ -32,8 +32,7 @@
   // that they wait for one another.
   double cost = static_cast<double>(time.count()) * (fill <= 1 ? 1 + kFillCost * fill : 1 + kFillCost + (fill - 1));
   cost *= 1 + kFailureCost * candidate.failures;
-  if (!candidate.own_domain) cost *= kOtherDomainCost;
-  return cost;
+  return cost * candidate.distance;
 }
 
 }  // namespace cornelweir::routing
--- a/cornelweir/src/routing/peer_choice.h
+++ b/cornelweir/src/routing/peer_choice.h
@@ -24,7 +24,8 @@
   kernel::microseconds response_time{};
   // Share of requests that failed lately, 0 to 1.
   double failures = 0;
-  bool own_domain = false;
+  // What the way there costs, as a factor.
+  double distance = 1;
 };
 
 // The expected cost of a request at a candidate; the unit is microseconds.
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -35,6 +35,7 @@
   kernel::service_name service;
   kernel::time_point started;
   kernel::time_point deadline;
+  kernel::time_point objective;
   loop::timer timer;
   // Where it is now.
   std::shared_ptr<peer> at;
@@ -54,6 +55,18 @@
                          const upstream_gate& gate)
     : context_(context), dialect_(dialect), peers_(peers), gate_(gate) {}
 
+// When a response is worth its full credit. The time counts from the caller's first attempt, and a
+// caller that comes back has as much less time left as it has lost.
+kernel::time_point call_router::ObjectiveOf(const state& of) {
+  kernel::time_point objective = of.started + of.route->latency_objective;
+  if (of.decoded.time_left) {
+    kernel::milliseconds& longest = patience_[policy::KeyOf(*of.route)];
+    longest = std::max(longest, *of.decoded.time_left);
+    objective -= longest - *of.decoded.time_left;
+  }
+  return std::min(objective, of.deadline);
+}
+
 void call_router::SetPolicy(std::shared_ptr<const policy::policy_table> table) {
   policy_ = std::move(table);
   routes_ = policy::route_index(*policy_);
@@ -97,7 +110,7 @@
   }
   auto created =
       std::make_shared<state>(state{request, std::move(std::get<call>(decoded)), policy_, nullptr,
-                                    {}, Now(), {}, loop::timer(context_.loop), nullptr, {}, {}, 0,
+                                    {}, Now(), {}, {}, loop::timer(context_.loop), nullptr, {}, {}, 0,
                                     0, false, std::nullopt, false});
   ++in_progress_;
   if (!policy_) {
@@ -115,6 +128,7 @@
   const kernel::microseconds patience =
       std::min(created->decoded.time_left.value_or(route.timeout), route.timeout);
   created->deadline = created->started + patience;
+  created->objective = ObjectiveOf(*created);
   created->service = ServiceFor(route);
   BudgetOf(created->service).OnRequest(created->started);
   std::weak_ptr<state> weak = created;
@@ -128,7 +142,8 @@
 }
 
 void call_router::Attempt(const state_ptr& of) {
-  const std::shared_ptr<peer> chosen = peers_.Choose(of->service, of->tried);
+  const bool large = of->route->repetition == policy::repetition::kDownload;
+  const std::shared_ptr<peer> chosen = peers_.Choose(of->service, of->tried, large);
   if (chosen == nullptr) {
     Refuse(of, kernel::microseconds::zero(), of->tried.empty() ? "no upstream" : "no other upstream");
     return;
@@ -146,8 +161,8 @@
   run.repetition = route.repetition;
   run.priority = route.priority;
   run.time_left = of->deadline - now;
-  const kernel::time_point objective = of->started + route.latency_objective;
-  run.objective_left = std::min(objective, of->deadline) - now;
+  run.route = route.name;
+  run.objective_left = of->objective - now;
   of->run = chosen->Run(std::move(run), of->decoded.body,
                         [this, of](run_result result) { OnResult(of, std::move(result)); });
 }
@@ -200,7 +215,7 @@
   if (of->sent >= of->route->attempts) return false;
   const kernel::microseconds left = of->deadline - Now();
   if (left < of->route->latency_objective * internal::kLeastTimePercent / 100) return false;
-  if (peers_.Choose(of->service, of->tried) == nullptr) return false;
+  if (!peers_.HasOther(of->service, of->tried)) return false;
   return BudgetOf(of->service).Take(peers_.size(), Now());
 }
 
@@ -221,7 +236,7 @@
 void call_router::OnNotRun(const state_ptr& of, const run_result& result) {
   const bool room = result.failure == protocol::run_failure::kNoRoom;
   if (++of->refusals < internal::kMaxRefusals && Now() < of->deadline &&
-      peers_.Choose(of->service, of->tried) != nullptr) {
+      peers_.HasOther(of->service, of->tried)) {
     Attempt(of);
     return;
   }
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -40,6 +40,7 @@
   using state_ptr = std::shared_ptr<state>;
 
   kernel::time_point Now() const { return context_.clock.Now(); }
+  kernel::time_point ObjectiveOf(const state& of);
   const kernel::service_name& ServiceFor(const policy::route& route);
   outcome::shared_retry_budget& BudgetOf(const kernel::service_name& service);
   void Attempt(const state_ptr& of);
@@ -62,6 +63,8 @@
   std::shared_ptr<const policy::policy_table> policy_;
   policy::route_index routes_;
   std::map<policy::route_key, routing::weighted_order> splits_;
+  // The longest time that callers of a route wait. One that waits less has tried before.
+  std::map<policy::route_key, kernel::milliseconds> patience_;
   std::map<kernel::service_name, outcome::shared_retry_budget> budgets_;
   std::size_t in_progress_ = 0;
 };
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -199,7 +199,7 @@
   return link_ && opened_ && report_ && report_->open && report_->service == service;
 }
 
-routing::peer_candidate peer::Candidate(bool own_domain) const {
+routing::peer_candidate peer::Candidate() const {
   const protocol::upstream_load load = gate_ != nullptr ? gate_->Load() : report_->load;
   routing::peer_candidate candidate;
   candidate.slots = load.slots;
@@ -211,7 +211,6 @@
   candidate.response_time =
       memory < 0.1 ? kernel::microseconds::zero()
                    : kernel::microseconds(static_cast<std::int64_t>(response_time_us_));
-  candidate.own_domain = own_domain;
   return candidate;
 }
 
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -41,7 +41,7 @@
 
   // Whether requests for the service can be sent there now.
   bool Serves(const kernel::service_name& service) const;
-  routing::peer_candidate Candidate(bool own_domain) const;
+  routing::peer_candidate Candidate() const;
   kernel::call_id Run(protocol::run_request request, const std::string& body, run_callback done);
   void Cancel(kernel::call_id id);
 
--- a/plugins/sidecar/peer_set.cc
+++ b/plugins/sidecar/peer_set.cc
@@ -57,18 +57,30 @@
 }
 
 std::shared_ptr<peer> peer_set::Choose(const kernel::service_name& service,
-                                       const std::vector<std::shared_ptr<peer>>& exclude) {
+                                       const std::vector<std::shared_ptr<peer>>& exclude,
+                                       bool large_response) {
   usable_.clear();
   candidates_.clear();
   for (const auto& [endpoint, daemon] : peers_) {
     if (!daemon->Serves(service)) continue;
     if (std::find(exclude.begin(), exclude.end(), daemon) != exclude.end()) continue;
     usable_.push_back(daemon);
-    candidates_.push_back(daemon->Candidate(daemon->entry().failure_domain ==
-                                            context_.settings.failure_domain));
+    const bool own_domain = daemon->entry().failure_domain == context_.settings.failure_domain;
+    candidates_.push_back(daemon->Candidate());
+    candidates_.back().distance = own_domain       ? routing::kOwnDomainCost
+                                  : large_response ? routing::kOtherDomainLargeCost
+                                                   : routing::kOtherDomainCost;
   }
   const auto chosen = routing::ChoosePeer(candidates_, context_.random);
   return chosen ? usable_[*chosen] : nullptr;
 }
 
+bool peer_set::HasOther(const kernel::service_name& service,
+                        const std::vector<std::shared_ptr<peer>>& exclude) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& known) {
+    return known.second->Serves(service) &&
+           std::find(exclude.begin(), exclude.end(), known.second) == exclude.end();
+  });
+}
+
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/peer_set.h
+++ b/plugins/sidecar/peer_set.h
@@ -26,7 +26,11 @@
 
   // The best daemon for a request, apart from those that are excluded, or null.
   std::shared_ptr<peer> Choose(const kernel::service_name& service,
-                               const std::vector<std::shared_ptr<peer>>& exclude);
+                               const std::vector<std::shared_ptr<peer>>& exclude,
+                               bool large_response);
+  // Whether there is one apart from those that are excluded.
+  bool HasOther(const kernel::service_name& service,
+                const std::vector<std::shared_ptr<peer>>& exclude) const;
   std::size_t size() const { return peers_.size(); }
 
  private:
--- a/plugins/sidecar/upstream_gate.cc
+++ b/plugins/sidecar/upstream_gate.cc
@@ -125,7 +125,9 @@
   admission::slot_decision decision;
   if (here) {
     decision =
-        queue_.Submit({id, added.request.priority, added.objective, added.deadline}, now);
+        queue_.Submit({id, nested_.Observe(added.request.route, added.request.caller), added.request.priority, added.objective,
+                               added.deadline},
+                              now);
   }
   switch (decision.outcome) {
     case admission::slot_decision::kind::kRun:
