Answer a control host that is no seed from an empty disk

It knew only the seeds, its leader was none of them, so its replies found no link: it held no entry when two more disks were lost at 32 s, and no majority was left. Ruled out: storage (the folder opened with its identity) and the log (the entries were sent). Change: a control host opens a link to every host that greets it; links end after 1.5 s of silence.

--- a/cornelweir/policy.h
+++ b/cornelweir/policy.h
@@ -4,12 +4,12 @@
 // What daemons enforce, replaced as a whole: services, routes by host and path prefix, limits on
 // callers; its validation, its deltas, and the search for the route of a request.
 
-#include "cornelweir/src/policy/caller_limits.h"   // IWYU pragma: export
-#include "cornelweir/src/policy/limits.h"          // IWYU pragma: export
-#include "cornelweir/src/policy/policy_table.h"    // IWYU pragma: export
-#include "cornelweir/src/policy/route.h"           // IWYU pragma: export
-#include "cornelweir/src/policy/route_index.h"     // IWYU pragma: export
-#include "cornelweir/src/policy/service.h"         // IWYU pragma: export
-#include "cornelweir/src/policy/validate.h"        // IWYU pragma: export
+#include "cornelweir/src/policy/caller_limits.h"  // IWYU pragma: export
+#include "cornelweir/src/policy/limits.h"         // IWYU pragma: export
+#include "cornelweir/src/policy/policy_table.h"   // IWYU pragma: export
+#include "cornelweir/src/policy/route.h"          // IWYU pragma: export
+#include "cornelweir/src/policy/route_index.h"    // IWYU pragma: export
+#include "cornelweir/src/policy/service.h"        // IWYU pragma: export
+#include "cornelweir/src/policy/validate.h"       // IWYU pragma: export
 
 #endif  // CORNELWEIR_POLICY_H_
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -81,9 +81,8 @@
                                         kernel::time_point now) {
   if (running_.erase(id) == 0) return {};
   if (run_time) {
-    run_time_ = run_time_.count() == 0
-                    ? *run_time
-                    : run_time_ + (*run_time - run_time_) / kRunTimeSmoothing;
+    run_time_ = run_time_.count() == 0 ? *run_time
+                                       : run_time_ + (*run_time - run_time_) / kRunTimeSmoothing;
   }
   return Admit(now);
 }
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -18,7 +18,8 @@
 // A request that asks for a slot of an upstream.
 struct slot_request {
   ticket id;
-  // Part of a request that runs already: turned away, it would waste the slot that its parent holds.
+  // Part of a request that runs already: turned away, it would waste the slot that its parent
+  // holds.
   bool nested = false;
   // 0 is the most urgent.
   std::int32_t priority = 0;
@@ -34,10 +35,10 @@
   std::vector<ticket> displaced;
 };
 
-// Runs as many requests on an upstream as it has slots, and lets the others wait: nested ones first,
-// then in order of priority, then of their objectives. A request that would wait too long to meet
-// its objective is refused at once, while its caller can still go elsewhere; a late one gets a slot
-// only if no other request needs it.
+// Runs as many requests on an upstream as it has slots, and lets the others wait: nested ones
+// first, then in order of priority, then of their objectives. A request that would wait too long to
+// meet its objective is refused at once, while its caller can still go elsewhere; a late one gets a
+// slot only if no other request needs it.
 class slot_queue {
  public:
   // Returns the requests that more slots admit.
--- a/cornelweir/src/control/outcomes.h
+++ b/cornelweir/src/control/outcomes.h
@@ -138,9 +138,9 @@
   }
 };
 
-using outcome = std::variant<edited_outcome, conflict_outcome, invalid_outcome, accepted_outcome,
-                             announced_outcome, claimed_outcome, done_outcome, refused_outcome,
-                             policy_outcome>;
+using outcome =
+    std::variant<edited_outcome, conflict_outcome, invalid_outcome, accepted_outcome,
+                 announced_outcome, claimed_outcome, done_outcome, refused_outcome, policy_outcome>;
 
 }  // namespace cornelweir::control
 
--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -31,14 +31,14 @@
 
 std::string HeadOf(const whole_response& response, bool last) {
   std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ';
-  head += beast_http::obsolete_reason(beast_http::int_to_status(
-      static_cast<unsigned>(std::clamp(response.status, 100, 599))));
+  head += beast_http::obsolete_reason(
+      beast_http::int_to_status(static_cast<unsigned>(std::clamp(response.status, 100, 599))));
   head += "\r\n";
   for (const auto& [name, value] : response.headers) {
     head.append(name).append(": ").append(value).append("\r\n");
   }
-  const bool may_have_body = response.status >= 200 && response.status != 204 &&
-                             response.status != 304;
+  const bool may_have_body =
+      response.status >= 200 && response.status != 204 && response.status != 304;
   if (may_have_body) head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
   if (last) head += "Connection: close\r\n";
   head += "\r\n";
@@ -161,8 +161,7 @@
   request.body = std::move(message.body());
   last_read_ = !parser_->keep_alive();
   parser_.reset();
-  auto accepted =
-      std::make_shared<pipeline_request>(weak_from_this(), std::move(request));
+  auto accepted = std::make_shared<pipeline_request>(weak_from_this(), std::move(request));
   pending_.push_back(accepted);
   if (core_->handle) core_->handle(accepted);
 }
@@ -193,13 +192,12 @@
   output_ = HeadOf(answered.response_, last);
   if (answered.message.method != "HEAD") output_ += answered.response_.body;
   Touch();
-  boost::asio::async_write(
-      socket_, boost::asio::buffer(output_),
-      [self = shared_from_this(), last](const error_code& error, std::size_t) {
-        self->writing_ = false;
-        if (error) return self->Close();
-        self->OnWritten(last);
-      });
+  boost::asio::async_write(socket_, boost::asio::buffer(output_),
+                           [self = shared_from_this(), last](const error_code& error, std::size_t) {
+                             self->writing_ = false;
+                             if (error) return self->Close();
+                             self->OnWritten(last);
+                           });
 }
 
 void pipeline_connection::OnWritten(bool last) {
--- a/cornelweir/src/http/whole_message.cc
+++ b/cornelweir/src/http/whole_message.cc
@@ -14,12 +14,18 @@
 }
 
 bool IsHopHeader(std::string_view name) {
-  static constexpr std::array<std::string_view, 10> kHopHeaders{
-      "connection",     "keep-alive", "proxy-connection", "te",     "trailer", "transfer-encoding",
-      "content-length", "upgrade",    "proxy-authorization", "expect"};
-  return std::any_of(kHopHeaders.begin(), kHopHeaders.end(), [&](std::string_view hop) {
-    return boost::beast::iequals(name, hop);
-  });
+  static constexpr std::array<std::string_view, 10> kHopHeaders{"connection",
+                                                                "keep-alive",
+                                                                "proxy-connection",
+                                                                "te",
+                                                                "trailer",
+                                                                "transfer-encoding",
+                                                                "content-length",
+                                                                "upgrade",
+                                                                "proxy-authorization",
+                                                                "expect"};
+  return std::any_of(kHopHeaders.begin(), kHopHeaders.end(),
+                     [&](std::string_view hop) { return boost::beast::iequals(name, hop); });
 }
 
 }  // namespace cornelweir::http
--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -11,41 +11,42 @@
 // Every event that the programs log: name, number, severity, message. docs/LOG_EVENTS.md
 // describes each; CI compares the two. Numbers are never used again for another event.
 // 1000s: process. 2000s: control. 3000s: distribution and membership. 4000s: request path.
-#define CORNELWEIR_LOG_EVENTS(X)                                           \
-  X(kProcessStarted, 1001, kInfo, "process started")                       \
-  X(kProcessStopping, 1002, kInfo, "graceful shutdown began")              \
-  X(kProcessStopped, 1003, kInfo, "process stopped")                       \
-  X(kKeysReloaded, 1006, kInfo, "keys reloaded")                           \
-  X(kKeysRefused, 1007, kError, "keys can't be loaded, the old ones stay") \
-  X(kLeaderElected, 2001, kInfo, "became leader")                          \
-  X(kLeadershipLost, 2002, kWarning, "no longer leader")                   \
-  X(kStorageFailed, 2003, kError, "storage failed")                        \
-  X(kVersionAccepted, 2004, kInfo, "version accepted")                     \
-  X(kMessageRefused, 2005, kWarning, "message refused")                    \
-  X(kPolicyDecided, 2006, kInfo, "policy change decided")                  \
-  X(kPolicyInForce, 2007, kInfo, "policy applied to the state")            \
-  X(kGroupChanged, 2008, kInfo, "group of control hosts changes")          \
-  X(kPolicyInvalid, 2009, kWarning, "policy refused as invalid")           \
-  X(kPublisherConnected, 3001, kInfo, "connected to publisher")            \
-  X(kPublisherLost, 3002, kWarning, "publisher lost")                      \
-  X(kVersionApplied, 3003, kInfo, "version applied")                       \
-  X(kVersionRefused, 3004, kError, "version refused")                      \
-  X(kFreshnessProved, 3005, kInfo, "freshness proved, taking requests")    \
-  X(kUpstreamJoined, 3006, kInfo, "upstream joined")                       \
-  X(kUpstreamLeft, 3007, kInfo, "upstream left")                           \
-  X(kLeaseExpired, 3008, kWarning, "lease expired")                        \
-  X(kControlLinkLost, 3009, kWarning, "link to control host lost")         \
-  X(kDaemonReported, 3010, kInfo, "daemon reported")                       \
-  X(kControlHostLost, 3011, kWarning, "control host given up")             \
-  X(kControlHostConnected, 3012, kInfo, "connected to control host")       \
-  X(kPolicyApplied, 3013, kInfo, "policy in force")                        \
-  X(kUpstreamChanged, 3014, kInfo, "upstream changed")                     \
-  X(kPeerLost, 3015, kWarning, "link to peer lost")                        \
-  X(kReadinessChanged, 3016, kInfo, "readiness changed")                   \
+#define CORNELWEIR_LOG_EVENTS(X)                                                             \
+  X(kProcessStarted, 1001, kInfo, "process started")                                         \
+  X(kProcessStopping, 1002, kInfo, "graceful shutdown began")                                \
+  X(kProcessStopped, 1003, kInfo, "process stopped")                                         \
+  X(kKeysReloaded, 1006, kInfo, "keys reloaded")                                             \
+  X(kKeysRefused, 1007, kError, "keys can't be loaded, the old ones stay")                   \
+  X(kLeaderElected, 2001, kInfo, "became leader")                                            \
+  X(kLeadershipLost, 2002, kWarning, "no longer leader")                                     \
+  X(kStorageFailed, 2003, kError, "storage failed")                                          \
+  X(kVersionAccepted, 2004, kInfo, "version accepted")                                       \
+  X(kMessageRefused, 2005, kWarning, "message refused")                                      \
+  X(kPolicyDecided, 2006, kInfo, "policy change decided")                                    \
+  X(kPolicyInForce, 2007, kInfo, "policy applied to the state")                              \
+  X(kGroupChanged, 2008, kInfo, "group of control hosts changes")                            \
+  X(kPolicyInvalid, 2009, kWarning, "policy refused as invalid")                             \
+  X(kStorageOpened, 2010, kInfo, "data folder opened")                                       \
+  X(kPublisherConnected, 3001, kInfo, "connected to publisher")                              \
+  X(kPublisherLost, 3002, kWarning, "publisher lost")                                        \
+  X(kVersionApplied, 3003, kInfo, "version applied")                                         \
+  X(kVersionRefused, 3004, kError, "version refused")                                        \
+  X(kFreshnessProved, 3005, kInfo, "freshness proved, taking requests")                      \
+  X(kUpstreamJoined, 3006, kInfo, "upstream joined")                                         \
+  X(kUpstreamLeft, 3007, kInfo, "upstream left")                                             \
+  X(kLeaseExpired, 3008, kWarning, "lease expired")                                          \
+  X(kControlLinkLost, 3009, kWarning, "link to control host lost")                           \
+  X(kDaemonReported, 3010, kInfo, "daemon reported")                                         \
+  X(kControlHostLost, 3011, kWarning, "control host given up")                               \
+  X(kControlHostConnected, 3012, kInfo, "connected to control host")                         \
+  X(kPolicyApplied, 3013, kInfo, "policy in force")                                          \
+  X(kUpstreamChanged, 3014, kInfo, "upstream changed")                                       \
+  X(kPeerLost, 3015, kWarning, "link to peer lost")                                          \
+  X(kReadinessChanged, 3016, kInfo, "readiness changed")                                     \
   X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress") \
-  X(kRequestEnded, 4002, kInfo, "request ended")                           \
-  X(kRequestSentAgain, 4003, kInfo, "request sent again")                  \
-  X(kAnnouncementRefused, 4004, kWarning, "announcement refused")          \
+  X(kRequestEnded, 4002, kInfo, "request ended")                                             \
+  X(kRequestSentAgain, 4003, kInfo, "request sent again")                                    \
+  X(kAnnouncementRefused, 4004, kWarning, "announcement refused")                            \
   X(kRequestRefused, 4005, kInfo, "request refused")
 
 enum class event_id : std::uint16_t {
--- a/cornelweir/src/policy/service.h
+++ b/cornelweir/src/policy/service.h
@@ -21,11 +21,10 @@
   bool tls = false;
 
   static constexpr auto Fields() {
-    return std::tuple{kernel::field{"name", &service::name},
-                      kernel::field{"health_path", &service::health_path},
-                      kernel::field{"max_connections", &service::max_connections},
-                      kernel::field{"protocol", &service::protocol},
-                      kernel::field{"tls", &service::tls}};
+    return std::tuple{
+        kernel::field{"name", &service::name}, kernel::field{"health_path", &service::health_path},
+        kernel::field{"max_connections", &service::max_connections},
+        kernel::field{"protocol", &service::protocol}, kernel::field{"tls", &service::tls}};
   }
   friend bool operator==(const service&, const service&) = default;
 };
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -98,11 +98,10 @@
   bool last = true;
 
   static constexpr auto Fields() {
-    return std::tuple{kernel::field{"i", &run_response::id},
-                      kernel::field{"s", &run_response::status},
-                      kernel::field{"h", &run_response::headers},
-                      kernel::field{"w", &run_response::load},
-                      kernel::field{"e", &run_response::last}};
+    return std::tuple{
+        kernel::field{"i", &run_response::id}, kernel::field{"s", &run_response::status},
+        kernel::field{"h", &run_response::headers}, kernel::field{"w", &run_response::load},
+        kernel::field{"e", &run_response::last}};
   }
 };
 
@@ -130,8 +129,7 @@
   upstream_load load;
 
   static constexpr auto Fields() {
-    return std::tuple{kernel::field{"i", &run_failed::id},
-                      kernel::field{"f", &run_failed::failure},
+    return std::tuple{kernel::field{"i", &run_failed::id}, kernel::field{"f", &run_failed::failure},
                       kernel::field{"a", &run_failed::retry_after},
                       kernel::field{"w", &run_failed::load}};
   }
@@ -150,11 +148,10 @@
   upstream_load load;
 
   static constexpr auto Fields() {
-    return std::tuple{kernel::field{"s", &upstream_report::service},
-                      kernel::field{"u", &upstream_report::upstream},
-                      kernel::field{"o", &upstream_report::open},
-                      kernel::field{"c", &upstream_report::warm_up},
-                      kernel::field{"w", &upstream_report::load}};
+    return std::tuple{
+        kernel::field{"s", &upstream_report::service},
+        kernel::field{"u", &upstream_report::upstream}, kernel::field{"o", &upstream_report::open},
+        kernel::field{"c", &upstream_report::warm_up}, kernel::field{"w", &upstream_report::load}};
   }
   friend bool operator==(const upstream_report&, const upstream_report&) = default;
 };
--- a/cornelweir/src/protocol/limits.h
+++ b/cornelweir/src/protocol/limits.h
@@ -17,7 +17,6 @@
 inline constexpr kernel::milliseconds kHeartbeatPeriod{500};
 inline constexpr kernel::milliseconds kRenewPeriod{1'000};
 
-
 // Between a control host and a daemon without other messages. Three lost ones are noticed well
 // within the time in which a change must be in force.
 inline constexpr kernel::milliseconds kFleetHeartbeat{200};
--- a/cornelweir/src/routing/peer_choice.cc
+++ b/cornelweir/src/routing/peer_choice.cc
@@ -24,13 +24,13 @@
 double CostOf(const peer_candidate& candidate, kernel::microseconds usual_response_time) {
   const auto slots = static_cast<double>(std::max<std::int64_t>(candidate.slots, 1));
   const auto load = static_cast<double>(candidate.occupied + candidate.sent_since);
-  const kernel::microseconds time = candidate.response_time.count() > 0
-                                        ? candidate.response_time
-                                        : usual_response_time;
+  const kernel::microseconds time =
+      candidate.response_time.count() > 0 ? candidate.response_time : usual_response_time;
   const double fill = (load + 1) / slots;
-  // Up to its slots an upstream runs requests side by side, a little slower the fuller it is; beyond
-  // that they wait for one another.
-  double cost = static_cast<double>(time.count()) * (fill <= 1 ? 1 + kFillCost * fill : 1 + kFillCost + (fill - 1));
+  // Up to its slots an upstream runs requests side by side, a little slower the fuller it is;
+  // beyond that they wait for one another.
+  double cost = static_cast<double>(time.count()) *
+                (fill <= 1 ? 1 + kFillCost * fill : 1 + kFillCost + (fill - 1));
   cost *= 1 + kFailureCost * candidate.failures;
   return cost * candidate.distance;
 }
--- a/cornelweir/src/settings/control_settings.h
+++ b/cornelweir/src/settings/control_settings.h
@@ -25,8 +25,8 @@
   std::int64_t tolerated_losses = 1;
   // Where operators replace and read the policy, if a plug-in offers that.
   kernel::endpoint policy_listen;
-  // Whether the file system keeps the inodes and birth times of files, by which a copied data folder
-  // is recognized.
+  // Whether the file system keeps the inodes and birth times of files, by which a copied data
+  // folder is recognized.
   bool stable_inodes = true;
 };
 
--- a/cornelweir/src/settings/load_settings.cc
+++ b/cornelweir/src/settings/load_settings.cc
@@ -120,7 +120,8 @@
   for (const auto& [place, endpoint] : listens) {
     const auto parsed = ParseEndpoint(endpoint.value());
     if (!parsed || parsed->address().is_loopback()) continue;
-    document.AddFault(place, "is not a loopback address, so tls.enabled or trusted_network must be true");
+    document.AddFault(place,
+                      "is not a loopback address, so tls.enabled or trusted_network must be true");
   }
 }
 
--- a/cornelweir/src/storage/log_store.cc
+++ b/cornelweir/src/storage/log_store.cc
@@ -173,8 +173,8 @@
   return std::filesystem::exists(folder / kIdentityName, error);
 }
 
-boost::leaf::result<std::shared_ptr<log_store>> log_store::Open(
-    const std::filesystem::path& folder, copy_check check) {
+boost::leaf::result<std::shared_ptr<log_store>> log_store::Open(const std::filesystem::path& folder,
+                                                                copy_check check) {
   BOOST_LEAF_AUTO(opened, Lock(folder));
   opened->check_ = check;
   BOOST_LEAF_CHECK(opened->ListSegments());
--- a/cornelweir/src/transport/limits.h
+++ b/cornelweir/src/transport/limits.h
@@ -10,7 +10,13 @@
 // A peer that does not read for so long that this much is queued is disconnected.
 inline constexpr std::size_t kMaxQueuedBytes = std::size_t{8} << 20;
 inline constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10;
-inline constexpr std::chrono::milliseconds kOpenTimeout{3000};
+// Long enough for a lost packet of the handshake to be sent again.
+inline constexpr std::chrono::milliseconds kOpenTimeout{1500};
+// Unacknowledged bytes and unanswered probes end a link that fell silent within these times.
+inline constexpr int kUserTimeoutMs = 1'500;
+inline constexpr int kProbeAfterSeconds = 1;
+inline constexpr int kProbeIntervalSeconds = 1;
+inline constexpr int kProbes = 2;
 inline constexpr std::size_t kMaxLinks = 4096;
 
 }  // namespace cornelweir::transport
--- a/cornelweir/src/transport/link.cc
+++ b/cornelweir/src/transport/link.cc
@@ -74,7 +74,7 @@
 }
 
 void link::BeginHandshake() {
-  stream_.SetNoDelay();
+  stream_.SetLinkOptions();
   stream_.AsyncHandshake(side_ == side::kServer, [self = shared_from_this()](error_code error) {
     if (self->state_ == state::kClosed) return;
     if (error) {
--- a/cornelweir/src/transport/socket_stream.h
+++ b/cornelweir/src/transport/socket_stream.h
@@ -52,11 +52,9 @@
     }
   }
 
-  // Control messages are small and latency counts, so they are not held back to be merged.
-  void SetNoDelay() {
-    boost::system::error_code ignored;
-    lowest().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  }
+  // Control messages are small and latency counts, so they are not held back to be merged. A peer
+  // that falls silent without a reset is noticed.
+  void SetLinkOptions();
 
   void Close() {
     boost::system::error_code ignored;
--- a/plugins/control/control_mesh.cc
+++ b/plugins/control/control_mesh.cc
@@ -38,6 +38,12 @@
   }
 }
 
+void control_mesh::Learn(const kernel::host_id& host) {
+  if (host == self_ || stopped_ || peers_.contains(host)) return;
+  peers_[host].mesh = kernel::endpoint(host.value());
+  Connect(host);
+}
+
 void control_mesh::Broadcast(const protocol::control_message& message) {
   const std::string payload = codec::Encode(message);
   for (auto& [host, peer] : peers_) {
--- a/plugins/control/control_mesh.h
+++ b/plugins/control/control_mesh.h
@@ -33,6 +33,9 @@
   bool Send(const kernel::host_id& to, const protocol::control_message& message);
   // The hosts to keep links to, in a group whose hosts are known by their mesh endpoints.
   void SetPeers(const std::set<kernel::host_id>& hosts);
+  // Opens a link to a host that has opened one to this host, so that it can be answered: a host
+  // with an empty disk does not know the group yet.
+  void Learn(const kernel::host_id& host);
   void Broadcast(const protocol::control_message& message);
   bool IsConnected(const kernel::host_id& host) const;
 
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -87,16 +87,24 @@
                      "host offers it on a loopback address only"});
   }
   const settings::control_settings& settings = *context.settings.control;
-  // Given at the first start of an initial host only. A setting that stayed on would let a host that
-  // lost its disk found the group again.
+  // Given at the first start of an initial host only. A setting that stayed on would let a host
+  // that lost its disk found the group again.
   if (settings.bootstrap) BOOST_LEAF_CHECK(internal::Found(settings));
   using copy_check = storage::log_store::copy_check;
-  BOOST_LEAF_AUTO(store, storage::log_store::Open(settings.data_folder,
-                                                  settings.stable_inodes ? copy_check::kByFiles
-                                                                         : copy_check::kNone));
+  BOOST_LEAF_AUTO(store, storage::log_store::Open(settings.data_folder, settings.stable_inodes
+                                                                            ? copy_check::kByFiles
+                                                                            : copy_check::kNone));
   storage::recovered_state recovered = store->Load();
   replication::group_configuration initial = internal::InitialGroup(settings);
   if (!settings.seeds.empty() && recovered.bootstrap) initial.voters = {context.settings.host};
+  logging::event(logging::event_id::kStorageOpened)
+      .With("disk", recovered.disk)
+      .With("created", recovered.created)
+      .With("set_aside", recovered.set_aside)
+      .With("torn_bytes", recovered.torn_bytes)
+      .With("term", recovered.state.term)
+      .With("snapshot", recovered.snapshot ? recovered.snapshot->index : kernel::log_index())
+      .With("entries", recovered.entries.size());
   const std::optional<replication::snapshot> snapshot = recovered.snapshot;
   replication::node node = replication::node_builder()
                                .Self(context.settings.host)
@@ -221,6 +229,7 @@
   }
   if (greeting->role == protocol::process_role::kControl) {
     peers_[link.get()] = greeting->host;
+    if (!context_.settings.control->seeds.empty()) mesh_.Learn(greeting->host);
     return;
   }
   if (greeting->role == protocol::process_role::kSidecar) {
@@ -278,6 +287,7 @@
   for (const kernel::endpoint& seed : context_.settings.control->seeds) {
     hosts.insert(internal::MeshHost(seed, context_.settings.control->mesh_listen));
   }
+  for (const auto& [link, host] : peers_) hosts.insert(host);
   mesh_.SetPeers(hosts);
   if (!node.IsLeader()) {
     const auto since = node.SinceLeader();
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -87,8 +87,8 @@
   const bool applied =
       owner_.local().applied_index() >= owner_.local().node().commit_index() &&
       owner_.local().machine().policy().current()->version != kernel::policy_version();
-  current_ = applied && round_ != kernel::heartbeat_round() &&
-             now - round_at_ < protocol::kCurrentFor;
+  current_ =
+      applied && round_ != kernel::heartbeat_round() && now - round_at_ < protocol::kCurrentFor;
 }
 
 void fleet_feed::Tick() {
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -108,9 +108,10 @@
     for (const replication::envelope& message : ready.messages) handlers_.send(message);
     if (ready.snapshot) {
       Restore(*ready.snapshot);
-      handlers_.applied(
-          {.table_changed = true, .members_changed = true, .quarantine_changed = true,
-           .policy_changed = true});
+      handlers_.applied({.table_changed = true,
+                         .members_changed = true,
+                         .quarantine_changed = true,
+                         .policy_changed = true});
     }
     for (const replication::log_entry& entry : ready.committed) ApplyEntry(entry);
     FinishReads(ready.reads);
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -95,10 +95,10 @@
 outcome::shared_retry_budget& call_router::BudgetOf(const kernel::service_name& service) {
   const auto& settings = *context_.settings.sidecar;
   return budgets_
-      .try_emplace(service,
-                   outcome::retry_allowance{settings.retry_ratio,
-                                            static_cast<double>(settings.retry_slack),
-                                            kernel::milliseconds(settings.retry_window_ms)})
+      .try_emplace(
+          service,
+          outcome::retry_allowance{settings.retry_ratio, static_cast<double>(settings.retry_slack),
+                                   kernel::milliseconds(settings.retry_window_ms)})
       .first->second;
 }
 
@@ -108,10 +108,23 @@
     request->Respond(std::move(*refusal));
     return;
   }
-  auto created =
-      std::make_shared<state>(state{request, std::move(std::get<call>(decoded)), policy_, nullptr,
-                                    {}, Now(), {}, {}, loop::timer(context_.loop), nullptr, {}, {}, 0,
-                                    0, false, std::nullopt, false});
+  auto created = std::make_shared<state>(state{request,
+                                               std::move(std::get<call>(decoded)),
+                                               policy_,
+                                               nullptr,
+                                               {},
+                                               Now(),
+                                               {},
+                                               {},
+                                               loop::timer(context_.loop),
+                                               nullptr,
+                                               {},
+                                               {},
+                                               0,
+                                               0,
+                                               false,
+                                               std::nullopt,
+                                               false});
   ++in_progress_;
   if (!policy_) {
     Refuse(created, kernel::microseconds::zero(), "no policy");
@@ -145,7 +158,8 @@
   const bool large = of->route->repetition == policy::repetition::kDownload;
   const std::shared_ptr<peer> chosen = peers_.Choose(of->service, of->tried, large);
   if (chosen == nullptr) {
-    Refuse(of, kernel::microseconds::zero(), of->tried.empty() ? "no upstream" : "no other upstream");
+    Refuse(of, kernel::microseconds::zero(),
+           of->tried.empty() ? "no upstream" : "no other upstream");
     return;
   }
   const kernel::time_point now = Now();
@@ -266,7 +280,8 @@
 void call_router::Refuse(const state_ptr& of, kernel::microseconds retry_after,
                          std::string_view reason) {
   if (of->failure) return Deliver(of, *std::move(of->failure), "upstream-failed");
-  kernel::milliseconds back = std::max(kernel::ToMilliseconds(retry_after), internal::kMinRetryAfter);
+  kernel::milliseconds back =
+      std::max(kernel::ToMilliseconds(retry_after), internal::kMinRetryAfter);
   if (retry_after == kernel::microseconds::zero()) back = internal::kDefaultRetryAfter;
   back = std::min(back, internal::kMaxRetryAfter);
   if (of->route != nullptr) {
@@ -292,8 +307,8 @@
       .With("request", of->decoded.request_id)
       .With("route", of->route != nullptr ? of->route->name.value() : std::string())
       .With("policy", of->policy ? of->policy->version : kernel::policy_version())
-      .With("upstream_daemon", of->tried.empty() ? std::string()
-                                                 : of->tried.back()->entry().daemon.value())
+      .With("upstream_daemon",
+            of->tried.empty() ? std::string() : of->tried.back()->entry().daemon.value())
       .With("status", response.status)
       .With("outcome", outcome)
       .With("refusals", of->refusals)
--- a/plugins/sidecar/control_feed.cc
+++ b/plugins/sidecar/control_feed.cc
@@ -88,14 +88,14 @@
     }
     link_.reset();
     opened_ = false;
-    retry_at_ = Now() + internal::kRetryPeriod +
-                kernel::microseconds(kernel::UniformBelow(
-                    context_.random,
-                    static_cast<std::uint64_t>(
-                        kernel::microseconds(internal::kRetryPeriod).count())));
+    retry_at_ =
+        Now() + internal::kRetryPeriod +
+        kernel::microseconds(kernel::UniformBelow(
+            context_.random,
+            static_cast<std::uint64_t>(kernel::microseconds(internal::kRetryPeriod).count())));
   };
-  link_ = transport::link::Connect(context_.loop.context(), host_, context_.tls,
-                                   std::move(callbacks));
+  link_ =
+      transport::link::Connect(context_.loop.context(), host_, context_.tls, std::move(callbacks));
 }
 
 void control_feed::Leave(const std::string& reason) {
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -76,9 +76,8 @@
     link_->Close("the peer is silent");
     return;
   }
-  const kernel::microseconds period = waiting
-                                          ? kernel::microseconds(protocol::kLinkProbeAfter)
-                                          : kernel::microseconds(internal::kIdleProbePeriod);
+  const kernel::microseconds period = waiting ? kernel::microseconds(protocol::kLinkProbeAfter)
+                                              : kernel::microseconds(internal::kIdleProbePeriod);
   if (silent >= period && now - probed_at_ >= period) {
     probed_at_ = now;
     SendData(*link_, protocol::link_probe{kernel::nonce(next_probe_++)});
@@ -179,9 +178,8 @@
   const double idle_seconds = std::chrono::duration<double>(now - observed_at_).count();
   failures_ *= std::exp(-idle_seconds / internal::kForgetSeconds);
   observed_at_ = now;
-  const bool refused = !result.response &&
-                       (result.failure == protocol::run_failure::kNoRoom ||
-                        result.failure == protocol::run_failure::kNoUpstream);
+  const bool refused = !result.response && (result.failure == protocol::run_failure::kNoRoom ||
+                                            result.failure == protocol::run_failure::kNoUpstream);
   if (refused) return;
   constexpr int kServerError = 500;
   const bool failed = !result.response || result.response->status >= kServerError;
@@ -189,9 +187,9 @@
   // A failure may come fast; it says nothing of how long a response takes.
   if (failed && !(result.failure == protocol::run_failure::kTimeout && !result.response)) return;
   const auto sample = static_cast<double>(took.count());
-  response_time_us_ = response_time_us_ == 0
-                          ? sample
-                          : response_time_us_ + internal::kSampleWeight * (sample - response_time_us_);
+  response_time_us_ = response_time_us_ == 0 ? sample
+                                             : response_time_us_ + internal::kSampleWeight *
+                                                                       (sample - response_time_us_);
 }
 
 bool peer::Serves(const kernel::service_name& service) const {
@@ -221,9 +219,8 @@
   added.done = std::move(done);
   added.sent_at = Now();
   if (gate_ != nullptr) {
-    const auto ticket = gate_->Run(std::move(request), body, [this, id](run_result result) {
-      End(id, std::move(result));
-    });
+    const auto ticket = gate_->Run(std::move(request), body,
+                                   [this, id](run_result result) { End(id, std::move(result)); });
     pending_.at(id).ticket = ticket;
     return id;
   }
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -17,10 +17,9 @@
   handlers.closed = [this](const std::shared_ptr<transport::link>& link, const std::string&) {
     OnClosed(link.get());
   };
-  BOOST_LEAF_ASSIGN(listener_,
-                    transport::listener::Open(context_.loop.context(),
-                                              context_.settings.sidecar->peers_listen,
-                                              context_.tls, std::move(handlers)));
+  BOOST_LEAF_ASSIGN(listener_, transport::listener::Open(context_.loop.context(),
+                                                         context_.settings.sidecar->peers_listen,
+                                                         context_.tls, std::move(handlers)));
   return {};
 }
 
@@ -90,8 +89,7 @@
   const auto found = sessions_.find(link.get());
   if (found == sessions_.end() || found->second.runs.erase(id) == 0) return;
   if (!result.response) {
-    SendData(*link,
-             protocol::run_failed{id, result.failure, result.retry_after, gate_.Load()});
+    SendData(*link, protocol::run_failed{id, result.failure, result.retry_after, gate_.Load()});
     return;
   }
   protocol::run_response response;
--- a/plugins/sidecar/request_dialect.h
+++ b/plugins/sidecar/request_dialect.h
@@ -39,7 +39,8 @@
 
 // The names and formats that callers and upstreams use. It decides nothing.
 template <class T>
-concept request_dialect = requires(http::whole_request request, const http::whole_response& response,
+concept request_dialect = requires(http::whole_request request,
+                                   const http::whole_response& response,
                                    const protocol::run_request& run, http::admin_server& server,
                                    std::string_view text, const call& decoded) {
   { T::kName } -> std::convertible_to<std::string_view>;
@@ -76,9 +77,8 @@
 
 template <request_dialect T>
 dialect_functions FunctionsOf() {
-  return {&T::DecodeCall, &T::RefuseUnread, &T::Reply,
-          &T::EncodeRun,  &T::Judge,        &T::RequestId,
-          &T::ServeAnnouncements, T::kReadinessPath};
+  return {&T::DecodeCall, &T::RefuseUnread,       &T::Reply,        &T::EncodeRun, &T::Judge,
+          &T::RequestId,  &T::ServeAnnouncements, T::kReadinessPath};
 }
 
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/upstream_gate.cc
+++ b/plugins/sidecar/upstream_gate.cc
@@ -69,8 +69,8 @@
   }
   if (announced_) {
     const auto known = std::pair(announced_->started_at, announced_->sequence);
-    const bool same_process = announced_->id == announcement.id &&
-                              announced_->started_at == announcement.started_at;
+    const bool same_process =
+        announced_->id == announcement.id && announced_->started_at == announcement.started_at;
     if (announcement.started_at < announced_->started_at) return announcement_answer::kOutdated;
     if (same_process && std::pair(announcement.started_at, announcement.sequence) < known) {
       return announcement_answer::kOutdated;
@@ -124,10 +124,9 @@
   const bool here = IsOpen() && added.request.service == service();
   admission::slot_decision decision;
   if (here) {
-    decision =
-        queue_.Submit({id, nested_.Observe(added.request.route, added.request.caller), added.request.priority, added.objective,
-                               added.deadline},
-                              now);
+    decision = queue_.Submit({id, nested_.Observe(added.request.route, added.request.caller),
+                              added.request.priority, added.objective, added.deadline},
+                             now);
   }
   switch (decision.outcome) {
     case admission::slot_decision::kind::kRun:
