Plan queued requests by their route, probe an upstream after a restart, log to standard output

Cause: the mean run time of a service mixes short nested calls with long requests, so long ones were admitted too late; a daemon that restarted waited for its upstream's next announcement (up to 1.5 s); log lines went to stderr, one write each.

--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -7,6 +7,10 @@
 
 namespace cornelweir::admission {
 
+kernel::microseconds Smoothed(kernel::microseconds mean, kernel::microseconds sample) {
+  return mean.count() == 0 ? sample : mean + (sample - mean) / kRunTimeSmoothing;
+}
+
 std::vector<ticket> slot_queue::SetSlots(std::int64_t slots, kernel::time_point now) {
   slots_ = slots;
   return Admit(now);
@@ -24,7 +28,7 @@
 
 // Even if it ran now, it would most likely not end in time.
 bool slot_queue::IsHopeless(const slot_request& request, kernel::time_point now) const {
-  return request.deadline - now < run_time_ * kLeastRunTimePercent / 100;
+  return request.deadline - now < request.run_time * kLeastRunTimePercent / 100;
 }
 
 // Whether a request at this position of the queue would be served so late that its caller is better
@@ -33,7 +37,7 @@
 bool slot_queue::IsTooLate(const slot_request& request, std::int64_t position,
                            kernel::time_point now) const {
   const kernel::microseconds wait = WaitAt(position);
-  const kernel::microseconds run = run_time_ * kPlannedRunTimePercent / 100;
+  const kernel::microseconds run = request.run_time * kPlannedRunTimePercent / 100;
   return now + wait + run > (request.nested ? request.deadline : request.objective);
 }
 
@@ -81,8 +85,7 @@
                                         kernel::time_point now) {
   if (running_.erase(id) == 0) return {};
   if (run_time) {
-    run_time_ = run_time_.count() == 0 ? *run_time
-                                       : run_time_ + (*run_time - run_time_) / kRunTimeSmoothing;
+    run_time_ = Smoothed(run_time_, *run_time);
   }
   return Admit(now);
 }
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -26,6 +26,8 @@
   // A response by then is worth its full credit.
   kernel::time_point objective;
   kernel::time_point deadline;
+  // How long requests of its route run on the mean; zero if unknown.
+  kernel::microseconds run_time{};
 };
 
 // What becomes of a request on arrival, and which queued ones give way to it.
@@ -35,6 +37,9 @@
   std::vector<ticket> displaced;
 };
 
+// A moving mean of run times with one more sample; the first sample is the mean.
+kernel::microseconds Smoothed(kernel::microseconds mean, kernel::microseconds sample);
+
 // Runs as many requests on an upstream as it has slots, and lets the others wait: nested ones
 // first, then in order of priority, then of their objectives. A request that would wait too long to
 // meet its objective is refused at once, while its caller can still go elsewhere; a late one gets a
@@ -60,7 +65,6 @@
   std::int64_t slots() const { return slots_; }
   std::int64_t running() const { return static_cast<std::int64_t>(running_.size()); }
   std::int64_t queued() const { return static_cast<std::int64_t>(queue_.size()); }
-  kernel::microseconds run_time() const { return run_time_; }
 
  private:
   using position = std::tuple<bool, std::int32_t, kernel::time_point, std::uint64_t>;
--- a/cornelweir/src/logging/event.cc
+++ b/cornelweir/src/logging/event.cc
@@ -2,6 +2,8 @@
 
 #include <glog/logging.h>
 
+#include "cornelweir/src/logging/output.h"
+
 namespace cornelweir::logging {
 
 event_description Describe(event_id id) {
@@ -20,7 +22,8 @@
 event::~event() {
   const event_description description = Describe(id_);
   std::ostringstream line;
-  line << 'E' << static_cast<int>(id_) << ' ' << description.message << text_.str();
+  line << "event=" << static_cast<int>(id_) << " message=\"" << description.message << '"'
+       << text_.str();
   switch (description.level) {
     case severity::kInfo:
       LOG(INFO) << line.str();
@@ -35,7 +38,13 @@
 }
 
 void StartLogging(const char* program) {
-  FLAGS_logtostderr = true;
+  // The sink of StartOutput() takes every line; glog itself writes only what ends the process.
+  FLAGS_stderrthreshold = google::GLOG_FATAL;
+  FLAGS_log_dir = "";
+  for (const google::LogSeverity severity : {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR, google::GLOG_FATAL}) {
+    google::SetLogDestination(severity, "");
+  }
+  StartOutput();
   google::InitGoogleLogging(program);
 }
 
--- a/cornelweir/src/logging/event.h
+++ b/cornelweir/src/logging/event.h
@@ -4,6 +4,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 #include "cornelweir/src/logging/event_id.h"
 
@@ -21,20 +22,34 @@
 
   template <class T>
   event& With(std::string_view name, const T& value) {
+    text_ << ' ' << name << '=';
     if constexpr (requires { value.value(); }) {
-      text_ << ' ' << name << '=' << value.value();
+      Write(value.value());
     } else {
-      text_ << ' ' << name << '=' << value;
+      Write(value);
     }
     return *this;
   }
 
  private:
+  // Texts with spaces are quoted, so that a line can be split into its fields.
+  template <class T>
+  void Write(const T& value) {
+    if constexpr (std::is_convertible_v<T, std::string_view>) {
+      const std::string_view text = value;
+      const char* const quote =
+          text.empty() || text.find_first_of(" \"") != std::string_view::npos ? "\"" : "";
+      text_ << quote << text << quote;
+    } else {
+      text_ << value;
+    }
+  }
+
   event_id id_;
   std::ostringstream text_;
 };
 
-// Sends log lines to standard error, for the program with this name.
+// Sends log lines to standard output, for the program with this name.
 void StartLogging(const char* program);
 
 }  // namespace cornelweir::logging
--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -17,6 +17,8 @@
   X(kProcessStopped, 1003, kInfo, "process stopped")                                         \
   X(kKeysReloaded, 1006, kInfo, "keys reloaded")                                             \
   X(kKeysRefused, 1007, kError, "keys can't be loaded, the old ones stay")                   \
+  X(kLinesLeftOut, 1008, kWarning, "lines left out")                       \
+  X(kSettingsReloaded, 1009, kInfo, "settings read again")                 \
   X(kLeaderElected, 2001, kInfo, "became leader")                                            \
   X(kLeadershipLost, 2002, kWarning, "no longer leader")                                     \
   X(kStorageFailed, 2003, kError, "storage failed")                                          \
@@ -46,8 +48,7 @@
   X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress") \
   X(kRequestEnded, 4002, kInfo, "request ended")                                             \
   X(kRequestSentAgain, 4003, kInfo, "request sent again")                                    \
-  X(kAnnouncementRefused, 4004, kWarning, "announcement refused")                            \
-  X(kRequestRefused, 4005, kInfo, "request refused")
+  X(kAnnouncementRefused, 4004, kWarning, "announcement refused")
 
 enum class event_id : std::uint16_t {
 // An enumerator can't stand in parentheses.
--- a/cornelweir/src/protocol/fleet_messages.h
+++ b/cornelweir/src/protocol/fleet_messages.h
@@ -40,8 +40,6 @@
   std::optional<policy::policy_delta> delta;
   std::vector<membership::roster_entry> present;
   std::vector<kernel::endpoint> gone;
-  // The roster is sent as a whole: entries that the daemon has from another host are outdated.
-  bool whole_roster = false;
   // Where other control hosts take links of daemons. Empty if unchanged.
   std::vector<kernel::endpoint> control_hosts;
   // If not 0, the incarnation that the daemon must exceed for its reports to count.
@@ -53,7 +51,6 @@
                       kernel::field{"delta", &fleet_update::delta},
                       kernel::field{"present", &fleet_update::present},
                       kernel::field{"gone", &fleet_update::gone},
-                      kernel::field{"whole_roster", &fleet_update::whole_roster},
                       kernel::field{"control_hosts", &fleet_update::control_hosts},
                       kernel::field{"needed", &fleet_update::needed}};
   }
--- a/cornelweir/src/protocol/limits.h
+++ b/cornelweir/src/protocol/limits.h
@@ -28,8 +28,8 @@
 inline constexpr std::size_t kBodyPieceBytes = std::size_t{64} << 10;
 // Without any message for so long, a link with requests on it is probed, and given up after as
 // long again.
-inline constexpr kernel::milliseconds kLinkProbeAfter{300};
-inline constexpr kernel::milliseconds kLinkSilence{900};
+inline constexpr kernel::milliseconds kLinkProbeAfter{200};
+inline constexpr kernel::milliseconds kLinkSilence{600};
 
 }  // namespace cornelweir::protocol
 
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -141,7 +141,6 @@
       membership::roster_changes changes = roster_.ChangesSince(to.roster_revision);
       update.present = std::move(changes.present);
       update.gone = std::move(changes.gone);
-      update.whole_roster = std::exchange(to.whole_roster, false);
       to.roster_revision = roster_.revision();
       news = true;
     }
--- a/plugins/control/fleet_feed.h
+++ b/plugins/control/fleet_feed.h
@@ -49,7 +49,6 @@
     // Set by the first report; what the daemon holds or was sent since.
     std::optional<kernel::policy_version> held;
     std::uint64_t roster_revision = 0;
-    bool whole_roster = true;
     std::vector<kernel::endpoint> control_hosts;
     kernel::incarnation needed;
     kernel::time_point sent_at;
--- a/plugins/sidecar/control_feed.cc
+++ b/plugins/sidecar/control_feed.cc
@@ -69,6 +69,7 @@
     if (!*alive) return;
     opened_ = true;
     current_at_ = Now();
+    logging::event(logging::event_id::kControlHostConnected).With("host", host_);
     const protocol::report_message greeting =
         Greeting(protocol::process_role::kSidecar, context_.settings.host);
     link->Send(codec::Encode(greeting));
@@ -182,9 +183,9 @@
 
 void control_feed::ApplyRoster(const protocol::fleet_update& update) {
   if (update.present.empty() && update.gone.empty()) return;
-  // A list as a whole adds and changes; what it lacks is kept until it is said to be gone, since a
-  // control host that has just started does not know of all daemons yet. Links to daemons that are
-  // gone fail on their own.
+  // What another host said before is kept until it is said to be gone, since a control host that
+  // has just started does not know of all daemons yet. Links to daemons that are gone fail on their
+  // own.
   for (const membership::roster_entry& entry : update.present) roster_[entry.daemon] = entry;
   for (const kernel::endpoint& gone : update.gone) roster_.erase(gone);
   handlers_.roster_changed();
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -77,6 +77,11 @@
   router_.SetPolicy(feed_.policy());
   callers_.SetLimits(internal::LimitsOf(feed_.policy()->limits));
   NoteReadiness();
+  for (const policy::service& listed : feed_.policy()->services) {
+    if (listed.name != gate_.service() || probing_) continue;
+    probing_ = true;
+    gate_.ProbeUntilAnnounced(listed.health_path);
+  }
 }
 
 void sidecar_node::OnUpstreamChanged() {
--- a/plugins/sidecar/sidecar_node.h
+++ b/plugins/sidecar/sidecar_node.h
@@ -53,6 +53,7 @@
   bool shutting_down_ = false;
   bool callers_drained_ = false;
   bool was_ready_ = false;
+  bool probing_ = false;
   std::function<void()> done_;
 };
 
--- a/plugins/sidecar/upstream_gate.cc
+++ b/plugins/sidecar/upstream_gate.cc
@@ -10,6 +10,14 @@
 
 // How often queued requests are checked against their deadlines.
 constexpr kernel::milliseconds kQueueCheckPeriod{10};
+// The health of an upstream that has not announced itself since the daemon's start is asked for so
+// long, at this pace.
+constexpr kernel::milliseconds kProbeTime{1'600};
+constexpr kernel::milliseconds kProbePeriod{150};
+constexpr kernel::milliseconds kProbeTimeout{500};
+// Until the announcement says how many there are.
+constexpr std::int64_t kAssumedSlots = 4;
+
 // Refused connections in a row after which the upstream counts as gone. One alone may be a limit on
 // its connections.
 constexpr int kMaxConnectFailures = 2;
@@ -22,7 +30,9 @@
       dialect_(dialect),
       on_change_(std::move(on_change)),
       client_(context.loop, http::upstream_limits()),
-      queue_timer_(context.loop) {
+      queue_timer_(context.loop),
+      probe_timer_(context.loop),
+      started_at_(context.clock.Now()) {
   client_.SetEndpoint(context.settings.sidecar->upstream);
 }
 
@@ -94,6 +104,35 @@
   return announcement_answer::kTaken;
 }
 
+// After a restart of the daemon alone its upstream goes on, and its next announcement may be a
+// while away. Its health response names it, so that requests need not wait for that. Soon after the
+// start the settings are right about the service; later another upstream may have the address.
+void upstream_gate::ProbeUntilAnnounced(const std::string& health_path) {
+  if (announced_ || shutting_down_ || Now() - started_at_ > internal::kProbeTime) return;
+  const http::whole_request probe{
+      "GET", health_path, {{"Host", context_.settings.sidecar->upstream.value()}}, ""};
+  probe_ = client_.Send(
+      probe, internal::kProbeTimeout,
+      [](const http::whole_response&) { return http::response_use::kTake; },
+      [this, health_path](const http::upstream_result& result) { OnProbed(health_path, result); });
+}
+
+void upstream_gate::OnProbed(const std::string& health_path, const http::upstream_result& result) {
+  const kernel::upstream_id id = result.status == http::upstream_status::kResponse
+                                     ? dialect_.healthy_upstream(result.response)
+                                     : kernel::upstream_id();
+  if (!id.value().empty() && !announced_) {
+    announced_.emplace();
+    announced_->id = id;
+    announced_->address = context_.settings.sidecar->upstream;
+    announced_->service = context_.settings.sidecar->service;
+    announced_->slots = internal::kAssumedSlots;
+    Changed("healthy");
+  }
+  probe_timer_.Start(internal::kProbePeriod,
+                     [this, health_path] { ProbeUntilAnnounced(health_path); });
+}
+
 void upstream_gate::Withdraw(const kernel::upstream_id& id) {
   if (!announced_ || announced_->id != id || announced_->draining) return;
   announced_->draining = true;
@@ -124,9 +163,14 @@
   const bool here = IsOpen() && added.request.service == service();
   admission::slot_decision decision;
   if (here) {
-    decision = queue_.Submit({id, nested_.Observe(added.request.route, added.request.caller),
-                              added.request.priority, added.objective, added.deadline},
-                             now);
+    admission::slot_request asked;
+    asked.id = id;
+    asked.nested = nested_.Observe(added.request.route, added.request.caller);
+    asked.priority = added.request.priority;
+    asked.objective = added.objective;
+    asked.deadline = added.deadline;
+    asked.run_time = run_times_[added.request.route];
+    decision = queue_.Submit(asked, now);
   }
   switch (decision.outcome) {
     case admission::slot_decision::kind::kRun:
@@ -201,6 +245,10 @@
   }
   run_result ended = ResultOf(found->second, std::move(result));
   if (!ended.response) run_time.reset();
+  if (run_time) {
+    kernel::microseconds& mean = run_times_[found->second.request.route];
+    mean = admission::Smoothed(mean, *run_time);
+  }
   const std::vector<admission::ticket> next = queue_.Release(id, run_time, Now());
   Finish(id, std::move(ended));
   StartAll(next);
--- a/plugins/sidecar/upstream_gate.h
+++ b/plugins/sidecar/upstream_gate.h
@@ -36,6 +36,8 @@
 
   announcement_answer Announce(const membership::upstream_announcement& announcement);
   void Withdraw(const kernel::upstream_id& id);
+  // Asks an upstream that has not announced itself yet whether it is there.
+  void ProbeUntilAnnounced(const std::string& health_path);
   // Refuses what has not begun to run, and everything from now on.
   void BeginShutdown();
 
@@ -68,6 +70,7 @@
   void Finish(admission::ticket id, run_result result);
   void RefuseAll(const std::vector<admission::ticket>& ids, protocol::run_failure failure);
   void NoteConnectFailure();
+  void OnProbed(const std::string& health_path, const http::upstream_result& result);
   void WatchQueue();
   void Changed(std::string_view what);
   void UpdateSlots();
@@ -86,7 +89,12 @@
   bool down_ = false;
   bool shutting_down_ = false;
   int connect_failures_ = 0;
+  // Mean run time by route.
+  std::map<kernel::route_name, kernel::microseconds> run_times_;
   loop::timer queue_timer_;
+  loop::timer probe_timer_;
+  kernel::time_point started_at_;
+  std::shared_ptr<http::upstream_exchange> probe_;
 };
 
 }  // namespace cornelweir::plugins::sidecar
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <boost/leaf.hpp>
 #include <boost/program_options.hpp>
 #include <chrono>
@@ -37,6 +39,9 @@
 // Names the settings file if the command line does not.
 constexpr const char* kSettingsVariable = "CORNELWEIR_SETTINGS";
 
+// Log lines wait for so long at most, so that many of them share one write.
+constexpr std::chrono::milliseconds kLogFlushPeriod{100};
+
 // A graceful shutdown that takes longer than this is cut short.
 constexpr std::chrono::seconds kMaxShutdown{120};
 
@@ -50,7 +55,11 @@
 class daemon {
  public:
   explicit daemon(const settings::daemon_settings& settings)
-      : settings_(settings), admin_(loop_), shutdown_timer_(loop_), random_(Seed()) {}
+      : settings_(settings),
+        admin_(loop_),
+        shutdown_timer_(loop_),
+        log_timer_(loop_),
+        random_(Seed()) {}
 
   boost::leaf::result<void> Start() {
     if (settings_.tls.enabled) {
@@ -67,10 +76,12 @@
       BOOST_LEAF_AUTO(handle, entry->create(context));
       plugins_.push_back(std::move(handle));
     }
+    log_timer_.StartPeriodic(kLogFlushPeriod, [] { logging::FlushOutput(); });
     BOOST_LEAF_CHECK(admin_.Listen(settings_.admin_listen));
     for (const kernel::plugin_handle& plugin : plugins_) plugin.start();
     loop_.OnSignal([this](loop::process_signal signal) {
       if (signal == loop::process_signal::kHangUp) {
+        event{event_id::kSettingsReloaded}.With("host", settings_.host).With("scope", "keys");
         ReloadKeys();
       } else {
         BeginShutdown();
@@ -130,6 +141,7 @@
   loop::event_loop loop_;
   http::admin_server admin_;
   loop::timer shutdown_timer_;
+  loop::timer log_timer_;
   metrics::metrics_registry metrics_;
   kernel::seeded_random random_;
   kernel::steady_clock_source clock_;
@@ -164,6 +176,7 @@
         BOOST_LEAF_CHECK(process.Start());
         process.Run();
         event{event_id::kProcessStopped}.With("host", settings.host);
+        logging::FlushOutput();
         return EXIT_SUCCESS;
       },
       [](const settings::settings_error& error) { return ReportSettings(error); },
@@ -215,6 +228,10 @@
 }  // namespace cornelweir::programs
 
 int main(int argc, char** argv) {
+  // Bodies are large and short-lived; their memory goes back to the system at once.
+  constexpr int kReturnedBlockBytes = 64 << 10;
+  ::mallopt(M_MMAP_THRESHOLD, kReturnedBlockBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kReturnedBlockBytes);
   try {
     return cornelweir::programs::Main(argc, argv);
   } catch (const std::exception& error) {
--- /dev/null
+++ b/tests/http_pipeline_test.cc
@@ -0,0 +1,120 @@
+// A server whose callers send further requests before the first one is answered.
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/http_test_support.h"
+
+namespace cornelweir::http {
+namespace {
+
+class pipeline : public ::testing::Test {
+ protected:
+  pipeline()
+      : server_(
+            loop_, [this](const auto& request) { requests_.push_back(request); },
+            [](int status, std::string_view reason) {
+              return whole_response{status, {}, std::string(reason)};
+            }) {
+    EXPECT_TRUE(server_.Listen(kernel::endpoint("127.0.0.1:0")));
+    caller_ = raw_peer::Connect(loop_, server_.local_endpoint());
+  }
+
+  void Send(const std::string& text) { caller_->Send(text); }
+  void AwaitRequests(std::size_t count) {
+    RunUntil(loop_, [&] { return requests_.size() >= count; });
+  }
+  void AwaitText(const std::string& text) {
+    RunUntil(loop_, [&] { return caller_->received.find(text) != std::string::npos; });
+  }
+
+  loop::event_loop loop_;
+  std::vector<std::shared_ptr<pipeline_request>> requests_;
+  pipeline_server server_;
+  std::shared_ptr<raw_peer> caller_;
+};
+
+std::string Get(const std::string& target) {
+  return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+// Guards against requests that wait for one another, and answers in another order than the
+// requests.
+TEST_F(pipeline, HandsRequestsOutAtOnceAndAnswersInOrder) {
+  Send(Get("/1") + Get("/2"));
+  AwaitRequests(2);
+  requests_[1]->Respond({200, {}, "second"});
+  requests_[0]->Respond({200, {}, "first"});
+  AwaitText("second");
+  EXPECT_LT(caller_->received.find("first"), caller_->received.find("second"));
+}
+
+// Guards against upstreams that work for callers that have left, also behind other requests.
+TEST_F(pipeline, NoticesACallerThatLeaves) {
+  Send(Get("/1") + Get("/2"));
+  AwaitRequests(2);
+  int gone = 0;
+  for (const auto& request : requests_) request->OnGone([&] { ++gone; });
+  caller_->Close();
+  RunUntil(loop_, [&] { return gone == 2; });
+  requests_[0]->Respond({200, {}, "late"});
+}
+
+// Guards against bodies whose end is taken for the start of a request.
+TEST_F(pipeline, ReadsBodiesWithLengthAndInChunks) {
+  Send(
+      "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+      "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n2\r\nde\r\n1\r\nf\r\n0\r\n\r\n" +
+      Get("/3"));
+  AwaitRequests(3);
+  EXPECT_EQ(requests_[0]->message.body, "abc");
+  EXPECT_EQ(requests_[1]->message.body, "def");
+  EXPECT_EQ(requests_[2]->message.target, "/3");
+}
+
+// Guards against request smuggling, and against harm to the requests before a malformed one.
+TEST_F(pipeline, RefusesAmbiguousFramingAfterTheRequestsBeforeIt) {
+  Send(Get("/1") +
+       "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n0\r\n\r\n");
+  AwaitRequests(1);
+  requests_[0]->Respond({200, {}, "good"});
+  AwaitText(" 400 ");
+  EXPECT_NE(caller_->received.find("good"), std::string::npos);
+  EXPECT_NE(caller_->received.find("Connection: close"), std::string::npos);
+  EXPECT_EQ(requests_.size(), 1U);
+}
+
+// Guards against headers and bodies beyond the limits that are in force.
+TEST_F(pipeline, RefusesWhatExceedsTheLimits) {
+  pipeline_limits limits;
+  limits.body_bytes = 2;
+  server_.SetLimits(limits);
+  Send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+  AwaitText(" 413 ");
+  const auto other = raw_peer::Connect(loop_, server_.local_endpoint());
+  limits.header_bytes = 64;
+  server_.SetLimits(limits);
+  other->Send("GET /" + std::string(100, 'x') + " HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil(loop_, [&] { return other->received.find(" 431 ") != std::string::npos; });
+}
+
+// Guards against a shutdown that cuts requests in progress, or takes further ones.
+TEST_F(pipeline, DrainsAfterTheRequestsInProgress) {
+  Send(Get("/1"));
+  AwaitRequests(1);
+  bool drained = false;
+  server_.BeginDrain([&] { drained = true; });
+  requests_[0]->Respond({200, {}, "last"});
+  AwaitText("last");
+  EXPECT_NE(caller_->received.find("Connection: close"), std::string::npos);
+  caller_->Close();
+  RunUntil(loop_, [&] { return drained; });
+}
+
+}  // namespace
+}  // namespace cornelweir::http
--- /dev/null
+++ b/tests/slot_queue_test.cc
@@ -0,0 +1,132 @@
+// Which requests get a slot of an upstream, which wait, and which are refused at once.
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+#include <vector>
+
+#include "cornelweir/admission.h"
+
+namespace cornelweir::admission {
+namespace {
+
+using kind = slot_decision::kind;
+using std::chrono::milliseconds;
+
+constexpr kernel::time_point kStart{std::chrono::seconds(100)};
+
+slot_request Request(std::uint64_t id, int objective_ms, int priority = 1, bool nested = false,
+                     int deadline_ms = 1'000) {
+  return {ticket(id),
+          nested,
+          priority,
+          kStart + milliseconds(objective_ms),
+          kStart + milliseconds(deadline_ms),
+          milliseconds(100)};
+}
+
+// A queue with this many slots, which requests hold for 100 ms.
+slot_queue Queue(std::int64_t slots) {
+  slot_queue queue;
+  queue.SetSlots(slots, kStart);
+  queue.Submit(Request(1'000, 500), kStart);
+  queue.Release(ticket(1'000), milliseconds(100), kStart);
+  return queue;
+}
+
+// Guards against more requests at an upstream than it has slots: some never answer those.
+TEST(SlotQueue, NeverRunsMoreThanTheSlots) {
+  EXPECT_TRUE(rc::check([] {
+    slot_queue queue;
+    const auto slots = *rc::gen::inRange<std::int64_t>(1, 4);
+    queue.SetSlots(slots, kStart);
+    std::set<ticket> running;
+    const auto note = [&](const std::vector<ticket>& admitted) {
+      for (const ticket& id : admitted) RC_ASSERT(running.insert(id).second);
+    };
+    for (std::uint64_t step = 1; step < 60; ++step) {
+      if (running.empty() || *rc::gen::inRange(0, 3) > 0) {
+        const auto decided =
+            queue.Submit(Request(step, *rc::gen::inRange(1, 900), *rc::gen::inRange(0, 3),
+                                 *rc::gen::arbitrary<bool>()),
+                         kStart);
+        if (decided.outcome == kind::kRun) note({ticket(step)});
+      } else {
+        const ticket ended = *running.begin();
+        running.erase(ended);
+        note(queue.Release(ended, milliseconds(*rc::gen::inRange(1, 200)), kStart));
+      }
+      RC_ASSERT(static_cast<std::int64_t>(running.size()) <= slots);
+      RC_ASSERT(queue.running() == static_cast<std::int64_t>(running.size()));
+    }
+  }));
+}
+
+// Guards against requests that wait until their response is late: their callers could have gone
+// elsewhere.
+TEST(SlotQueue, RefusesAtOnceWhatCanNotMeetItsObjective) {
+  slot_queue queue = Queue(1);
+  EXPECT_EQ(queue.Submit(Request(1, 300), kStart).outcome, kind::kRun);
+  EXPECT_EQ(queue.Submit(Request(2, 300), kStart).outcome, kind::kQueue);
+  EXPECT_EQ(queue.Submit(Request(3, 300), kStart).outcome, kind::kRefuse);
+  EXPECT_EQ(queue.Submit(Request(4, 400), kStart).outcome, kind::kQueue);
+}
+
+// Guards against a caller that is refused although a slot is free.
+TEST(SlotQueue, RunsALateRequestIfASlotIsFree) {
+  slot_queue queue = Queue(1);
+  EXPECT_EQ(queue.Submit(Request(1, 0), kStart).outcome, kind::kRun);
+}
+
+// Guards against work that must be thrown away.
+TEST(SlotQueue, RefusesWhatCanNotEndBeforeItsDeadline) {
+  slot_queue queue = Queue(1);
+  EXPECT_EQ(queue.Submit(Request(1, 50, 1, false, 59), kStart).outcome, kind::kRefuse);
+  EXPECT_EQ(queue.Submit(Request(2, 50, 1, false, 60), kStart).outcome, kind::kRun);
+}
+
+// Guards against calls that are turned away while their parents hold slots, and against less urgent
+// requests that go first.
+TEST(SlotQueue, ServesNestedThenUrgentThenEarlyRequests) {
+  slot_queue queue = Queue(4);
+  for (std::uint64_t id = 1; id <= 4; ++id) queue.Submit(Request(id, 500), kStart);
+  queue.Submit(Request(10, 500, 2), kStart);
+  queue.Submit(Request(11, 500, 1), kStart);
+  queue.Submit(Request(12, 400, 1), kStart);
+  queue.Submit(Request(13, 10, 3, true), kStart);
+  std::vector<ticket> order;
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    for (const ticket& next : queue.Release(ticket(id), std::nullopt, kStart)) {
+      order.push_back(next);
+    }
+  }
+  EXPECT_EQ(order, (std::vector{ticket(13), ticket(12), ticket(11), ticket(10)}));
+}
+
+// Guards against a less urgent request that waits in vain.
+TEST(SlotQueue, DisplacesWhatAMoreUrgentRequestPushesTooFarBack) {
+  slot_queue queue = Queue(1);
+  queue.Submit(Request(1, 300), kStart);
+  EXPECT_EQ(queue.Submit(Request(2, 300, 2), kStart).outcome, kind::kQueue);
+  const auto urgent = queue.Submit(Request(3, 300, 1), kStart);
+  EXPECT_EQ(urgent.outcome, kind::kQueue);
+  EXPECT_EQ(urgent.displaced, std::vector{ticket(2)});
+}
+
+// Guards against requests that are forgotten when the upstream goes, and against double endings.
+TEST(SlotQueue, EndsQueuedRequestsOnce) {
+  slot_queue queue = Queue(1);
+  queue.Submit(Request(1, 500), kStart);
+  queue.Submit(Request(2, 500), kStart);
+  queue.Submit(Request(3, 500), kStart);
+  EXPECT_TRUE(queue.Cancel(ticket(2)));
+  EXPECT_FALSE(queue.Cancel(ticket(2)));
+  EXPECT_EQ(queue.Expire(kStart + milliseconds(950)), std::vector{ticket(3)});
+  EXPECT_TRUE(queue.Clear().empty());
+  EXPECT_TRUE(queue.Release(ticket(1), std::nullopt, kStart).empty());
+  EXPECT_TRUE(queue.Release(ticket(1), std::nullopt, kStart).empty());
+}
+
+}  // namespace
+}  // namespace cornelweir::admission
