--- a/cornelweir/src/logging/event.cc
+++ b/cornelweir/src/logging/event.cc
@@ -41,7 +41,8 @@
   // The sink of StartOutput() takes every line; glog itself writes only what ends the process.
   FLAGS_stderrthreshold = google::GLOG_FATAL;
   FLAGS_log_dir = "";
-  for (const google::LogSeverity severity : {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR, google::GLOG_FATAL}) {
+  for (const google::LogSeverity severity :
+       {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR, google::GLOG_FATAL}) {
     google::SetLogDestination(severity, "");
   }
   StartOutput();
--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -17,8 +17,8 @@
   X(kProcessStopped, 1003, kInfo, "process stopped")                                         \
   X(kKeysReloaded, 1006, kInfo, "keys reloaded")                                             \
   X(kKeysRefused, 1007, kError, "keys can't be loaded, the old ones stay")                   \
-  X(kLinesLeftOut, 1008, kWarning, "lines left out")                       \
-  X(kSettingsReloaded, 1009, kInfo, "settings read again")                 \
+  X(kLinesLeftOut, 1008, kWarning, "lines left out")                                         \
+  X(kSettingsReloaded, 1009, kInfo, "settings read again")                                   \
   X(kLeaderElected, 2001, kInfo, "became leader")                                            \
   X(kLeadershipLost, 2002, kWarning, "no longer leader")                                     \
   X(kStorageFailed, 2003, kError, "storage failed")                                          \
--- a/cornelweir/src/logging/line_buffer.h
+++ b/cornelweir/src/logging/line_buffer.h
@@ -17,7 +17,11 @@
   void Add(std::string_view line);
   // What has not been written yet. A line that tells how many were left out comes before the next
   // one that is taken.
-  std::string_view pending() const { return std::string_view(text_).substr(written_); }
+  std::string_view pending() const {
+    std::string_view text = text_;
+    text.remove_prefix(written_);
+    return text;
+  }
   void MarkWritten(std::size_t size);
   std::uint64_t left_out() const { return left_out_; }
 
--- a/tests/platform_format_test.cc
+++ b/tests/platform_format_test.cc
@@ -65,7 +65,7 @@
   EXPECT_TRUE(with("\"tls\": false", "\"tls\": true"));
 }
 
-protocol::run_request Run(const std::string& id) {
+protocol::run_request RunWithId(const std::string& id) {
   protocol::run_request run;
   run.headers = {{"Attempt-Id", id}};
   return run;
@@ -75,7 +75,7 @@
 // request that ran.
 TEST(PlatformDialect, JudgesResponses) {
   const auto judge = [](int status, http::header_pairs headers) {
-    return sidecar_dialect::Judge(Run("1"), {status, std::move(headers), ""});
+    return sidecar_dialect::Judge(RunWithId("1"), {status, std::move(headers), ""});
   };
   EXPECT_EQ(judge(200, {{"Attempt-Id", "1"}, {"Server-Seal", "s"}}), upstream_verdict::kResponse);
   EXPECT_EQ(judge(500, {{"Attempt-Id", "1"}}), upstream_verdict::kResponse);
@@ -104,7 +104,7 @@
   EXPECT_EQ(read.request_id, "7");
   EXPECT_EQ(read.time_left, kernel::milliseconds(250));
   EXPECT_EQ(read.headers.size(), 3U);
-  protocol::run_request run = Run("7");
+  protocol::run_request run = RunWithId("7");
   run.caller = kernel::service_name("forms");
   const http::whole_request sent =
       sidecar_dialect::EncodeRun(run, "", kernel::upstream_id("i-1"), kernel::milliseconds(99));
