--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -174,5 +174,30 @@
   }));
 }
 
+constexpr std::string_view kSeededControl = R"({
+  "host": "c1", "failure_domain": "a", "region": "r", "admin_listen": "10.0.0.1:9464",
+  "plugins": ["control"], "trusted_network": true,
+  "control": {"data_folder": "/data", "mesh_listen": "10.0.0.1:7000",
+              "policy_listen": "10.0.0.1:8000", "seeds": ["10.0.0.1:8000", "10.0.0.2:8000"],
+              "tolerated_losses": 2, "bootstrap": true, "stable_inodes": false}})";
+
+// Guards against hosts of a group found by seeds that can't be reached under their id.
+TEST(Settings, KnowsAHostOfASeededGroupByItsMeshEndpoint) {
+  const auto settings = ParseSettings(kSeededControl, {});
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->host, kernel::host_id("10.0.0.1:7000"));
+  EXPECT_EQ(settings->control->seeds.size(), 2U);
+  EXPECT_EQ(settings->control->tolerated_losses, 2);
+  EXPECT_FALSE(settings->control->stable_inodes);
+}
+
+// Guards against links without TLS off loopback that nobody asked for.
+TEST(Settings, AllowsLinksWithoutTlsOnlyOnATrustedNetwork) {
+  std::string text(kSeededControl);
+  const std::string flag = R"("trusted_network": true,)";
+  text.erase(text.find(flag), flag.size());
+  EXPECT_FALSE(ParseSettings(text, {}));
+}
+
 }  // namespace
 }  // namespace cornelweir::settings
