Judge each response once, drop what nothing uses in the sidecar plug-in

The gate judged a response when it arrived and again at its end; it now keeps the verdict. The dialect's function for request ids had no caller, and the handle of a health probe was never read.

--- a/plugins/sidecar/request_dialect.h
+++ b/plugins/sidecar/request_dialect.h
@@ -57,7 +57,6 @@
     T::EncodeRun(run, std::string(), kernel::upstream_id(), kernel::milliseconds())
     } -> std::same_as<http::whole_request>;
   { T::Judge(run, response) } -> std::same_as<upstream_verdict>;
-  { T::RequestId(run) } -> std::same_as<std::string_view>;
   // The upstream that says that it is healthy, or an empty id.
   { T::HealthyUpstream(response) } -> std::same_as<kernel::upstream_id>;
   T::ServeAnnouncements(server, announce_handler(), withdraw_handler());
@@ -72,7 +71,6 @@
   http::whole_request (*encode_run)(const protocol::run_request&, std::string body,
                                     const kernel::upstream_id&, kernel::milliseconds time_left);
   upstream_verdict (*judge)(const protocol::run_request&, const http::whole_response&);
-  std::string_view (*request_id)(const protocol::run_request&);
   kernel::upstream_id (*healthy_upstream)(const http::whole_response&);
   void (*serve_announcements)(http::admin_server&, announce_handler, withdraw_handler);
   std::string_view readiness_path;
@@ -80,9 +78,8 @@
 
 template <request_dialect T>
 dialect_functions FunctionsOf() {
-  return {&T::DecodeCall,   &T::RefuseUnread, &T::Reply,           &T::EncodeRun,
-          &T::Judge,        &T::RequestId,    &T::HealthyUpstream, &T::ServeAnnouncements,
-          T::kReadinessPath};
+  return {&T::DecodeCall,      &T::RefuseUnread,       &T::Reply,        &T::EncodeRun, &T::Judge,
+          &T::HealthyUpstream, &T::ServeAnnouncements, T::kReadinessPath};
 }
 
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/upstream_gate.cc
+++ b/plugins/sidecar/upstream_gate.cc
@@ -111,7 +111,7 @@
   if (announced_ || shutting_down_ || Now() - started_at_ > internal::kProbeTime) return;
   const http::whole_request probe{
       "GET", health_path, {{"Host", context_.settings.sidecar->upstream.value()}}, ""};
-  probe_ = client_.Send(
+  client_.Send(
       probe, internal::kProbeTimeout,
       [](const http::whole_response&) { return http::response_use::kTake; },
       [this, health_path](const http::upstream_result& result) { OnProbed(health_path, result); });
@@ -222,7 +222,8 @@
       [this, id](const http::whole_response& response) {
         const auto found = runs_.find(id);
         if (found == runs_.end()) return http::response_use::kRefuse;
-        switch (dialect_.judge(found->second.request, response)) {
+        found->second.verdict = dialect_.judge(found->second.request, response);
+        switch (found->second.verdict) {
           case upstream_verdict::kForeign:
             return http::response_use::kSkip;
           case upstream_verdict::kUnusable:
@@ -270,7 +271,7 @@
     case http::upstream_status::kResponse:
       break;
   }
-  switch (dialect_.judge(ended.request, result.response)) {
+  switch (ended.verdict) {
     case upstream_verdict::kOtherUpstream:
       // What was announced here is gone; whatever replaced it will announce itself.
       if (announced_ && announced_->id == ended.upstream && !down_) {
--- a/plugins/sidecar/upstream_gate.h
+++ b/plugins/sidecar/upstream_gate.h
@@ -58,6 +58,8 @@
     kernel::time_point started;
     kernel::upstream_id upstream;
     std::shared_ptr<http::upstream_exchange> exchange;
+    // What the response was judged to be, when there is one.
+    upstream_verdict verdict = upstream_verdict::kUnusable;
     bool wanted = true;
   };
 
@@ -94,7 +96,6 @@
   loop::timer queue_timer_;
   loop::timer probe_timer_;
   kernel::time_point started_at_;
-  std::shared_ptr<http::upstream_exchange> probe_;
 };
 
 }  // namespace cornelweir::plugins::sidecar
