Answer HEAD without a body also when the handler took the request apart

Cause: the handler moves the message out, so the method was empty when the answer was written, and a refusal to HEAD carried its body: a pipelining caller would take it for the start of the next answer. Found by reading. Change: the request remembers at its start that it is HEAD. The test fails before and passes after; 40 of 40 test programs pass.

--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -191,7 +191,7 @@
   writing_ = true;
   if (last) last_read_ = true;
   output_ = HeadOf(answered.response_, last);
-  if (answered.message.method != "HEAD") output_ += answered.response_.body;
+  if (!answered.is_head_) output_ += answered.response_.body;
   Touch();
   boost::asio::async_write(socket_, boost::asio::buffer(output_),
                            [self = shared_from_this(), last](const error_code& error, std::size_t) {
--- a/cornelweir/src/http/pipeline_server.h
+++ b/cornelweir/src/http/pipeline_server.h
@@ -34,8 +34,11 @@
 class pipeline_request : public std::enable_shared_from_this<pipeline_request> {
  public:
   pipeline_request(std::weak_ptr<internal::pipeline_connection> connection, whole_request message)
-      : message(std::move(message)), connection_(std::move(connection)) {}
+      : message(std::move(message)),
+        connection_(std::move(connection)),
+        is_head_(this->message.method == "HEAD") {}
 
+  // The handler may take it apart.
   whole_request message;
 
   void Respond(whole_response response);
@@ -48,6 +51,8 @@
 
   std::weak_ptr<internal::pipeline_connection> connection_;
   std::function<void()> on_gone_;
+  // Kept apart from the message, since the answer to HEAD has no body.
+  bool is_head_;
   bool answered_ = false;
   whole_response response_;
 };
--- a/tests/http_pipeline_test.cc
+++ b/tests/http_pipeline_test.cc
@@ -63,6 +63,18 @@
   requests_[0]->Respond({200, {}, "late"});
 }
 
+// Guards against a body behind the answer to HEAD, which would be taken for the next answer, also
+// if the handler has taken the request apart.
+TEST_F(pipeline, AnswersHeadWithoutABody) {
+  Send("HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n" + Get("/2"));
+  AwaitRequests(2);
+  const whole_request taken = std::move(requests_[0]->message);
+  requests_[0]->Respond({503, {}, "no body here"});
+  requests_[1]->Respond({200, {}, "second"});
+  AwaitText("second");
+  EXPECT_EQ(caller_->received.find("no body here"), std::string::npos);
+}
+
 // Guards against bodies whose end is taken for the start of a request.
 TEST_F(pipeline, ReadsBodiesWithLengthAndInChunks) {
   Send(
