Recover faster after all processes end, send deltas without the whole order

Sessions of daemons that had left were never removed from a control host (found by reading). Ruled out: the disks (5 ms a sync, a few syncs). Change: a control host that greets gets a new link at once; daemons give up an opening after 250 ms; pre-votes are repeated after 50 to 150 ms; requests wait for the policy or an upstream for up to a third of their caller's time, 600 ms at most, in the first 3 s of a daemon; inserted routes carry their position; one encoding of a policy serves a herd of daemons; closed sessions are removed.

--- a/cornelweir/src/policy/policy_table.cc
+++ b/cornelweir/src/policy/policy_table.cc
@@ -1,17 +1,24 @@
 #include "cornelweir/src/policy/policy_table.h"
 
-#include <cstddef>
+#include <algorithm>
 #include <map>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace cornelweir::policy {
 namespace {
 
-using position_index = std::map<route_key, std::size_t>;
+// A route's key without a copy of its text.
+using key_view = std::pair<std::string_view, std::string_view>;
+using route_index_by_key = std::map<key_view, const route*>;
 
-position_index IndexOf(const std::vector<route>& routes) {
-  position_index index;
-  for (std::size_t i = 0; i < routes.size(); ++i) index.emplace(KeyOf(routes[i]), i);
+key_view ViewOf(const route& of) { return {of.host, of.path_prefix}; }
+key_view ViewOf(const route_key& of) { return {of.host, of.path_prefix}; }
+
+route_index_by_key IndexOf(const std::vector<route>& routes) {
+  route_index_by_key index;
+  for (const route& listed : routes) index[ViewOf(listed)] = &listed;
   return index;
 }
 
@@ -23,14 +30,14 @@
 }
 
 bool Reorder(std::vector<route>& routes, const std::vector<route_key>& order) {
-  const position_index index = IndexOf(routes);
+  const route_index_by_key index = IndexOf(routes);
   if (order.size() != routes.size()) return false;
   std::vector<route> ordered;
   ordered.reserve(order.size());
   for (const route_key& key : order) {
-    const auto found = index.find(key);
+    const auto found = index.find(ViewOf(key));
     if (found == index.end()) return false;
-    ordered.push_back(std::move(routes[found->second]));
+    ordered.push_back(*found->second);
   }
   routes = std::move(ordered);
   return true;
@@ -44,24 +51,29 @@
   delta.version = to.version;
   if (from.services != to.services) delta.services = to.services;
   if (from.limits != to.limits) delta.limits = to.limits;
-  const position_index before = IndexOf(from.routes);
-  const position_index after = IndexOf(to.routes);
-  std::vector<route_key> natural;
+  const route_index_by_key before = IndexOf(from.routes);
+  const route_index_by_key after = IndexOf(to.routes);
+  // The routes that stay, in the order of each table.
+  std::vector<key_view> kept_before;
+  std::vector<key_view> kept_after;
   for (const route& old : from.routes) {
-    if (after.contains(KeyOf(old))) {
-      natural.push_back(KeyOf(old));
+    if (after.contains(ViewOf(old))) {
+      kept_before.push_back(ViewOf(old));
     } else {
       delta.removed.push_back(KeyOf(old));
     }
   }
-  for (const route& wanted : to.routes) {
-    const auto found = before.find(KeyOf(wanted));
-    if (found == before.end()) natural.push_back(KeyOf(wanted));
-    if (found == before.end() || from.routes[found->second] != wanted) {
-      delta.changed.push_back(wanted);
+  for (std::size_t i = 0; i < to.routes.size(); ++i) {
+    const route& wanted = to.routes[i];
+    const auto found = before.find(ViewOf(wanted));
+    if (found == before.end()) {
+      delta.inserted.push_back({static_cast<std::int64_t>(i), wanted});
+      continue;
     }
+    kept_after.push_back(ViewOf(wanted));
+    if (*found->second != wanted) delta.changed.push_back(wanted);
   }
-  if (natural != KeysOf(to.routes)) delta.order = KeysOf(to.routes);
+  if (kept_before != kept_after) delta.order = KeysOf(to.routes);
   return delta;
 }
 
@@ -71,21 +83,31 @@
   result.version = delta.version;
   result.services = delta.services ? *delta.services : base.services;
   result.limits = delta.limits ? *delta.limits : base.limits;
-  position_index removed;
-  for (const route_key& key : delta.removed) removed.emplace(key, 0);
+  result.routes.reserve(base.routes.size() + delta.inserted.size());
+  std::set<key_view> removed;
+  for (const route_key& key : delta.removed) removed.insert(ViewOf(key));
+  route_index_by_key changed = IndexOf(delta.changed);
+  auto inserted = delta.inserted.begin();
+  const auto insert_due = [&] {
+    while (inserted != delta.inserted.end() &&
+           inserted->position == static_cast<std::int64_t>(result.routes.size())) {
+      result.routes.push_back(inserted->added);
+      ++inserted;
+    }
+  };
   for (const route& kept : base.routes) {
-    if (removed.erase(KeyOf(kept)) == 0) result.routes.push_back(kept);
-  }
-  if (!removed.empty()) return std::nullopt;
-  const position_index index = IndexOf(result.routes);
-  for (const route& changed : delta.changed) {
-    const auto found = index.find(KeyOf(changed));
-    if (found == index.end()) {
-      result.routes.push_back(changed);
+    if (removed.erase(ViewOf(kept)) > 0) continue;
+    insert_due();
+    const auto found = changed.find(ViewOf(kept));
+    if (found == changed.end()) {
+      result.routes.push_back(kept);
     } else {
-      result.routes[found->second] = changed;
+      result.routes.push_back(*found->second);
+      changed.erase(found);
     }
   }
+  insert_due();
+  if (!removed.empty() || !changed.empty() || inserted != delta.inserted.end()) return std::nullopt;
   if (delta.order && !Reorder(result.routes, *delta.order)) return std::nullopt;
   return result;
 }
--- a/cornelweir/src/policy/policy_table.h
+++ b/cornelweir/src/policy/policy_table.h
@@ -32,6 +32,18 @@
   friend bool operator==(const policy_table&, const policy_table&) = default;
 };
 
+// A new route and where it stands in the new table.
+struct inserted_route {
+  std::int64_t position = 0;
+  route added;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"at", &inserted_route::position},
+                      kernel::field{"route", &inserted_route::added}};
+  }
+  friend bool operator==(const inserted_route&, const inserted_route&) = default;
+};
+
 // What changes from one policy to another. Most changes touch a few of many routes, so the log and
 // the feeds to daemons carry deltas.
 struct policy_delta {
@@ -40,9 +52,11 @@
   std::optional<std::vector<service>> services;
   std::optional<caller_limits> limits;
   std::vector<route_key> removed;
-  // Changed in place, or appended if the base does not have them.
+  // Routes of the base that keep their place.
   std::vector<route> changed;
-  // All keys, if the order can't be had by removing and appending.
+  // By position, lowest first.
+  std::vector<inserted_route> inserted;
+  // All keys, if routes of the base stand in another order.
   std::optional<std::vector<route_key>> order;
 
   static constexpr auto Fields() {
@@ -52,6 +66,7 @@
                       kernel::field{"limits", &policy_delta::limits},
                       kernel::field{"removed", &policy_delta::removed},
                       kernel::field{"changed", &policy_delta::changed},
+                      kernel::field{"inserted", &policy_delta::inserted},
                       kernel::field{"order", &policy_delta::order}};
   }
   friend bool operator==(const policy_delta&, const policy_delta&) = default;
--- a/cornelweir/src/protocol/limits.h
+++ b/cornelweir/src/protocol/limits.h
@@ -9,7 +9,7 @@
 namespace cornelweir::protocol {
 
 // Raised when a message changes so that older processes would misread it.
-inline constexpr std::uint32_t kProtocolVersion = 1;
+inline constexpr std::uint32_t kProtocolVersion = 2;
 // Commands of one daemon that a control host works on at a time; more are refused.
 inline constexpr std::size_t kMaxSubmissionsInFlight = 4'096;
 // A command that has no outcome by then is given up by the daemon; its outcome is unknown.
--- a/cornelweir/src/replication/limits.h
+++ b/cornelweir/src/replication/limits.h
@@ -13,6 +13,10 @@
 // replaced within 1 s.
 inline constexpr kernel::milliseconds kElectionTimeoutMin{300};
 inline constexpr kernel::milliseconds kElectionTimeoutMax{600};
+// A host that found no majority for an election asks again within these times. Asking changes no
+// term, so it may be frequent, and a group that starts as a whole waits only for its last host.
+inline constexpr kernel::milliseconds kPreVoteRetryMin{50};
+inline constexpr kernel::milliseconds kPreVoteRetryMax{150};
 // A forwarded read index request that was not answered by then has failed.
 inline constexpr kernel::milliseconds kReadTimeout{1000};
 
--- a/cornelweir/src/replication/node.cc
+++ b/cornelweir/src/replication/node.cc
@@ -56,14 +56,16 @@
   now_ = std::max(now_, now);
 }
 
-void node::ResetElectionTimer() {
-  const kernel::microseconds spread = kElectionTimeoutMax - kElectionTimeoutMin;
+void node::SetElectionTimer(kernel::microseconds shortest, kernel::microseconds longest) {
+  const auto spread = static_cast<std::uint64_t>((longest - shortest).count());
   election_deadline_ =
-      now_ + kElectionTimeoutMin +
-      kernel::microseconds(static_cast<kernel::microseconds::rep>(
-          kernel::UniformBelow(random_, static_cast<std::uint64_t>(spread.count()))));
+      now_ + shortest +
+      kernel::microseconds(
+          static_cast<kernel::microseconds::rep>(kernel::UniformBelow(random_, spread)));
 }
 
+void node::ResetElectionTimer() { SetElectionTimer(kElectionTimeoutMin, kElectionTimeoutMax); }
+
 void node::Send(const kernel::host_id& to, message body) {
   messages_.push_back(envelope{self_, to, std::move(body)});
 }
@@ -90,7 +92,7 @@
   }
   if (now_ >= election_deadline_) {
     leader_.reset();
-    ResetElectionTimer();
+    SetElectionTimer(kPreVoteRetryMin, kPreVoteRetryMax);
     if (MayCampaign()) Campaign(/*pre_vote=*/true);
   }
 }
@@ -550,6 +552,8 @@
     for (kernel::log_index index = Next(commit_); index <= commit; index = Next(index)) {
       backlog_bytes_ -= std::min(backlog_bytes_, EncodedBound(log_.At(index)));
     }
+    // The others learn of it at the next tick.
+    heartbeat_due_ = now_;
   }
   commit_ = commit;
 }
--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -105,6 +105,7 @@
   node() : random_(0) {}
 
   void Observe(kernel::time_point now);
+  void SetElectionTimer(kernel::microseconds shortest, kernel::microseconds longest);
   void ResetElectionTimer();
   void Send(const kernel::host_id& to, message body);
 
--- a/plugins/control/control_mesh.cc
+++ b/plugins/control/control_mesh.cc
@@ -12,6 +12,8 @@
 
 // Peers are few, so a lost link is tried again at a constant pace.
 constexpr kernel::milliseconds kMaintenancePeriod{200};
+// An attempt that is older was made while the host had no power, and its first packet is lost.
+constexpr kernel::milliseconds kStaleAttempt{50};
 
 }  // namespace internal
 
@@ -39,9 +41,16 @@
 }
 
 void control_mesh::Learn(const kernel::host_id& host) {
-  if (host == self_ || stopped_ || peers_.contains(host)) return;
-  peers_[host].mesh = kernel::endpoint(host.value());
+  if (host == self_ || stopped_) return;
+  peer& known = peers_[host];
+  known.mesh = kernel::endpoint(host.value());
+  if (known.link && (known.link->is_open() ||
+                     clock_.Now() - known.connecting_since < internal::kStaleAttempt)) {
+    return;
+  }
+  const std::shared_ptr<transport::link> stale = known.link;
   Connect(host);
+  if (stale) stale->Close("the host has come back");
 }
 
 void control_mesh::Broadcast(const protocol::control_message& message) {
@@ -68,6 +77,7 @@
 void control_mesh::Connect(const kernel::host_id& host) {
   peer& target = peers_.at(host);
   const std::uint64_t generation = ++target.generation;
+  target.connecting_since = clock_.Now();
   transport::link_handlers handlers;
   handlers.opened = [this](const std::shared_ptr<transport::link>& link) {
     const protocol::control_message greeting = Greeting(protocol::process_role::kControl, self_);
--- a/plugins/control/control_mesh.h
+++ b/plugins/control/control_mesh.h
@@ -34,7 +34,8 @@
   // The hosts to keep links to, in a group whose hosts are known by their mesh endpoints.
   void SetPeers(const std::set<kernel::host_id>& hosts);
   // Opens a link to a host that has opened one to this host, so that it can be answered: a host
-  // with an empty disk does not know the group yet.
+  // with an empty disk does not know the group yet. An attempt that began before the host could
+  // answer is given up for a new one.
   void Learn(const kernel::host_id& host);
   void Broadcast(const protocol::control_message& message);
   bool IsConnected(const kernel::host_id& host) const;
@@ -49,6 +50,7 @@
     kernel::endpoint mesh;
     std::shared_ptr<transport::link> link;
     std::uint64_t generation = 0;
+    kernel::time_point connecting_since;
   };
 
   struct pending_submission {
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -325,6 +325,7 @@
 void control_plugin::OnClosed(const transport::link* link) {
   peers_.erase(link);
   daemons_.erase(link);
+  feed_.Remove(link);
   gateway_.Remove(link);
 }
 
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -73,6 +73,7 @@
 void fleet_feed::PublishPolicy() {
   const auto& current = owner_.local().machine().policy().current();
   recent_[current->version] = current;
+  policy_messages_.clear();
   while (recent_.size() > internal::kRecentPolicies) recent_.erase(recent_.begin());
   for (auto& [key, session] : daemons_) Update(session, false);
 }
@@ -120,11 +121,20 @@
   return hosts;
 }
 
-std::optional<policy::policy_delta> fleet_feed::DeltaFor(kernel::policy_version held) {
-  const auto& current = *owner_.local().machine().policy().current();
-  if (held >= current.version) return std::nullopt;
-  const auto base = recent_.find(held);
-  return policy::Diff(base != recent_.end() ? *base->second : policy::policy_table(), current);
+const std::string& fleet_feed::PolicyMessageFor(kernel::policy_version held) {
+  const auto known = recent_.find(held);
+  const policy::policy_table none;
+  const policy::policy_table& base = known != recent_.end() ? *known->second : none;
+  const auto [message, added] = policy_messages_.try_emplace(base.version);
+  if (added) {
+    const policy::policy_table& newest = *owner_.local().machine().policy().current();
+    protocol::fleet_update update;
+    update.current = true;
+    update.newest = newest.version;
+    update.delta = policy::Diff(base, newest);
+    message->second = codec::Encode(protocol::fleet_message{std::move(update)});
+  }
+  return message->second;
 }
 
 // A host that is not current says so and sends nothing else: what it has may be outdated.
@@ -136,7 +146,11 @@
   update.needed = std::exchange(to.needed, kernel::incarnation());
   bool news = update.needed != kernel::incarnation();
   if (current_) {
-    update.delta = DeltaFor(*to.held);
+    if (*to.held < update.newest) {
+      to.link->Send(PolicyMessageFor(*to.held));
+      to.held = update.newest;
+      to.sent_at = clock_.Now();
+    }
     if (to.roster_revision < roster_.revision()) {
       membership::roster_changes changes = roster_.ChangesSince(to.roster_revision);
       update.present = std::move(changes.present);
@@ -149,10 +163,6 @@
       to.control_hosts = update.control_hosts = std::move(hosts);
       news = true;
     }
-    if (update.delta) {
-      to.held = update.newest;
-      news = true;
-    }
   }
   if (!news && !heartbeat) return;
   to.sent_at = clock_.Now();
--- a/plugins/control/fleet_feed.h
+++ b/plugins/control/fleet_feed.h
@@ -58,7 +58,7 @@
   void ObserveRounds();
   void Share();
   void Update(session& to, bool heartbeat);
-  std::optional<policy::policy_delta> DeltaFor(kernel::policy_version held);
+  const std::string& PolicyMessageFor(kernel::policy_version held);
   std::vector<kernel::endpoint> ControlHosts() const;
 
   control_plugin& owner_;
@@ -73,6 +73,9 @@
   bool current_ = false;
   // Policies that daemons are known to hold, for deltas between them and the newest.
   std::map<kernel::policy_version, std::shared_ptr<const policy::policy_table>> recent_;
+  // The encoded messages that lead from what daemons hold to the newest policy. A herd of daemons
+  // gets the same bytes.
+  std::map<kernel::policy_version, std::string> policy_messages_;
 };
 
 }  // namespace cornelweir::plugins::control
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -22,11 +22,21 @@
 constexpr kernel::milliseconds kMaxRetryAfter{1'000};
 constexpr kernel::milliseconds kMinRetryAfter{20};
 constexpr int kFirstServerError = 500;
+// For so long after its start a daemon expects its policy and its peers any moment.
+constexpr kernel::milliseconds kStartupTime{3'000};
+// The longest time that a request waits for them, and the part of its caller's time.
+constexpr kernel::milliseconds kMaxStartupWait{600};
+constexpr std::int64_t kStartupWaitDivisor = 3;
+constexpr kernel::milliseconds kParkedCheckPeriod{10};
+// A caller that does not say how long it waits.
+constexpr kernel::milliseconds kAssumedPatience{1'000};
 
 }  // namespace internal
 
 // A request of a caller until it is answered.
 struct call_router::state {
+  explicit state(loop::event_loop& loop) : timer(loop) {}
+
   std::shared_ptr<http::pipeline_request> request;
   call decoded;
   // Valid as long as the policy, which is kept with it.
@@ -36,6 +46,8 @@
   kernel::time_point started;
   kernel::time_point deadline;
   kernel::time_point objective;
+  // Until when it may wait for the daemon to learn what it needs.
+  kernel::time_point parked_until;
   loop::timer timer;
   // Where it is now.
   std::shared_ptr<peer> at;
@@ -53,7 +65,12 @@
 
 call_router::call_router(daemon_context& context, const dialect_functions& dialect, peer_set& peers,
                          const upstream_gate& gate)
-    : context_(context), dialect_(dialect), peers_(peers), gate_(gate) {}
+    : context_(context),
+      dialect_(dialect),
+      peers_(peers),
+      gate_(gate),
+      parked_timer_(context.loop),
+      started_at_(context.clock.Now()) {}
 
 // When a response is worth its full credit. The time counts from the caller's first attempt, and a
 // caller that comes back has as much less time left as it has lost.
@@ -108,28 +125,31 @@
     request->Respond(std::move(*refusal));
     return;
   }
-  auto created = std::make_shared<state>(state{request,
-                                               std::move(std::get<call>(decoded)),
-                                               policy_,
-                                               nullptr,
-                                               {},
-                                               Now(),
-                                               {},
-                                               {},
-                                               loop::timer(context_.loop),
-                                               nullptr,
-                                               {},
-                                               {},
-                                               0,
-                                               0,
-                                               false,
-                                               std::nullopt,
-                                               false});
+  auto created = std::make_shared<state>(context_.loop);
+  created->request = request;
+  created->decoded = std::move(std::get<call>(decoded));
+  created->started = Now();
+  const kernel::microseconds patience =
+      created->decoded.time_left.value_or(internal::kAssumedPatience);
+  created->deadline = created->started + patience;
+  created->parked_until =
+      created->started + std::min(patience / internal::kStartupWaitDivisor,
+                                  kernel::microseconds(internal::kMaxStartupWait));
   ++in_progress_;
+  std::weak_ptr<state> weak = created;
+  request->OnGone([this, weak] {
+    if (const auto abandoned = weak.lock()) OnGone(abandoned);
+  });
+  Begin(created);
+}
+
+void call_router::Begin(const state_ptr& created) {
   if (!policy_) {
-    Refuse(created, kernel::microseconds::zero(), "no policy");
+    if (Park(created)) return;
+    Refuse(created, kernel::microseconds(internal::kMaxRetryAfter), "no policy");
     return;
   }
+  created->policy = policy_;
   std::string_view path = created->decoded.target;
   path = path.substr(0, path.find('?'));
   created->route = routes_.Match(created->decoded.host, path);
@@ -138,26 +158,47 @@
     return;
   }
   const policy::route& route = *created->route;
-  const kernel::microseconds patience =
-      std::min(created->decoded.time_left.value_or(route.timeout), route.timeout);
-  created->deadline = created->started + patience;
+  created->deadline =
+      created->started + std::min(created->decoded.time_left.value_or(route.timeout), route.timeout);
   created->objective = ObjectiveOf(*created);
   created->service = ServiceFor(route);
   BudgetOf(created->service).OnRequest(created->started);
   std::weak_ptr<state> weak = created;
-  created->timer.Start(std::max(patience, kernel::microseconds(1)), [this, weak] {
+  created->timer.Start(std::max(created->deadline - Now(), kernel::microseconds(1)), [this, weak] {
     if (const auto late = weak.lock()) OnDeadline(late);
   });
-  request->OnGone([this, weak] {
-    if (const auto abandoned = weak.lock()) OnGone(abandoned);
-  });
   Attempt(created);
 }
 
+// Lets a request wait while the daemon has just started: what it lacks is on its way, and a caller
+// that is sent away may come back too early or too late. False if it has waited long enough.
+bool call_router::Park(const state_ptr& of) {
+  const kernel::time_point now = Now();
+  if (now >= of->parked_until || now - started_at_ >= internal::kStartupTime) return false;
+  parked_.push_back(of);
+  if (!parked_timer_.running()) {
+    parked_timer_.StartPeriodic(internal::kParkedCheckPeriod, [this] { RetryParked(); });
+  }
+  return true;
+}
+
+void call_router::RetryParked() {
+  for (const state_ptr& waiting : std::exchange(parked_, {})) {
+    if (waiting->over) continue;
+    if (waiting->route == nullptr) {
+      Begin(waiting);
+    } else {
+      Attempt(waiting);
+    }
+  }
+  if (parked_.empty()) parked_timer_.Cancel();
+}
+
 void call_router::Attempt(const state_ptr& of) {
   const bool large = of->route->repetition == policy::repetition::kDownload;
   const std::shared_ptr<peer> chosen = peers_.Choose(of->service, of->tried, large);
   if (chosen == nullptr) {
+    if (of->tried.empty() && Park(of)) return;
     Refuse(of, kernel::microseconds::zero(),
            of->tried.empty() ? "no upstream" : "no other upstream");
     return;
@@ -284,10 +325,8 @@
       std::max(kernel::ToMilliseconds(retry_after), internal::kMinRetryAfter);
   if (retry_after == kernel::microseconds::zero()) back = internal::kDefaultRetryAfter;
   back = std::min(back, internal::kMaxRetryAfter);
-  if (of->route != nullptr) {
-    const kernel::milliseconds left = kernel::ToMilliseconds(of->deadline - Now());
-    back = std::min(back, std::max(left * 3 / 10, internal::kMinRetryAfter));
-  }
+  const kernel::milliseconds left = kernel::ToMilliseconds(of->deadline - Now());
+  back = std::min(back, std::max(left * 3 / 10, internal::kMinRetryAfter));
   Reply(of, of->may_have_run ? reply_kind::kBroken : reply_kind::kNotRun, back, reason);
 }
 
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -43,6 +43,9 @@
   kernel::time_point ObjectiveOf(const state& of);
   const kernel::service_name& ServiceFor(const policy::route& route);
   outcome::shared_retry_budget& BudgetOf(const kernel::service_name& service);
+  void Begin(const state_ptr& created);
+  bool Park(const state_ptr& of);
+  void RetryParked();
   void Attempt(const state_ptr& of);
   void OnResult(const state_ptr& of, run_result result);
   void OnResponse(const state_ptr& of, http::whole_response response);
@@ -67,6 +70,10 @@
   std::map<policy::route_key, kernel::milliseconds> patience_;
   std::map<kernel::service_name, outcome::shared_retry_budget> budgets_;
   std::size_t in_progress_ = 0;
+  // Requests that wait for the policy or for an upstream soon after the daemon's start.
+  std::vector<state_ptr> parked_;
+  loop::timer parked_timer_;
+  kernel::time_point started_at_;
 };
 
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/control_feed.cc
+++ b/plugins/sidecar/control_feed.cc
@@ -16,6 +16,9 @@
 constexpr kernel::milliseconds kReportPeriod{1'000};
 // Between two attempts to reach a control host; a herd of daemons spreads over twice the time.
 constexpr kernel::milliseconds kRetryPeriod{60};
+// How long a host may take to answer the opening of a link before another one is tried; twice as
+// long after each round of all hosts, since a herd of daemons may keep all of them busy.
+constexpr kernel::milliseconds kOpenPatience{250};
 
 kernel::endpoint WithPort(const kernel::endpoint& endpoint, std::int64_t port) {
   const std::string& text = endpoint.value();
@@ -68,6 +71,7 @@
   callbacks.opened = [this, alive = alive_](const std::shared_ptr<transport::link>& link) {
     if (!*alive) return;
     opened_ = true;
+    failed_attempts_ = 0;
     current_at_ = Now();
     logging::event(logging::event_id::kControlHostConnected).With("host", host_);
     const protocol::report_message greeting =
@@ -87,6 +91,7 @@
           .With("host", host_)
           .With("reason", reason);
     }
+    if (!opened_) ++failed_attempts_;
     link_.reset();
     opened_ = false;
     retry_at_ =
@@ -99,6 +104,15 @@
       transport::link::Connect(context_.loop.context(), host_, context_.tls, std::move(callbacks));
 }
 
+kernel::microseconds control_feed::OpenPatience() const {
+  kernel::microseconds patience = internal::kOpenPatience;
+  for (std::size_t round = failed_attempts_ / hosts_.size(); round > 0; --round) {
+    if (patience >= protocol::kFleetSilence) break;
+    patience *= 2;
+  }
+  return std::min(patience, kernel::microseconds(protocol::kFleetSilence));
+}
+
 void control_feed::Leave(const std::string& reason) {
   if (link_) link_->Close(reason);
 }
@@ -109,7 +123,9 @@
     if (now >= retry_at_) Connect();
     return;
   }
-  if (now - current_at_ > protocol::kFleetSilence) {
+  const kernel::microseconds patience =
+      opened_ ? kernel::microseconds(protocol::kFleetSilence) : OpenPatience();
+  if (now - current_at_ > patience) {
     Leave(opened_ ? "silent or not current" : "no connection");
     return;
   }
--- a/plugins/sidecar/control_feed.h
+++ b/plugins/sidecar/control_feed.h
@@ -49,6 +49,7 @@
   void Connect();
   void Leave(const std::string& reason);
   kernel::endpoint NextHost();
+  kernel::microseconds OpenPatience() const;
   void OnMessage(std::string_view payload);
   void OnUpdate(const protocol::fleet_update& update);
   void ApplyPolicy(const policy::policy_delta& delta);
@@ -63,6 +64,8 @@
   std::shared_ptr<transport::link> link_;
   std::shared_ptr<bool> alive_;
   bool opened_ = false;
+  // Links in a row that no host opened.
+  std::size_t failed_attempts_ = 0;
   kernel::time_point current_at_;
   kernel::time_point reported_at_;
   kernel::time_point retry_at_;
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -84,6 +84,16 @@
   }
 }
 
+void peer::Update(const membership::roster_entry& entry) {
+  const bool restarted = entry.incarnation != entry_.incarnation;
+  entry_ = entry;
+  if (!restarted || opened_ || gate_ != nullptr) return;
+  if (alive_) *alive_ = false;
+  if (link_) link_->Close("the daemon has started again");
+  link_.reset();
+  Connect();
+}
+
 void peer::Close() {
   retry_at_ = kernel::time_point::max();
   if (link_) link_->Close("the daemon is shutting down");
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -37,7 +37,8 @@
   // Keeps the link only for as long as requests are on it.
   void Retire() { retry_at_ = kernel::time_point::max(); }
   bool busy() const { return !pending_.empty(); }
-  void Update(const membership::roster_entry& entry) { entry_ = entry; }
+  // A daemon that has started again is reachable now, whatever was tried before.
+  void Update(const membership::roster_entry& entry);
 
   // Whether requests for the service can be sent there now.
   bool Serves(const kernel::service_name& service) const;
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -58,6 +58,32 @@
   }));
 }
 
+// Guards against deltas that list every route: operators add routes in the middle of their table,
+// and each change would then send the whole order to every daemon.
+TEST(Policy, SendsNoOrderForARouteAddedInTheMiddle) {
+  const policy_table one = Table(1, {Route("a", "/x/"), Route("b", "/x/"), Route("c", "/x/")});
+  const policy_table two =
+      Table(2, {Route("a", "/x/"), Route("a", "/y/"), Route("c", "/x/"), Route("d", "/x/")});
+  const policy_delta delta = Diff(one, two);
+  EXPECT_FALSE(delta.order);
+  EXPECT_TRUE(delta.changed.empty());
+  EXPECT_EQ(delta.inserted.size(), 2U);
+  EXPECT_EQ(Apply(one, delta), two);
+}
+
+// Guards against a malformed delta in force.
+TEST(Policy, RefusesADeltaThatChangesOrPlacesWhatDoesNotFit) {
+  const policy_table one = Table(1, {Route("a", "/x/")});
+  policy_delta delta;
+  delta.base = one.version;
+  delta.version = kernel::policy_version(2);
+  delta.changed = {Route("b", "/x/")};
+  EXPECT_FALSE(Apply(one, delta)) << "changes a route that the base lacks";
+  delta.changed.clear();
+  delta.inserted = {{7, Route("b", "/x/")}};
+  EXPECT_FALSE(Apply(one, delta)) << "a position beyond the end";
+}
+
 // Guards against a delta that is applied to what it was not made for.
 TEST(Policy, RefusesADeltaWithAnotherBase) {
   const policy_table one = Table(1, {Route("h", "/a/")});
