--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -1,6 +1,7 @@
 #include "cornelweir/src/http/pipeline_connection.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
@@ -187,13 +188,15 @@
   Write(*answered, last);
 }
 
-void pipeline_connection::Write(const pipeline_request& answered, bool last) {
+void pipeline_connection::Write(pipeline_request& answered, bool last) {
   writing_ = true;
   if (last) last_read_ = true;
-  output_ = HeadOf(answered.response_, last);
-  if (!answered.is_head_) output_ += answered.response_.body;
+  output_head_ = HeadOf(answered.response_, last);
+  if (!answered.is_head_) output_body_ = std::move(answered.response_.body);
   Touch();
-  boost::asio::async_write(socket_, boost::asio::buffer(output_),
+  const std::array<boost::asio::const_buffer, 2> output{boost::asio::buffer(output_head_),
+                                                        boost::asio::buffer(output_body_)};
+  boost::asio::async_write(socket_, output,
                            [self = shared_from_this(), last](const error_code& error, std::size_t) {
                              self->writing_ = false;
                              if (error) return self->Close();
@@ -203,7 +206,8 @@
 
 void pipeline_connection::OnWritten(bool last) {
   if (closed_) return;
-  output_ = {};
+  output_head_ = {};
+  output_body_ = {};
   Touch();
   if (last) return Linger();
   Flush();
--- a/cornelweir/src/http/pipeline_connection.h
+++ b/cornelweir/src/http/pipeline_connection.h
@@ -43,7 +43,7 @@
   void Dispatch();
   void SendContinue();
   void Refuse(int status, std::string_view reason);
-  void Write(const pipeline_request& answered, bool last);
+  void Write(pipeline_request& answered, bool last);
   void OnWritten(bool last);
   void Linger();
   void Touch();
@@ -53,7 +53,8 @@
   std::string input_;
   std::unique_ptr<parser> parser_;
   std::deque<std::shared_ptr<pipeline_request>> pending_;
-  std::string output_;
+  std::string output_head_;
+  std::string output_body_;
   kernel::time_point touched_;
   kernel::time_point head_began_;
   bool waiting_ = false;
--- a/cornelweir/src/transport/limits.h
+++ b/cornelweir/src/transport/limits.h
@@ -9,7 +9,7 @@
 inline constexpr std::size_t kMaxFrameBytes = std::size_t{1} << 20;
 // A peer that does not read for so long that this much is queued is disconnected.
 inline constexpr std::size_t kMaxQueuedBytes = std::size_t{8} << 20;
-inline constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10;
+inline constexpr std::size_t kReadBufferBytes = std::size_t{32} << 10;
 // Long enough for a lost packet of the handshake to be sent again.
 inline constexpr std::chrono::milliseconds kOpenTimeout{1500};
 // Unacknowledged bytes and unanswered probes end a link that fell silent within these times.
--- a/cornelweir/src/transport/link.cc
+++ b/cornelweir/src/transport/link.cc
@@ -104,17 +104,16 @@
 
 void link::ReadSome() {
   if (state_ == state::kClosed) return;
-  stream_.AsyncReadSome(boost::asio::buffer(read_buffer_),
-                        [self = shared_from_this()](error_code error, std::size_t size) {
-                          if (self->state_ == state::kClosed) return;
-                          if (error) {
-                            self->Finish(error.message());
-                            return;
-                          }
-                          self->bytes_received_ += size;
-                          self->codec_->Feed(self->read_buffer_.data(), size);
-                          self->ReadSome();
-                        });
+  stream_.AsyncReadSome([self = shared_from_this()](error_code error, std::string_view bytes) {
+    if (self->state_ == state::kClosed) return;
+    if (error) {
+      self->Finish(error.message());
+      return;
+    }
+    self->bytes_received_ += bytes.size();
+    self->codec_->Feed(bytes.data(), bytes.size());
+    self->ReadSome();
+  });
 }
 
 bool link::Send(const std::string& payload) {
@@ -138,7 +137,8 @@
   stream_.AsyncWrite(boost::asio::buffer(writing_),
                      [self = shared_from_this()](error_code error, std::size_t size) {
                        self->bytes_sent_ += size;
-                       self->writing_.clear();
+                       // Large responses pass through; idle links keep no memory.
+                       self->writing_ = {};
                        if (self->state_ == state::kClosed) return;
                        if (error) {
                          self->Finish(error.message());
--- a/cornelweir/src/transport/link.h
+++ b/cornelweir/src/transport/link.h
@@ -1,7 +1,6 @@
 #ifndef CORNELWEIR_SRC_TRANSPORT_LINK_H_
 #define CORNELWEIR_SRC_TRANSPORT_LINK_H_
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -72,7 +71,6 @@
   side side_;
   state state_ = state::kOpening;
   std::unique_ptr<internal::websocket_codec> codec_;
-  std::array<char, kReadBufferBytes> read_buffer_{};
   std::string pending_;
   std::string writing_;
   std::string peer_role_;
--- a/cornelweir/src/transport/socket_stream.cc
+++ b/cornelweir/src/transport/socket_stream.cc
@@ -19,6 +19,7 @@
 void socket_stream::SetLinkOptions() {
   boost::system::error_code ignored;
   socket& plain = lowest();
+  plain.non_blocking(true, ignored);
   plain.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   plain.set_option(boost::asio::socket_base::keep_alive(true), ignored);
   plain.set_option(tcp_option<TCP_USER_TIMEOUT>(kUserTimeoutMs), ignored);
@@ -27,6 +28,11 @@
   plain.set_option(tcp_option<TCP_KEEPCNT>(kProbes), ignored);
 }
 
+std::array<char, kReadBufferBytes>& socket_stream::Scratch() {
+  static std::array<char, kReadBufferBytes> scratch;
+  return scratch;
+}
+
 std::string socket_stream::PeerRole() {
   if (!secure_) return {};
   X509* certificate = SSL_get1_peer_certificate(secure_->native_handle());
--- a/cornelweir/src/transport/socket_stream.h
+++ b/cornelweir/src/transport/socket_stream.h
@@ -1,14 +1,20 @@
 #ifndef CORNELWEIR_SRC_TRANSPORT_SOCKET_STREAM_H_
 #define CORNELWEIR_SRC_TRANSPORT_SOCKET_STREAM_H_
 
+#include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/write.hpp>
+#include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
+#include "cornelweir/src/transport/limits.h"
 #include "cornelweir/src/transport/tls_context.h"
 
 namespace cornelweir::transport::internal {
@@ -34,13 +40,26 @@
                              std::move(handler));
   }
 
+  // Passes on what has arrived; the bytes are valid until the handler returns. Only a connection
+  // with TLS needs a buffer of its own: a daemon has far more idle links than busy ones.
   template <class Handler>
-  void AsyncReadSome(boost::asio::mutable_buffer buffer, Handler handler) {
+  void AsyncReadSome(Handler handler) {
     if (secure_) {
-      secure_->async_read_some(buffer, std::move(handler));
-    } else {
-      plain_.async_read_some(buffer, std::move(handler));
+      buffer_.resize(kReadBufferBytes);
+      secure_->async_read_some(
+          boost::asio::buffer(buffer_),
+          [this, handler = std::move(handler)](boost::system::error_code error, std::size_t size) {
+            handler(error, std::string_view(buffer_.data(), size));
+          });
+      return;
     }
+    plain_.async_wait(socket::wait_read, [this, handler = std::move(handler)](
+                                             boost::system::error_code error) mutable {
+      std::size_t size = 0;
+      if (!error) size = plain_.read_some(boost::asio::buffer(Scratch()), error);
+      if (error == boost::asio::error::would_block) return AsyncReadSome(std::move(handler));
+      handler(error, std::string_view(Scratch().data(), size));
+    });
   }
 
   template <class Handler>
@@ -65,11 +84,15 @@
   std::string PeerRole();
 
  private:
+  // Shared by all connections, which are read on one thread.
+  static std::array<char, kReadBufferBytes>& Scratch();
   socket& lowest() { return secure_ ? secure_->next_layer() : plain_; }
 
   tls_context tls_context_;
   socket plain_;
   std::optional<boost::asio::ssl::stream<socket>> secure_;
+  // Empty without TLS.
+  std::vector<char> buffer_;
 };
 
 }  // namespace cornelweir::transport::internal
--- a/cornelweir/src/transport/websocket_codec.cc
+++ b/cornelweir/src/transport/websocket_codec.cc
@@ -9,8 +9,18 @@
 namespace cornelweir::transport::internal {
 namespace {
 
-using server_endpoint = websocketpp::server<websocketpp::config::core>;
-using client_endpoint = websocketpp::client<websocketpp::config::core_client>;
+// Each connection of the library has a buffer of this size; bytes only pass through it.
+constexpr std::size_t kCodecBufferBytes = 1024;
+
+struct server_config : websocketpp::config::core {
+  static const std::size_t connection_read_buffer_size = kCodecBufferBytes;
+};
+struct client_config : websocketpp::config::core_client {
+  static const std::size_t connection_read_buffer_size = kCodecBufferBytes;
+};
+
+using server_endpoint = websocketpp::server<server_config>;
+using client_endpoint = websocketpp::client<client_config>;
 
 // The handshake needs a URI; peers are told apart by address and certificate, not by this.
 constexpr char kHandshakeUri[] = "ws://cornelweir/v1";
