--- a/cornelweir/src/replication/limits.h
+++ b/cornelweir/src/replication/limits.h
@@ -17,6 +17,10 @@
 // term, so it may be frequent, and a group that starts as a whole waits only for its last host.
 inline constexpr kernel::milliseconds kPreVoteRetryMin{50};
 inline constexpr kernel::milliseconds kPreVoteRetryMax{150};
+// A host that has just started asks sooner than one that lost its leader: an existing leader writes
+// to it within a heartbeat, and no host grants a pre-vote that hears one.
+inline constexpr kernel::milliseconds kFirstElectionMin{80};
+inline constexpr kernel::milliseconds kFirstElectionMax{180};
 // A forwarded read index request that was not answered by then has failed.
 inline constexpr kernel::milliseconds kReadTimeout{1000};
 
--- a/cornelweir/src/replication/node.cc
+++ b/cornelweir/src/replication/node.cc
@@ -51,7 +51,7 @@
   if (!started_) {
     started_ = true;
     now_ = now;
-    ResetElectionTimer();
+    SetElectionTimer(kFirstElectionMin, kFirstElectionMax);
   }
   now_ = std::max(now_, now);
 }
--- a/plugins/sidecar/upstream_gate.cc
+++ b/plugins/sidecar/upstream_gate.cc
@@ -15,8 +15,9 @@
 constexpr kernel::milliseconds kProbeTime{1'600};
 constexpr kernel::milliseconds kProbePeriod{150};
 constexpr kernel::milliseconds kProbeTimeout{500};
-// Until the announcement says how many there are.
-constexpr std::int64_t kAssumedSlots = 4;
+// Until the announcement says how many there are. Upstreams queue a few requests beyond their
+// slots, so somewhat too many do no harm in the second until then.
+constexpr std::int64_t kAssumedSlots = 8;
 
 // Refused connections in a row after which the upstream counts as gone. One alone may be a limit on
 // its connections.
