Send large bodies in pieces through a window that follows the network's delay

Change: bodies over 8 KiB leave in their order, in pieces that the receiver acknowledges, with a window over all links of the host that grows while pieces arrive within 25 ms and halves when they take over 70 ms. A large response that the link can't carry in time is refused before it runs.

--- a/cornelweir/admission.h
+++ b/cornelweir/admission.h
@@ -14,5 +14,6 @@
 #include "cornelweir/src/admission/share_member.h"
 #include "cornelweir/src/admission/slot_queue.h"
 #include "cornelweir/src/admission/ticket.h"
+#include "cornelweir/src/admission/transfer_window.h"
 
 #endif  // CORNELWEIR_ADMISSION_H_
--- a/cornelweir/src/admission/limits.h
+++ b/cornelweir/src/admission/limits.h
@@ -34,6 +34,20 @@
 // tail.
 inline constexpr std::int64_t kPlannedRunTimePercent = 120;
 
+// Bytes of large bodies on their way from one daemon to all others together. The least keeps two
+// pieces on the way: at 2.6 Mbit/s a small message waits for 50 ms behind them.
+inline constexpr std::size_t kMinWindowBytes = std::size_t{16} << 10;
+inline constexpr std::size_t kMaxWindowBytes = std::size_t{1} << 20;
+inline constexpr std::size_t kMinPieceBytes = std::size_t{8} << 10;
+inline constexpr std::size_t kMaxPieceBytes = std::size_t{64} << 10;
+inline constexpr std::size_t kPiecesPerWindow = 4;
+// A piece that arrives sooner did not wait on the way; one that takes longer did.
+inline constexpr kernel::microseconds kUndelayedTransfer = std::chrono::milliseconds(25);
+inline constexpr kernel::microseconds kDelayedTransfer = std::chrono::milliseconds(70);
+// The rate is measured over spans of this length, or shorter if nothing is left to send.
+inline constexpr kernel::microseconds kRateSpan = std::chrono::milliseconds(250);
+inline constexpr double kRateWeight = 0.25;
+
 }  // namespace cornelweir::admission
 
 #endif  // CORNELWEIR_SRC_ADMISSION_LIMITS_H_
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -28,7 +28,8 @@
 
 // Even if it ran now, it would most likely not end in time.
 bool slot_queue::IsHopeless(const slot_request& request, kernel::time_point now) const {
-  return request.deadline - now < request.run_time * kLeastRunTimePercent / 100;
+  return request.deadline - now <
+         request.run_time * kLeastRunTimePercent / 100 + request.transfer_time;
 }
 
 // Whether a request at this position of the queue would be served so late that its caller is better
@@ -37,7 +38,8 @@
 bool slot_queue::IsTooLate(const slot_request& request, std::int64_t position,
                            kernel::time_point now) const {
   const kernel::microseconds wait = WaitAt(position);
-  const kernel::microseconds run = request.run_time * kPlannedRunTimePercent / 100;
+  const kernel::microseconds run =
+      request.run_time * kPlannedRunTimePercent / 100 + request.transfer_time;
   return now + wait + run > (request.nested ? request.deadline : request.objective);
 }
 
@@ -45,6 +47,7 @@
   using kind = slot_decision::kind;
   if (IsHopeless(request, now)) return {};
   if (running() < slots_ && queue_.empty()) {
+    if (request.transfer_time > request.run_time && IsTooLate(request, 0, now)) return {};
     running_.insert(request.id);
     return {kind::kRun, {}};
   }
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -28,6 +28,9 @@
   kernel::time_point deadline;
   // How long requests of its route run on the mean; zero if unknown.
   kernel::microseconds run_time{};
+  // How long its response takes on its way back, behind the others that leave this host; zero
+  // unless it is large.
+  kernel::microseconds transfer_time{};
 };
 
 // What becomes of a request on arrival, and which queued ones give way to it.
@@ -43,7 +46,7 @@
 // Runs as many requests on an upstream as it has slots, and lets the others wait: nested ones
 // first, then in order of priority, then of their objectives. A request that would wait too long to
 // meet its objective is refused at once, while its caller can still go elsewhere; a late one gets a
-// slot only if no other request needs it.
+// slot only if no other request needs it, and the network only if no other response does.
 class slot_queue {
  public:
   // Returns the requests that more slots admit.
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -135,6 +135,15 @@
   }
 };
 
+// The receiver has taken the oldest piece of a response on this link that it had not yet taken.
+struct piece_taken {
+  static constexpr std::string_view kType = "taken";
+
+  kernel::call_id id;
+
+  static constexpr auto Fields() { return std::tuple{kernel::field{"i", &piece_taken::id}}; }
+};
+
 // The state of the upstream beside the sender: at the start of a link and at every change.
 struct upstream_report {
   static constexpr std::string_view kType = "upstream";
@@ -167,7 +176,7 @@
 
 // Between two daemons.
 using data_message = std::variant<run_request, body_piece, cancel_request, run_response, run_failed,
-                                  upstream_report, link_probe>;
+                                  upstream_report, link_probe, piece_taken>;
 
 }  // namespace cornelweir::protocol
 
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -128,6 +128,7 @@
   } else if (const auto* response = std::get_if<protocol::run_response>(&frame->message)) {
     OnResponse(*response, frame->payload);
   } else if (const auto* piece = std::get_if<protocol::body_piece>(&frame->message)) {
+    SendData(*link_, protocol::piece_taken{piece->id});
     OnPiece(*piece, frame->payload);
   } else if (const auto* failed = std::get_if<protocol::run_failed>(&frame->message)) {
     NoteLoad(failed->load);
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -63,6 +63,7 @@
     found->second.body.append(payload);
     if (piece->last) Begin(from, piece->id);
   } else if (const auto* cancel = std::get_if<protocol::cancel_request>(&message)) {
+    bulk_.Cancel(from.link.get(), cancel->id);
     const auto found = from.runs.find(cancel->id);
     if (found == from.runs.end()) return;
     const running ended = std::move(found->second);
@@ -70,6 +71,8 @@
     if (ended.complete) gate_.Cancel(ended.ticket);
   } else if (const auto* probe = std::get_if<protocol::link_probe>(&message)) {
     SendData(*from.link, *probe);
+  } else if (std::holds_alternative<protocol::piece_taken>(message)) {
+    bulk_.OnTaken(from.link.get());
   }
 }
 
@@ -97,13 +100,20 @@
   response.status = result.response->status;
   response.headers = std::move(result.response->headers);
   response.load = gate_.Load();
-  SendWithBody(*link, std::move(response), result.response->body);
+  if (!bulk_sender::IsLarge(result.response->body.size())) {
+    SendWithBody(*link, std::move(response), result.response->body);
+    return;
+  }
+  response.last = false;
+  SendData(*link, std::move(response));
+  bulk_.Send(link, id, std::move(result.response->body));
 }
 
 // Requests that came on the link have nobody to answer to.
 void peer_server::OnClosed(const transport::link* link) {
   const auto found = sessions_.find(link);
   if (found == sessions_.end()) return;
+  bulk_.OnClosed(link);
   const auto runs = std::move(found->second.runs);
   sessions_.erase(found);
   for (const auto& [id, ended] : runs) {
--- a/plugins/sidecar/peer_server.h
+++ b/plugins/sidecar/peer_server.h
@@ -11,6 +11,7 @@
 #include "cornelweir/protocol.h"
 #include "cornelweir/transport.h"
 #include "plugins/daemon_context.h"
+#include "plugins/sidecar/bulk_sender.h"
 #include "plugins/sidecar/upstream_gate.h"
 
 namespace cornelweir::plugins::sidecar {
@@ -18,7 +19,8 @@
 // Takes requests of other daemons for the upstream on this host.
 class peer_server {
  public:
-  peer_server(daemon_context& context, upstream_gate& gate) : context_(context), gate_(gate) {}
+  peer_server(daemon_context& context, upstream_gate& gate, bulk_sender& bulk)
+      : context_(context), gate_(gate), bulk_(bulk) {}
 
   boost::leaf::result<void> Listen();
   void Close();
@@ -47,6 +49,7 @@
 
   daemon_context& context_;
   upstream_gate& gate_;
+  bulk_sender& bulk_;
   std::shared_ptr<transport::listener> listener_;
   std::map<const transport::link*, session> sessions_;
 };
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -29,13 +29,14 @@
 sidecar_node::sidecar_node(daemon_context& context, const dialect_functions& dialect)
     : context_(context),
       dialect_(dialect),
-      gate_(context, dialect_, [this] { OnUpstreamChanged(); }),
+      bulk_(context),
+      gate_(context, dialect_, bulk_, [this] { OnUpstreamChanged(); }),
       feed_(context,
             control_feed::handlers{.policy_changed = [this] { OnPolicy(); },
                                    .roster_changed = [this] { peers_.Update(feed_.roster()); },
                                    .service = [this] { return gate_.service(); }}),
       peers_(context, gate_),
-      peer_server_(context, gate_),
+      peer_server_(context, gate_, bulk_),
       router_(context, dialect_, peers_, gate_),
       callers_(
           context.loop, [this](const auto& request) { router_.Handle(request); },
@@ -136,7 +137,8 @@
 void sidecar_node::FinishWhenIdle() {
   const kernel::microseconds limit =
       kernel::milliseconds(context_.settings.sidecar->shutdown_ms) - internal::kShutdownReserve;
-  const bool idle = callers_drained_ && router_.in_progress() == 0 && !gate_.busy();
+  const bool idle =
+      callers_drained_ && router_.in_progress() == 0 && !gate_.busy() && bulk_.idle();
   if (idle || context_.clock.Now() - shutdown_at_ > limit) Finish();
 }
 
--- a/plugins/sidecar/sidecar_node.h
+++ b/plugins/sidecar/sidecar_node.h
@@ -39,6 +39,7 @@
 
   daemon_context& context_;
   dialect_functions dialect_;
+  bulk_sender bulk_;
   upstream_gate gate_;
   control_feed feed_;
   peer_set peers_;
--- a/plugins/sidecar/upstream_gate.cc
+++ b/plugins/sidecar/upstream_gate.cc
@@ -26,9 +26,10 @@
 }  // namespace internal
 
 upstream_gate::upstream_gate(daemon_context& context, const dialect_functions& dialect,
-                             std::function<void()> on_change)
+                             const bulk_sender& bulk, std::function<void()> on_change)
     : context_(context),
       dialect_(dialect),
+      bulk_(bulk),
       on_change_(std::move(on_change)),
       client_(context.loop, http::upstream_limits()),
       queue_timer_(context.loop),
@@ -170,7 +171,9 @@
     asked.priority = added.request.priority;
     asked.objective = added.objective;
     asked.deadline = added.deadline;
-    asked.run_time = run_times_[added.request.route];
+    const route_history& history = history_[added.request.route];
+    asked.run_time = history.run_time;
+    asked.transfer_time = TransferTimeOf(history);
     decision = queue_.Submit(asked, now);
   }
   switch (decision.outcome) {
@@ -198,7 +201,8 @@
 
 void upstream_gate::RefuseAll(const std::vector<admission::ticket>& ids,
                               protocol::run_failure failure) {
-  const kernel::microseconds wait = queue_.ExpectedWait();
+  const kernel::microseconds wait =
+      std::max(queue_.ExpectedWait(), bulk_.TimeFor(expected_bytes_));
   for (const admission::ticket& id : ids) {
     run_result result;
     result.failure = failure;
@@ -215,6 +219,9 @@
   run& started = runs_.at(id);
   started.started = Now();
   started.upstream = announced_->id;
+  const std::size_t usual_bytes = history_[started.request.route].response_bytes;
+  if (bulk_sender::IsLarge(usual_bytes)) started.expected_bytes = usual_bytes;
+  expected_bytes_ += started.expected_bytes;
   const kernel::microseconds left = started.deadline - started.started;
   started.exchange = client_.Send(
       dialect_.encode_run(started.request, std::move(started.body), announced_->id,
@@ -247,10 +254,7 @@
   }
   run_result ended = ResultOf(found->second, std::move(result));
   if (!ended.response) run_time.reset();
-  if (run_time) {
-    kernel::microseconds& mean = run_times_[found->second.request.route];
-    mean = admission::Smoothed(mean, *run_time);
-  }
+  if (run_time) NoteRun(found->second.request.route, *run_time, ended.response->body.size());
   const std::vector<admission::ticket> next = queue_.Release(id, run_time, Now());
   Finish(id, std::move(ended));
   StartAll(next);
@@ -289,9 +293,26 @@
   }
 }
 
+// Responses of running requests leave before that of a request that is asked for now.
+kernel::microseconds upstream_gate::TransferTimeOf(const route_history& route) const {
+  if (!bulk_sender::IsLarge(route.response_bytes)) return {};
+  return bulk_.TimeFor(expected_bytes_ + route.response_bytes);
+}
+
+void upstream_gate::NoteRun(const kernel::route_name& route, kernel::microseconds run_time,
+                            std::size_t bytes) {
+  route_history& known = history_[route];
+  known.run_time = admission::Smoothed(known.run_time, run_time);
+  const auto mean = static_cast<std::int64_t>(known.response_bytes);
+  const auto sample = static_cast<std::int64_t>(bytes);
+  known.response_bytes = static_cast<std::size_t>(
+      mean == 0 ? sample : mean + (sample - mean) / admission::kRunTimeSmoothing);
+}
+
 void upstream_gate::Finish(admission::ticket id, run_result result) {
   const auto found = runs_.find(id);
   if (found == runs_.end()) return;
+  expected_bytes_ -= found->second.expected_bytes;
   run ended = std::move(found->second);
   runs_.erase(found);
   if (ended.wanted) ended.done(std::move(result));
@@ -307,6 +328,7 @@
   }
   if (!found->second.exchange || !policy::MayRepeat(found->second.request.repetition)) return;
   found->second.exchange->Cancel();
+  expected_bytes_ -= found->second.expected_bytes;
   runs_.erase(found);
   StartAll(queue_.Release(id, std::nullopt, Now()));
 }
--- a/plugins/sidecar/upstream_gate.h
+++ b/plugins/sidecar/upstream_gate.h
@@ -16,6 +16,7 @@
 #include "cornelweir/membership.h"
 #include "cornelweir/protocol.h"
 #include "plugins/daemon_context.h"
+#include "plugins/sidecar/bulk_sender.h"
 #include "plugins/sidecar/request_dialect.h"
 #include "plugins/sidecar/run_result.h"
 
@@ -25,7 +26,7 @@
 // or is full, so a request that it refuses did not reach the upstream.
 class upstream_gate {
  public:
-  upstream_gate(daemon_context& context, const dialect_functions& dialect,
+  upstream_gate(daemon_context& context, const dialect_functions& dialect, const bulk_sender& bulk,
                 std::function<void()> on_change);
 
   // Runs a request, now or when a slot is free. done is called once, never from within Run().
@@ -61,6 +62,14 @@
     // What the response was judged to be, when there is one.
     upstream_verdict verdict = upstream_verdict::kUnusable;
     bool wanted = true;
+    // Counted in expected_bytes_ while it runs.
+    std::size_t expected_bytes = 0;
+  };
+
+  // Means over the latest runs of a route.
+  struct route_history {
+    kernel::microseconds run_time{};
+    std::size_t response_bytes = 0;
   };
 
   kernel::time_point Now() const { return context_.clock.Now(); }
@@ -69,6 +78,8 @@
   void StartAll(const std::vector<admission::ticket>& ids);
   void OnEnded(admission::ticket id, http::upstream_result result);
   run_result ResultOf(const run& ended, http::upstream_result result);
+  kernel::microseconds TransferTimeOf(const route_history& route) const;
+  void NoteRun(const kernel::route_name& route, kernel::microseconds run_time, std::size_t bytes);
   void Finish(admission::ticket id, run_result result);
   void RefuseAll(const std::vector<admission::ticket>& ids, protocol::run_failure failure);
   void NoteConnectFailure();
@@ -79,6 +90,7 @@
 
   daemon_context& context_;
   const dialect_functions& dialect_;
+  const bulk_sender& bulk_;
   std::function<void()> on_change_;
   http::upstream_client client_;
   admission::slot_queue queue_;
@@ -91,8 +103,10 @@
   bool down_ = false;
   bool shutting_down_ = false;
   int connect_failures_ = 0;
-  // Mean run time by route.
-  std::map<kernel::route_name, kernel::microseconds> run_times_;
+  // What is known of each route's runs.
+  std::map<kernel::route_name, route_history> history_;
+  // The expected bodies of all running requests whose responses are large.
+  std::size_t expected_bytes_ = 0;
   loop::timer queue_timer_;
   loop::timer probe_timer_;
   kernel::time_point started_at_;
--- /dev/null
+++ b/tests/transfer_window_test.cc
@@ -0,0 +1,100 @@
+// How many bytes of large bodies may be on their way, and how long they are expected to take.
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <deque>
+
+#include "cornelweir/admission.h"
+
+namespace cornelweir::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A host's link of this speed, to which pieces are handed as long as the window has room.
+class link_model {
+ public:
+  explicit link_model(double bytes_per_second) : bytes_per_second_(bytes_per_second) {}
+
+  // Sends for so long. Returns the longest time that a piece spent in the link at the end of it.
+  kernel::microseconds Run(transfer_window& window, kernel::microseconds time) {
+    const kernel::time_point end = now_ + time;
+    kernel::microseconds longest{};
+    while (now_ < end) {
+      while (window.HasRoom()) {
+        const std::size_t bytes = window.PieceBytes();
+        const auto takes = kernel::microseconds(
+            static_cast<std::int64_t>(1e6 * static_cast<double>(bytes) / bytes_per_second_));
+        free_at_ = std::max(free_at_, now_) + takes;
+        pieces_.push_back({bytes, now_, free_at_ + kRoundTrip});
+        window.OnSent(bytes, now_);
+      }
+      const piece taken = pieces_.front();
+      pieces_.pop_front();
+      now_ = taken.taken_at;
+      longest = std::max(longest, now_ - taken.sent_at);
+      if (now_ > end - milliseconds(1'000)) last_second_ = std::max(last_second_, longest);
+      window.OnTaken(taken.bytes, now_ - taken.sent_at, now_);
+    }
+    return longest;
+  }
+
+ private:
+  struct piece {
+    std::size_t bytes;
+    kernel::time_point sent_at;
+    kernel::time_point taken_at;
+  };
+  static constexpr milliseconds kRoundTrip{2};
+
+  double bytes_per_second_;
+  kernel::time_point now_{std::chrono::seconds(100)};
+  kernel::time_point free_at_{};
+  kernel::microseconds last_second_{};
+  std::deque<piece> pieces_;
+};
+
+// Guards against small messages that wait for seconds behind large bodies on a slow link.
+TEST(TransferWindow, KeepsASlowLinkShort) {
+  transfer_window window;
+  link_model link(325'000);
+  link.Run(window, milliseconds(3'000));
+  EXPECT_LE(link.Run(window, milliseconds(3'000)), milliseconds(150));
+  EXPECT_GE(window.window(), kMinWindowBytes);
+}
+
+// Guards against a fast link that idles because too little is on its way.
+TEST(TransferWindow, FillsAFastLink) {
+  transfer_window window;
+  link_model link(125e6);
+  link.Run(window, milliseconds(500));
+  EXPECT_GE(window.window(), std::size_t{256} << 10);
+}
+
+// Guards against responses that are promised sooner than the link can carry them.
+TEST(TransferWindow, LearnsHowFastBodiesLeave) {
+  transfer_window window;
+  EXPECT_EQ(window.TimeFor(1'000'000), kernel::microseconds::zero()) << "nothing is known yet";
+  link_model link(325'000);
+  link.Run(window, milliseconds(5'000));
+  EXPECT_GT(window.TimeFor(325'000), milliseconds(800));
+  EXPECT_LT(window.TimeFor(325'000), milliseconds(1'200));
+}
+
+// Guards against a window that a host which stopped reading keeps shut.
+TEST(TransferWindow, FreesWhatIsLost) {
+  transfer_window window;
+  const kernel::time_point now{std::chrono::seconds(100)};
+  std::size_t sent = 0;
+  while (window.HasRoom()) {
+    window.OnSent(window.PieceBytes(), now);
+    sent += window.PieceBytes();
+  }
+  window.OnLost(sent);
+  EXPECT_TRUE(window.HasRoom());
+  EXPECT_EQ(window.outstanding(), 0U);
+}
+
+}  // namespace
+}  // namespace cornelweir::admission
