Deflate policies, keep links alive while bytes arrive, probe many links less often

Change: policies are deflated and their members have short names; a control host that is sending counts as alive; all links of a daemon together are probed 15 times a second at most, each once a second at most.

--- a/cornelweir/codec.h
+++ b/cornelweir/codec.h
@@ -5,6 +5,7 @@
 
 #include "cornelweir/src/codec/cbor.h"
 #include "cornelweir/src/codec/codec_error.h"
+#include "cornelweir/src/codec/deflate.h"
 #include "cornelweir/src/codec/json_value.h"
 #include "cornelweir/src/codec/limits.h"
 
--- /dev/null
+++ b/cornelweir/src/codec/deflate.h
@@ -0,0 +1,19 @@
+#ifndef CORNELWEIR_SRC_CODEC_DEFLATE_H_
+#define CORNELWEIR_SRC_CODEC_DEFLATE_H_
+
+#include <boost/leaf.hpp>
+#include <string>
+#include <string_view>
+
+namespace cornelweir::codec {
+
+// Compresses bytes in zlib's format.
+std::string Deflate(std::string_view bytes);
+
+// Restores compressed bytes, of which at most kMaxMessageBytes are accepted. Errors carry a
+// codec_error.
+boost::leaf::result<std::string> Inflate(std::string_view compressed);
+
+}  // namespace cornelweir::codec
+
+#endif  // CORNELWEIR_SRC_CODEC_DEFLATE_H_
--- a/cornelweir/src/policy/route.h
+++ b/cornelweir/src/policy/route.h
@@ -56,16 +56,16 @@
   std::vector<split_part> split;
 
   static constexpr auto Fields() {
-    return std::tuple{kernel::field{"name", &route::name},
-                      kernel::field{"host", &route::host},
-                      kernel::field{"prefix", &route::path_prefix},
-                      kernel::field{"repetition", &route::repetition},
-                      kernel::field{"timeout_ms", &route::timeout},
-                      kernel::field{"objective_ms", &route::latency_objective},
-                      kernel::field{"priority", &route::priority},
-                      kernel::field{"attempts", &route::attempts},
-                      kernel::field{"service", &route::service},
-                      kernel::field{"split", &route::split}};
+    return std::tuple{kernel::field{"n", &route::name},
+                      kernel::field{"h", &route::host},
+                      kernel::field{"p", &route::path_prefix},
+                      kernel::field{"r", &route::repetition},
+                      kernel::field{"t", &route::timeout},
+                      kernel::field{"o", &route::latency_objective},
+                      kernel::field{"y", &route::priority},
+                      kernel::field{"a", &route::attempts},
+                      kernel::field{"s", &route::service},
+                      kernel::field{"w", &route::split}};
   }
   friend bool operator==(const route&, const route&) = default;
 };
--- a/cornelweir/src/protocol/fleet_messages.h
+++ b/cornelweir/src/protocol/fleet_messages.h
@@ -36,8 +36,9 @@
   // that may be outdated.
   bool current = false;
   kernel::policy_version newest;
-  // From the policy that the daemon holds, or from the empty one.
-  std::optional<policy::policy_delta> delta;
+  // The encoded and deflated policy_delta from the policy that the daemon holds, or from the empty
+  // one. Empty if there is none.
+  kernel::byte_string delta;
   std::vector<membership::roster_entry> present;
   std::vector<kernel::endpoint> gone;
   // Where other control hosts take links of daemons. Empty if unchanged.
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -131,7 +131,7 @@
     protocol::fleet_update update;
     update.current = true;
     update.newest = newest.version;
-    update.delta = policy::Diff(base, newest);
+    update.delta.bytes = codec::Deflate(codec::Encode(policy::Diff(base, newest)));
     message->second = codec::Encode(protocol::fleet_message{std::move(update)});
   }
   return message->second;
--- a/plugins/sidecar/control_feed.cc
+++ b/plugins/sidecar/control_feed.cc
@@ -19,12 +19,19 @@
 // How long a host may take to answer the opening of a link before another one is tried; twice as
 // long after each round of all hosts, since a herd of daemons may keep all of them busy.
 constexpr kernel::milliseconds kOpenPatience{250};
+// A host from which this much arrives between two looks is in the middle of a large message.
+constexpr std::uint64_t kProgressBytes = 1024;
 
 kernel::endpoint WithPort(const kernel::endpoint& endpoint, std::int64_t port) {
   const std::string& text = endpoint.value();
   return kernel::endpoint(text.substr(0, text.rfind(':') + 1) + std::to_string(port));
 }
 
+boost::leaf::result<policy::policy_delta> ReadDelta(std::string_view deflated) {
+  BOOST_LEAF_AUTO(bytes, codec::Inflate(deflated));
+  return codec::Decode<policy::policy_delta>(bytes);
+}
+
 }  // namespace internal
 
 control_feed::control_feed(daemon_context& context, handlers callbacks)
@@ -66,6 +73,7 @@
   host_ = NextHost();
   alive_ = std::make_shared<bool>(true);
   opened_ = false;
+  bytes_seen_ = 0;
   current_at_ = Now();
   transport::link_handlers callbacks;
   callbacks.opened = [this, alive = alive_](const std::shared_ptr<transport::link>& link) {
@@ -125,6 +133,8 @@
   }
   const kernel::microseconds patience =
       opened_ ? kernel::microseconds(protocol::kFleetSilence) : OpenPatience();
+  if (link_->bytes_received() >= bytes_seen_ + internal::kProgressBytes) current_at_ = now;
+  bytes_seen_ = link_->bytes_received();
   if (now - current_at_ > patience) {
     Leave(opened_ ? "silent or not current" : "no connection");
     return;
@@ -170,7 +180,14 @@
       hosts_.push_back(internal::WithPort(seed, context_.settings.sidecar->control_port));
     }
   }
-  if (update.delta) ApplyPolicy(*update.delta);
+  if (!update.delta.bytes.empty()) {
+    const auto delta = internal::ReadDelta(update.delta.bytes);
+    if (!delta) {
+      Leave("malformed policy");
+      return;
+    }
+    ApplyPolicy(delta.value());
+  }
   ApplyRoster(update);
 }
 
--- a/plugins/sidecar/control_feed.h
+++ b/plugins/sidecar/control_feed.h
@@ -66,7 +66,9 @@
   bool opened_ = false;
   // Links in a row that no host opened.
   std::size_t failed_attempts_ = 0;
+  // When the host was last known to be current, or busy with sending.
   kernel::time_point current_at_;
+  std::uint64_t bytes_seen_ = 0;
   kernel::time_point reported_at_;
   kernel::time_point retry_at_;
   std::shared_ptr<const policy::policy_table> policy_;
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -21,9 +21,6 @@
 // Time in which what was observed falls to about a third without further samples, so that an
 // upstream that was slow or failing once is tried again.
 constexpr double kForgetSeconds = 3.0;
-// An idle link is probed at this interval, so that one that fell silent is known before it is
-// needed.
-constexpr kernel::milliseconds kIdleProbePeriod{1'000};
 
 }  // namespace internal
 
@@ -59,7 +56,7 @@
                                    std::move(handlers));
 }
 
-void peer::Maintain() {
+void peer::Maintain(kernel::microseconds idle_probe_period) {
   if (gate_ != nullptr) return;
   const kernel::time_point now = Now();
   if (!link_) {
@@ -71,13 +68,13 @@
   const bool waiting = !pending_.empty();
   const kernel::microseconds limit =
       waiting ? kernel::microseconds(protocol::kLinkSilence)
-              : kernel::microseconds(protocol::kLinkSilence + internal::kIdleProbePeriod);
+              : kernel::microseconds(protocol::kLinkSilence) + idle_probe_period;
   if (silent >= limit && probed_at_ > heard_at_) {
     link_->Close("the peer is silent");
     return;
   }
-  const kernel::microseconds period = waiting ? kernel::microseconds(protocol::kLinkProbeAfter)
-                                              : kernel::microseconds(internal::kIdleProbePeriod);
+  const kernel::microseconds period =
+      waiting ? kernel::microseconds(protocol::kLinkProbeAfter) : idle_probe_period;
   if (silent >= period && now - probed_at_ >= period) {
     probed_at_ = now;
     SendData(*link_, protocol::link_probe{kernel::nonce(next_probe_++)});
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -31,7 +31,8 @@
   peer& operator=(const peer&) = delete;
 
   // Opens, probes or gives up the link as needed.
-  void Maintain();
+  // An idle link is probed at this period.
+  void Maintain(kernel::microseconds idle_probe_period);
   // Closes the link for good. Requests on it end as broken.
   void Close();
   // Keeps the link only for as long as requests are on it.
--- a/plugins/sidecar/peer_set.cc
+++ b/plugins/sidecar/peer_set.cc
@@ -7,6 +7,10 @@
 namespace internal {
 
 constexpr kernel::milliseconds kMaintenancePeriod{50};
+// An idle link is probed, so that one that fell silent is known before it is needed. All links
+// together are probed at this pace, each at most once in the shortest period.
+constexpr std::int64_t kProbesPerSecond = 15;
+constexpr kernel::microseconds kShortestProbePeriod = std::chrono::seconds(1);
 
 }  // namespace internal
 
@@ -21,12 +25,19 @@
 
 void peer_set::Start() {
   timer_.StartPeriodic(internal::kMaintenancePeriod, [this] {
-    for (const auto& [endpoint, daemon] : peers_) daemon->Maintain();
-    for (const auto& daemon : retired_) daemon->Maintain();
+    const kernel::microseconds period = IdleProbePeriod();
+    for (const auto& [endpoint, daemon] : peers_) daemon->Maintain(period);
+    for (const auto& daemon : retired_) daemon->Maintain(period);
     std::erase_if(retired_, [](const auto& daemon) { return !daemon->busy(); });
   });
 }
 
+kernel::microseconds peer_set::IdleProbePeriod() const {
+  const auto links = static_cast<std::int64_t>(peers_.size());
+  return std::max(internal::kShortestProbePeriod,
+                  kernel::microseconds(std::chrono::seconds(links)) / internal::kProbesPerSecond);
+}
+
 void peer_set::Stop() {
   timer_.Cancel();
   for (const auto& [endpoint, daemon] : peers_) daemon->Close();
@@ -42,7 +53,7 @@
       continue;
     }
     const auto added = peers_.emplace(endpoint, std::make_shared<peer>(context_, entry, nullptr));
-    added.first->second->Maintain();
+    added.first->second->Maintain(IdleProbePeriod());
   }
   for (auto next = peers_.begin(); next != peers_.end();) {
     if (next->first == self || roster.contains(next->first)) {
--- a/plugins/sidecar/peer_set.h
+++ b/plugins/sidecar/peer_set.h
@@ -34,6 +34,8 @@
   std::size_t size() const { return peers_.size(); }
 
  private:
+  kernel::microseconds IdleProbePeriod() const;
+
   daemon_context& context_;
   upstream_gate& gate_;
   loop::timer timer_;
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -29,6 +29,21 @@
   EXPECT_EQ(fault, codec_fault::kTooDeep);
 }
 
+// Guards against a policy that arrives changed, and against compressed bytes that fill the memory.
+TEST(Deflate, RestoresWhatFitsAndRefusesTheRest) {
+  std::string routes;
+  for (int i = 0; i < 2'000; ++i) routes += "route-" + std::to_string(i) + " /prefix/;";
+  const std::string compressed = Deflate(routes);
+  EXPECT_LT(compressed.size(), routes.size() / 3);
+  const auto restored = Inflate(compressed);
+  ASSERT_TRUE(restored);
+  EXPECT_EQ(restored.value(), routes);
+  EXPECT_EQ(Inflate(Deflate("")).value(), "");
+  EXPECT_FALSE(Inflate("not compressed"));
+  EXPECT_FALSE(Inflate(std::string_view(compressed).substr(0, compressed.size() / 2)));
+  EXPECT_FALSE(Inflate(Deflate(std::string(kMaxMessageBytes + 1, 'x'))));
+}
+
 // Guards against a number that does not fit its member being truncated.
 TEST(Cbor, RefusesANumberOutOfRange) {
   std::uint8_t small = 0;
