Plan large responses behind those that leave while the request runs

Cause: a large response was planned as if all others left after its run, so the link of its host idled now and then.

--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -47,7 +47,7 @@
   using kind = slot_decision::kind;
   if (IsHopeless(request, now)) return {};
   if (running() < slots_ && queue_.empty()) {
-    if (request.transfer_time > request.run_time && IsTooLate(request, 0, now)) return {};
+    if (request.transfer_time.count() > 0 && IsTooLate(request, 0, now)) return {};
     running_.insert(request.id);
     return {kind::kRun, {}};
   }
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -28,8 +28,8 @@
   kernel::time_point deadline;
   // How long requests of its route run on the mean; zero if unknown.
   kernel::microseconds run_time{};
-  // How long its response takes on its way back, behind the others that leave this host; zero
-  // unless it is large.
+  // How long its response takes to leave after its run, behind the others; zero unless it is large
+  // and the network is what it would wait for.
   kernel::microseconds transfer_time{};
 };
 
--- a/plugins/sidecar/upstream_gate.cc
+++ b/plugins/sidecar/upstream_gate.cc
@@ -293,10 +293,13 @@
   }
 }
 
-// Responses of running requests leave before that of a request that is asked for now.
+// Responses of running requests leave before that of a request that is asked for now, and some of
+// them while it runs.
 kernel::microseconds upstream_gate::TransferTimeOf(const route_history& route) const {
   if (!bulk_sender::IsLarge(route.response_bytes)) return {};
-  return bulk_.TimeFor(expected_bytes_ + route.response_bytes);
+  const kernel::microseconds others = bulk_.TimeFor(expected_bytes_);
+  if (others <= route.run_time) return {};
+  return bulk_.TimeFor(expected_bytes_ + route.response_bytes) - route.run_time;
 }
 
 void upstream_gate::NoteRun(const kernel::route_name& route, kernel::microseconds run_time,
--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -35,6 +35,19 @@
   return queue;
 }
 
+// Guards against large responses that nobody can get in time: the upstream has free slots, but the
+// network of its host is full.
+TEST(SlotQueue, RefusesALargeResponseThatTheNetworkCannotCarryInTime) {
+  slot_queue queue = Queue(4);
+  slot_request large = Request(1, 500);
+  large.transfer_time = milliseconds(350);
+  EXPECT_EQ(queue.Submit(large, kStart).outcome, kind::kRun);
+  large.id = ticket(2);
+  large.transfer_time = milliseconds(450);
+  EXPECT_EQ(queue.Submit(large, kStart).outcome, kind::kRefuse);
+  EXPECT_EQ(queue.Submit(Request(3, 500), kStart).outcome, kind::kRun) << "small ones go on";
+}
+
 // Guards against more requests at an upstream than it has slots: some never answer those.
 TEST(SlotQueue, NeverRunsMoreThanTheSlots) {
   EXPECT_TRUE(rc::check([] {
