--- a/cornelweir/src/codec/deflate.cc
+++ b/cornelweir/src/codec/deflate.cc
@@ -34,8 +34,8 @@
   while (true) {
     std::string bytes(capacity, '\0');
     auto size = static_cast<uLongf>(bytes.size());
-    const int outcome = uncompress(Output(bytes), &size, Input(compressed),
-                                   static_cast<uLong>(compressed.size()));
+    const int outcome =
+        uncompress(Output(bytes), &size, Input(compressed), static_cast<uLong>(compressed.size()));
     if (outcome == Z_OK) {
       bytes.resize(size);
       return bytes;
--- a/cornelweir/src/http/limits.h
+++ b/cornelweir/src/http/limits.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "cornelweir/src/kernel/quantity.h"
+#include "cornelweir/src/loop/silence_limits.h"
 
 namespace cornelweir::http {
 
@@ -20,6 +21,10 @@
 // A server that sends more interim (1xx) responses than this to one request is cut off.
 inline constexpr int kMaxInterimResponses = 8;
 
+// When a connection of a caller or to an upstream counts as dead.
+inline constexpr loop::silence_limits kConnectionSilence{
+    .unacknowledged_ms = 2'000, .probe_after_s = 5, .probe_interval_s = 1, .probes = 3};
+
 // Bounds of a server for callers. The defaults are those of the daemon; tests set shorter ones.
 struct proxy_limits {
   std::size_t connections = 4096;
--- a/cornelweir/src/http/pipeline_core.cc
+++ b/cornelweir/src/http/pipeline_core.cc
@@ -3,8 +3,8 @@
 #include <utility>
 #include <vector>
 
+#include "cornelweir/src/http/limits.h"
 #include "cornelweir/src/http/pipeline_connection.h"
-#include "cornelweir/src/http/socket_options.h"
 
 namespace cornelweir::http::internal {
 namespace {
@@ -33,7 +33,7 @@
 void pipeline_core::Accept(boost::asio::ip::tcp::socket socket) {
   // Beyond the limit the connection is closed at once: nothing of it has been read.
   if (connections_.size() >= limits.connections) return;
-  SetConnectionOptions(socket);
+  loop::LimitSilence(socket, kConnectionSilence);
   auto accepted = std::make_shared<pipeline_connection>(shared_from_this(), std::move(socket));
   connections_.insert(accepted);
   accepted->Start();
--- a/cornelweir/src/http/upstream_connection.cc
+++ b/cornelweir/src/http/upstream_connection.cc
@@ -8,7 +8,7 @@
 
 #include "cornelweir/src/http/connection.h"
 #include "cornelweir/src/http/endpoint_address.h"
-#include "cornelweir/src/http/socket_options.h"
+#include "cornelweir/src/http/limits.h"
 
 namespace cornelweir::http::internal {
 
@@ -128,7 +128,7 @@
     if (error) return self->End(upstream_status::kNotSent, {});
     error_code ignored;
     self->socket_.non_blocking(true, ignored);
-    SetConnectionOptions(self->socket_);
+    loop::LimitSilence(self->socket_, kConnectionSilence);
     self->connected_ = true;
     self->Write();
   });
--- a/cornelweir/src/logging/line_buffer.cc
+++ b/cornelweir/src/logging/line_buffer.cc
@@ -1,7 +1,10 @@
 #include "cornelweir/src/logging/line_buffer.h"
 
+#include <string>
 #include <utility>
 
+#include "cornelweir/src/logging/event_id.h"
+
 namespace cornelweir::logging {
 
 void line_buffer::Add(std::string_view line) {
@@ -10,7 +13,10 @@
     return;
   }
   if (const std::uint64_t count = std::exchange(left_out_, 0); count > 0) {
-    text_ += "event=1008 message=\"lines left out\" count=" + std::to_string(count) + '\n';
+    constexpr event_id kId = event_id::kLinesLeftOut;
+    text_ += "event=" + std::to_string(static_cast<int>(kId)) + " message=\"";
+    text_ += Describe(kId).message;
+    text_ += "\" count=" + std::to_string(count) + '\n';
   }
   text_.append(line);
   text_.push_back('\n');
--- a/cornelweir/src/outcome/shared_retry_budget.cc
+++ b/cornelweir/src/outcome/shared_retry_budget.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 shared_retry_budget::bucket& shared_retry_budget::At(kernel::time_point now) {
-  const kernel::microseconds length = kernel::microseconds(allowance_.window) / kBuckets;
+  const kernel::microseconds length = kernel::microseconds(limits_.window) / kBuckets;
   const std::int64_t number = NumberOf(now, length);
   bucket& current = buckets_[static_cast<std::size_t>(number) % buckets_.size()];
   if (current.number != number) current = bucket{number, 0, 0};
@@ -33,8 +33,8 @@
     if (counted.number > oldest) requests += counted.requests;
   }
   const double allowed =
-      kOwnRetryShare * (allowance_.ratio * static_cast<double>(requests) +
-                        allowance_.slack / static_cast<double>(std::max<std::size_t>(daemons, 1)));
+      kOwnRetryShare * (limits_.ratio * static_cast<double>(requests) +
+                        limits_.slack / static_cast<double>(std::max<std::size_t>(daemons, 1)));
   if (static_cast<double>(retries + 1) > allowed) return false;
   ++current.retries;
   return true;
--- a/cornelweir/src/outcome/shared_retry_budget.h
+++ b/cornelweir/src/outcome/shared_retry_budget.h
@@ -11,7 +11,7 @@
 namespace cornelweir::outcome {
 
 // How many requests all daemons together may send again for one service.
-struct retry_allowance {
+struct retry_limits {
   // Of the requests in the window.
   double ratio = 0;
   // Besides, for all daemons together.
@@ -24,7 +24,7 @@
 // the parts never add up to more than the whole.
 class shared_retry_budget {
  public:
-  explicit shared_retry_budget(const retry_allowance& allowance) : allowance_(allowance) {}
+  explicit shared_retry_budget(const retry_limits& limits) : limits_(limits) {}
 
   void OnRequest(kernel::time_point now);
   // Takes one retry if the budget has one left.
@@ -40,7 +40,7 @@
 
   bucket& At(kernel::time_point now);
 
-  retry_allowance allowance_;
+  retry_limits limits_;
   // One more than the window has, since the window slides within a bucket.
   std::array<bucket, kBuckets + 1> buckets_{};
 };
--- a/cornelweir/src/policy/route.h
+++ b/cornelweir/src/policy/route.h
@@ -56,16 +56,12 @@
   std::vector<split_part> split;
 
   static constexpr auto Fields() {
-    return std::tuple{kernel::field{"n", &route::name},
-                      kernel::field{"h", &route::host},
-                      kernel::field{"p", &route::path_prefix},
-                      kernel::field{"r", &route::repetition},
-                      kernel::field{"t", &route::timeout},
-                      kernel::field{"o", &route::latency_objective},
-                      kernel::field{"y", &route::priority},
-                      kernel::field{"a", &route::attempts},
-                      kernel::field{"s", &route::service},
-                      kernel::field{"w", &route::split}};
+    return std::tuple{
+        kernel::field{"n", &route::name},        kernel::field{"h", &route::host},
+        kernel::field{"p", &route::path_prefix}, kernel::field{"r", &route::repetition},
+        kernel::field{"t", &route::timeout},     kernel::field{"o", &route::latency_objective},
+        kernel::field{"y", &route::priority},    kernel::field{"a", &route::attempts},
+        kernel::field{"s", &route::service},     kernel::field{"w", &route::split}};
   }
   friend bool operator==(const route&, const route&) = default;
 };
--- a/cornelweir/src/replication/node.cc
+++ b/cornelweir/src/replication/node.cc
@@ -58,10 +58,9 @@
 
 void node::SetElectionTimer(kernel::microseconds shortest, kernel::microseconds longest) {
   const auto spread = static_cast<std::uint64_t>((longest - shortest).count());
-  election_deadline_ =
-      now_ + shortest +
-      kernel::microseconds(
-          static_cast<kernel::microseconds::rep>(kernel::UniformBelow(random_, spread)));
+  election_deadline_ = now_ + shortest +
+                       kernel::microseconds(static_cast<kernel::microseconds::rep>(
+                           kernel::UniformBelow(random_, spread)));
 }
 
 void node::ResetElectionTimer() { SetElectionTimer(kElectionTimeoutMin, kElectionTimeoutMax); }
--- a/cornelweir/src/settings/endpoint_text.cc
+++ b/cornelweir/src/settings/endpoint_text.cc
@@ -24,4 +24,14 @@
   return boost::asio::ip::tcp::endpoint(address, port);
 }
 
+kernel::endpoint WithPort(const kernel::endpoint& endpoint, std::string_view port) {
+  const std::string& text = endpoint.value();
+  return kernel::endpoint(text.substr(0, text.rfind(':') + 1).append(port));
+}
+
+std::string_view PortOf(const kernel::endpoint& endpoint) {
+  const std::string_view text = endpoint.value();
+  return text.substr(text.rfind(':') + 1);
+}
+
 }  // namespace cornelweir::settings
--- a/cornelweir/src/transport/limits.h
+++ b/cornelweir/src/transport/limits.h
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstddef>
 
+#include "cornelweir/src/loop/silence_limits.h"
+
 namespace cornelweir::transport {
 
 inline constexpr std::size_t kMaxFrameBytes = std::size_t{1} << 20;
@@ -13,10 +15,8 @@
 // Long enough for a lost packet of the handshake to be sent again.
 inline constexpr std::chrono::milliseconds kOpenTimeout{1500};
 // Unacknowledged bytes and unanswered probes end a link that fell silent within these times.
-inline constexpr int kUserTimeoutMs = 1'500;
-inline constexpr int kProbeAfterSeconds = 1;
-inline constexpr int kProbeIntervalSeconds = 1;
-inline constexpr int kProbes = 2;
+inline constexpr loop::silence_limits kLinkSilence{
+    .unacknowledged_ms = 1'500, .probe_after_s = 1, .probe_interval_s = 1, .probes = 2};
 inline constexpr std::size_t kMaxLinks = 4096;
 
 }  // namespace cornelweir::transport
--- a/cornelweir/src/transport/socket_stream.cc
+++ b/cornelweir/src/transport/socket_stream.cc
@@ -1,6 +1,5 @@
 #include "cornelweir/src/transport/socket_stream.h"
 
-#include <netinet/tcp.h>
 #include <openssl/ssl.h>
 #include <openssl/x509.h>
 
@@ -9,23 +8,12 @@
 #include "cornelweir/src/transport/limits.h"
 
 namespace cornelweir::transport::internal {
-namespace {
-
-template <int kOption>
-using tcp_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, kOption>;
-
-}  // namespace
 
 void socket_stream::SetLinkOptions() {
   boost::system::error_code ignored;
   socket& plain = lowest();
   plain.non_blocking(true, ignored);
-  plain.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  plain.set_option(boost::asio::socket_base::keep_alive(true), ignored);
-  plain.set_option(tcp_option<TCP_USER_TIMEOUT>(kUserTimeoutMs), ignored);
-  plain.set_option(tcp_option<TCP_KEEPIDLE>(kProbeAfterSeconds), ignored);
-  plain.set_option(tcp_option<TCP_KEEPINTVL>(kProbeIntervalSeconds), ignored);
-  plain.set_option(tcp_option<TCP_KEEPCNT>(kProbes), ignored);
+  loop::LimitSilence(plain, kLinkSilence);
 }
 
 std::array<char, kReadBufferBytes>& socket_stream::Scratch() {
--- a/plugins/control/control_mesh.cc
+++ b/plugins/control/control_mesh.cc
@@ -44,8 +44,8 @@
   if (host == self_ || stopped_) return;
   peer& known = peers_[host];
   known.mesh = kernel::endpoint(host.value());
-  if (known.link && (known.link->is_open() ||
-                     clock_.Now() - known.connecting_since < internal::kStaleAttempt)) {
+  if (known.link &&
+      (known.link->is_open() || clock_.Now() - known.connecting_since < internal::kStaleAttempt)) {
     return;
   }
   const std::shared_ptr<transport::link> stale = known.link;
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -60,9 +60,7 @@
 
 // The mesh endpoint of a seed: its address with the port that all control hosts listen at.
 kernel::host_id MeshHost(const kernel::endpoint& seed, const kernel::endpoint& own) {
-  const std::string& address = seed.value();
-  const std::string& mesh = own.value();
-  return kernel::host_id(address.substr(0, address.rfind(':')) + mesh.substr(mesh.rfind(':')));
+  return kernel::host_id(settings::WithPort(seed, settings::PortOf(own)).value());
 }
 
 // Prepares the data folder of the initial hosts. An identity that is there already is that of an
--- a/plugins/sidecar/bulk_sender.cc
+++ b/plugins/sidecar/bulk_sender.cc
@@ -16,8 +16,7 @@
 
 }  // namespace internal
 
-bulk_sender::bulk_sender(daemon_context& context)
-    : context_(context), watch_timer_(context.loop) {}
+bulk_sender::bulk_sender(daemon_context& context) : context_(context), watch_timer_(context.loop) {}
 
 bool bulk_sender::IsLarge(std::size_t bytes) { return bytes > admission::kMinPieceBytes; }
 
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -112,10 +112,9 @@
 outcome::shared_retry_budget& call_router::BudgetOf(const kernel::service_name& service) {
   const auto& settings = *context_.settings.sidecar;
   return budgets_
-      .try_emplace(
-          service,
-          outcome::retry_allowance{settings.retry_ratio, static_cast<double>(settings.retry_slack),
-                                   kernel::milliseconds(settings.retry_window_ms)})
+      .try_emplace(service, outcome::retry_limits{settings.retry_ratio,
+                                                  static_cast<double>(settings.retry_slack),
+                                                  kernel::milliseconds(settings.retry_window_ms)})
       .first->second;
 }
 
@@ -158,8 +157,8 @@
     return;
   }
   const policy::route& route = *created->route;
-  created->deadline =
-      created->started + std::min(created->decoded.time_left.value_or(route.timeout), route.timeout);
+  created->deadline = created->started +
+                      std::min(created->decoded.time_left.value_or(route.timeout), route.timeout);
   created->objective = ObjectiveOf(*created);
   created->service = ServiceFor(route);
   BudgetOf(created->service).OnRequest(created->started);
--- a/plugins/sidecar/control_feed.cc
+++ b/plugins/sidecar/control_feed.cc
@@ -22,11 +22,6 @@
 // A host from which this much arrives between two looks is in the middle of a large message.
 constexpr std::uint64_t kProgressBytes = 1024;
 
-kernel::endpoint WithPort(const kernel::endpoint& endpoint, std::int64_t port) {
-  const std::string& text = endpoint.value();
-  return kernel::endpoint(text.substr(0, text.rfind(':') + 1) + std::to_string(port));
-}
-
 boost::leaf::result<policy::policy_delta> ReadDelta(std::string_view deflated) {
   BOOST_LEAF_AUTO(bytes, codec::Inflate(deflated));
   return codec::Decode<policy::policy_delta>(bytes);
@@ -40,7 +35,8 @@
       timer_(context.loop),
       incarnation_(static_cast<std::uint64_t>(SinceEpochMs().count())) {
   for (const kernel::endpoint& seed : context.settings.sidecar->seeds) {
-    hosts_.push_back(internal::WithPort(seed, context.settings.sidecar->control_port));
+    hosts_.push_back(
+        settings::WithPort(seed, std::to_string(context.settings.sidecar->control_port)));
   }
   next_host_ = kernel::UniformBelow(context.random, hosts_.size());
 }
@@ -177,7 +173,8 @@
   if (!update.control_hosts.empty()) {
     hosts_ = update.control_hosts;
     for (const kernel::endpoint& seed : context_.settings.sidecar->seeds) {
-      hosts_.push_back(internal::WithPort(seed, context_.settings.sidecar->control_port));
+      hosts_.push_back(
+          settings::WithPort(seed, std::to_string(context_.settings.sidecar->control_port)));
     }
   }
   if (!update.delta.bytes.empty()) {
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -201,7 +201,7 @@
 }
 
 bool peer::Serves(const kernel::service_name& service) const {
-  if (gate_ != nullptr) return gate_->Report().open && gate_->service() == service;
+  if (gate_ != nullptr) return gate_->Serves(service);
   return link_ && opened_ && report_ && report_->open && report_->service == service;
 }
 
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -137,8 +137,7 @@
 void sidecar_node::FinishWhenIdle() {
   const kernel::microseconds limit =
       kernel::milliseconds(context_.settings.sidecar->shutdown_ms) - internal::kShutdownReserve;
-  const bool idle =
-      callers_drained_ && router_.in_progress() == 0 && !gate_.busy() && bulk_.idle();
+  const bool idle = callers_drained_ && router_.in_progress() == 0 && !gate_.busy() && bulk_.idle();
   if (idle || context_.clock.Now() - shutdown_at_ > limit) Finish();
 }
 
--- a/plugins/sidecar/upstream_gate.cc
+++ b/plugins/sidecar/upstream_gate.cc
@@ -162,7 +162,7 @@
   added.request = std::move(request);
   added.body = std::move(body);
   added.done = std::move(done);
-  const bool here = IsOpen() && added.request.service == service();
+  const bool here = Serves(added.request.service);
   admission::slot_decision decision;
   if (here) {
     admission::slot_request asked;
@@ -201,8 +201,7 @@
 
 void upstream_gate::RefuseAll(const std::vector<admission::ticket>& ids,
                               protocol::run_failure failure) {
-  const kernel::microseconds wait =
-      std::max(queue_.ExpectedWait(), bulk_.TimeFor(expected_bytes_));
+  const kernel::microseconds wait = std::max(queue_.ExpectedWait(), bulk_.TimeFor(expected_bytes_));
   for (const admission::ticket& id : ids) {
     run_result result;
     result.failure = failure;
--- a/plugins/sidecar/upstream_gate.h
+++ b/plugins/sidecar/upstream_gate.h
@@ -42,6 +42,8 @@
   // Refuses what has not begun to run, and everything from now on.
   void BeginShutdown();
 
+  // Whether requests for the service are taken here now.
+  bool Serves(const kernel::service_name& wanted) const { return IsOpen() && wanted == service(); }
   protocol::upstream_report Report() const;
   protocol::upstream_load Load() const;
   // The service of the upstream, as it announced itself last, or as the settings say.
--- a/tests/shared_retry_budget_test.cc
+++ b/tests/shared_retry_budget_test.cc
@@ -14,9 +14,9 @@
 // Guards against daemons that together send more again than the whole budget, in any window.
 TEST(SharedRetryBudget, NeverExceedsTheBudgetOverAllDaemons) {
   EXPECT_TRUE(rc::check([] {
-    const retry_allowance allowance{0.2, 12, kernel::milliseconds(1'000)};
+    const retry_limits limits{0.2, 12, kernel::milliseconds(1'000)};
     constexpr std::size_t kDaemons = 3;
-    std::vector<shared_retry_budget> budgets(kDaemons, shared_retry_budget(allowance));
+    std::vector<shared_retry_budget> budgets(kDaemons, shared_retry_budget(limits));
     std::deque<kernel::time_point> requests;
     std::deque<kernel::time_point> retries;
     kernel::time_point now{std::chrono::seconds(50)};
@@ -29,7 +29,7 @@
       }
       if (budget.Take(kDaemons, now)) retries.push_back(now);
       const auto keep = [&](std::deque<kernel::time_point>& times) {
-        while (!times.empty() && times.front() <= now - allowance.window) times.pop_front();
+        while (!times.empty() && times.front() <= now - limits.window) times.pop_front();
       };
       keep(requests);
       keep(retries);
