--- a/tests/bulk_sender_test.cc
+++ b/tests/bulk_sender_test.cc
@@ -18,9 +18,9 @@
 constexpr std::size_t kBodyBytes = std::size_t{1} << 20;
 const kernel::call_id kCall(7);
 
-class bulk_transfer : public ::testing::Test {
+class transfers : public ::testing::Test {
  protected:
-  bulk_transfer() {
+  transfers() {
     transport::link_handlers receiving;
     receiving.message = [this](const std::shared_ptr<transport::link>&, std::string_view bytes) {
       const auto frame = ReadData(bytes);
@@ -42,7 +42,7 @@
         transport::link::Connect(daemon_.loop.context(), listener_->local_endpoint(), nullptr, {});
     http::RunUntil(daemon_.loop, [this] { return link_->is_open(); });
   }
-  ~bulk_transfer() override { listener_->Close(); }
+  ~transfers() override { listener_->Close(); }
 
   sidecar_test_context daemon_;
   bulk_sender sender_{daemon_.context};
@@ -55,7 +55,7 @@
 };
 
 // Guards against a body that arrives changed or never whole.
-TEST_F(bulk_transfer, ArrivesWhole) {
+TEST_F(transfers, ArrivesWhole) {
   std::string body(kBodyBytes, '\0');
   for (std::size_t i = 0; i < body.size(); ++i) body[i] = static_cast<char>(i % 251);
   sender_.Send(link_, kCall, body);
@@ -66,7 +66,7 @@
 
 // Guards against small messages that wait behind a whole body, and against a receiver that reads
 // nothing: only a part of the body is on its way.
-TEST_F(bulk_transfer, LetsSmallMessagesPassAReceiverThatTakesNothing) {
+TEST_F(transfers, LetsSmallMessagesPassAReceiverThatTakesNothing) {
   takes_ = false;
   sender_.Send(link_, kCall, std::string(kBodyBytes, 'x'));
   SendData(*link_, protocol::link_probe{kernel::nonce(1)});
@@ -77,7 +77,7 @@
 }
 
 // Guards against the bytes of a response that nobody wants any more.
-TEST_F(bulk_transfer, DropsWhatIsCancelled) {
+TEST_F(transfers, DropsWhatIsCancelled) {
   takes_ = false;
   sender_.Send(link_, kCall, std::string(kBodyBytes, 'x'));
   sender_.Cancel(link_.get(), kCall);
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -35,7 +35,7 @@
   return {};
 }
 
-class call_router_at_start : public ::testing::Test {
+class starting : public ::testing::Test {
  protected:
   static dialect_functions Dialect() {
     dialect_functions functions{};
@@ -61,7 +61,7 @@
 
 // Guards against requests that are refused, twice at most, while a herd of daemons that was
 // restarted waits for its policy for a moment.
-TEST_F(call_router_at_start, KeepsRequestsUntilThePolicyIsThere) {
+TEST_F(starting, KeepsRequestsUntilThePolicyIsThere) {
   const auto request = Ask();
   EXPECT_FALSE(request->answered());
   EXPECT_EQ(router_.in_progress(), 1U);
@@ -72,7 +72,7 @@
 }
 
 // Guards against callers that are kept until it is too late to come back, when no policy comes.
-TEST_F(call_router_at_start, RefusesRequestsWhileTheirCallersCanComeBack) {
+TEST_F(starting, RefusesRequestsWhileTheirCallersCanComeBack) {
   const auto request = Ask();
   http::RunUntil(daemon_.loop, [&] { return request->answered(); });
   EXPECT_EQ(given.kind, reply_kind::kNotRun);
