Append the seeds to a daemon's control hosts in one place

Found by reading the change once more: the same loop stood in the constructor and in the handling of updates, and one condition was asked twice when a link closed.

--- a/plugins/sidecar/control_feed.cc
+++ b/plugins/sidecar/control_feed.cc
@@ -34,13 +34,17 @@
       handlers_(std::move(callbacks)),
       timer_(context.loop),
       incarnation_(static_cast<std::uint64_t>(SinceEpochMs().count())) {
-  for (const kernel::endpoint& seed : context.settings.sidecar->seeds) {
-    hosts_.push_back(
-        settings::WithPort(seed, std::to_string(context.settings.sidecar->control_port)));
-  }
+  AddSeeds();
   next_host_ = kernel::UniformBelow(context.random, hosts_.size());
 }
 
+void control_feed::AddSeeds() {
+  const settings::sidecar_settings& own = *context_.settings.sidecar;
+  for (const kernel::endpoint& seed : own.seeds) {
+    hosts_.push_back(settings::WithPort(seed, std::to_string(own.control_port)));
+  }
+}
+
 void control_feed::Start() {
   Tick();
   timer_.StartPeriodic(internal::kTickPeriod, [this] { Tick(); });
@@ -94,8 +98,9 @@
       logging::event(logging::event_id::kControlHostLost)
           .With("host", host_)
           .With("reason", reason);
+    } else {
+      ++failed_attempts_;
     }
-    if (!opened_) ++failed_attempts_;
     link_.reset();
     opened_ = false;
     retry_at_ =
@@ -172,10 +177,7 @@
   current_at_ = Now();
   if (!update.control_hosts.empty()) {
     hosts_ = update.control_hosts;
-    for (const kernel::endpoint& seed : context_.settings.sidecar->seeds) {
-      hosts_.push_back(
-          settings::WithPort(seed, std::to_string(context_.settings.sidecar->control_port)));
-    }
+    AddSeeds();
   }
   if (!update.delta.bytes.empty()) {
     const auto delta = internal::ReadDelta(update.delta.bytes);
--- a/plugins/sidecar/control_feed.h
+++ b/plugins/sidecar/control_feed.h
@@ -48,6 +48,8 @@
   void Tick();
   void Connect();
   void Leave(const std::string& reason);
+  // Appends the seeds to the hosts to try.
+  void AddSeeds();
   kernel::endpoint NextHost();
   kernel::microseconds OpenPatience() const;
   void OnMessage(std::string_view payload);
