Rename tenant to workspace in the code and its pages

The users' word for a customer is workspace. Headers (x-tenant), settings and cells (tenant_in_flight), metric labels, flags, trace files and the text of the 429 response keep their names. No behaviour changes; admission_test and metrics_test pass unchanged but for the names.

--- a/cornelweir/src/admission/admission_controller.cc
+++ b/cornelweir/src/admission/admission_controller.cc
@@ -21,7 +21,7 @@
   return admitted;
 }
 
-admission_result admission_controller::Submit(ticket id, const kernel::tenant_id& tenant,
+admission_result admission_controller::Submit(ticket id, const kernel::workspace_id& workspace,
                                               priority_class priority,
                                               const outcome::deadline& deadline,
                                               kernel::time_point now) {
@@ -37,12 +37,13 @@
     return refuse(outcome::refusal_reason::kNoUpstream);
   }
   if (service_share_.value() <= 0) return refuse(outcome::refusal_reason::kServiceLimit);
-  if (limits_.tenant_in_flight.value() <= 0) return refuse(outcome::refusal_reason::kTenantLimit);
+  if (limits_.workspace_in_flight.value() <= 0)
+    return refuse(outcome::refusal_reason::kWorkspaceLimit);
 
   CollectExpired(now);
-  tenant_state& state = FindOrAddTenant(tenant);
+  workspace_state& state = FindOrAddWorkspace(workspace);
   // This does not overtake a queued request: while there is capacity, every queued request waits
-  // for the limit of its own tenant.
+  // for the limit of its own workspace.
   if (HasCapacity(state)) {
     Admit(id, state);
     return {admission_state::kAdmitted, std::nullopt, std::nullopt};
@@ -52,15 +53,15 @@
   std::optional<refused_ticket> displaced;
   bool may_queue = expiry > now && limits_.queue_length.value() > 0;
   if (may_queue && static_cast<std::int64_t>(queue_.size()) >= limits_.queue_length.value()) {
-    // With a smaller difference, displacing a request would only swap the two tenants.
-    may_queue = (*tenants_by_queued_.rbegin())->queued >= state.queued + 2;
+    // With a smaller difference, displacing a request would only swap the two workspaces.
+    may_queue = (*workspaces_by_queued_.rbegin())->queued >= state.queued + 2;
     if (may_queue) {
       displaced = refused_ticket{NextToDisplace(), outcome::refusal_reason::kQueueFull};
       Dequeue(displaced->id);
     }
   }
   if (!may_queue) {
-    UpdateTenant(state, [] {});
+    UpdateWorkspace(state, [] {});
     return refuse(blocking_limit);
   }
   Enqueue(id,
@@ -71,9 +72,9 @@
 std::vector<ticket> admission_controller::Release(ticket id, kernel::time_point now) {
   const auto found = in_progress_.find(id);
   if (found == in_progress_.end()) return {};
-  tenant_state& tenant = *found->second;
+  workspace_state& workspace = *found->second;
   in_progress_.erase(found);
-  UpdateTenant(tenant, [&] { --tenant.in_progress; });
+  UpdateWorkspace(workspace, [&] { --workspace.in_progress; });
   return AdmitFromQueue(now);
 }
 
@@ -120,14 +121,15 @@
   return std::min({limits_.upstream_in_flight.value(), slots_.value(), service_share_.value()});
 }
 
-bool admission_controller::HasCapacity(const tenant_state& tenant) const {
+bool admission_controller::HasCapacity(const workspace_state& workspace) const {
   return static_cast<std::int64_t>(in_progress_.size()) < Capacity() &&
-         tenant.in_progress < limits_.tenant_in_flight.value();
+         workspace.in_progress < limits_.workspace_in_flight.value();
 }
 
-outcome::refusal_reason admission_controller::BlockingLimit(const tenant_state& tenant) const {
-  if (tenant.in_progress >= limits_.tenant_in_flight.value()) {
-    return outcome::refusal_reason::kTenantLimit;
+outcome::refusal_reason admission_controller::BlockingLimit(
+    const workspace_state& workspace) const {
+  if (workspace.in_progress >= limits_.workspace_in_flight.value()) {
+    return outcome::refusal_reason::kWorkspaceLimit;
   }
   if (service_share_ < std::min(limits_.upstream_in_flight, slots_)) {
     return outcome::refusal_reason::kServiceLimit;
@@ -135,9 +137,9 @@
   return outcome::refusal_reason::kQueueFull;
 }
 
-admission_controller::tenant_state& admission_controller::FindOrAddTenant(
-    const kernel::tenant_id& name) {
-  const auto [found, added] = tenants_.try_emplace(name);
+admission_controller::workspace_state& admission_controller::FindOrAddWorkspace(
+    const kernel::workspace_id& name) {
+  const auto [found, added] = workspaces_.try_emplace(name);
   if (added) {
     found->second.name = name;
     found->second.last_served = ++service_sequence_;
@@ -146,36 +148,36 @@
 }
 
 template <class Change>
-void admission_controller::UpdateTenant(tenant_state& tenant, Change&& change) {
-  for (auto& tenants : tenants_by_class_) tenants.erase(&tenant);
-  tenants_by_queued_.erase(&tenant);
+void admission_controller::UpdateWorkspace(workspace_state& workspace, Change&& change) {
+  for (auto& workspaces : workspaces_by_class_) workspaces.erase(&workspace);
+  workspaces_by_queued_.erase(&workspace);
   change();
-  if (tenant.in_progress == 0 && tenant.queued == 0) {
-    const kernel::tenant_id name = tenant.name;
-    tenants_.erase(name);
+  if (workspace.in_progress == 0 && workspace.queued == 0) {
+    const kernel::workspace_id name = workspace.name;
+    workspaces_.erase(name);
     return;
   }
   for (std::size_t priority = 0; priority < kPriorityClasses; ++priority) {
-    if (!tenant.queues[priority].empty()) tenants_by_class_[priority].insert(&tenant);
+    if (!workspace.queues[priority].empty()) workspaces_by_class_[priority].insert(&workspace);
   }
-  if (tenant.queued > 0) tenants_by_queued_.insert(&tenant);
+  if (workspace.queued > 0) workspaces_by_queued_.insert(&workspace);
 }
 
-void admission_controller::Admit(ticket id, tenant_state& tenant) {
-  in_progress_.emplace(id, &tenant);
-  UpdateTenant(tenant, [&] {
-    ++tenant.in_progress;
-    tenant.last_served = ++service_sequence_;
+void admission_controller::Admit(ticket id, workspace_state& workspace) {
+  in_progress_.emplace(id, &workspace);
+  UpdateWorkspace(workspace, [&] {
+    ++workspace.in_progress;
+    workspace.last_served = ++service_sequence_;
   });
 }
 
 void admission_controller::Enqueue(ticket id, const queued_request& request) {
   queue_.emplace(id, request);
   by_expiry_.emplace(request.expiry, id);
-  UpdateTenant(*request.tenant, [&] {
-    ++request.tenant->queued;
-    request.tenant->queues[static_cast<std::size_t>(request.priority)].emplace(request.position,
-                                                                               id);
+  UpdateWorkspace(*request.workspace, [&] {
+    ++request.workspace->queued;
+    request.workspace->queues[static_cast<std::size_t>(request.priority)].emplace(request.position,
+                                                                                  id);
   });
 }
 
@@ -184,9 +186,9 @@
   const queued_request request = found->second;
   queue_.erase(found);
   by_expiry_.erase({request.expiry, id});
-  UpdateTenant(*request.tenant, [&] {
-    --request.tenant->queued;
-    request.tenant->queues[static_cast<std::size_t>(request.priority)].erase(
+  UpdateWorkspace(*request.workspace, [&] {
+    --request.workspace->queued;
+    request.workspace->queues[static_cast<std::size_t>(request.priority)].erase(
         {request.position, id});
   });
   return request;
@@ -198,9 +200,9 @@
   while (static_cast<std::int64_t>(in_progress_.size()) < Capacity()) {
     const auto next = NextQueued();
     if (!next) break;
-    const kernel::tenant_id tenant = queue_.at(*next).tenant->name;
+    const kernel::workspace_id workspace = queue_.at(*next).workspace->name;
     Dequeue(*next);
-    Admit(*next, FindOrAddTenant(tenant));
+    Admit(*next, FindOrAddWorkspace(workspace));
     admitted.push_back(*next);
   }
   return admitted;
@@ -228,9 +230,10 @@
   std::optional<std::size_t> highest;
   std::optional<std::size_t> longest_unserved;
   for (std::size_t priority = 0; priority < kPriorityClasses; ++priority) {
-    // If the tenant with the fewest requests in progress is at its limit, all tenants are.
-    const auto& tenants = tenants_by_class_[priority];
-    if (tenants.empty() || (*tenants.begin())->in_progress >= limits_.tenant_in_flight.value()) {
+    // If the workspace with the fewest requests in progress is at its limit, all workspaces are.
+    const auto& workspaces = workspaces_by_class_[priority];
+    if (workspaces.empty() ||
+        (*workspaces.begin())->in_progress >= limits_.workspace_in_flight.value()) {
       continue;
     }
     if (!highest) {
@@ -245,11 +248,11 @@
       longest_unserved && ++contended_selections_ % kLowerClassInterval == 0;
   const std::size_t chosen = serve_lower_class ? *longest_unserved : *highest;
   class_last_served_[chosen] = ++service_sequence_;
-  return (*tenants_by_class_[chosen].begin())->queues[chosen].begin()->second;
+  return (*workspaces_by_class_[chosen].begin())->queues[chosen].begin()->second;
 }
 
 ticket admission_controller::NextToDisplace() const {
-  const auto& queues = (*tenants_by_queued_.rbegin())->queues;
+  const auto& queues = (*workspaces_by_queued_.rbegin())->queues;
   const auto lowest = std::find_if(queues.rbegin(), queues.rend(),
                                    [](const auto& queue) { return !queue.empty(); });
   return std::prev(lowest->end())->second;
--- a/cornelweir/src/admission/admission_controller.h
+++ b/cornelweir/src/admission/admission_controller.h
@@ -24,7 +24,7 @@
 
 // Decides which requests run on an upstream. Each submitted ticket ends in exactly one way: it is
 // refused, cancelled, or admitted and later released. The limits bound the memory used: state is
-// kept for a tenant only while it has a request in progress or queued.
+// kept for a workspace only while it has a request in progress or queued.
 class admission_controller {
  public:
   // Sets the limits. Returns the tickets that higher limits admit from the queue. Requests in
@@ -35,7 +35,7 @@
 
   // Admits, queues or refuses a request. A queued one is admitted by a later Release() or
   // Configure(), or refused by Expire(), BeginDrain() or another Submit() that displaces it.
-  admission_result Submit(ticket id, const kernel::tenant_id& tenant, priority_class priority,
+  admission_result Submit(ticket id, const kernel::workspace_id& workspace, priority_class priority,
                           const outcome::deadline& deadline, kernel::time_point now);
 
   // Ends an admitted request. Returns the queued tickets that are admitted in its place.
@@ -65,56 +65,56 @@
   // Earliest deadline first, then in the order of arrival.
   using queue_position = std::pair<kernel::time_point, std::uint64_t>;
 
-  struct tenant_state {
-    kernel::tenant_id name;
+  struct workspace_state {
+    kernel::workspace_id name;
     std::int64_t in_progress = 0;
     std::int64_t queued = 0;
-    // Value of service_sequence_ when the tenant was last served or was added. Unique.
+    // Value of service_sequence_ when the workspace was last served or was added. Unique.
     std::uint64_t last_served = 0;
     std::array<std::set<std::pair<queue_position, ticket>>, kPriorityClasses> queues;
   };
   struct queued_request {
-    tenant_state* tenant = nullptr;
+    workspace_state* workspace = nullptr;
     priority_class priority = priority_class::kNormal;
     queue_position position;
     outcome::deadline deadline;
     kernel::time_point expiry;
   };
-  // Orders tenants by requests in progress, then by the time of the last service, oldest first.
+  // Orders workspaces by requests in progress, then by the time of the last service, oldest first.
   struct fewest_in_progress_first {
-    bool operator()(const tenant_state* a, const tenant_state* b) const {
+    bool operator()(const workspace_state* a, const workspace_state* b) const {
       return std::pair(a->in_progress, a->last_served) < std::pair(b->in_progress, b->last_served);
     }
   };
-  // Orders tenants by queued requests, then by the time of the last service, oldest first.
+  // Orders workspaces by queued requests, then by the time of the last service, oldest first.
   struct fewest_queued_first {
-    bool operator()(const tenant_state* a, const tenant_state* b) const {
+    bool operator()(const workspace_state* a, const workspace_state* b) const {
       return std::pair(a->queued, a->last_served) < std::pair(b->queued, b->last_served);
     }
   };
 
   std::int64_t Capacity() const;
-  bool HasCapacity(const tenant_state& tenant) const;
-  // The limit that keeps the tenant's next request from running.
-  outcome::refusal_reason BlockingLimit(const tenant_state& tenant) const;
+  bool HasCapacity(const workspace_state& workspace) const;
+  // The limit that keeps the workspace's next request from running.
+  outcome::refusal_reason BlockingLimit(const workspace_state& workspace) const;
 
-  tenant_state& FindOrAddTenant(const kernel::tenant_id& name);
-  // Applies a change to the values that tenants are ordered by, and erases a tenant that becomes
-  // idle.
+  workspace_state& FindOrAddWorkspace(const kernel::workspace_id& name);
+  // Applies a change to the values that workspaces are ordered by, and erases a workspace that
+  // becomes idle.
   template <class Change>
-  void UpdateTenant(tenant_state& tenant, Change&& change);
+  void UpdateWorkspace(workspace_state& workspace, Change&& change);
 
-  void Admit(ticket id, tenant_state& tenant);
+  void Admit(ticket id, workspace_state& workspace);
   void Enqueue(ticket id, const queued_request& request);
   queued_request Dequeue(ticket id);
   std::vector<ticket> AdmitFromQueue(kernel::time_point now);
   // Moves queued requests whose wait limit or deadline has passed to the pending refusals.
   void CollectExpired(kernel::time_point now);
   void AddPendingRefusal(ticket id, outcome::refusal_reason reason, kernel::time_point now);
-  // The queued request to admit next; none if every tenant with queued requests is at its limit.
+  // The queued request to admit next; none if every workspace with queued requests is at its limit.
   std::optional<ticket> NextQueued();
   // The queued request to displace next: the one with the latest deadline in the lowest class of
-  // the tenant with the most queued requests.
+  // the workspace with the most queued requests.
   ticket NextToDisplace() const;
 
   admission_limits limits_;
@@ -122,18 +122,19 @@
   kernel::request_count service_share_;
   bool draining_ = false;
   std::uint64_t next_arrival_ = 0;
-  // Logical time by which tenants and classes are ordered; grows with each service.
+  // Logical time by which workspaces and classes are ordered; grows with each service.
   std::uint64_t service_sequence_ = 0;
   std::int64_t contended_selections_ = 0;
   std::array<std::uint64_t, kPriorityClasses> class_last_served_{};
 
-  std::unordered_map<kernel::tenant_id, tenant_state> tenants_;
-  std::unordered_map<ticket, tenant_state*> in_progress_;
+  std::unordered_map<kernel::workspace_id, workspace_state> workspaces_;
+  std::unordered_map<ticket, workspace_state*> in_progress_;
   std::unordered_map<ticket, queued_request> queue_;
   std::set<std::pair<kernel::time_point, ticket>> by_expiry_;
-  // The tenants with queued requests: of each class, and of any class.
-  std::array<std::set<tenant_state*, fewest_in_progress_first>, kPriorityClasses> tenants_by_class_;
-  std::set<tenant_state*, fewest_queued_first> tenants_by_queued_;
+  // The workspaces with queued requests: of each class, and of any class.
+  std::array<std::set<workspace_state*, fewest_in_progress_first>, kPriorityClasses>
+      workspaces_by_class_;
+  std::set<workspace_state*, fewest_queued_first> workspaces_by_queued_;
   // Tickets that were removed from the queue without running and that Expire() has yet to return,
   // and the time at which the first of them was added.
   std::vector<refused_ticket> pending_refusals_;
--- a/cornelweir/src/admission/admission_result.h
+++ b/cornelweir/src/admission/admission_result.h
@@ -16,7 +16,7 @@
   admission_state state = admission_state::kRefused;
   // Set if the request was refused.
   std::optional<outcome::refusal_reason> reason;
-  // A queued request that was refused in favor of this one, because its tenant had more requests
+  // A queued request that was refused in favor of this one, because its workspace had more requests
   // in the queue.
   std::optional<refused_ticket> displaced;
 };
--- a/cornelweir/src/admission/limits.h
+++ b/cornelweir/src/admission/limits.h
@@ -10,8 +10,8 @@
 namespace cornelweir::admission {
 
 // While requests of several classes can be admitted from the queue, one admission in this many goes
-// to a lower class. Callers choose the class themselves, so strict priority would let some tenants
-// starve others.
+// to a lower class. Callers choose the class themselves, so strict priority would let some
+// workspaces starve others.
 inline constexpr std::int64_t kLowerClassInterval = 8;
 
 // The lease of an announced upstream. Every connected daemon learns of a change to the membership
--- a/cornelweir/src/claims/claim_table.h
+++ b/cornelweir/src/claims/claim_table.h
@@ -26,7 +26,7 @@
       : max_claims_(max_claims), max_stored_bytes_(max_stored_bytes) {}
 
   // Claims a key for an attempt. Keys are compared byte by byte, so keys chosen by callers must be
-  // scoped to the tenant and the route first. A repeated claim by the holder is granted again; a
+  // scoped to the workspace and the route first. A repeated claim by the holder is granted again; a
   // claim by an attempt that has released the key is not.
   claim_result Claim(const kernel::idempotency_key& key, const kernel::attempt_id& attempt,
                      kernel::fingerprint fingerprint, kernel::time_point now);
--- a/cornelweir/src/kernel/ids.h
+++ b/cornelweir/src/kernel/ids.h
@@ -16,7 +16,7 @@
 using route_name = strong_id<struct route_name_tag, std::string>;
 using host_id = strong_id<struct host_id_tag, std::string>;
 using upstream_id = strong_id<struct upstream_id_tag, std::string>;
-using tenant_id = strong_id<struct tenant_id_tag, std::string>;
+using workspace_id = strong_id<struct workspace_id_tag, std::string>;
 using failure_domain = strong_id<struct failure_domain_tag, std::string>;
 
 // The version of an accepted table. Grows by one with every accepted version.
--- a/cornelweir/src/metrics/limits.h
+++ b/cornelweir/src/metrics/limits.h
@@ -6,7 +6,7 @@
 
 namespace cornelweir::metrics {
 
-// Tenants choose their own ids, so the number of series must not grow with them.
+// Workspaces choose their own ids, so the number of series must not grow with them.
 inline constexpr std::size_t kMaxLabelValues = 64;
 inline constexpr std::size_t kMaxLabelBytes = 64;
 // Stands for every value of a label beyond kMaxLabelValues.
--- a/cornelweir/src/outcome/refusal_reason.cc
+++ b/cornelweir/src/outcome/refusal_reason.cc
@@ -11,9 +11,9 @@
   bool may_succeed_on_another_upstream;
 };
 
-// In the order of refusal_reason. A refusal by the tenant's limit is not retried on another
-// upstream, because one tenant above its limit would use up the retry budget that all tenants of
-// the service share.
+// In the order of refusal_reason. A refusal by the workspace's limit is not retried on another
+// upstream, because one workspace above its limit would use up the retry budget that all workspaces
+// of the service share.
 constexpr std::array<refusal_traits, 13> kRefusals = {{
     {"no route matches the path", false},
     {"the service has no usable upstream", false},
--- a/cornelweir/src/outcome/refusal_reason.h
+++ b/cornelweir/src/outcome/refusal_reason.h
@@ -13,7 +13,7 @@
   kQueueFull,
   kQueueTimeout,
   kDeadlinePassed,
-  kTenantLimit,
+  kWorkspaceLimit,
   kServiceLimit,
   kQuarantined,
   kClaimUnavailable,
--- a/cornelweir/src/table/rows.h
+++ b/cornelweir/src/table/rows.h
@@ -46,13 +46,13 @@
 
   kernel::request_count upstream_in_flight{1};
   kernel::request_count service_in_flight{1};
-  kernel::request_count tenant_in_flight{1};
+  kernel::request_count workspace_in_flight{1};
   kernel::request_count queue_length{0};
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"upstream_in_flight", &limit_row::upstream_in_flight},
                       kernel::field{"service_in_flight", &limit_row::service_in_flight},
-                      kernel::field{"tenant_in_flight", &limit_row::tenant_in_flight},
+                      kernel::field{"tenant_in_flight", &limit_row::workspace_in_flight},
                       kernel::field{"queue_length", &limit_row::queue_length}};
   }
   friend bool operator==(const limit_row&, const limit_row&) = default;
--- a/cornelweir/src/table/validate.cc
+++ b/cornelweir/src/table/validate.cc
@@ -89,7 +89,7 @@
   void Check(const row_key& key, const limit_row& row) {
     CheckRange(key, "upstream_in_flight", row.upstream_in_flight.value(), 1, kMaxInFlight);
     CheckRange(key, "service_in_flight", row.service_in_flight.value(), 1, kMaxInFlight);
-    CheckRange(key, "tenant_in_flight", row.tenant_in_flight.value(), 1, kMaxInFlight);
+    CheckRange(key, "tenant_in_flight", row.workspace_in_flight.value(), 1, kMaxInFlight);
     CheckRange(key, "queue_length", row.queue_length.value(), 0, kMaxQueueLength);
   }
 
--- a/plugins/proxy/local_upstream.cc
+++ b/plugins/proxy/local_upstream.cc
@@ -258,7 +258,7 @@
   const kernel::time_point now = context_.clock.Now();
   const admission::ticket ticket(next_ticket_++);
   const admission::admission_result result =
-      admission_.Submit(ticket, request.tenant, request.priority, request.deadline, now);
+      admission_.Submit(ticket, request.workspace, request.priority, request.deadline, now);
   if (result.displaced) Refuse(*result.displaced);
   if (result.state == admission::admission_state::kRefused) {
     request.on_refused(*result.reason);
--- a/plugins/proxy/local_upstream.h
+++ b/plugins/proxy/local_upstream.h
@@ -23,7 +23,7 @@
 // A request for the upstream on this daemon's host.
 struct local_request {
   std::shared_ptr<http::exchange> exchange;
-  kernel::tenant_id tenant;
+  kernel::workspace_id workspace;
   admission::priority_class priority = admission::priority_class::kNormal;
   outcome::deadline deadline;
   kernel::fingerprint fingerprint;
--- a/plugins/proxy/request_headers.cc
+++ b/plugins/proxy/request_headers.cc
@@ -9,7 +9,7 @@
 namespace cornelweir::plugins::proxy {
 namespace internal {
 
-constexpr std::size_t kMaxTenantBytes = 64;
+constexpr std::size_t kMaxWorkspaceBytes = 64;
 
 int HttpStatus(outcome::refusal_reason reason) {
   switch (reason) {
@@ -19,7 +19,7 @@
       return 400;
     case outcome::refusal_reason::kKeyMismatch:
       return 422;
-    case outcome::refusal_reason::kTenantLimit:
+    case outcome::refusal_reason::kWorkspaceLimit:
       return 429;
     case outcome::refusal_reason::kDeadlinePassed:
       return 504;
@@ -49,10 +49,10 @@
               boost::beast::string_view(value.data(), value.size()));
 }
 
-kernel::tenant_id ParseTenant(const http::request_head& head) {
-  const std::string_view name = head.Header(kTenantHeader);
-  if (name.empty()) return kernel::tenant_id("default");
-  return kernel::tenant_id(std::string(name.substr(0, internal::kMaxTenantBytes)));
+kernel::workspace_id ParseWorkspace(const http::request_head& head) {
+  const std::string_view name = head.Header(kWorkspaceHeader);
+  if (name.empty()) return kernel::workspace_id("default");
+  return kernel::workspace_id(std::string(name.substr(0, internal::kMaxWorkspaceBytes)));
 }
 
 admission::priority_class ParsePriority(const http::request_head& head) {
@@ -84,13 +84,13 @@
 kernel::fingerprint RequestFingerprint(const http::request_head& head) {
   const std::string_view key = head.Header(kIdempotencyKeyHeader);
   if (key.empty()) return ContentDigest(head);
-  const kernel::tenant_id tenant = ParseTenant(head);
-  const std::uint64_t seed = XXH64(tenant.value().data(), tenant.value().size(), 0);
+  const kernel::workspace_id workspace = ParseWorkspace(head);
+  const std::uint64_t seed = XXH64(workspace.value().data(), workspace.value().size(), 0);
   return kernel::fingerprint(XXH64(key.data(), key.size(), seed));
 }
 
 kernel::idempotency_key ClaimKey(const http::request_head& head, const kernel::route_name& route) {
-  return kernel::idempotency_key(ParseTenant(head).value() + "/" + route.value() + "/" +
+  return kernel::idempotency_key(ParseWorkspace(head).value() + "/" + route.value() + "/" +
                                  std::string(head.Header(kIdempotencyKeyHeader)));
 }
 
--- a/plugins/proxy/request_headers.h
+++ b/plugins/proxy/request_headers.h
@@ -18,16 +18,16 @@
 inline constexpr std::string_view kTimeoutHeader = "x-cornelweir-timeout-ms";
 inline constexpr std::string_view kRetryHeader = "x-cornelweir-retry";
 inline constexpr std::string_view kReplayedHeader = "x-cornelweir-replayed";
-inline constexpr std::string_view kTenantHeader = "x-tenant";
+inline constexpr std::string_view kWorkspaceHeader = "x-tenant";
 inline constexpr std::string_view kPriorityHeader = "x-priority";
 inline constexpr std::string_view kIdempotencyKeyHeader = "idempotency-key";
 
 // Adds the header, or replaces its value.
 void SetHeader(http::header_list& headers, std::string_view name, std::string_view value);
 
-// The caller's tenant, or "default" if the request names none. Names over 64 bytes are truncated,
-// which bounds the memory that a caller can occupy in the per-tenant tables.
-kernel::tenant_id ParseTenant(const http::request_head& head);
+// The caller's workspace, or "default" if the request names none. Names over 64 bytes are
+// truncated, which bounds the memory that a caller can occupy in the per-workspace tables.
+kernel::workspace_id ParseWorkspace(const http::request_head& head);
 
 // The priority that the caller asks for; normal if it is absent or unknown.
 admission::priority_class ParsePriority(const http::request_head& head);
@@ -40,12 +40,12 @@
 // A digest of the request's method and target.
 kernel::fingerprint ContentDigest(const http::request_head& head);
 
-// A digest that is the same for a request and its resends: of the tenant and the idempotency key if
-// there is a key, of the method and target otherwise.
+// A digest that is the same for a request and its resends: of the workspace and the idempotency key
+// if there is a key, of the method and target otherwise.
 kernel::fingerprint RequestFingerprint(const http::request_head& head);
 
 // The key under which a request is claimed. Callers choose idempotency keys independently of each
-// other, so the claim key also contains the tenant and the route.
+// other, so the claim key also contains the workspace and the route.
 kernel::idempotency_key ClaimKey(const http::request_head& head, const kernel::route_name& route);
 
 // Responds that the request did not run, with the status and headers for the reason.
--- a/plugins/proxy/request_router.cc
+++ b/plugins/proxy/request_router.cc
@@ -19,7 +19,7 @@
   using outcome::refusal_reason;
   for (const auto reason :
        {refusal_reason::kNoUpstream, refusal_reason::kQueueFull, refusal_reason::kQueueTimeout,
-        refusal_reason::kDeadlinePassed, refusal_reason::kTenantLimit,
+        refusal_reason::kDeadlinePassed, refusal_reason::kWorkspaceLimit,
         refusal_reason::kServiceLimit, refusal_reason::kShuttingDown, refusal_reason::kNotReady}) {
     if (outcome::RefusalText(reason) == text) return reason;
   }
@@ -92,7 +92,7 @@
   request->route = match->name;
   request->service = match->route.service;
   request->idempotent = match->route.idempotent;
-  request->tenant = ParseTenant(head);
+  request->workspace = ParseWorkspace(head);
   request->priority = ParsePriority(head);
   request->started_at = Now();
   request->deadline =
@@ -124,7 +124,7 @@
   const kernel::time_point now = Now();
   local_request local_run;
   local_run.exchange = exchange;
-  local_run.tenant = ParseTenant(head);
+  local_run.workspace = ParseWorkspace(head);
   local_run.priority = ParsePriority(head);
   local_run.deadline = ParseDeadline(head, kernel::milliseconds(table::kMaxWaitMs), now);
   local_run.fingerprint = RequestFingerprint(head);
@@ -266,7 +266,7 @@
 void request_router::RunLocally(const request_ptr& request, const kernel::upstream_id& upstream) {
   local_request local_run;
   local_run.exchange = request->exchange;
-  local_run.tenant = request->tenant;
+  local_run.workspace = request->workspace;
   local_run.priority = request->priority;
   local_run.deadline = request->deadline;
   local_run.fingerprint = request->fingerprint;
@@ -401,7 +401,7 @@
   const std::chrono::duration<double> seconds = Now() - request.started_at;
   metrics
       .Histogram("cornelweir_request_seconds", "Time from a request's header to its end",
-                 {{"tenant", request.tenant.value()}})
+                 {{"tenant", request.workspace.value()}})
       .Observe(seconds.count());
 }
 
--- a/plugins/proxy/request_router.h
+++ b/plugins/proxy/request_router.h
@@ -48,7 +48,7 @@
     kernel::route_name route;
     kernel::service_name service;
     bool idempotent = false;
-    kernel::tenant_id tenant;
+    kernel::workspace_id workspace;
     admission::priority_class priority = admission::priority_class::kNormal;
     outcome::deadline deadline;
     kernel::fingerprint fingerprint;
--- a/programs/cornelweir_load.cc
+++ b/programs/cornelweir_load.cc
@@ -43,7 +43,7 @@
   std::vector<weighted_path> paths;
   double rate = 0;
   double duration_s = 0;
-  std::uint64_t tenants = 0;
+  std::uint64_t workspaces = 0;
   double post_share = 0;
   int resend = 0;
   std::int64_t timeout_ms = 0;
@@ -73,7 +73,7 @@
 struct pending_request {
   std::uint64_t number = 0;
   std::string path;
-  std::string tenant;
+  std::string workspace;
   bool post = false;
   std::size_t target = 0;
   int attempt = 0;
@@ -227,7 +227,8 @@
     auto request = std::make_shared<pending_request>();
     request->number = ++numbers_;
     request->path = ChoosePath();
-    request->tenant = "tenant-" + std::to_string(kernel::UniformBelow(random_, settings_.tenants));
+    request->workspace =
+        "tenant-" + std::to_string(kernel::UniformBelow(random_, settings_.workspaces));
     request->post = Chance(settings_.post_share);
     request->target = kernel::UniformBelow(random_, settings_.targets.size());
     request->due = due;
@@ -239,7 +240,7 @@
     ++sent_;
     http::client_request message;
     message.target = request->path;
-    message.headers.set("x-tenant", request->tenant);
+    message.headers.set("x-tenant", request->workspace);
     message.headers.set("x-request-id", IdOf(*request, request->attempt));
     if (request->post) {
       message.method = http::method::post;
@@ -378,7 +379,7 @@
   add("path", program_options::value(&paths)->required(), "PATH or PATH=WEIGHT; may be repeated");
   add("rate", with(settings.rate, 100.0), "requests per second; 0 keeps in-flight requests busy");
   add("duration-s", with(settings.duration_s, 10.0), "time to send for");
-  add("tenants", with(settings.tenants, std::uint64_t{1}), "number of tenants");
+  add("tenants", with(settings.workspaces, std::uint64_t{1}), "number of workspaces");
   add("post-share", with(settings.post_share, 0.0), "share of requests that must not run twice");
   add("body-bytes", with(settings.body_bytes, std::size_t{64}), "size of the body of these");
   add("resend", with(settings.resend, 0), "attempts after a lost answer, each at another daemon");
@@ -416,7 +417,7 @@
     std::cerr << "cornelweir-load: at least one target and one request in flight are needed\n";
     return std::nullopt;
   }
-  settings.tenants = std::max<std::uint64_t>(settings.tenants, 1);
+  settings.workspaces = std::max<std::uint64_t>(settings.workspaces, 1);
   if (settings.key_prefix.empty()) settings.key_prefix = "s" + std::to_string(settings.seed);
   return settings;
 }
--- a/programs/cornelweir_replay/replayer.cc
+++ b/programs/cornelweir_replay/replayer.cc
@@ -425,7 +425,7 @@
   daemon& at = daemons_.at(event.daemon);
   const auto limit = outcome::deadline::After(kernel::milliseconds(event.timeout_ms), Now());
   const admission::admission_result result =
-      at.admission.Submit(admission::ticket(event.ticket), event.tenant,
+      at.admission.Submit(admission::ticket(event.ticket), event.workspace,
                           admission::priority_class::kNormal, limit, Now());
   if (result.displaced) at.requests[result.displaced->id.value()] = "refused";
   at.requests[event.ticket] = result.state == admission::admission_state::kAdmitted ? "admitted"
--- a/programs/cornelweir_replay/trace.h
+++ b/programs/cornelweir_replay/trace.h
@@ -92,13 +92,13 @@
 
   process_name daemon;
   std::uint64_t ticket = 0;
-  kernel::tenant_id tenant;
+  kernel::workspace_id workspace;
   std::int64_t timeout_ms = 1000;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"daemon", &request_event::daemon},
                       kernel::field{"ticket", &request_event::ticket},
-                      kernel::field{"tenant", &request_event::tenant},
+                      kernel::field{"tenant", &request_event::workspace},
                       kernel::field{"timeout_ms", &request_event::timeout_ms}};
   }
 };
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -23,17 +23,19 @@
 const kernel::time_point kStart{seconds(1000)};
 
 kernel::request_count Count(std::int64_t value) { return kernel::request_count(value); }
-kernel::tenant_id Tenant(int number) { return kernel::tenant_id("t" + std::to_string(number)); }
+kernel::workspace_id Workspace(int number) {
+  return kernel::workspace_id("t" + std::to_string(number));
+}
 
 // Random numbers from which a property derives its steps.
 std::vector<std::uint32_t> Schedule(std::size_t length) {
   return *rc::gen::container<std::vector<std::uint32_t>>(length, rc::gen::inRange(0U, 1U << 30));
 }
 
-admission_result Submit(admission_controller& controller, std::uint64_t id, int tenant,
+admission_result Submit(admission_controller& controller, std::uint64_t id, int workspace,
                         priority_class priority = priority_class::kNormal,
                         kernel::microseconds timeout = seconds(10)) {
-  return controller.Submit(ticket(id), Tenant(tenant), priority,
+  return controller.Submit(ticket(id), Workspace(workspace), priority,
                            outcome::deadline::After(timeout, kStart), kStart);
 }
 
@@ -55,29 +57,30 @@
   EXPECT_EQ(Submit(controller, 1, 1).reason, refusal_reason::kServiceLimit);
   controller.Configure(limits, Count(2), Count(1), kStart);
   EXPECT_EQ(Submit(controller, 1, 1).state, admission_state::kAdmitted);
-  EXPECT_EQ(Submit(controller, 2, 1).reason, refusal_reason::kTenantLimit);
+  EXPECT_EQ(Submit(controller, 2, 1).reason, refusal_reason::kWorkspaceLimit);
   EXPECT_EQ(Submit(controller, 3, 2).reason, refusal_reason::kServiceLimit);
   EXPECT_EQ(Submit(controller, 4, 2, {}, seconds(0)).reason, refusal_reason::kDeadlinePassed);
 }
 
-// Guards against a tenant that fills the queue, so that requests of all other tenants are refused.
-TEST(AdmissionController, DisplacesRequestsOfTheTenantWithTheMostQueued) {
+// Guards against a workspace that fills the queue, so that requests of all other workspaces are
+// refused.
+TEST(AdmissionController, DisplacesRequestsOfTheWorkspaceWithTheMostQueued) {
   admission_controller controller;
   controller.Configure({Count(1), Count(1), Count(4), seconds(1)}, Count(1), Count(1), kStart);
   for (std::uint64_t id = 0; id < 5; ++id) Submit(controller, id, 1);
-  EXPECT_EQ(Submit(controller, 5, 1).reason, refusal_reason::kTenantLimit);
+  EXPECT_EQ(Submit(controller, 5, 1).reason, refusal_reason::kWorkspaceLimit);
   const auto result = Submit(controller, 6, 2, priority_class::kLow);
   EXPECT_EQ(result.state, admission_state::kQueued);
   EXPECT_EQ(result.displaced, (refused_ticket{ticket(4), refusal_reason::kQueueFull}));
-  // The tenants now have 3 and 1 requests queued. Further requests displace others until the
-  // tenants are within one request of each other.
+  // The workspaces now have 3 and 1 requests queued. Further requests displace others until the
+  // workspaces are within one request of each other.
   EXPECT_TRUE(Submit(controller, 7, 2).displaced.has_value());
   EXPECT_TRUE(Submit(controller, 8, 3).displaced.has_value());
   EXPECT_EQ(Submit(controller, 9, 3).state, admission_state::kRefused);
   EXPECT_EQ(controller.queued(), Count(4));
 }
 
-// Guards against a tenant that starves others by sending all its requests in the highest class.
+// Guards against a workspace that starves others by sending all its requests in the highest class.
 TEST(AdmissionController, ServesLowerClassesWhileAHigherOneWaits) {
   admission_controller controller;
   controller.Configure({Count(1), Count(5), Count(100), seconds(9)}, Count(1), Count(1), kStart);
@@ -132,7 +135,7 @@
 // that must hold after each call.
 struct admission_oracle {
   struct waiting_request {
-    int tenant;
+    int workspace;
     priority_class priority;
     kernel::time_point deadline;
     kernel::time_point expiry;
@@ -142,15 +145,15 @@
   std::int64_t share = 0;
   std::map<ticket, int> running;
   std::map<ticket, waiting_request> waiting;
-  std::map<int, std::int64_t> running_by_tenant;
+  std::map<int, std::int64_t> running_by_workspace;
 
   std::int64_t Capacity() const {
     return std::min({limits.upstream_in_flight.value(), slots, share});
   }
-  void Run(ticket id, int tenant) {
-    running[id] = tenant;
+  void Run(ticket id, int workspace) {
+    running[id] = workspace;
     RC_ASSERT(static_cast<std::int64_t>(running.size()) <= Capacity());
-    RC_ASSERT(++running_by_tenant[tenant] <= limits.tenant_in_flight.value());
+    RC_ASSERT(++running_by_workspace[workspace] <= limits.workspace_in_flight.value());
   }
   void RunQueued(const std::vector<ticket>& admitted, kernel::time_point now) {
     for (const ticket id : admitted) {
@@ -159,16 +162,18 @@
       RC_ASSERT(request.expiry > now);
       for (const auto& [other, candidate] : waiting) {
         if (candidate.priority != request.priority || candidate.expiry <= now) continue;
-        if (candidate.tenant == request.tenant) RC_ASSERT(candidate.deadline >= request.deadline);
-        RC_ASSERT(running_by_tenant[candidate.tenant] >= running_by_tenant[request.tenant]);
+        if (candidate.workspace == request.workspace)
+          RC_ASSERT(candidate.deadline >= request.deadline);
+        RC_ASSERT(running_by_workspace[candidate.workspace] >=
+                  running_by_workspace[request.workspace]);
       }
       waiting.erase(id);
-      Run(id, request.tenant);
+      Run(id, request.workspace);
     }
     // No request that could run is still queued.
     for (const auto& [id, request] : waiting) {
       RC_ASSERT(request.expiry <= now || static_cast<std::int64_t>(running.size()) >= Capacity() ||
-                running_by_tenant[request.tenant] >= limits.tenant_in_flight.value());
+                running_by_workspace[request.workspace] >= limits.workspace_in_flight.value());
     }
   }
   void Refuse(const refused_ticket& refused) { RC_ASSERT(waiting.erase(refused.id) == 1U); }
@@ -186,15 +191,15 @@
     const std::uint32_t value = step / 16;
     if (choice < 8) {
       const ticket id(next_id++);
-      const int tenant = static_cast<int>(value % 5);
+      const int workspace = static_cast<int>(value % 5);
       const auto priority = static_cast<priority_class>(value / 5 % 3);
       const outcome::deadline deadline(now + milliseconds(value / 16 % 400));
-      const auto result = controller.Submit(id, Tenant(tenant), priority, deadline, now);
+      const auto result = controller.Submit(id, Workspace(workspace), priority, deadline, now);
       if (result.displaced) oracle.Refuse(*result.displaced);
       RC_ASSERT((result.state == admission_state::kRefused) == result.reason.has_value());
-      if (result.state == admission_state::kAdmitted) oracle.Run(id, tenant);
+      if (result.state == admission_state::kAdmitted) oracle.Run(id, workspace);
       if (result.state == admission_state::kQueued) {
-        oracle.waiting[id] = {tenant, priority, deadline.time(),
+        oracle.waiting[id] = {workspace, priority, deadline.time(),
                               std::min(deadline.time(), now + oracle.limits.queue_wait)};
         RC_ASSERT(controller.queued() <= oracle.limits.queue_length);
       }
@@ -202,7 +207,7 @@
       const auto ended = std::next(oracle.running.begin(),
                                    static_cast<std::ptrdiff_t>(value % oracle.running.size()));
       const ticket id = ended->first;
-      --oracle.running_by_tenant[ended->second];
+      --oracle.running_by_workspace[ended->second];
       oracle.running.erase(ended);
       oracle.RunQueued(controller.Release(id, now), now);
     } else if (choice == 12) {
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -23,11 +23,12 @@
             "slots_free 2.5\n");
 }
 
-// Guards against memory that grows with the number of tenants, and against lost counts.
-TEST(Metrics, CountsTenantsBeyondTheBoundUnderOther) {
+// Guards against memory that grows with the number of workspaces, and against lost counts.
+TEST(Metrics, CountsWorkspacesBeyondTheBoundUnderOther) {
   metrics_registry registry;
-  for (int tenant = 0; tenant < 1000; ++tenant) {
-    registry.Counter("requests_total", "", {{"tenant", "t" + std::to_string(tenant)}}).Increment();
+  for (int workspace = 0; workspace < 1000; ++workspace) {
+    registry.Counter("requests_total", "", {{"tenant", "t" + std::to_string(workspace)}})
+        .Increment();
   }
   registry.Counter("requests_total", "", {{"tenant", "t0"}}).Increment();
   const std::string text = registry.Render();
@@ -37,7 +38,7 @@
   EXPECT_EQ(text.find("\"t999\""), std::string::npos);
 }
 
-// Guards against a caller's tenant id that ends the label or the line.
+// Guards against a caller's workspace id that ends the label or the line.
 TEST(Metrics, EscapesAndCleansLabelValues) {
   metrics_registry registry;
   registry.Counter("c", "", {{"tenant", "a\"b\\c\nd\xff"}}).Increment();
