--- a/cornelweir/src/storage/file.cc
+++ b/cornelweir/src/storage/file.cc
@@ -104,6 +104,19 @@
   return identity;
 }
 
+std::filesystem::path TemporaryPath(const std::filesystem::path& path) {
+  std::filesystem::path temporary = path;
+  temporary += ".tmp";
+  return temporary;
+}
+
+boost::leaf::result<bool> Exists(const std::filesystem::path& path) {
+  std::error_code error;
+  const bool found = std::filesystem::exists(path, error);
+  if (error) return SystemError(path, 0, error.value());
+  return found;
+}
+
 boost::leaf::result<std::string> ReadFile(const std::filesystem::path& path) {
   const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
   if (descriptor < 0) return SystemError(path, 0, errno);
--- a/cornelweir/src/storage/file.h
+++ b/cornelweir/src/storage/file.h
@@ -69,6 +69,9 @@
 boost::leaf::error_id SystemError(const std::filesystem::path& path, std::uint64_t offset,
                                   int error);
 
+// The path at which the new content of a file is written before it is renamed to the path.
+std::filesystem::path TemporaryPath(const std::filesystem::path& path);
+boost::leaf::result<bool> Exists(const std::filesystem::path& path);
 boost::leaf::result<std::string> ReadFile(const std::filesystem::path& path);
 boost::leaf::result<void> TruncateFile(const std::filesystem::path& path, std::uint64_t size);
 // Makes the entries of a folder durable: files created, renamed or removed in it.
--- a/cornelweir/src/storage/log_store.cc
+++ b/cornelweir/src/storage/log_store.cc
@@ -1,18 +1,14 @@
 #include "cornelweir/src/storage/log_store.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <cstdio>
-#include <random>
-#include <string>
 #include <string_view>
 #include <system_error>
 
-#include "cornelweir/src/codec/cbor.h"
+#include "cornelweir/src/storage/identity_file.h"
 #include "cornelweir/src/storage/limits.h"
-#include "cornelweir/src/storage/record.h"
-#include "cornelweir/src/storage/storage_error.h"
+#include "cornelweir/src/storage/record_codec.h"
+#include "cornelweir/src/storage/segment_name.h"
+#include "cornelweir/src/storage/snapshot_file.h"
 
 namespace cornelweir::storage {
 namespace {
@@ -20,41 +16,7 @@
 constexpr std::string_view kIdentityName = "identity";
 constexpr std::string_view kSnapshotName = "snapshot";
 constexpr std::string_view kLockName = "lock";
-constexpr std::string_view kSegmentPrefix = "log-";
-constexpr std::string_view kTemporarySuffix = ".tmp";
 constexpr std::string_view kReplacedSuffix = ".replaced";
-constexpr int kSegmentNumberDigits = 20;
-
-boost::leaf::error_id MakeError(storage_fault fault, const std::filesystem::path& path,
-                                std::uint64_t offset = 0) {
-  return boost::leaf::new_error(storage_error{fault, path.string(), offset, 0});
-}
-
-std::string SegmentName(std::uint64_t number) {
-  std::string digits = std::to_string(number);
-  digits.insert(0, kSegmentNumberDigits - digits.size(), '0');
-  return std::string(kSegmentPrefix) + digits;
-}
-
-std::optional<std::uint64_t> SegmentNumber(const std::string& name) {
-  if (name.size() != kSegmentPrefix.size() + kSegmentNumberDigits ||
-      !name.starts_with(kSegmentPrefix)) {
-    return std::nullopt;
-  }
-  std::uint64_t number = 0;
-  const char* const begin = name.data() + kSegmentPrefix.size();
-  const char* const end = name.data() + name.size();
-  const auto parsed = std::from_chars(begin, end, number);
-  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
-  return number;
-}
-
-kernel::disk_id RandomDiskId() {
-  std::random_device device;
-  std::uint64_t value = 0;
-  while (value == 0) value = (std::uint64_t{device()} << 32U) | device();
-  return kernel::disk_id(value);
-}
 
 std::filesystem::path WithSuffix(const std::filesystem::path& path, std::string_view suffix) {
   std::filesystem::path suffixed = path;
@@ -62,33 +24,13 @@
   return suffixed;
 }
 
-boost::leaf::result<bool> Exists(const std::filesystem::path& path) {
-  std::error_code error;
-  const bool found = std::filesystem::exists(path, error);
-  if (error) return internal::SystemError(path, 0, error.value());
-  return found;
-}
-
-// Encodes a value as a record. Fails with kTooLarge above kMaxRecordBytes.
-template <class T>
-boost::leaf::result<std::string> EncodeRecord(const T& value, const std::filesystem::path& path) {
-  const std::string payload = codec::Encode(value);
-  if (payload.size() > kMaxRecordBytes) return MakeError(storage_fault::kTooLarge, path);
-  return internal::FrameRecord(payload);
-}
-
-// Decodes the payload of a record. Its checksum is correct, so a payload that can't be decoded was
-// written by another version of the code; fails with kInconsistent then.
-template <class T>
-boost::leaf::result<T> DecodeRecord(std::string_view payload, const std::filesystem::path& path,
-                                    std::uint64_t offset) {
-  boost::leaf::result<T> decoded = codec::Decode<T>(payload);
-  if (!decoded) return MakeError(storage_fault::kInconsistent, path, offset);
-  return std::move(decoded.value());
-}
-
 }  // namespace
 
+using internal::DecodeRecord;
+using internal::EncodeRecord;
+using internal::Exists;
+using internal::MakeError;
+
 // ---- Identity.
 
 boost::leaf::result<std::shared_ptr<log_store>> log_store::OpenLocked(
@@ -135,38 +77,19 @@
   recovered_.entries.clear();
   recovered_.torn_bytes = 0;
   recovered_.torn_file.clear();
-  recovered_.disk = RandomDiskId();
+  recovered_.disk = internal::RandomDiskId();
   recovered_.bootstrap = bootstrap;
   recovered_.identity_created = true;
   BOOST_LEAF_CHECK(StartSegment(/*reset=*/true, base_index_, base_term_));
-  const std::filesystem::path path = folder_ / kIdentityName;
-  BOOST_LEAF_AUTO(file, internal::file::Create(WithSuffix(path, kTemporarySuffix)));
-  internal::identity_record identity{kFormatVersion, recovered_.disk, bootstrap, {}};
-  BOOST_LEAF_ASSIGN(identity.file, file.Identity());
-  BOOST_LEAF_AUTO(record, EncodeRecord(identity, path));
-  BOOST_LEAF_CHECK(file.Append(record));
-  BOOST_LEAF_CHECK(file.Sync());
-  BOOST_LEAF_CHECK(internal::Rename(file.path(), path));
-  return internal::SyncFolder(folder_);
+  return internal::WriteIdentityFile(folder_ / kIdentityName, recovered_.disk, bootstrap);
 }
 
 boost::leaf::result<bool> log_store::LoadIdentity() {
-  const std::filesystem::path path = folder_ / kIdentityName;
-  BOOST_LEAF_AUTO(exists, Exists(path));
-  if (!exists) return false;
-  BOOST_LEAF_AUTO(content, internal::ReadFile(path));
-  const internal::parsed_record record = internal::ReadRecord(content, 0);
-  // The file was complete before it was renamed to this path, so a torn record is damage too.
-  if (record.state != internal::record_state::kComplete) {
-    return MakeError(storage_fault::kDamaged, path);
-  }
-  BOOST_LEAF_AUTO(identity, DecodeRecord<internal::identity_record>(record.payload, path, 0));
-  if (identity.version > kFormatVersion) return MakeError(storage_fault::kInconsistent, path);
-  BOOST_LEAF_AUTO(file, internal::file::OpenForAppend(path));
-  BOOST_LEAF_AUTO(actual, file.Identity());
-  recovered_.disk = identity.disk;
-  recovered_.bootstrap = identity.bootstrap;
-  return copy_check_ == copy_check::kNone || internal::IsSameFile(identity.file, actual);
+  BOOST_LEAF_AUTO(identity, internal::ReadIdentityFile(folder_ / kIdentityName));
+  if (!identity) return false;
+  recovered_.disk = identity->disk;
+  recovered_.bootstrap = identity->bootstrap;
+  return copy_check_ == copy_check::kNone || identity->is_original;
 }
 
 // ---- Reading.
@@ -189,7 +112,8 @@
   if (!belongs) {
     BOOST_LEAF_CHECK(store->CreateIdentity(/*bootstrap=*/false));
   } else {
-    BOOST_LEAF_CHECK(store->LoadSnapshot());
+    BOOST_LEAF_ASSIGN(store->recovered_.snapshot,
+                      internal::ReadSnapshotFile(folder / kSnapshotName, store->recovered_.disk));
     BOOST_LEAF_CHECK(store->ReconcileWithSnapshot());
   }
   store->recovered_.state = store->state_;
@@ -208,7 +132,7 @@
   std::error_code error;
   std::filesystem::directory_iterator files(folder_, error);
   for (; !error && files != std::filesystem::directory_iterator(); files.increment(error)) {
-    const auto number = SegmentNumber(files->path().filename().string());
+    const auto number = internal::SegmentNumber(files->path().filename().string());
     if (number) segments_.push_back(segment{files->path(), *number, {}});
   }
   if (error) return internal::SystemError(folder_, 0, error.value());
@@ -313,36 +237,6 @@
   return {};
 }
 
-boost::leaf::result<void> log_store::LoadSnapshot() {
-  const std::filesystem::path path = folder_ / kSnapshotName;
-  BOOST_LEAF_AUTO(exists, Exists(path));
-  if (!exists) return {};
-  BOOST_LEAF_AUTO(content, internal::ReadFile(path));
-  internal::parsed_record record = internal::ReadRecord(content, 0);
-  if (record.state != internal::record_state::kComplete) {
-    return MakeError(storage_fault::kDamaged, path);
-  }
-  BOOST_LEAF_AUTO(header, DecodeRecord<internal::snapshot_header>(record.payload, path, 0));
-  if (header.version > kFormatVersion || header.disk != recovered_.disk) {
-    return MakeError(storage_fault::kInconsistent, path);
-  }
-  replication::snapshot loaded{header.index, header.term, header.configuration, {}};
-  std::size_t offset = internal::kRecordHeaderBytes + record.payload.size();
-  while (loaded.data.bytes.size() < header.size) {
-    record = internal::ReadRecord(content, offset);
-    if (record.state != internal::record_state::kComplete) {
-      return MakeError(storage_fault::kDamaged, path, offset);
-    }
-    loaded.data.bytes += record.payload;
-    offset += internal::kRecordHeaderBytes + record.payload.size();
-  }
-  if (loaded.data.bytes.size() != header.size || offset != content.size()) {
-    return MakeError(storage_fault::kDamaged, path, offset);
-  }
-  recovered_.snapshot = std::move(loaded);
-  return {};
-}
-
 boost::leaf::result<void> log_store::ReconcileWithSnapshot() {
   if (!recovered_.snapshot) {
     if (base_index_ == kernel::log_index()) return {};
@@ -373,7 +267,7 @@
   }
   segment started;
   started.number = segments_.empty() ? 1 : segments_.back().number + 1;
-  started.path = folder_ / SegmentName(started.number);
+  started.path = folder_ / internal::SegmentName(started.number);
   BOOST_LEAF_AUTO(file, internal::file::Create(started.path));
   internal::segment_header header{kFormatVersion, recovered_.disk, started.number, {},
                                   state_,         reset,           index,          term};
@@ -447,7 +341,8 @@
     return MakeError(storage_fault::kTooLarge, folder_ / kSnapshotName);
   }
   if (saved.index < base_index_) return {};
-  BOOST_LEAF_CHECK(MarkFailedOnError(WriteSnapshot(saved)));
+  BOOST_LEAF_CHECK(MarkFailedOnError(
+      internal::WriteSnapshotFile(folder_ / kSnapshotName, recovered_.disk, saved)));
   if (HasPosition(saved.index, saved.term)) {
     AdvanceBase(saved.index, saved.term);
   } else {
@@ -462,24 +357,6 @@
   return {};
 }
 
-boost::leaf::result<void> log_store::WriteSnapshot(const replication::snapshot& saved) {
-  const std::filesystem::path path = folder_ / kSnapshotName;
-  BOOST_LEAF_AUTO(file, internal::file::Create(WithSuffix(path, kTemporarySuffix)));
-  const std::string& data = saved.data.bytes;
-  BOOST_LEAF_AUTO(
-      header, EncodeRecord(internal::snapshot_header{kFormatVersion, recovered_.disk, saved.index,
-                                                     saved.term, saved.configuration, data.size()},
-                           path));
-  BOOST_LEAF_CHECK(file.Append(header));
-  for (std::size_t offset = 0; offset < data.size(); offset += kSnapshotPieceBytes) {
-    BOOST_LEAF_CHECK(file.Append(
-        internal::FrameRecord(std::string_view(data).substr(offset, kSnapshotPieceBytes))));
-  }
-  BOOST_LEAF_CHECK(file.Sync());
-  BOOST_LEAF_CHECK(internal::Rename(file.path(), path));
-  return internal::SyncFolder(folder_);
-}
-
 // Removes the oldest segment. Syncs the folder after each removal, so that a crash can't leave a
 // gap between segments.
 boost::leaf::result<void> log_store::RemoveFirstSegment() {
--- a/cornelweir/src/storage/log_store.h
+++ b/cornelweir/src/storage/log_store.h
@@ -84,7 +84,6 @@
   // Whether the folder has an identity that was created for it. Fails if the identity is damaged.
   boost::leaf::result<bool> LoadIdentity();
   boost::leaf::result<void> ListSegments();
-  boost::leaf::result<void> LoadSnapshot();
   // Whether the segments were written for the identity of this folder.
   boost::leaf::result<bool> LoadSegments();
   boost::leaf::result<bool> LoadSegment(std::size_t position);
@@ -93,7 +92,6 @@
   boost::leaf::result<void> ReconcileWithSnapshot();
   boost::leaf::result<void> StartSegment(bool reset, kernel::log_index index, kernel::term term);
   boost::leaf::result<void> WriteRecord(const internal::log_record& written);
-  boost::leaf::result<void> WriteSnapshot(const replication::snapshot& saved);
   boost::leaf::result<void> RemoveFirstSegment();
   bool HasPosition(kernel::log_index index, kernel::term term) const;
   kernel::log_index last_index() const;
