--- a/cornelweir/src/kernel/strong_id.h
+++ b/cornelweir/src/kernel/strong_id.h
@@ -33,6 +33,12 @@
   return strong_id<Tag, Rep>(id.value() + 1);
 }
 
+// Returns the id before the given one, or 0 for 0.
+template <class Tag, class Rep>
+constexpr strong_id<Tag, Rep> Previous(const strong_id<Tag, Rep>& id) {
+  return strong_id<Tag, Rep>(id.value() == 0 ? 0 : id.value() - 1);
+}
+
 }  // namespace cornelweir::kernel
 
 template <class Tag, class Rep>
--- a/cornelweir/src/replication/group_configuration.cc
+++ b/cornelweir/src/replication/group_configuration.cc
@@ -22,4 +22,10 @@
   return nullptr;
 }
 
+bool IsRecordedDisk(const group_configuration& configuration, const kernel::host_id& host,
+                    kernel::disk_id disk, bool bootstrap) {
+  const disk_record* record = FindDiskRecord(configuration, host);
+  return record != nullptr ? record->disk == disk : bootstrap;
+}
+
 }  // namespace cornelweir::replication
--- a/cornelweir/src/replication/group_configuration.h
+++ b/cornelweir/src/replication/group_configuration.h
@@ -48,6 +48,11 @@
 const disk_record* FindDiskRecord(const group_configuration& configuration,
                                   const kernel::host_id& host);
 
+// Whether a host on this disk is the member that the configuration records. Without a record, any
+// disk that was started with the bootstrap flag counts.
+bool IsRecordedDisk(const group_configuration& configuration, const kernel::host_id& host,
+                    kernel::disk_id disk, bool bootstrap);
+
 }  // namespace cornelweir::replication
 
 #endif  // CORNELWEIR_SRC_REPLICATION_GROUP_CONFIGURATION_H_
