--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -204,10 +204,17 @@
         print(f"  {programs}/cornelweirctl table")
         for target in self.fleet.targets:
             print(f"  curl -i http://{target.data}/{target.service}/1   # beside {target.name}")
-        print("stop them with:  pkill -f " + str(self.folder))
+        self.fleet.record_processes()
+        print(f"stop them with:  scripts/demo --stop {self.folder}")
 
 
 def main(arguments):
+    if arguments[:1] == ["--stop"]:
+        if len(arguments) != 2:
+            print("usage: demo --stop FOLDER", file=sys.stderr)
+            return 2
+        print(f"stopped {fleets.stop_recorded(arguments[1])} processes")
+        return 0
     keep = "--keep" in arguments
     names = [a for a in arguments if not a.startswith("--")] or ["all"]
     if names == ["all"]:
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -81,6 +81,15 @@
             return error.code, None
 
 
+def start_time(pid):
+    """Start time of a process in clock ticks since boot, or None if there is none with this id."""
+    try:
+        fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    except FileNotFoundError:
+        return None
+    return int(fields[19])
+
+
 class Process:
     """One process of the fleet, its command line and its log."""
 
@@ -145,6 +154,21 @@
         self.record = None
 
 
+PROCESSES_FILE = "processes"
+
+
+def stop_recorded(folder):
+    """Stops the processes that record_processes() wrote to the folder. An id that another process
+    has now, which has another start time, is left alone. Returns how many were stopped."""
+    stopped = 0
+    for line in (pathlib.Path(folder) / PROCESSES_FILE).read_text().splitlines():
+        pid, started, _ = line.split(maxsplit=2)
+        if start_time(pid) == int(started):
+            os.kill(int(pid), signal.SIGTERM)
+            stopped += 1
+    return stopped
+
+
 class Fleet:
     """Control hosts, daemons and upstreams of one deployment."""
 
@@ -249,11 +273,23 @@
             self.start_target(target)
 
     def stop(self):
-        processes = [t.upstream for t in self.targets] + [t.daemon for t in self.targets]
-        processes += [c.process for c in self.controls]
-        for process in processes:
-            if process is not None:
-                process.kill()
+        for process in self.processes():
+            process.kill()
+
+    def processes(self):
+        """The processes in the order in which they stop."""
+        started = [t.upstream for t in self.targets] + [t.daemon for t in self.targets]
+        started += [c.process for c in self.controls]
+        return [process for process in started if process is not None]
+
+    def record_processes(self):
+        """Writes the ids of the running processes to a file, for stop_recorded()."""
+        lines = [
+            f"{p.child.pid} {start_time(p.child.pid)} {p.name}\n"
+            for p in self.processes()
+            if p.alive()
+        ]
+        (self.folder / PROCESSES_FILE).write_text("".join(lines))
 
     def control_endpoints(self):
         return ",".join(c.admin for c in self.controls)
