--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -74,11 +74,16 @@
   return displaced;
 }
 
-std::vector<ticket> slot_queue::AdmitQueued(kernel::time_point /*now*/) {
+// Skips requests that are overdue, which Expire() has not removed yet if the process was paused.
+std::vector<ticket> slot_queue::AdmitQueued(kernel::time_point now) {
   std::vector<ticket> admitted;
-  while (running() < slots_ && !queue_.empty()) {
-    const ticket id = queue_.begin()->second.id;
-    queue_.erase(queue_.begin());
+  for (auto next = queue_.begin(); running() < slots_ && next != queue_.end();) {
+    if (WouldMissDeadline(next->second, now)) {
+      ++next;
+      continue;
+    }
+    const ticket id = next->second.id;
+    next = queue_.erase(next);
     queue_keys_.erase(id);
     running_.insert(id);
     admitted.push_back(id);
--- a/cornelweir/src/kernel/clock.h
+++ b/cornelweir/src/kernel/clock.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <ctime>
 
 #include "cornelweir/src/kernel/quantity.h"
 
@@ -26,12 +27,15 @@
   { clock.Now() } -> std::same_as<time_point>;
 };
 
-// Reads the monotonic clock of the host.
+// Reads the monotonic clock of the host. It includes the time for which the host was suspended,
+// which std::chrono::steady_clock omits, so that a deadline that passed meanwhile has passed.
 class steady_clock_source {
  public:
   time_point Now() const {
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
     return time_point(std::chrono::duration_cast<microseconds>(
-        std::chrono::steady_clock::now().time_since_epoch()));
+        std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
   }
 };
 
--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -49,6 +49,19 @@
       << "a small response was refused";
 }
 
+// Guards against running a queued request whose deadline passed while the process was paused: the
+// next slot may become free before the expired requests are removed.
+TEST(SlotQueue, DoesNotRunAQueuedRequestAfterItsDeadline) {
+  slot_queue queue = Queue(1);
+  ASSERT_EQ(queue.Submit(Request(1, 500), kStart).outcome, kind::kRun);
+  ASSERT_EQ(queue.Submit(Request(2, 500), kStart).outcome, kind::kQueue);
+  ASSERT_EQ(queue.Submit(Request(3, 5'000, 1, false, 6'000), kStart).outcome, kind::kQueue);
+  const kernel::time_point after_pause = kStart + milliseconds(3'000);
+  EXPECT_EQ(queue.Release(ticket(1), milliseconds(100), after_pause),
+            std::vector<ticket>{ticket(3)});
+  EXPECT_EQ(queue.Expire(after_pause), std::vector<ticket>{ticket(2)});
+}
+
 // Guards against running more requests on an upstream than it has slots: some upstreams never
 // answer the excess ones.
 TEST(SlotQueue, NeverRunsMoreThanTheSlots) {
