Charge the calls of retried requests to the retry budget

The daemon beside the calling upstream now counts each call as the fraction of retries among the requests that are running, so 0.9 of the ratio can be used at every depth and half of the slack.

--- a/cornelweir/src/outcome/limits.h
+++ b/cornelweir/src/outcome/limits.h
@@ -31,10 +31,13 @@
 // Attempts for one request by the daemon that received it from the caller, including the first one.
 inline constexpr int kMaxAttempts = 3;
 
-// The fraction of a shared budget that retries may use. The rest is left for indirect retries: a
-// request that runs again repeats its own calls, which count against the budgets of the services
-// called.
-inline constexpr double kOwnRetryShare = 0.6;
+// The fractions of the ratio and of the slack of a shared budget that are used. A request that runs
+// again repeats its calls, which count as retries of the services called. Those that the ratio
+// allows are covered by the ratio of these services, since every call is also one of their
+// requests; those that the slack allows are not. The rest of the ratio covers counting errors, for
+// example after the restart of a daemon.
+inline constexpr double kUsedRatio = 0.9;
+inline constexpr double kUsedSlack = 0.5;
 
 }  // namespace cornelweir::outcome
 
--- a/cornelweir/src/outcome/shared_retry_budget.cc
+++ b/cornelweir/src/outcome/shared_retry_budget.cc
@@ -23,21 +23,24 @@
 
 void shared_retry_budget::OnRequest(kernel::time_point now) { ++CurrentBucket(now).requests; }
 
+void shared_retry_budget::OnIndirectRetry(double fraction, kernel::time_point now) {
+  CurrentBucket(now).retries += fraction;
+}
+
 bool shared_retry_budget::TryRetry(std::size_t daemon_count, kernel::time_point now) {
   bucket& current = CurrentBucket(now);
   const auto oldest = current.number - static_cast<std::int64_t>(kBuckets);
   std::int64_t requests = 0;
-  std::int64_t retries = 0;
+  double retries = 0;
   for (const bucket& counted : buckets_) {
     if (counted.number >= oldest) retries += counted.retries;
     if (counted.number > oldest) requests += counted.requests;
   }
   const double allowed_retries =
-      kOwnRetryShare *
-      (limits_.ratio * static_cast<double>(requests) +
-       limits_.slack / static_cast<double>(std::max<std::size_t>(daemon_count, 1)));
-  if (static_cast<double>(retries + 1) > allowed_retries) return false;
-  ++current.retries;
+      kUsedRatio * limits_.ratio * static_cast<double>(requests) +
+      kUsedSlack * limits_.slack / static_cast<double>(std::max<std::size_t>(daemon_count, 1));
+  if (retries + 1 > allowed_retries) return false;
+  current.retries += 1;
   return true;
 }
 
--- a/cornelweir/src/outcome/shared_retry_budget.h
+++ b/cornelweir/src/outcome/shared_retry_budget.h
@@ -28,6 +28,8 @@
 
   // Counts the first attempt of a request.
   void OnRequest(kernel::time_point now);
+  // Counts a call that an upstream has made while it ran retries, as this fraction of a retry.
+  void OnIndirectRetry(double fraction, kernel::time_point now);
   // Counts a retry if the budget allows it. Returns whether it does.
   bool TryRetry(std::size_t daemon_count, kernel::time_point now);
 
@@ -36,7 +38,8 @@
   struct bucket {
     std::int64_t number = -1;
     std::int64_t requests = 0;
-    std::int64_t retries = 0;
+    // Not a whole number, because of indirect retries.
+    double retries = 0;
   };
 
   // The bucket of this time, emptied if it was last used for an earlier time.
