Keep what a daemon last knew of its upstream in the roster

A daemon has no disk. When it restarts alone, a health probe does not tell that the upstream has announced its end, nor how many slots it has. Control hosts keep the last announcement and share it among themselves; other daemons do not get it. Tests: roster_test.

--- a/cornelweir/membership.h
+++ b/cornelweir/membership.h
@@ -5,6 +5,7 @@
 // and the roster of daemons.
 
 #include "cornelweir/src/membership/announce_result.h"
+#include "cornelweir/src/membership/announced_upstream.h"
 #include "cornelweir/src/membership/lease_tracker.h"
 #include "cornelweir/src/membership/limits.h"
 #include "cornelweir/src/membership/member_change.h"
--- a/cornelweir/src/membership/roster.cc
+++ b/cornelweir/src/membership/roster.cc
@@ -15,7 +15,10 @@
   if (!newer && stored.revision != 0) return kernel::incarnation();
   const bool changed =
       stored.revision == 0 || stored.gone != entry.leaving || !entry.HasSameContentAs(stored.entry);
+  std::optional<announced_upstream> last_upstream = std::move(stored.entry.upstream);
   stored.entry = entry;
+  // A daemon that has just restarted does not know its upstream yet.
+  if (!stored.entry.upstream) stored.entry.upstream = std::move(last_upstream);
   stored.reported_at = now;
   stored.gone = entry.leaving;
   if (changed) stored.revision = ++revision_;
@@ -46,6 +49,7 @@
       changes.gone.push_back(daemon);
     } else {
       changes.present.push_back(stored.entry);
+      changes.present.back().upstream.reset();
     }
   }
   return changes;
--- a/cornelweir/src/membership/roster_entry.h
+++ b/cornelweir/src/membership/roster_entry.h
@@ -2,15 +2,17 @@
 #define CORNELWEIR_SRC_MEMBERSHIP_ROSTER_ENTRY_H_
 
 #include <cstdint>
+#include <optional>
 #include <tuple>
 
 #include "cornelweir/src/kernel/field.h"
 #include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/membership/announced_upstream.h"
 
 namespace cornelweir::membership {
 
-// A daemon and the service of the upstream on its host. The state of the upstream is not part of
-// it: the daemon reports that to the other daemons itself.
+// A daemon and the service of the upstream on its host. Other daemons do not get the state of the
+// upstream from it: the daemon reports that to them itself.
 struct roster_entry {
   // The address at which other daemons reach it.
   kernel::endpoint daemon;
@@ -22,6 +24,9 @@
   std::uint64_t sequence = 0;
   // The daemon is shutting down.
   bool leaving = false;
+  // Only for the control hosts and for this daemon after a restart. Empty if its process has not
+  // received an announcement yet.
+  std::optional<announced_upstream> upstream;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"daemon", &roster_entry::daemon},
@@ -29,11 +34,12 @@
                       kernel::field{"service", &roster_entry::service},
                       kernel::field{"incarnation", &roster_entry::incarnation},
                       kernel::field{"sequence", &roster_entry::sequence},
-                      kernel::field{"leaving", &roster_entry::leaving}};
+                      kernel::field{"leaving", &roster_entry::leaving},
+                      kernel::field{"upstream", &roster_entry::upstream}};
   }
   friend bool operator==(const roster_entry&, const roster_entry&) = default;
 
-  // Whether two reports of a daemon are equal apart from their numbers.
+  // Whether two reports of a daemon are equal for other daemons, apart from their numbers.
   bool HasSameContentAs(const roster_entry& other) const {
     return failure_domain == other.failure_domain && service == other.service &&
            leaving == other.leaving && incarnation == other.incarnation;
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -49,6 +49,8 @@
   // sent.
   kernel::microseconds time_left{};
   kernel::microseconds objective_left{};
+  // Another upstream may have received the request before.
+  bool repeated = false;
   bool last = true;
 
   static constexpr auto Fields() {
@@ -63,6 +65,7 @@
                       kernel::field{"n", &run_request::route},
                       kernel::field{"l", &run_request::time_left},
                       kernel::field{"o", &run_request::objective_left},
+                      kernel::field{"x", &run_request::repeated},
                       kernel::field{"e", &run_request::last}};
   }
 };
@@ -96,13 +99,15 @@
   std::int32_t status = 0;
   header_pairs headers;
   upstream_load load;
+  // The request is a call of a running upstream, as far as the daemon can tell.
+  bool nested = false;
   bool last = true;
 
   static constexpr auto Fields() {
     return std::tuple{
-        kernel::field{"i", &run_response::id}, kernel::field{"s", &run_response::status},
+        kernel::field{"i", &run_response::id},      kernel::field{"s", &run_response::status},
         kernel::field{"h", &run_response::headers}, kernel::field{"w", &run_response::load},
-        kernel::field{"e", &run_response::last}};
+        kernel::field{"n", &run_response::nested},  kernel::field{"e", &run_response::last}};
   }
 };
 
@@ -129,11 +134,14 @@
   // Estimated time until there is capacity; 0 if unknown.
   kernel::microseconds retry_after{};
   upstream_load load;
+  // See run_response.
+  bool nested = false;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"i", &run_failed::id}, kernel::field{"f", &run_failed::failure},
                       kernel::field{"a", &run_failed::retry_after},
-                      kernel::field{"w", &run_failed::load}};
+                      kernel::field{"w", &run_failed::load},
+                      kernel::field{"n", &run_failed::nested}};
   }
 };
 
--- a/cornelweir/src/protocol/fleet_messages.h
+++ b/cornelweir/src/protocol/fleet_messages.h
@@ -44,6 +44,8 @@
   std::vector<kernel::endpoint> gone;
   // Endpoints at which other control hosts accept links of daemons. Empty if unchanged.
   std::vector<kernel::endpoint> control_hosts;
+  // The upstream that the daemon last reported, possibly before a restart. Sent once on each link.
+  std::optional<membership::announced_upstream> last_upstream;
   // If not 0, the daemon must use a greater incarnation, as its reports are ignored otherwise.
   kernel::incarnation superseded_incarnation;
 
@@ -54,6 +56,7 @@
                       kernel::field{"present", &fleet_update::present},
                       kernel::field{"gone", &fleet_update::gone},
                       kernel::field{"control_hosts", &fleet_update::control_hosts},
+                      kernel::field{"upstream", &fleet_update::last_upstream},
                       kernel::field{"needed", &fleet_update::superseded_incarnation}};
   }
 };
--- a/cornelweir/src/protocol/limits.h
+++ b/cornelweir/src/protocol/limits.h
@@ -26,10 +26,14 @@
 inline constexpr kernel::milliseconds kMaxConfirmationAge{500};
 // Bodies are sent between daemons in pieces of this size, so that other requests can interleave.
 inline constexpr std::size_t kBodyPieceBytes = std::size_t{64} << 10;
-// A link with pending requests is probed after kLinkProbeDelay without any message, and closed
-// after kLinkTimeout without any message.
+// Largest sum of the bodies that are being received on one link.
+inline constexpr std::size_t kMaxLinkBodyBytes = std::size_t{32} << 20;
+// A link with pending requests is probed after kLinkProbeDelay without any message, and not used
+// for new requests after kLinkTimeout without any message. It is closed if it stays silent for
+// kMaxSilence longer; until then the results of requests that must not run twice may still arrive.
 inline constexpr kernel::milliseconds kLinkProbeDelay{200};
 inline constexpr kernel::milliseconds kLinkTimeout{600};
+inline constexpr kernel::milliseconds kMaxSilence{5'000};
 
 }  // namespace cornelweir::protocol
 
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -62,5 +62,36 @@
   EXPECT_EQ(daemons.size(), 1U);
 }
 
+// Guards against a daemon that restarts and uses an upstream that has announced its end: the first
+// report of the new process must not erase what the earlier one reported.
+TEST(Roster, KeepsTheUpstreamOfADaemonThatRestarts) {
+  roster daemons;
+  roster_entry before = Entry(5, 1);
+  before.upstream =
+      announced_upstream{kernel::upstream_id("u1"), kernel::incarnation(3), 9, 6, true};
+  daemons.RecordReport(before, kStart);
+  daemons.RecordReport(Entry(6, 1), kStart);
+  EXPECT_EQ(daemons.Find(before.daemon)->upstream, before.upstream);
+  roster_entry replaced = Entry(6, 2);
+  replaced.upstream = announced_upstream{kernel::upstream_id("u2"), kernel::incarnation(4), 1, 6};
+  daemons.RecordReport(replaced, kStart);
+  EXPECT_EQ(daemons.Find(before.daemon)->upstream, replaced.upstream);
+}
+
+// Guards against sending the state of every upstream to every daemon.
+TEST(Roster, ChangesOmitTheUpstream) {
+  roster daemons;
+  roster_entry entry = Entry(5, 1);
+  entry.upstream = announced_upstream{kernel::upstream_id("u1"), kernel::incarnation(3), 9, 6};
+  daemons.RecordReport(entry, kStart);
+  const std::uint64_t revision = daemons.revision();
+  entry.sequence = 2;
+  entry.upstream->sequence = 10;
+  daemons.RecordReport(entry, kStart);
+  EXPECT_EQ(daemons.revision(), revision);
+  ASSERT_EQ(daemons.ChangesSince(0).present.size(), 1U);
+  EXPECT_FALSE(daemons.ChangesSince(0).present[0].upstream);
+}
+
 }  // namespace
 }  // namespace cornelweir::membership
