Send what is queued on a link before it closes

Closing a socket whose received bytes are unread resets the connection, and the peer loses results that it has not read. CloseAfterDrain sends the queue, ends the sending side and waits for the peer, 400 ms at most. Tests: transport_test (DeliversQueuedMessagesBeforeADrainedLinkCloses, ClosesADrainedLinkWhosePeerDoesNotRead).

--- a/cornelweir/src/transport/limits.h
+++ b/cornelweir/src/transport/limits.h
@@ -16,6 +16,8 @@
 // Covers connecting and the TLS and WebSocket handshakes. Long enough for a lost handshake packet
 // to be retransmitted.
 inline constexpr std::chrono::milliseconds kOpenTimeout{1500};
+// How long a link that is being closed may take to send its queue and to be closed by its peer.
+inline constexpr std::chrono::milliseconds kDrainTimeout{400};
 // Unacknowledged data or unanswered keepalive probes close a link to an unresponsive peer after
 // these times.
 inline constexpr loop::tcp_keepalive_options kLinkKeepaliveOptions{.user_timeout_ms = 1'500,
--- a/cornelweir/src/transport/link.cc
+++ b/cornelweir/src/transport/link.cc
@@ -26,7 +26,7 @@
 link::link(boost::asio::io_context& context, tcp::socket socket, tls_context tls, side local_side,
            link_handlers handlers)
     : context_(context),
-      open_timer_(context),
+      state_timer_(context),
       stream_(std::move(socket), std::move(tls)),
       handlers_(std::move(handlers)),
       side_(local_side) {}
@@ -42,7 +42,7 @@
                       [self] { self->Finish("the endpoint is not an IP address and port"); });
     return self;
   }
-  self->StartOpenTimer();
+  self->StartStateTimer(state::kOpening, kOpenTimeout, "handshake timed out");
   auto socket = std::make_shared<tcp::socket>(context);
   socket->async_connect(address, [self, socket, tls](error_code error) {
     if (self->state_ == state::kClosed) return;
@@ -60,17 +60,18 @@
                                    const tls_context& tls, link_handlers handlers) {
   std::shared_ptr<link> self(
       new link(context, std::move(socket), tls, side::kServer, std::move(handlers)));
-  self->StartOpenTimer();
+  self->StartStateTimer(state::kOpening, kOpenTimeout, "handshake timed out");
   self->StartHandshake();
   return self;
 }
 
-void link::StartOpenTimer() {
-  open_timer_.expires_after(kOpenTimeout);
-  open_timer_.async_wait([weak = weak_from_this()](error_code error) {
-    const auto self = weak.lock();
-    if (!error && self && self->state_ == state::kOpening) self->Finish("handshake timed out");
-  });
+void link::StartStateTimer(state limited, std::chrono::milliseconds timeout, std::string reason) {
+  state_timer_.expires_after(timeout);
+  state_timer_.async_wait(
+      [weak = weak_from_this(), limited, reason = std::move(reason)](error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && self->state_ == limited) self->Finish(reason);
+      });
 }
 
 void link::StartHandshake() {
@@ -87,7 +88,7 @@
     callbacks.write = [raw](const char* data, std::size_t size) { raw->QueueBytes(data, size); };
     callbacks.opened = [raw] {
       raw->state_ = state::kOpen;
-      raw->open_timer_.cancel();
+      raw->state_timer_.cancel();
       if (raw->handlers_.opened) raw->handlers_.opened(raw->shared_from_this());
     };
     callbacks.message = [raw](const std::string& payload) {
@@ -111,7 +112,7 @@
       return;
     }
     self->bytes_received_ += bytes.size();
-    self->codec_->Feed(bytes.data(), bytes.size());
+    if (self->state_ != state::kDraining) self->codec_->Feed(bytes.data(), bytes.size());
     self->ReadSome();
   });
 }
@@ -132,7 +133,8 @@
 }
 
 void link::WriteNext() {
-  if (send_queue_.empty() || state_ == state::kClosed) return;
+  if (state_ == state::kClosed) return;
+  if (send_queue_.empty()) return ShutdownWhenSent();
   write_buffer_.swap(send_queue_);
   stream_.AsyncWrite(boost::asio::buffer(write_buffer_),
                      [self = shared_from_this()](error_code error, std::size_t size) {
@@ -148,12 +150,24 @@
                      });
 }
 
+void link::ShutdownWhenSent() {
+  if (state_ != state::kDraining || !send_queue_.empty() || !write_buffer_.empty()) return;
+  stream_.ShutdownSend();
+}
+
 void link::Close(const std::string& reason) { Finish(reason); }
 
+void link::CloseAfterDrain(const std::string& reason) {
+  if (state_ != state::kOpen) return Finish(reason);
+  state_ = state::kDraining;
+  StartStateTimer(state::kDraining, kDrainTimeout, reason);
+  ShutdownWhenSent();
+}
+
 void link::Finish(const std::string& reason) {
   if (state_ == state::kClosed) return;
   state_ = state::kClosed;
-  open_timer_.cancel();
+  state_timer_.cancel();
   stream_.Close();
   // The callbacks may own the link's owner, and the codec may be the caller of this function, so
   // both are released only after the call stack has unwound.
--- a/cornelweir/src/transport/link.h
+++ b/cornelweir/src/transport/link.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -46,6 +47,10 @@
   // Closes the socket without a closing handshake. The closed callback runs later, from the loop,
   // with this reason.
   void Close(const std::string& reason);
+  // Sends what is queued, then closes the sending side, and closes the socket when the peer has
+  // closed its side or after kDrainTimeout. Received messages are discarded. A plain Close() could
+  // reset the connection, which discards messages that the peer has not read yet.
+  void CloseAfterDrain(const std::string& reason);
 
   bool is_open() const { return state_ == state::kOpen; }
   // The role named by the peer's certificate; empty without TLS.
@@ -54,21 +59,24 @@
   std::uint64_t bytes_received() const { return bytes_received_; }
 
  private:
-  enum class state { kOpening, kOpen, kClosed };
+  enum class state { kOpening, kOpen, kDraining, kClosed };
   using side = internal::websocket_codec::side;
 
   link(boost::asio::io_context& context, boost::asio::ip::tcp::socket socket, tls_context tls,
        side local_side, link_handlers handlers);
 
-  void StartOpenTimer();
+  // Closes the link if it is still in this state after the timeout.
+  void StartStateTimer(state limited, std::chrono::milliseconds timeout, std::string reason);
   void StartHandshake();
   void ReadSome();
   void QueueBytes(const char* data, std::size_t size);
   void WriteNext();
+  void ShutdownWhenSent();
   void Finish(const std::string& reason);
 
   boost::asio::io_context& context_;
-  boost::asio::steady_timer open_timer_;
+  // Limits the time to open the link, and later the time to drain it.
+  boost::asio::steady_timer state_timer_;
   internal::socket_stream stream_;
   link_handlers handlers_;
   side side_;
--- a/cornelweir/src/transport/listener.cc
+++ b/cornelweir/src/transport/listener.cc
@@ -1,5 +1,6 @@
 #include "cornelweir/src/transport/listener.h"
 
+#include <boost/asio/post.hpp>
 #include <string>
 #include <utility>
 
@@ -53,6 +54,7 @@
         if (!owner) return;
         owner->links_.erase(closed_link);
         if (owner->handlers_.closed) owner->handlers_.closed(closed_link, reason);
+        owner->CallDrainedIfEmpty();
       };
       self->links_.insert(
           link::Accept(self->context_, std::move(socket), self->tls_, std::move(handlers)));
@@ -61,11 +63,27 @@
   });
 }
 
-void listener::Close() {
+void listener::StopAccepting() {
   closed_ = true;
   error_code ignored;
   acceptor_.close(ignored);
+}
+
+void listener::Close() {
+  StopAccepting();
   for (const auto& open_link : links_) open_link->Close("the process is shutting down");
 }
 
+void listener::CloseAfterDrain(std::function<void()> done) {
+  StopAccepting();
+  on_drained_ = std::move(done);
+  for (const auto& open_link : links_) open_link->CloseAfterDrain("the process is shutting down");
+  CallDrainedIfEmpty();
+}
+
+void listener::CallDrainedIfEmpty() {
+  if (!on_drained_ || !links_.empty()) return;
+  boost::asio::post(context_, std::exchange(on_drained_, nullptr));
+}
+
 }  // namespace cornelweir::transport
--- a/cornelweir/src/transport/listener.h
+++ b/cornelweir/src/transport/listener.h
@@ -28,10 +28,15 @@
   void set_tls(tls_context tls) { tls_ = std::move(tls); }
   // Stops accepting and closes every link.
   void Close();
+  // Stops accepting, closes every link after what is queued on it was sent, and then calls done
+  // from the loop.
+  void CloseAfterDrain(std::function<void()> done);
 
  private:
   listener(boost::asio::io_context& context, tls_context tls, link_handlers handlers);
   void AcceptNext();
+  void StopAccepting();
+  void CallDrainedIfEmpty();
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -39,6 +44,7 @@
   link_handlers handlers_;
   std::set<std::shared_ptr<link>> links_;
   bool closed_ = false;
+  std::function<void()> on_drained_;
 };
 
 }  // namespace cornelweir::transport
--- a/cornelweir/src/transport/socket_stream.h
+++ b/cornelweir/src/transport/socket_stream.h
@@ -78,6 +78,13 @@
   // a reset. Errors are ignored.
   void ConfigureSocket();
 
+  // Ends the sending direction. Without a TLS close_notify, since a peer that reads the end of the
+  // stream closes the link in any case.
+  void ShutdownSend() {
+    boost::system::error_code ignored;
+    tcp_socket().shutdown(socket::shutdown_send, ignored);
+  }
+
   void Close() {
     boost::system::error_code ignored;
     tcp_socket().close(ignored);
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -86,5 +86,48 @@
   EXPECT_TRUE(closed);
 }
 
+// Guards against a process that stops and loses the messages it has just queued: closing a socket
+// whose received bytes are unread resets the connection and discards what the peer has not read.
+TEST_F(LinkTest, DeliversQueuedMessagesBeforeADrainedLinkCloses) {
+  constexpr std::size_t kMessages = 40;
+  const std::string large(200'000, 'x');
+  link_handlers server;
+  server.message = [&](const std::shared_ptr<link>& self, std::string_view) {
+    for (std::size_t i = 0; i < kMessages; ++i) self->Send(large);
+    listener_->CloseAfterDrain([] {});
+  };
+  auto opened = listener::Open(context_, kernel::endpoint("127.0.0.1:0"), nullptr, server);
+  ASSERT_TRUE(opened);
+  listener_ = opened.value();
+  std::size_t received = 0;
+  bool closed = false;
+  link_handlers handlers;
+  handlers.opened = [](const std::shared_ptr<link>& self) { self->Send("begin"); };
+  handlers.message = [&](const std::shared_ptr<link>& self, std::string_view) {
+    ++received;
+    // The server does not read these any more.
+    self->Send("probe");
+  };
+  handlers.closed = [&](const std::shared_ptr<link>&, const std::string&) { closed = true; };
+  Connect(handlers);
+  context_.run();
+  EXPECT_TRUE(closed);
+  EXPECT_EQ(received, kMessages);
+}
+
+// Guards against a process that waits forever for a peer that does not close its side.
+TEST_F(LinkTest, ClosesADrainedLinkWhosePeerDoesNotRead) {
+  Listen();
+  bool drained = false;
+  boost::asio::ip::tcp::endpoint address;
+  ASSERT_TRUE(ParseEndpoint(listener_->local_endpoint(), address));
+  boost::asio::ip::tcp::socket silent(context_);
+  silent.connect(address);
+  context_.run_one();
+  listener_->CloseAfterDrain([&] { drained = true; });
+  context_.run();
+  EXPECT_TRUE(drained);
+}
+
 }  // namespace
 }  // namespace cornelweir::transport
