Answer changes in progress before a control host stops, and prove that it is current

At SIGTERM the replica stopped at once: a change in progress was never answered, and the operators' server waited for it until the process was killed, 120 s later. A host that was paused could tell a daemon that its policy is the newest, because a message that had waited since the beginning of the pause counted as just heard. It now proves by a read that it is current before the first policy of a daemon, and dates what it reads after a pause to its beginning. A reply to a command that an earlier process of the host had forwarded could be taken for the reply to another one, since ids began at 1 again; they begin at a random number. Control hosts return to a daemon what it last knew of its upstream. Tests: control_plugin_test, control_mesh_test (IgnoresTheReplyToAnEarlierProcess).

--- a/plugins/control/control_mesh.cc
+++ b/plugins/control/control_mesh.cc
@@ -18,8 +18,12 @@
 }  // namespace internal
 
 control_mesh::control_mesh(loop::event_loop& loop, const settings::daemon_settings& settings,
-                           transport::tls_context tls)
-    : loop_(loop), maintenance_(loop), self_(settings.host), tls_(std::move(tls)) {
+                           transport::tls_context tls, std::uint64_t first_submission)
+    : loop_(loop),
+      maintenance_(loop),
+      self_(settings.host),
+      tls_(std::move(tls)),
+      next_submission_(first_submission) {
   for (const settings::control_peer& other : settings.control->peers) {
     if (other.host != self_) peers_[other.host].mesh = other.mesh;
   }
--- a/plugins/control/control_mesh.h
+++ b/plugins/control/control_mesh.h
@@ -23,8 +23,10 @@
  public:
   using outcome_callback = std::function<void(std::optional<cornelweir::control::outcome>)>;
 
+  // first_submission must differ between the processes of a host, as replies to an earlier process
+  // may arrive after a restart.
   control_mesh(loop::event_loop& loop, const settings::daemon_settings& settings,
-               transport::tls_context tls);
+               transport::tls_context tls, std::uint64_t first_submission);
 
   void Start();
   void Stop();
@@ -48,6 +50,7 @@
               outcome_callback callback);
   // Completes the submission that the reply belongs to.
   void OnReply(const protocol::submit_reply& reply);
+  bool HasSubmissions() const { return !submissions_.empty(); }
 
  private:
   struct peer {
@@ -75,7 +78,7 @@
   transport::tls_context tls_;
   std::map<kernel::host_id, peer> peers_;
   std::map<std::uint64_t, pending_submission> submissions_;
-  std::uint64_t next_submission_ = 1;
+  std::uint64_t next_submission_;
   bool stopped_ = false;
 };
 
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -16,6 +16,9 @@
 constexpr kernel::milliseconds kRenewalFlushPeriod{100};
 constexpr kernel::milliseconds kLeaseCheckPeriod{250};
 constexpr kernel::milliseconds kMetricsPeriod{1'000};
+constexpr kernel::milliseconds kShutdownCheckPeriod{20};
+// Changes have an outcome within protocol::kSubmissionTimeout, or none.
+constexpr kernel::milliseconds kMaxShutdownTime = protocol::kSubmissionTimeout;
 constexpr kernel::milliseconds kGroupMaintenancePeriod{150};
 // A host that has heard from no leader for this long may not be in the group any more.
 constexpr kernel::milliseconds kJoinRequestDelay{800};
@@ -136,15 +139,16 @@
                                      },
                                  .leadership_changed =
                                      [this](bool is_leader) { OnLeadershipChanged(is_leader); }}),
-      mesh_(context.loop, context.settings, context.tls),
+      mesh_(context.loop, context.settings, context.tls, context.random.NextU64()),
       gateway_(*this, context.loop, context.random),
-      feed_(*this, context.loop),
+      feed_(*this, context.loop, context.pauses),
       policy_(*this),
       api_(*this),
       renewal_timer_(context.loop),
       lease_timer_(context.loop),
       metrics_timer_(context.loop),
       group_timer_(context.loop),
+      shutdown_timer_(context.loop),
       started_at_(context.clock.Now()) {
   api_.Register(context.admin);
   context.policy = policy_.MakePort();
@@ -179,17 +183,27 @@
   metrics_timer_.StartPeriodic(internal::kMetricsPeriod, [this] { ReportMetrics(); });
 }
 
+// Daemons are sent to another host at once. The host stays in the group until the changes and reads
+// that operators have sent to it are answered.
 void control_plugin::BeginShutdown(std::function<void()> done) {
-  listener_->Close();
+  shutting_down_ = true;
+  const kernel::time_point limit = context_.clock.Now() + internal::kMaxShutdownTime;
   gateway_.Stop();
   feed_.Stop();
   group_timer_.Cancel();
-  replica_.Stop();
-  mesh_.Stop();
   renewal_timer_.Cancel();
   lease_timer_.Cancel();
   metrics_timer_.Cancel();
-  context_.loop.Post(std::move(done));
+  shutdown_timer_.StartPeriodic(internal::kShutdownCheckPeriod,
+                                [this, limit, done = std::move(done)] {
+                                  const bool idle = replica_.IsIdle() && !mesh_.HasSubmissions();
+                                  if (!idle && context_.clock.Now() < limit) return;
+                                  shutdown_timer_.Cancel();
+                                  listener_->Close();
+                                  replica_.Stop();
+                                  mesh_.Stop();
+                                  context_.loop.Post(done);
+                                });
 }
 
 void control_plugin::OnMessage(const std::shared_ptr<transport::link>& link,
@@ -232,6 +246,10 @@
     if (!context_.settings.control->seeds.empty()) mesh_.AddPeer(greeting->host);
     return;
   }
+  if (shutting_down_) {
+    link->Close("the process is shutting down");
+    return;
+  }
   if (greeting->role == protocol::process_role::kSidecar) {
     feed_.Add(link);
     return;
--- a/plugins/control/control_plugin.h
+++ b/plugins/control/control_plugin.h
@@ -52,6 +52,8 @@
   void ShareRoster(const protocol::roster_share& share) { mesh_.Broadcast(share); }
 
   replica& local_replica() { return replica_; }
+  // The bound address at which daemons and other control hosts connect.
+  kernel::endpoint mesh_endpoint() const { return listener_->local_endpoint(); }
   codec::json StatusReport() const;
 
  private:
@@ -87,6 +89,8 @@
   loop::timer lease_timer_;
   loop::timer metrics_timer_;
   loop::timer group_timer_;
+  loop::timer shutdown_timer_;
+  bool shutting_down_ = false;
   // Hosts that requested to join, and when each request expires.
   std::map<kernel::host_id, kernel::time_point> join_requests_;
   kernel::time_point started_at_;
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -16,10 +16,15 @@
 // Number of policies kept as bases of deltas. A daemon with an older policy gets the whole policy.
 constexpr std::size_t kRecentPolicies = 8;
 
+bool IsDraining(const membership::roster_entry& entry) {
+  return entry.upstream && entry.upstream->draining;
+}
+
 }  // namespace internal
 
-fleet_feed::fleet_feed(control_plugin& owner, loop::event_loop& loop)
-    : owner_(owner), timer_(loop) {}
+fleet_feed::fleet_feed(control_plugin& owner, loop::event_loop& loop,
+                       const loop::pause_tracker& pauses)
+    : owner_(owner), pauses_(pauses), timer_(loop) {}
 
 void fleet_feed::Start() {
   PublishPolicy();
@@ -54,7 +59,8 @@
     sender.known_policy = report->enforced_policy;
   }
   sender.superseded_incarnation = roster_.RecordReport(report->self, clock_.Now());
-  const bool changed = !sender.entry || !sender.entry->HasSameContentAs(report->self);
+  const bool changed = !sender.entry || !sender.entry->HasSameContentAs(report->self) ||
+                       internal::IsDraining(*sender.entry) != internal::IsDraining(report->self);
   sender.entry = report->self;
   if (changed) {
     logging::event(logging::event_id::kDaemonReported)
@@ -63,11 +69,24 @@
         .With("leaving", report->self.leaving);
     owner_.ShareRoster({{report->self}});
   }
+  if (first_report) ProveCurrent(sender);
   if (first_report || sender.superseded_incarnation != kernel::incarnation()) {
     SendUpdate(sender, true);
   }
 }
 
+void fleet_feed::ProveCurrent(session& recipient) {
+  if (recipient.proved_current || std::exchange(recipient.proof_pending, true)) return;
+  owner_.local_replica().Read([this, weak = std::weak_ptr(recipient.link)](bool is_current) {
+    const auto link = weak.lock();
+    const auto found = daemons_.find(link.get());
+    if (!link || found == daemons_.end()) return;
+    found->second.proof_pending = false;
+    found->second.proved_current = is_current;
+    if (is_current) SendUpdate(found->second, true);
+  });
+}
+
 void fleet_feed::Receive(const protocol::roster_share& share) {
   for (const membership::roster_entry& entry : share.entries) {
     roster_.RecordReport(entry, clock_.Now());
@@ -85,17 +104,19 @@
 }
 
 void fleet_feed::UpdateConfirmation() {
-  const kernel::time_point now = clock_.Now();
   const kernel::heartbeat_round confirmed = owner_.local_replica().node().confirmed_round();
-  if (confirmed != confirmed_round_) {
-    confirmed_round_ = confirmed;
-    confirmed_at_ = now;
-  }
-  const bool applied =
-      owner_.local_replica().applied_index() >= owner_.local_replica().node().commit_index() &&
-      owner_.local_replica().machine().policy().current()->version != kernel::policy_version();
-  is_current_ = applied && confirmed_round_ != kernel::heartbeat_round() &&
-                now - confirmed_at_ < protocol::kMaxConfirmationAge;
+  if (confirmed == confirmed_round_) return;
+  confirmed_round_ = confirmed;
+  // After a pause of this process, the message may have waited since the pause began.
+  confirmed_at_ = pauses_.InputArrival(clock_.Now());
+}
+
+bool fleet_feed::IsCurrentFor(const session& recipient) const {
+  const replica& local = owner_.local_replica();
+  return recipient.proved_current && local.applied_index() >= local.node().commit_index() &&
+         local.machine().policy().current()->version != kernel::policy_version() &&
+         confirmed_round_ != kernel::heartbeat_round() &&
+         clock_.Now() - confirmed_at_ < protocol::kMaxConfirmationAge;
 }
 
 void fleet_feed::Tick() {
@@ -108,6 +129,7 @@
   }
   for (auto& [key, session] : daemons_) {
     if (session.known_policy) {
+      ProveCurrent(session);
       SendUpdate(session, now - session.last_sent_at >= protocol::kFleetHeartbeatPeriod);
     }
   }
@@ -145,16 +167,30 @@
   return message->second;
 }
 
+// Sent before the first policy, since a daemon that has a policy starts to use its upstream.
+void fleet_feed::SendLastUpstream(session& recipient) {
+  if (std::exchange(recipient.upstream_sent, true)) return;
+  const membership::roster_entry* const known = roster_.Find(recipient.entry->daemon);
+  if (known == nullptr || !known->upstream) return;
+  protocol::fleet_update update;
+  update.leader_confirmed = true;
+  update.newest_policy = owner_.local_replica().machine().policy().current()->version;
+  update.last_upstream = known->upstream;
+  recipient.link->Send(codec::Encode(protocol::fleet_message{std::move(update)}));
+}
+
 // A host that is not current sends no policy, roster or control hosts, as they may be outdated.
 void fleet_feed::SendUpdate(session& recipient, bool heartbeat) {
   if (!recipient.known_policy || !recipient.link->is_open()) return;
   protocol::fleet_update update;
-  update.leader_confirmed = is_current_;
+  const bool is_current = IsCurrentFor(recipient);
+  update.leader_confirmed = is_current;
   update.newest_policy = owner_.local_replica().machine().policy().current()->version;
   update.superseded_incarnation =
       std::exchange(recipient.superseded_incarnation, kernel::incarnation());
   bool has_changes = update.superseded_incarnation != kernel::incarnation();
-  if (is_current_) {
+  if (is_current) {
+    SendLastUpstream(recipient);
     if (*recipient.known_policy < update.newest_policy) {
       recipient.link->Send(PolicyMessageFor(*recipient.known_policy));
       recipient.known_policy = update.newest_policy;
--- a/plugins/control/fleet_feed.h
+++ b/plugins/control/fleet_feed.h
@@ -25,7 +25,7 @@
 // entries and a majority has recently confirmed its leader.
 class fleet_feed {
  public:
-  fleet_feed(control_plugin& owner, loop::event_loop& loop);
+  fleet_feed(control_plugin& owner, loop::event_loop& loop, const loop::pause_tracker& pauses);
 
   void Start();
   void Stop();
@@ -42,7 +42,6 @@
   // Sends the newest accepted policy to the daemons. To be called when it changes.
   void PublishPolicy();
 
-  bool is_current() const { return is_current_; }
   std::size_t size() const { return daemons_.size(); }
 
  private:
@@ -51,20 +50,32 @@
     std::optional<membership::roster_entry> entry;
     // The newest policy that the daemon reported or was sent. Empty before its first report.
     std::optional<kernel::policy_version> known_policy;
+    // Whether this host has proved, since the daemon's first report, that it had applied all
+    // committed entries. A daemon that restarts must not begin with an older policy than others
+    // enforce, and what this host has heard may be outdated if it or a link was paused.
+    bool proved_current = false;
+    bool proof_pending = false;
     std::uint64_t roster_revision = 0;
     std::vector<kernel::endpoint> control_hosts;
     kernel::incarnation superseded_incarnation;
+    // The daemon was sent the upstream that it last reported.
+    bool upstream_sent = false;
     kernel::time_point last_sent_at;
   };
 
   void Tick();
   void UpdateConfirmation();
+  // Whether this host may tell the daemon that its policy is the newest.
+  bool IsCurrentFor(const session& recipient) const;
+  void ProveCurrent(session& recipient);
   void ShareEntries();
   void SendUpdate(session& recipient, bool heartbeat);
+  void SendLastUpstream(session& recipient);
   const std::string& PolicyMessageFor(kernel::policy_version base_version);
   std::vector<kernel::endpoint> ControlHosts() const;
 
   control_plugin& owner_;
+  const loop::pause_tracker& pauses_;
   kernel::steady_clock_source clock_;
   loop::timer timer_;
   std::map<const transport::link*, session> daemons_;
@@ -73,7 +84,6 @@
   // The latest heartbeat round that a majority confirmed, and when this host first observed it.
   kernel::heartbeat_round confirmed_round_;
   kernel::time_point confirmed_at_;
-  bool is_current_ = false;
   // The last accepted policies, as bases of the deltas to the newest.
   std::map<kernel::policy_version, std::shared_ptr<const policy::policy_table>> recent_policies_;
   // The encoded updates to the newest policy by base version. Daemons with the same policy share
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -41,7 +41,18 @@
   tick_timer_.StartPeriodic(internal::kTickPeriod, [this] { Tick(); });
 }
 
-void replica::Stop() { tick_timer_.Cancel(); }
+void replica::Stop() {
+  tick_timer_.Cancel();
+  FailPending();
+}
+
+void replica::FailPending() {
+  for (const auto& [index, proposal] : std::exchange(proposals_, {})) {
+    proposal.callback(std::nullopt);
+  }
+  for (const auto& [nonce, callback] : std::exchange(pending_reads_, {})) callback(false);
+  for (const waiting_read& read : std::exchange(waiting_reads_, {})) read.callback(false);
+}
 
 void replica::Tick() {
   if (failed_) return;
--- a/plugins/control/replica.h
+++ b/plugins/control/replica.h
@@ -40,7 +40,12 @@
   // it can't be decoded, the replica fails.
   void Restore(const replication::snapshot& snapshot);
   void Start();
+  // Stops and reports no outcome for every pending proposal and read.
   void Stop();
+  // Whether every proposal and read has been answered.
+  bool IsIdle() const {
+    return proposals_.empty() && pending_reads_.empty() && waiting_reads_.empty();
+  }
 
   void Receive(const replication::envelope& message);
   // Proposes a command, which succeeds on the leader only. Calls back with the outcome once the
@@ -79,6 +84,7 @@
   void HandleReadResults(const std::vector<replication::read_index_result>& reads);
   void CompleteAppliedReads();
   void ExpireProposals();
+  void FailPending();
   void CompactIfDue();
   void UpdateLeadership();
 
--- a/plugins/daemon_context.h
+++ b/plugins/daemon_context.h
@@ -19,6 +19,7 @@
   metrics::metrics_registry& metrics;
   kernel::seeded_random& random;
   const kernel::steady_clock_source& clock;
+  const loop::pause_tracker& pauses;
   // Null if the settings switch TLS off.
   transport::tls_context tls;
   // Set by the control plug-in, for the plug-ins that follow it in the settings.
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -59,7 +59,9 @@
         admin_(loop_),
         shutdown_timer_(loop_),
         log_timer_(loop_),
-        random_(Seed()) {}
+        pause_timer_(loop_),
+        random_(Seed()),
+        pauses_(clock_.Now()) {}
 
   boost::leaf::result<void> Start() {
     if (settings_.tls.enabled) {
@@ -67,7 +69,8 @@
           tls_, transport::LoadTlsContext({settings_.tls.certificate_file, settings_.tls.key_file,
                                            settings_.tls.authority_file}));
     }
-    plugins::daemon_context context{loop_, settings_, admin_, metrics_, random_, clock_, tls_};
+    plugins::daemon_context context{loop_,   settings_, admin_,  metrics_,
+                                    random_, clock_,    pauses_, tls_};
     for (const std::string& name : settings_.plugins) {
       const auto* entry = plugins::daemon_plugin_registry::Instance().Find(name);
       if (entry == nullptr) {
@@ -76,6 +79,8 @@
       BOOST_LEAF_AUTO(handle, entry->create(context));
       plugins_.push_back(std::move(handle));
     }
+    pause_timer_.StartPeriodic(loop::pause_tracker::kTickPeriod,
+                               [this] { pauses_.Tick(clock_.Now()); });
     log_timer_.StartPeriodic(kLogFlushPeriod, [] { logging::FlushOutput(); });
     BOOST_LEAF_CHECK(admin_.Listen(settings_.admin_listen));
     for (const kernel::plugin_handle& plugin : plugins_) plugin.start();
@@ -142,9 +147,11 @@
   http::admin_server admin_;
   loop::timer shutdown_timer_;
   loop::timer log_timer_;
+  loop::timer pause_timer_;
   metrics::metrics_registry metrics_;
   kernel::seeded_random random_;
   kernel::steady_clock_source clock_;
+  loop::pause_tracker pauses_;
   transport::tls_context tls_;
   std::vector<kernel::plugin_handle> plugins_;
   std::size_t open_plugins_ = 0;
--- a/tests/control_mesh_test.cc
+++ b/tests/control_mesh_test.cc
@@ -5,9 +5,12 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 
 #include "cornelweir/codec.h"
 #include "tests/http_test_support.h"
@@ -30,7 +33,7 @@
   settings::daemon_settings settings;
   settings.host = kernel::host_id("127.0.0.1:1");
   settings.control.emplace();
-  control_mesh mesh(loop, settings, nullptr);
+  control_mesh mesh(loop, settings, nullptr, 1);
   const protocol::control_message reply = protocol::join_request{settings.host};
   EXPECT_FALSE(mesh.Send(host, reply));
   mesh.AddPeer(host);
@@ -65,7 +68,7 @@
   settings::daemon_settings settings;
   settings.host = kernel::host_id("127.0.0.1:1");
   settings.control.emplace();
-  control_mesh mesh(loop, settings, nullptr);
+  control_mesh mesh(loop, settings, nullptr, 1);
   mesh.AddPeer(host);
   // Repeats the greeting until the first attempt is old enough to be replaced.
   loop::timer greetings(loop);
@@ -76,5 +79,49 @@
   mesh.Stop();
 }
 
+// Guards against an operator who is told the outcome of another change: the host restarts while a
+// change that it forwarded is in progress, and the reply arrives after the restart.
+TEST(ControlMesh, IgnoresTheReplyToAnEarlierProcess) {
+  loop::event_loop loop;
+  std::optional<std::uint64_t> submitted;
+  transport::link_handlers handlers;
+  handlers.message = [&](const std::shared_ptr<transport::link>&, std::string_view payload) {
+    const auto message = codec::Decode<protocol::control_message>(payload);
+    ASSERT_TRUE(message);
+    if (const auto* submit = std::get_if<protocol::submit>(&message.value())) {
+      submitted = submit->id;
+    }
+  };
+  auto leader = transport::listener::Open(loop.context(), kernel::endpoint("127.0.0.1:0"), nullptr,
+                                          std::move(handlers));
+  ASSERT_TRUE(leader);
+  const kernel::host_id host(leader.value()->local_endpoint().value());
+  settings::daemon_settings settings;
+  settings.host = kernel::host_id("127.0.0.1:1");
+  settings.control.emplace();
+
+  const auto submit = [&](control_mesh& mesh, control_mesh::outcome_callback callback) {
+    submitted.reset();
+    mesh.AddPeer(host);
+    http::RunUntil(loop, [&] { return mesh.IsConnected(host); });
+    mesh.Submit(host, cornelweir::control::leave_command{}, std::move(callback));
+    http::RunUntil(loop, [&] { return submitted.has_value(); });
+  };
+  kernel::seeded_random random(11);
+  control_mesh earlier(loop, settings, nullptr, random.NextU64());
+  submit(earlier, [](const auto&) {});
+  const std::uint64_t first_id = *submitted;
+  earlier.Stop();
+  bool replied = false;
+  control_mesh restarted(loop, settings, nullptr, random.NextU64());
+  submit(restarted, [&](const auto&) { replied = true; });
+  restarted.OnReply({first_id, cornelweir::control::refused_outcome{"of the earlier change"}});
+  EXPECT_FALSE(replied);
+  restarted.OnReply({*submitted, cornelweir::control::refused_outcome{"of this change"}});
+  EXPECT_TRUE(replied);
+  restarted.Stop();
+  leader.value()->Close();
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::control
