Keep work on silent hosts, and use an upstream only as far as it is known

A peer that answered no probes for 600 ms lost its link, and requests that must not run twice were answered 502 although their result was on its way. They now wait for it; the others go elsewhere. A daemon that restarts alone no longer uses an upstream that has announced its end, and sends one request at a time until the number of slots is known: 8 were assumed, and a full upstream may reset connections. Requests that were read after a pause, or whose body took long, keep the deadline that their sender meant. A stop waits until results have left the host and ends 900 ms, not 500 ms, before the limit. Calls of retried requests are charged to the retry budget. Outcomes say what happened: no free slot, upstream not available, upstream connection failed. Tests: peer_test, upstream_dispatcher_test, call_router_test.

--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -45,6 +45,7 @@
   X(kUpstreamChanged, 3014, kInfo, "upstream changed")                                       \
   X(kPeerLost, 3015, kWarning, "link to peer lost")                                          \
   X(kReadinessChanged, 3016, kInfo, "readiness changed")                                     \
+  X(kPeerSilent, 3017, kWarning, "peer does not answer probes")                              \
   X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress") \
   X(kRequestEnded, 4002, kInfo, "request ended")                                             \
   X(kRequestSentAgain, 4003, kInfo, "request sent again")                                    \
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -58,6 +58,9 @@
   std::int32_t sent_count = 0;
   // Whether an upstream may have run the request.
   bool may_have_run = false;
+  // The fraction of retries among the requests that ran on this host's upstream when the request
+  // arrived. If it is a call of that upstream, it is a retry with this probability.
+  double repeated_share = 0;
   // The latest server error that caused a resend; returned if no other upstream is available.
   std::optional<http::whole_response> failed_response;
   bool finished = false;
@@ -128,7 +131,8 @@
   auto created = std::make_shared<request_state>(context_.loop);
   created->request = request;
   created->decoded = std::move(std::get<call>(decoded));
-  created->started_at = Now();
+  created->started_at = context_.pauses.InputArrival(Now());
+  created->repeated_share = dispatcher_.RepeatedShare();
   const kernel::microseconds caller_timeout =
       created->decoded.time_left.value_or(internal::kDefaultCallerTimeout);
   created->deadline = created->started_at + caller_timeout;
@@ -197,6 +201,11 @@
 }
 
 void call_router::SendToPeer(const request_state_ptr& state) {
+  // A request that was read after a pause of this process may be overdue. Its caller has given up.
+  if (Now() >= state->deadline) {
+    Refuse(state, kernel::microseconds::zero(), "deadline has passed");
+    return;
+  }
   const bool large = state->route->retry_safety == policy::retry_safety::kDownload;
   const std::shared_ptr<peer> chosen = peers_.Choose(state->service, state->tried_peers, large);
   if (chosen == nullptr) {
@@ -220,6 +229,7 @@
   run.time_left = state->deadline - now;
   run.route = route.name;
   run.objective_left = state->objective_deadline - now;
+  run.repeated = state->sent_count > 0;
   state->run_id =
       chosen->Run(std::move(run), state->decoded.body,
                   [this, state](run_result result) { OnResult(state, std::move(result)); });
@@ -228,6 +238,7 @@
 void call_router::OnResult(const request_state_ptr& state, run_result result) {
   if (state->finished) return;
   state->current_peer = nullptr;
+  CountIndirectRetry(*state, result);
   if (result.response) {
     ++state->sent_count;
     state->may_have_run = true;
@@ -248,9 +259,9 @@
       ++state->sent_count;
       state->may_have_run = true;
       if (policy::IsIdempotent(state->route->retry_safety) && CanResend(state)) {
-        return Resend(state, "the upstream broke off");
+        return Resend(state, "upstream connection failed");
       }
-      Reply(state, reply_kind::kUpstreamFailed, {}, "the upstream broke off");
+      Reply(state, reply_kind::kUpstreamFailed, {}, "upstream connection failed");
       return;
     case protocol::run_failure::kTimeout:
       Reply(state, reply_kind::kTimeout, {}, "no response in time");
@@ -258,11 +269,20 @@
   }
 }
 
+// Counts the first arrival of a call at an upstream as a retry if the call was made by a retry.
+// Later arrivals are counted when they are sent.
+void call_router::CountIndirectRetry(const request_state& state, const run_result& result) {
+  const bool arrived = result.response || (result.failure != protocol::run_failure::kNoUpstream &&
+                                           result.failure != protocol::run_failure::kNoCapacity);
+  if (!arrived || state.sent_count > 0 || !result.nested) return;
+  RetryBudget(state.service).OnIndirectRetry(state.repeated_share, Now());
+}
+
 void call_router::OnResponse(const request_state_ptr& state, http::whole_response response) {
   const bool failed = response.status >= internal::kFirstServerError;
   if (failed && policy::IsIdempotent(state->route->retry_safety) && CanResend(state)) {
     state->failed_response = std::move(response);
-    return Resend(state, "the upstream failed");
+    return Resend(state, "upstream returned a server error");
   }
   Respond(state, std::move(response), failed ? "upstream-failed" : "ran");
 }
@@ -298,7 +318,7 @@
     SendToPeer(state);
     return;
   }
-  Refuse(state, result.retry_after, no_capacity ? "no room" : "the upstream is gone");
+  Refuse(state, result.retry_after, no_capacity ? "no free slot" : "upstream not available");
 }
 
 void call_router::OnDeadline(const request_state_ptr& state) {
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -50,6 +50,7 @@
   void RetryDeferred();
   void SendToPeer(const request_state_ptr& state);
   void OnResult(const request_state_ptr& state, run_result result);
+  void CountIndirectRetry(const request_state& state, const run_result& result);
   void OnResponse(const request_state_ptr& state, http::whole_response response);
   bool CanResend(const request_state_ptr& state);
   void Resend(const request_state_ptr& state, std::string_view reason);
--- a/plugins/sidecar/control_client.cc
+++ b/plugins/sidecar/control_client.cc
@@ -22,6 +22,9 @@
 constexpr kernel::milliseconds kMinConnectTimeout{250};
 // A host that sends at least this much between two ticks is transferring a large message.
 constexpr std::uint64_t kProgressBytes = 1024;
+// A host that sends bytes, but has not confirmed its leader for this long, is abandoned. At 2.6
+// Mbit/s a policy of 1 MB is transferred in 3 s.
+constexpr kernel::milliseconds kMaxTransferTime{5'000};
 
 boost::leaf::result<policy::policy_delta> ReadDelta(std::string_view deflated) {
   BOOST_LEAF_AUTO(bytes, codec::Inflate(deflated));
@@ -75,7 +78,7 @@
   alive_ = std::make_shared<bool>(true);
   connected_ = false;
   last_bytes_received_ = 0;
-  last_progress_at_ = Now();
+  last_progress_at_ = last_update_at_ = Now();
   transport::link_handlers callbacks;
   callbacks.opened = [this, alive = alive_](const std::shared_ptr<transport::link>& link) {
     if (!*alive) return;
@@ -135,11 +138,13 @@
   }
   const kernel::microseconds timeout =
       connected_ ? kernel::microseconds(protocol::kFleetTimeout) : ConnectTimeout();
-  if (link_->bytes_received() >= last_bytes_received_ + internal::kProgressBytes) {
+  if (link_->bytes_received() >= last_bytes_received_ + internal::kProgressBytes &&
+      now - last_update_at_ < internal::kMaxTransferTime) {
     last_progress_at_ = now;
   }
   last_bytes_received_ = link_->bytes_received();
-  if (now - last_progress_at_ > timeout) {
+  // After a pause of this process, what the host sent meanwhile may not have been read yet.
+  if (context_.pauses.InputArrival(now) - last_progress_at_ > timeout) {
     Disconnect(connected_ ? "silent or not current" : "no connection");
     return;
   }
@@ -156,6 +161,7 @@
   report.self.incarnation = incarnation_;
   report.self.sequence = ++sequence_;
   report.self.leaving = shutting_down_;
+  report.self.upstream = handlers_.last_upstream();
   if (policy_) report.enforced_policy = policy_->version;
   link_->Send(codec::Encode(protocol::report_message{report}));
 }
@@ -177,7 +183,8 @@
     Report();
   }
   if (!update.leader_confirmed) return;
-  last_progress_at_ = Now();
+  last_progress_at_ = last_update_at_ = Now();
+  if (update.last_upstream) handlers_.upstream_restored(*update.last_upstream);
   if (!update.control_hosts.empty()) {
     candidate_hosts_ = update.control_hosts;
     AddSeeds();
--- a/plugins/sidecar/control_client.h
+++ b/plugins/sidecar/control_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,8 +28,11 @@
   struct handlers {
     std::function<void()> policy_changed;
     std::function<void()> roster_changed;
-    // Returns the service that this daemon reports.
+    // Return what this daemon reports.
     std::function<kernel::service_name()> service;
+    std::function<std::optional<membership::announced_upstream>()> last_upstream;
+    // Called with the upstream that this daemon last reported, possibly before a restart.
+    std::function<void(const membership::announced_upstream&)> upstream_restored;
   };
 
   control_client(daemon_context& context, handlers callbacks);
@@ -72,6 +76,7 @@
   std::size_t failed_attempts_ = 0;
   // When the host last confirmed its leader or made progress in sending.
   kernel::time_point last_progress_at_;
+  kernel::time_point last_update_at_;
   std::uint64_t last_bytes_received_ = 0;
   kernel::time_point reported_at_;
   kernel::time_point retry_at_;
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -64,12 +64,14 @@
     return;
   }
   if (!connected_) return;
-  const kernel::microseconds silence_time = now - last_received_at_;
+  // After a pause of this process, what the peer sent meanwhile may not have been read yet.
+  const kernel::microseconds silence_time = context_.pauses.InputArrival(now) - last_received_at_;
   const bool has_pending = !pending_.empty();
   const kernel::microseconds limit =
       has_pending ? kernel::microseconds(protocol::kLinkTimeout)
                   : kernel::microseconds(protocol::kLinkTimeout) + idle_probe_period;
-  if (silence_time >= limit && probed_at_ > last_received_at_) {
+  if (silence_time >= limit && probed_at_ > last_received_at_) OnSilent();
+  if (silence_time >= limit + protocol::kMaxSilence) {
     link_->Close("the peer is silent");
     return;
   }
@@ -108,13 +110,35 @@
   if (retry_at_ != kernel::time_point::max()) retry_at_ = Now() + backoff_;
   link_.reset();
   connected_ = false;
+  silent_ = false;
+  response_bytes_ = 0;
   report_.reset();
   const auto abandoned = std::exchange(pending_, {});
   for (const auto& [id, call] : abandoned) call.done(run_result{});
 }
 
+// The daemon may only be paused, or its network be slow, so requests that must not run twice wait
+// for their result until their deadline. The others are sent elsewhere.
+void peer::OnSilent() {
+  if (!silent_) {
+    silent_ = true;
+    logging::event(logging::event_id::kPeerSilent)
+        .With("peer", entry_.daemon)
+        .With("in_progress", pending_.size());
+  }
+  std::vector<kernel::call_id> abandoned;
+  for (const auto& [id, call] : pending_) {
+    if (call.idempotent) abandoned.push_back(id);
+  }
+  for (const kernel::call_id& id : abandoned) {
+    SendData(*link_, protocol::cancel_request{id});
+    Finish(id, run_result{});
+  }
+}
+
 void peer::OnMessage(std::string_view payload) {
   last_received_at_ = Now();
+  silent_ = false;
   const auto frame = ReadData(payload);
   if (!frame) {
     link_->Close("malformed message");
@@ -132,6 +156,7 @@
     run_result result;
     result.failure = failed->failure;
     result.retry_after = failed->retry_after;
+    result.nested = failed->nested;
     Finish(failed->id, std::move(result));
   }
 }
@@ -159,16 +184,24 @@
   http::whole_response& response = found->second.response;
   response.status = message.status;
   response.headers = message.headers;
+  found->second.nested = message.nested;
   OnBodyPiece({message.id, message.last}, payload);
 }
 
 void peer::OnBodyPiece(const protocol::body_piece& message, std::string_view payload) {
   const auto found = pending_.find(message.id);
   if (found == pending_.end()) return;
+  response_bytes_ += payload.size();
+  if (response_bytes_ > protocol::kMaxLinkBodyBytes) {
+    link_->Close("response bodies too large");
+    return;
+  }
   found->second.response.body.append(payload);
   if (!message.last) return;
+  response_bytes_ -= found->second.response.body.size();
   run_result result;
-  result.response = std::move(found->second.response);
+  result.response = std::exchange(found->second.response, {});
+  result.nested = found->second.nested;
   Finish(message.id, std::move(result));
 }
 
@@ -177,6 +210,7 @@
   if (found == pending_.end()) return;
   const pending ended = std::move(found->second);
   pending_.erase(found);
+  response_bytes_ -= ended.response.body.size();
   RecordResult(result, Now() - ended.sent_at);
   ended.done(std::move(result));
 }
@@ -202,7 +236,8 @@
 
 bool peer::Serves(const kernel::service_name& service) const {
   if (dispatcher_ != nullptr) return dispatcher_->Serves(service);
-  return link_ && connected_ && report_ && report_->accepting && report_->service == service;
+  return link_ && connected_ && !silent_ && report_ && report_->accepting &&
+         report_->service == service;
 }
 
 routing::peer_candidate peer::Candidate() const {
@@ -226,6 +261,7 @@
   pending& added = pending_[id];
   added.done = std::move(done);
   added.sent_at = Now();
+  added.idempotent = policy::IsIdempotent(request.retry_safety);
   if (dispatcher_ != nullptr) {
     const auto ticket = dispatcher_->Run(
         std::move(request), body, [this, id](run_result result) { Finish(id, std::move(result)); });
@@ -247,6 +283,7 @@
   const auto found = pending_.find(id);
   if (found == pending_.end()) return;
   const admission::ticket ticket = found->second.ticket;
+  response_bytes_ -= found->second.response.body.size();
   pending_.erase(found);
   if (dispatcher_ != nullptr) {
     dispatcher_->Cancel(ticket);
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -1,6 +1,7 @@
 #ifndef CORNELWEIR_PLUGINS_SIDECAR_PEER_H_
 #define CORNELWEIR_PLUGINS_SIDECAR_PEER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -55,15 +56,18 @@
  private:
   struct pending {
     run_callback done;
+    bool idempotent = false;
     kernel::time_point sent_at;
     admission::ticket ticket;
     http::whole_response response;
+    bool nested = false;
   };
 
   kernel::time_point Now() const { return context_.clock.Now(); }
   void Connect();
   void OnMessage(std::string_view payload);
   void OnClosed(const std::string& reason);
+  void OnSilent();
   void OnReport(const protocol::upstream_report& report);
   void OnResponse(const protocol::run_response& message, std::string_view payload);
   void OnBodyPiece(const protocol::body_piece& message, std::string_view payload);
@@ -85,6 +89,10 @@
   kernel::time_point last_received_at_;
   kernel::time_point probed_at_;
   kernel::time_point retry_at_;
+  // Whether the daemon has not answered probes for some time. No requests are sent to it.
+  bool silent_ = false;
+  // Size of the incomplete responses.
+  std::size_t response_bytes_ = 0;
   kernel::microseconds backoff_{};
   std::int64_t sent_since_report_ = 0;
   double response_time_us_ = 0;
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -23,8 +23,8 @@
   return {};
 }
 
-void peer_server::Close() {
-  if (listener_) listener_->Close();
+void peer_server::CloseAfterDrain(std::function<void()> done) {
+  listener_->CloseAfterDrain(std::move(done));
 }
 
 void peer_server::OnMessage(const std::shared_ptr<transport::link>& link,
@@ -55,20 +55,23 @@
   if (const auto* run = std::get_if<protocol::run_request>(&message)) {
     inbound_request& added = sender.requests[run->id];
     added.request = *run;
-    added.body = std::string(payload);
-    if (run->last) StartRun(sender, run->id);
+    added.arrived_at = context_.pauses.InputArrival(context_.clock.Now());
+    AppendBody(sender, run->id, payload, run->last);
   } else if (const auto* piece = std::get_if<protocol::body_piece>(&message)) {
     const auto found = sender.requests.find(piece->id);
     if (found == sender.requests.end() || found->second.complete) return;
-    found->second.body.append(payload);
-    if (piece->last) StartRun(sender, piece->id);
+    AppendBody(sender, piece->id, payload, piece->last);
   } else if (const auto* cancel = std::get_if<protocol::cancel_request>(&message)) {
     bulk_.Cancel(sender.link.get(), cancel->id);
     const auto found = sender.requests.find(cancel->id);
     if (found == sender.requests.end()) return;
     const inbound_request ended = std::move(found->second);
     sender.requests.erase(found);
-    if (ended.complete) dispatcher_.Cancel(ended.ticket);
+    if (ended.complete) {
+      dispatcher_.Cancel(ended.ticket);
+    } else {
+      sender.body_bytes -= ended.body.size();
+    }
   } else if (const auto* probe = std::get_if<protocol::link_probe>(&message)) {
     SendData(*sender.link, *probe);
   } else if (std::holds_alternative<protocol::body_piece_ack>(message)) {
@@ -76,9 +79,29 @@
   }
 }
 
+void peer_server::AppendBody(session& sender, kernel::call_id id, std::string_view bytes,
+                             bool last) {
+  sender.body_bytes += bytes.size();
+  if (sender.body_bytes > protocol::kMaxLinkBodyBytes) {
+    logging::event(logging::event_id::kMessageRefused).With("reason", "request bodies too large");
+    sender.link->Close("request bodies too large");
+    return;
+  }
+  std::string& body = sender.requests.at(id).body;
+  body.append(bytes);
+  if (!last) return;
+  sender.body_bytes -= body.size();
+  StartRun(sender, id);
+}
+
+// The sender stated the time that was left when it sent the request. The time that has passed since
+// then includes that of the rest of the body and of a pause of this process.
 void peer_server::StartRun(session& sender, kernel::call_id id) {
   inbound_request& inbound = sender.requests.at(id);
   inbound.complete = true;
+  const kernel::microseconds elapsed = context_.clock.Now() - inbound.arrived_at;
+  inbound.request.time_left -= elapsed;
+  inbound.request.objective_left -= elapsed;
   inbound.ticket =
       dispatcher_.Run(std::move(inbound.request), std::move(inbound.body),
                       [this, link = std::weak_ptr(sender.link), id](run_result result) {
@@ -93,8 +116,8 @@
   const auto found = sessions_.find(link.get());
   if (found == sessions_.end() || found->second.requests.erase(id) == 0) return;
   if (!result.response) {
-    SendData(*link,
-             protocol::run_failed{id, result.failure, result.retry_after, dispatcher_.Load()});
+    SendData(*link, protocol::run_failed{id, result.failure, result.retry_after, dispatcher_.Load(),
+                                         result.nested});
     return;
   }
   protocol::run_response response;
@@ -102,6 +125,7 @@
   response.status = result.response->status;
   response.headers = std::move(result.response->headers);
   response.load = dispatcher_.Load();
+  response.nested = result.nested;
   if (!bulk_sender::IsLarge(result.response->body.size())) {
     SendWithBody(*link, std::move(response), result.response->body);
     return;
--- a/plugins/sidecar/peer_server.h
+++ b/plugins/sidecar/peer_server.h
@@ -2,6 +2,8 @@
 #define CORNELWEIR_PLUGINS_SIDECAR_PEER_SERVER_H_
 
 #include <boost/leaf.hpp>
+#include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,7 +25,8 @@
       : context_(context), dispatcher_(dispatcher), bulk_(bulk) {}
 
   boost::leaf::result<void> Listen();
-  void Close();
+  // Closes the links after the results queued on them were sent, then calls done.
+  void CloseAfterDrain(std::function<void()> done);
   // Sends the upstream's current state to all connected daemons.
   void ReportUpstream();
 
@@ -33,17 +36,22 @@
     // Moved to the dispatcher when the body is complete.
     protocol::run_request request;
     std::string body;
+    // When its first message may have arrived at the earliest.
+    kernel::time_point arrived_at;
     bool complete = false;
   };
   struct session {
     std::shared_ptr<transport::link> link;
     bool greeting_received = false;
     std::map<kernel::call_id, inbound_request> requests;
+    // Size of the incomplete bodies of the requests.
+    std::size_t body_bytes = 0;
   };
 
   void OnMessage(const std::shared_ptr<transport::link>& link, std::string_view payload);
   void OnClosed(const transport::link* link);
   void OnData(session& sender, const protocol::data_message& message, std::string_view payload);
+  void AppendBody(session& sender, kernel::call_id id, std::string_view bytes, bool last);
   void StartRun(session& sender, kernel::call_id id);
   void SendResult(const std::weak_ptr<transport::link>& weak_link, kernel::call_id id,
                   run_result result);
--- a/plugins/sidecar/request_dialect.h
+++ b/plugins/sidecar/request_dialect.h
@@ -57,6 +57,8 @@
     T::EncodeRun(run, std::string(), kernel::upstream_id(), kernel::milliseconds())
     } -> std::same_as<http::whole_request>;
   { T::ClassifyResponse(run, response) } -> std::same_as<upstream_response_kind>;
+  // Whether the response belongs to a request, and not to a probe of the upstream's health.
+  { T::HasRequestId(response) } -> std::same_as<bool>;
   // Returns the upstream's id from a healthy response, or else an empty id.
   { T::HealthyUpstream(response) } -> std::same_as<kernel::upstream_id>;
   T::ServeAnnouncements(server, announce_handler(), withdraw_handler());
@@ -72,6 +74,7 @@
                                     const kernel::upstream_id&, kernel::milliseconds time_left);
   upstream_response_kind (*classify_response)(const protocol::run_request&,
                                               const http::whole_response&);
+  bool (*has_request_id)(const http::whole_response&);
   kernel::upstream_id (*healthy_upstream)(const http::whole_response&);
   void (*serve_announcements)(http::admin_server&, announce_handler, withdraw_handler);
   std::string_view readiness_path;
@@ -79,9 +82,9 @@
 
 template <request_dialect T>
 dialect_functions FunctionsOf() {
-  return {&T::DecodeCall,         &T::RejectUnreadable, &T::Reply,
-          &T::EncodeRun,          &T::ClassifyResponse, &T::HealthyUpstream,
-          &T::ServeAnnouncements, T::kReadinessPath};
+  return {&T::DecodeCall,      &T::RejectUnreadable,   &T::Reply,
+          &T::EncodeRun,       &T::ClassifyResponse,   &T::HasRequestId,
+          &T::HealthyUpstream, &T::ServeAnnouncements, T::kReadinessPath};
 }
 
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/run_result.h
+++ b/plugins/sidecar/run_result.h
@@ -17,6 +17,8 @@
   protocol::run_failure failure = protocol::run_failure::kUpstreamError;
   // Estimated wait for capacity, or zero if unknown.
   kernel::microseconds retry_after{};
+  // The request is a call of a running upstream, as far as the daemon can tell.
+  bool nested = false;
 };
 
 using run_callback = std::function<void(run_result)>;
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -1,5 +1,6 @@
 #include "plugins/sidecar/sidecar_node.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -12,13 +13,14 @@
 constexpr kernel::milliseconds kReadinessPropagationTime{2'300};
 constexpr kernel::milliseconds kIdleCheckPeriod{50};
 // Reserved at the end of the configured shutdown time for the final steps.
-constexpr kernel::milliseconds kShutdownReserve{500};
+constexpr kernel::milliseconds kShutdownReserve{900};
 constexpr kernel::milliseconds kMetricsPeriod{1'000};
 
 http::pipeline_limits ToPipelineLimits(const policy::caller_limits& limits) {
   http::pipeline_limits translated;
   translated.header_bytes = static_cast<std::size_t>(limits.max_header_bytes);
-  translated.body_bytes = static_cast<std::uint64_t>(limits.max_body_bytes);
+  translated.body_bytes =
+      std::min(static_cast<std::uint64_t>(limits.max_body_bytes), translated.body_bytes);
   translated.header_timeout = limits.header_timeout;
   translated.idle_timeout = limits.idle_timeout;
   return translated;
@@ -35,7 +37,12 @@
                       control_client::handlers{
                           .policy_changed = [this] { OnPolicyChanged(); },
                           .roster_changed = [this] { peers_.Update(control_client_.roster()); },
-                          .service = [this] { return dispatcher_.service(); }}),
+                          .service = [this] { return dispatcher_.service(); },
+                          .last_upstream = [this] { return dispatcher_.LastAnnounced(); },
+                          .upstream_restored =
+                              [this](const membership::announced_upstream& upstream) {
+                                dispatcher_.Restore(upstream);
+                              }}),
       peers_(context, dispatcher_),
       peer_server_(context, dispatcher_, bulk_),
       router_(context, dialect_, peers_, dispatcher_),
@@ -150,8 +157,7 @@
   metrics_timer_.Cancel();
   control_client_.Stop();
   peers_.Stop();
-  peer_server_.Close();
-  context_.loop.Post(std::move(done_));
+  peer_server_.CloseAfterDrain(std::move(done_));
 }
 
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -1,6 +1,7 @@
 #include "plugins/sidecar/upstream_dispatcher.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "cornelweir/logging.h"
@@ -15,9 +16,9 @@
 constexpr kernel::milliseconds kMaxProbeTime{1'600};
 constexpr kernel::milliseconds kProbePeriod{150};
 constexpr kernel::milliseconds kProbeTimeout{500};
-// Number of slots until the upstream announces it. Upstreams queue a few requests beyond their
-// slots, so a slightly high value is harmless in the second until then.
-constexpr std::int64_t kAssumedSlots = 8;
+// Number of slots of an upstream that a probe found and whose number is not known yet. A full
+// upstream may reset the connection of a request, whose outcome is then unknown.
+constexpr std::int64_t kAssumedSlots = 1;
 
 // Consecutive refused connections after which the upstream is unavailable. A single one may result
 // from a limit on its connections.
@@ -75,24 +76,37 @@
   StartAll(queue_.SetSlots(IsOpen() ? announced_->slots : 0, Now()));
 }
 
+// Announcements may arrive late and in any order, also from an earlier process with the same id.
+bool upstream_dispatcher::IsOutdated(const membership::upstream_announcement& announcement) const {
+  if (!last_announced_) return false;
+  if (announcement.started_at != last_announced_->started_at) {
+    return announcement.started_at < last_announced_->started_at;
+  }
+  if (announcement.id != last_announced_->id) return false;
+  // An upstream process that drains or was withdrawn does not become available again.
+  return announcement.sequence < last_announced_->sequence ||
+         (last_announced_->draining && !announcement.draining);
+}
+
+void upstream_dispatcher::Restore(const membership::announced_upstream& upstream) {
+  const auto order = [](const membership::announced_upstream& state) {
+    return std::tuple(state.started_at, state.sequence, state.draining);
+  };
+  if (last_announced_ && order(*last_announced_) >= order(upstream)) return;
+  last_announced_ = upstream;
+  if (!announced_ || announced_->id != upstream.id) return;
+  announced_->started_at = upstream.started_at;
+  announced_->slots = upstream.slots;
+  announced_->draining = upstream.draining;
+  OnStateChanged("restored");
+}
+
 announcement_result upstream_dispatcher::Announce(
     const membership::upstream_announcement& announcement) {
   if (announcement.address != context_.settings.sidecar->upstream || announcement.slots < 1) {
     return announcement_result::kRefused;
   }
-  if (announced_) {
-    const auto known = std::pair(announced_->started_at, announced_->sequence);
-    const bool same_process =
-        announced_->id == announcement.id && announced_->started_at == announcement.started_at;
-    if (announcement.started_at < announced_->started_at) return announcement_result::kOutdated;
-    if (same_process && std::pair(announcement.started_at, announcement.sequence) < known) {
-      return announcement_result::kOutdated;
-    }
-    // An upstream process that drains or was withdrawn does not become available again.
-    if (same_process && announced_->draining && !announcement.draining) {
-      return announcement_result::kOutdated;
-    }
-  }
+  if (IsOutdated(announcement)) return announcement_result::kOutdated;
   const bool replaced = !announced_ || announced_->id != announcement.id ||
                         announced_->started_at != announcement.started_at;
   const bool changed = replaced || unavailable_ || announced_->draining != announcement.draining ||
@@ -100,6 +114,8 @@
                        announced_->service != announcement.service;
   if (replaced) client_.CloseIdleConnections();
   announced_ = announcement;
+  last_announced_ = {announcement.id, announcement.started_at, announcement.sequence,
+                     announcement.slots, announcement.draining};
   warmed_up_at_ = Now() + announcement.warm_up;
   unavailable_ = false;
   connect_failures_ = 0;
@@ -117,7 +133,11 @@
       "GET", health_path, {{"Host", context_.settings.sidecar->upstream.value()}}, ""};
   client_.Send(
       probe, internal::kProbeTimeout,
-      [](const http::whole_response&) { return http::response_match::kMatched; },
+      [this](const http::whole_response& response) {
+        // A late copy of the response to a request carries the id of that request.
+        return dialect_.has_request_id(response) ? http::response_match::kStale
+                                                 : http::response_match::kMatched;
+      },
       [this, health_path](const http::upstream_result& result) {
         OnProbeResponse(health_path, result);
       });
@@ -134,6 +154,12 @@
     announced_->address = context_.settings.sidecar->upstream;
     announced_->service = context_.settings.sidecar->service;
     announced_->slots = internal::kAssumedSlots;
+    // A health response does not tell whether the upstream has announced its end.
+    if (last_announced_ && last_announced_->id == id) {
+      announced_->started_at = last_announced_->started_at;
+      announced_->slots = last_announced_->slots;
+      announced_->draining = last_announced_->draining;
+    }
     OnStateChanged("healthy");
   }
   probe_timer_.Start(internal::kProbePeriod,
@@ -141,6 +167,7 @@
 }
 
 void upstream_dispatcher::Withdraw(const kernel::upstream_id& id) {
+  if (last_announced_ && last_announced_->id == id) last_announced_->draining = true;
   if (!announced_ || announced_->id != id || announced_->draining) return;
   announced_->draining = true;
   OnStateChanged("withdrawn");
@@ -172,7 +199,8 @@
   if (serves_service) {
     admission::slot_request slot_request;
     slot_request.id = id;
-    slot_request.nested = nested_routes_.Observe(added.request.route, added.request.caller);
+    added.nested = nested_routes_.Observe(added.request.route, added.request.caller);
+    slot_request.nested = added.nested;
     slot_request.priority = added.request.priority;
     slot_request.objective = added.objective;
     slot_request.deadline = added.deadline;
@@ -197,6 +225,17 @@
   return id;
 }
 
+double upstream_dispatcher::RepeatedShare() const {
+  std::size_t running = 0;
+  std::size_t repeated = 0;
+  for (const auto& [id, run] : runs_) {
+    if (!run.exchange) continue;
+    ++running;
+    if (run.request.repeated) ++repeated;
+  }
+  return running == 0 ? 0 : static_cast<double>(repeated) / static_cast<double>(running);
+}
+
 void upstream_dispatcher::StartQueueTimer() {
   if (queue_timer_.running() || queue_.queued() == 0) return;
   queue_timer_.Start(internal::kQueueCheckPeriod, [this] {
@@ -324,6 +363,7 @@
   expected_bytes_ -= found->second.expected_bytes;
   run ended = std::move(found->second);
   runs_.erase(found);
+  result.nested = ended.nested;
   if (ended.result_wanted) ended.done(std::move(result));
 }
 
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -39,6 +39,11 @@
 
   announcement_result Announce(const membership::upstream_announcement& announcement);
   void Withdraw(const kernel::upstream_id& id);
+  // Restores what this daemon knew of its upstream before it restarted. Announcements and health
+  // responses of the same upstream process do not undo it.
+  void Restore(const membership::announced_upstream& upstream);
+  // What the latest announcement said; empty if none was received or restored.
+  std::optional<membership::announced_upstream> LastAnnounced() const { return last_announced_; }
   // Probes the health of the upstream until it announces itself, for a limited time after the
   // start.
   void ProbeUntilAnnounced(const std::string& health_path);
@@ -54,6 +59,8 @@
   // The service from the latest announcement, or else from the settings.
   const kernel::service_name& service() const;
   bool busy() const { return !runs_.empty(); }
+  // The fraction of the requests at the upstream that another upstream may have received before.
+  double RepeatedShare() const;
   std::uint64_t connections_opened() const { return client_.opened_connections(); }
 
  private:
@@ -69,6 +76,7 @@
     // Valid once there is a response.
     upstream_response_kind response_kind = upstream_response_kind::kUnusable;
     bool result_wanted = true;
+    bool nested = false;
     // Share of expected_bytes_ of the dispatcher while the request runs.
     std::size_t expected_bytes = 0;
   };
@@ -80,6 +88,7 @@
   };
 
   kernel::time_point Now() const { return context_.clock.Now(); }
+  bool IsOutdated(const membership::upstream_announcement& announcement) const;
   bool IsOpen() const;
   void Start(admission::ticket id);
   void StartAll(const std::vector<admission::ticket>& ids);
@@ -104,7 +113,9 @@
   admission::nested_route_detector nested_routes_;
   std::map<admission::ticket, run> runs_;
   std::uint64_t next_ticket_ = 1;
+  // The upstream in use: the one that announced itself last, or that a probe found.
   std::optional<membership::upstream_announcement> announced_;
+  std::optional<membership::announced_upstream> last_announced_;
   kernel::time_point warmed_up_at_;
   // The upstream refused connections or was replaced. Reset by the next announcement.
   bool unavailable_ = false;
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -82,5 +82,30 @@
   EXPECT_LT(last_reply.retry_after, kCallerTimeout / 3);
 }
 
+// Guards against running a request whose caller gave up while this process was paused: it is read
+// only afterwards, with the time limit that it had when it was sent.
+TEST_F(CallRouterStartupTest, RefusesARequestThatWaitedTooLongDuringAPause) {
+  policy::policy_table table;
+  policy::route route;
+  route.host = "forms.example";
+  route.path_prefix = "/x/";
+  route.service = kernel::service_name("forms");
+  route.timeout = route.latency_objective = kernel::milliseconds(5'000);
+  table.routes.push_back(route);
+  router_.SetPolicy(std::make_shared<policy::policy_table>(table));
+  membership::upstream_announcement announcement;
+  announcement.id = kernel::upstream_id("u1");
+  announcement.address = daemon_.settings.sidecar->upstream;
+  announcement.service = route.service;
+  announcement.slots = 1;
+  ASSERT_EQ(dispatcher_.Announce(announcement), announcement_result::kAccepted);
+
+  daemon_.pauses = loop::pause_tracker(daemon_.clock.Now() - 2 * kCallerTimeout);
+  const auto request = HandleRequest();
+  EXPECT_TRUE(request->answered());
+  EXPECT_EQ(last_reply.kind, reply_kind::kNotRun);
+  EXPECT_EQ(dispatcher_.Load().in_progress, 0);
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
--- /dev/null
+++ b/tests/peer_test.cc
@@ -0,0 +1,140 @@
+// Tests requests to another daemon that is silent for a while or sends endless bodies.
+
+#include "plugins/sidecar/peer.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "plugins/sidecar/data_frame.h"
+#include "tests/http_test_support.h"
+#include "tests/sidecar_test_context.h"
+
+namespace cornelweir::plugins::sidecar {
+namespace {
+
+constexpr kernel::microseconds kIdleProbePeriod = std::chrono::seconds(1);
+
+// A peer and the daemon at its other end, which is driven by the test.
+// NOLINTNEXTLINE(readability-identifier-naming)
+class PeerTest : public ::testing::Test {
+ protected:
+  PeerTest() : maintenance_(daemon_.loop) {
+    transport::link_handlers handlers;
+    handlers.message = [this](const std::shared_ptr<transport::link>& link,
+                              std::string_view bytes) { OnMessage(link, bytes); };
+    handlers.closed = [this](const std::shared_ptr<transport::link>&, const std::string&) {
+      link_closed_ = true;
+    };
+    auto opened = transport::listener::Open(daemon_.loop.context(), kernel::endpoint("127.0.0.1:0"),
+                                            nullptr, std::move(handlers));
+    EXPECT_TRUE(opened);
+    listener_ = opened.value();
+    membership::roster_entry entry;
+    entry.daemon = listener_->local_endpoint();
+    peer_ = std::make_unique<peer>(daemon_.context, entry, nullptr);
+    maintenance_.StartPeriodic(std::chrono::milliseconds(20), [this] {
+      daemon_.pauses.Tick(daemon_.clock.Now());
+      peer_->Maintain(kIdleProbePeriod);
+    });
+    http::RunUntil(daemon_.loop, [this] { return peer_->Serves(kernel::service_name("forms")); });
+  }
+  ~PeerTest() override { listener_->Close(); }
+
+  void OnMessage(const std::shared_ptr<transport::link>& link, std::string_view bytes) {
+    if (!link_) {
+      link_ = link;
+      protocol::upstream_report report;
+      report.service = kernel::service_name("forms");
+      report.accepting = true;
+      report.load.slots = 4;
+      SendData(*link, report);
+      return;
+    }
+    const auto frame = ReadData(bytes);
+    ASSERT_TRUE(frame);
+    if (const auto* run = std::get_if<protocol::run_request>(&frame->message)) {
+      received_.push_back(run->id);
+    } else if (const auto* cancel = std::get_if<protocol::cancel_request>(&frame->message)) {
+      cancelled_.push_back(cancel->id);
+    } else if (const auto* probe = std::get_if<protocol::link_probe>(&frame->message)) {
+      if (answers_probes_) SendData(*link, *probe);
+    }
+  }
+
+  kernel::call_id Run(policy::retry_safety safety, std::optional<run_result>& result) {
+    protocol::run_request run;
+    run.service = kernel::service_name("forms");
+    run.retry_safety = safety;
+    run.time_left = std::chrono::seconds(20);
+    return peer_->Run(run, "", [&result](run_result ended) { result = std::move(ended); });
+  }
+
+  sidecar_test_context daemon_;
+  loop::timer maintenance_;
+  std::shared_ptr<transport::listener> listener_;
+  std::shared_ptr<transport::link> link_;
+  std::unique_ptr<peer> peer_;
+  std::vector<kernel::call_id> received_;
+  std::vector<kernel::call_id> cancelled_;
+  bool answers_probes_ = true;
+  bool link_closed_ = false;
+};
+
+// Guards against giving up a request that must not run twice because its daemon was silent for a
+// while. Its response arrives late, but in time.
+TEST_F(PeerTest, WaitsForASilentDaemonIfTheRequestMustNotRunTwice) {
+  std::optional<run_result> once;
+  std::optional<run_result> repeatable;
+  const kernel::call_id id = Run(policy::retry_safety::kNonIdempotent, once);
+  const kernel::call_id abandoned = Run(policy::retry_safety::kIdempotent, repeatable);
+  http::RunUntil(daemon_.loop, [this] { return received_.size() == 2; });
+  answers_probes_ = false;
+  http::RunUntil(daemon_.loop, [&] { return repeatable.has_value(); });
+  EXPECT_EQ(repeatable->failure, protocol::run_failure::kUpstreamError);
+  EXPECT_FALSE(once) << "the request was given up";
+  EXPECT_FALSE(peer_->Serves(kernel::service_name("forms")));
+
+  protocol::run_response response;
+  response.id = id;
+  response.status = 200;
+  SendWithBody(*link_, response, "late");
+  http::RunUntil(daemon_.loop, [&] { return once.has_value(); });
+  ASSERT_TRUE(once->response);
+  EXPECT_EQ(once->response->body, "late");
+  EXPECT_TRUE(peer_->Serves(kernel::service_name("forms")));
+  http::RunUntil(daemon_.loop, [this] { return !cancelled_.empty(); });
+  EXPECT_EQ(cancelled_, std::vector<kernel::call_id>{abandoned});
+  EXPECT_FALSE(link_closed_);
+}
+
+// Guards against unbounded memory for the response of a daemon that never ends it.
+TEST_F(PeerTest, ClosesTheLinkOnAnEndlessBody) {
+  std::optional<run_result> result;
+  Run(policy::retry_safety::kNonIdempotent, result);
+  http::RunUntil(daemon_.loop, [this] { return received_.size() == 1; });
+  protocol::run_response response;
+  response.id = received_[0];
+  response.status = 200;
+  response.last = false;
+  SendData(*link_, response);
+  const std::string piece(protocol::kBodyPieceBytes, 'x');
+  std::size_t sent = 0;
+  loop::timer flood(daemon_.loop);
+  flood.StartPeriodic(std::chrono::microseconds(1), [&] {
+    if (!link_->is_open() || link_->bytes_sent() + (std::size_t{1} << 20) < sent) return;
+    SendData(*link_, protocol::body_piece{received_[0], false}, piece);
+    sent += piece.size();
+  });
+  http::RunUntil(daemon_.loop, [&] { return result.has_value(); });
+  EXPECT_FALSE(result->response);
+  EXPECT_LT(sent, protocol::kMaxLinkBodyBytes + (std::size_t{16} << 20));
+  http::RunUntil(daemon_.loop, [&] { return link_closed_; });
+}
+
+}  // namespace
+}  // namespace cornelweir::plugins::sidecar
--- a/tests/sidecar_test_context.h
+++ b/tests/sidecar_test_context.h
@@ -25,7 +25,8 @@
   metrics::metrics_registry metrics;
   kernel::seeded_random random{7};
   kernel::steady_clock_source clock;
-  daemon_context context{loop, settings, admin, metrics, random, clock, nullptr};
+  loop::pause_tracker pauses{clock.Now()};
+  daemon_context context{loop, settings, admin, metrics, random, clock, pauses, nullptr};
 };
 
 }  // namespace cornelweir::plugins::sidecar
--- /dev/null
+++ b/tests/upstream_dispatcher_test.cc
@@ -0,0 +1,161 @@
+// Tests what a daemon uses of its upstream after the daemon alone has restarted.
+
+#include "plugins/sidecar/upstream_dispatcher.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "tests/http_test_support.h"
+#include "tests/sidecar_test_context.h"
+
+namespace cornelweir::plugins::sidecar {
+namespace {
+
+http::whole_request EncodeRun(const protocol::run_request& run, std::string body,
+                              const kernel::upstream_id&, kernel::milliseconds) {
+  return {run.method, run.target, {{"Host", "h"}, {"Id", run.target}}, std::move(body)};
+}
+
+upstream_response_kind ClassifyResponse(const protocol::run_request& run,
+                                        const http::whole_response& response) {
+  return http::FindHeader(response.headers, "Id") == run.target ? upstream_response_kind::kResponse
+                                                                : upstream_response_kind::kStale;
+}
+
+bool HasRequestId(const http::whole_response& response) {
+  return !http::FindHeader(response.headers, "Id").empty();
+}
+
+kernel::upstream_id HealthyUpstream(const http::whole_response& response) {
+  return response.status == 200
+             ? kernel::upstream_id(std::string(http::FindHeader(response.headers, "Upstream")))
+             : kernel::upstream_id();
+}
+
+// NOLINTNEXTLINE(readability-identifier-naming)
+class UpstreamDispatcherTest : public ::testing::Test {
+ protected:
+  UpstreamDispatcherTest() {
+    daemon_.settings.sidecar->upstream = server_.endpoint();
+    dialect_.encode_run = &EncodeRun;
+    dialect_.classify_response = &ClassifyResponse;
+    dialect_.has_request_id = &HasRequestId;
+    dialect_.healthy_upstream = &HealthyUpstream;
+    server_.on_bytes = [this](http::raw_peer& peer) {
+      while (peer.received.find("\r\n\r\n") != std::string::npos) {
+        const bool is_probe = peer.received.starts_with("GET /health");
+        peer.received.erase(0, peer.received.find("\r\n\r\n") + 4);
+        ++(is_probe ? probes_ : runs_);
+        if (is_probe) peer.Send(probe_response_);
+      }
+    };
+    dispatcher_ = std::make_unique<upstream_dispatcher>(daemon_.context, dialect_, bulk_, [] {});
+  }
+
+  membership::upstream_announcement Announcement(std::uint64_t sequence) const {
+    membership::upstream_announcement announcement;
+    announcement.id = kernel::upstream_id("u1");
+    announcement.address = server_.endpoint();
+    announcement.service = kernel::service_name("forms");
+    announcement.slots = 6;
+    announcement.started_at = kernel::incarnation(1'000);
+    announcement.sequence = sequence;
+    return announcement;
+  }
+
+  void Probe() {
+    dispatcher_->ProbeUntilAnnounced("/health");
+    http::RunUntil(daemon_.loop, [this] { return dispatcher_->Report().upstream.value() == "u1"; });
+  }
+
+  void Run(int count, kernel::milliseconds time_left = kernel::milliseconds(5'000)) {
+    for (int i = 0; i < count; ++i) {
+      protocol::run_request run;
+      run.service = kernel::service_name("forms");
+      run.method = "GET";
+      run.target = "/run";
+      run.time_left = run.objective_left = time_left;
+      dispatcher_->Run(run, "", [this](run_result result) { latest_ = std::move(result); });
+    }
+  }
+
+  static membership::announced_upstream Known(std::uint64_t sequence, bool draining) {
+    return {kernel::upstream_id("u1"), kernel::incarnation(1'000), sequence, 3, draining};
+  }
+
+  sidecar_test_context daemon_;
+  http::raw_server server_{daemon_.loop};
+  dialect_functions dialect_{};
+  bulk_sender bulk_{daemon_.context};
+  std::string probe_response_ = "HTTP/1.1 200 OK\r\nUpstream: u1\r\nContent-Length: 0\r\n\r\n";
+  int probes_ = 0;
+  int runs_ = 0;
+  std::unique_ptr<upstream_dispatcher> dispatcher_;
+  std::optional<run_result> latest_;
+};
+
+// Guards against requests that reach an upstream after the daemon has acknowledged that it drains:
+// the daemon restarts, and the upstream still answers that it is healthy.
+TEST_F(UpstreamDispatcherTest, DoesNotUseAnUpstreamThatDrainedBeforeTheRestart) {
+  dispatcher_->Restore(Known(9, true));
+  Probe();
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// The same if the probe ends before the daemon is told what it knew.
+TEST_F(UpstreamDispatcherTest, StopsUsingAnUpstreamThatDrainedBeforeTheRestart) {
+  Probe();
+  EXPECT_TRUE(dispatcher_->Serves(kernel::service_name("forms")));
+  dispatcher_->Restore(Known(9, true));
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// Guards against an announcement that was delayed and arrives after the daemon's restart.
+TEST_F(UpstreamDispatcherTest, RefusesAnAnnouncementOlderThanTheRestart) {
+  dispatcher_->Restore(Known(9, true));
+  EXPECT_EQ(dispatcher_->Announce(Announcement(8)), announcement_result::kOutdated);
+  EXPECT_EQ(dispatcher_->Announce(Announcement(10)), announcement_result::kOutdated)
+      << "an upstream that drains does not become available again";
+  dispatcher_->Restore(Known(5, false));
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")))
+      << "older knowledge was restored";
+}
+
+// Guards against more requests than the upstream has slots before its number is known: full
+// upstreams reset the connection, and the outcome of the request is unknown.
+TEST_F(UpstreamDispatcherTest, SendsNoMoreRequestsThanTheKnownSlots) {
+  Probe();
+  EXPECT_EQ(dispatcher_->Load().slots, 1);
+  dispatcher_->Restore(Known(9, false));
+  EXPECT_EQ(dispatcher_->Load().slots, 3);
+  Run(5);
+  http::RunUntil(daemon_.loop, [this] { return runs_ >= 3; });
+  EXPECT_EQ(runs_, 3);
+  EXPECT_EQ(dispatcher_->Load().in_progress, 3);
+  dispatcher_->Announce(Announcement(10));
+  EXPECT_EQ(dispatcher_->Load().slots, 6);
+}
+
+// Guards against a probe that takes the late copy of another response for its own, which then
+// arrives as the response to the next request.
+TEST_F(UpstreamDispatcherTest, ProbeSkipsALateResponse) {
+  probe_response_ =
+      "HTTP/1.1 200 OK\r\nId: /late\r\nUpstream: u9\r\nContent-Length: 0\r\n\r\n" + probe_response_;
+  Probe();
+  EXPECT_EQ(probes_, 1);
+}
+
+// Guards against running a request whose time ran out while this process was paused.
+TEST_F(UpstreamDispatcherTest, RefusesAnOverdueRequest) {
+  dispatcher_->Announce(Announcement(1));
+  Run(1, kernel::milliseconds(-100));
+  http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
+  EXPECT_EQ(latest_->failure, protocol::run_failure::kNoCapacity);
+  EXPECT_EQ(runs_, 0);
+}
+
+}  // namespace
+}  // namespace cornelweir::plugins::sidecar
