Prefer the own failure domain until its upstreams are full

An upstream of another failure domain cost 1.25 times as much, so requests crossed as soon as one there had a few more free slots. At 2.0 requests stay while the own domain has a free slot that is not twice as slow, which keeps a request away from faults of the links between domains.

--- a/cornelweir/src/routing/limits.h
+++ b/cornelweir/src/routing/limits.h
@@ -73,7 +73,7 @@
 // Factors on the cost of an upstream for the network path to it: its latency, and the bytes that
 // cross from one failure domain to another.
 inline constexpr double kOwnDomainCost = 1.0;
-inline constexpr double kOtherDomainCost = 1.25;
+inline constexpr double kOtherDomainCost = 2.0;
 inline constexpr double kOtherDomainLargeResponseCost = 5.0;
 
 }  // namespace cornelweir::routing
