--- a/cornelweir/src/admission/admission_controller.cc
+++ b/cornelweir/src/admission/admission_controller.cc
@@ -37,8 +37,9 @@
     return refuse(outcome::refusal_reason::kNoUpstream);
   }
   if (service_share_.value() <= 0) return refuse(outcome::refusal_reason::kServiceLimit);
-  if (limits_.workspace_in_flight.value() <= 0)
+  if (limits_.workspace_in_flight.value() <= 0) {
     return refuse(outcome::refusal_reason::kWorkspaceLimit);
+  }
 
   CollectExpired(now);
   workspace_state& state = FindOrAddWorkspace(workspace);
--- a/cornelweir/src/outcome/limits.h
+++ b/cornelweir/src/outcome/limits.h
@@ -34,10 +34,10 @@
 // The fractions of the ratio and of the slack of a shared budget that are used. A request that runs
 // again repeats its calls, which count as retries of the services called. Those that the ratio
 // allows are covered by the ratio of these services, since every call is also one of their
-// requests; those that the slack allows are not. The rest of the ratio covers counting errors, for
-// example after the restart of a daemon.
-inline constexpr double kUsedRatio = 0.9;
-inline constexpr double kUsedSlack = 0.5;
+// requests; those that the slack allows are not. The rest covers counting errors: which calls come
+// from a retry is only estimated, and a daemon that restarts forgets its retries.
+inline constexpr double kUsedRatio = 0.6;
+inline constexpr double kUsedSlack = 0.4;
 
 }  // namespace cornelweir::outcome
 
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -162,8 +162,9 @@
       RC_ASSERT(request.expiry > now);
       for (const auto& [other, candidate] : waiting) {
         if (candidate.priority != request.priority || candidate.expiry <= now) continue;
-        if (candidate.workspace == request.workspace)
+        if (candidate.workspace == request.workspace) {
           RC_ASSERT(candidate.deadline >= request.deadline);
+        }
         RC_ASSERT(running_by_workspace[candidate.workspace] >=
                   running_by_workspace[request.workspace]);
       }
