Close a silent link at once if no result must be awaited on it

The link was kept for 5 s also when nothing, or only requests that may run twice, were on it, so a connection that had gone silent for good kept its peer out of use for that time. Found by reading.

--- a/cornelweir/src/protocol/limits.h
+++ b/cornelweir/src/protocol/limits.h
@@ -29,8 +29,8 @@
 // Largest sum of the bodies that are being received on one link.
 inline constexpr std::size_t kMaxLinkBodyBytes = std::size_t{32} << 20;
 // A link with pending requests is probed after kLinkProbeDelay without any message, and not used
-// for new requests after kLinkTimeout without any message. It is closed if it stays silent for
-// kMaxSilence longer; until then the results of requests that must not run twice may still arrive.
+// for new requests after kLinkTimeout without any message. It is closed then if no results are
+// awaited of requests that must not run twice, and otherwise after kMaxSilence more.
 inline constexpr kernel::milliseconds kLinkProbeDelay{200};
 inline constexpr kernel::milliseconds kLinkTimeout{600};
 inline constexpr kernel::milliseconds kMaxSilence{5'000};
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -70,9 +70,11 @@
   const kernel::microseconds limit =
       has_pending ? kernel::microseconds(protocol::kLinkTimeout)
                   : kernel::microseconds(protocol::kLinkTimeout) + idle_probe_period;
-  if (silence_time >= limit && probed_at_ > last_received_at_) OnSilent();
-  if (silence_time >= limit + protocol::kMaxSilence) {
-    link_->Close("the peer is silent");
+  if (silence_time >= limit && probed_at_ > last_received_at_) {
+    OnSilent();
+    if (pending_.empty() || silence_time >= limit + protocol::kMaxSilence) {
+      link_->Close("the peer is silent");
+    }
     return;
   }
   const kernel::microseconds period =
