--- a/cornelweir/src/settings/load_settings.cc
+++ b/cornelweir/src/settings/load_settings.cc
@@ -74,9 +74,9 @@
   reader.Endpoint("announce_listen", port_rule::kMayBeZero, sidecar.announce_listen);
   reader.Endpoints("seeds", kMaxControlHosts, sidecar.seeds);
   reader.OptionalNumber("control_port", 1, kMaxPort, sidecar.control_port);
-  reader.OptionalFraction("retry_ratio", sidecar.retry_ratio);
+  reader.OptionalReal("retry_ratio", 1, sidecar.retry_ratio);
   reader.OptionalNumber("retry_window_ms", 1, kMaxRetryWindowMs, sidecar.retry_window_ms);
-  reader.OptionalNumber("retry_slack", 0, kMaxRetrySlack, sidecar.retry_slack);
+  reader.OptionalReal("retry_slack", kMaxRetrySlack, sidecar.retry_slack);
   reader.OptionalNumber("shutdown_ms", 0, kMaxDrainMs, sidecar.shutdown_ms);
 }
 
--- a/cornelweir/src/settings/section_reader.cc
+++ b/cornelweir/src/settings/section_reader.cc
@@ -210,11 +210,12 @@
   value = number;
 }
 
-void section_reader::OptionalFraction(std::string_view key, double& value) {
+void section_reader::OptionalReal(std::string_view key, std::int64_t most, double& value) {
   const json* found = Find(key);
   if (found == nullptr) return;
-  if (!found->is_number() || found->get<double>() < 0 || found->get<double>() > 1) {
-    AddFault(key, "must be a number from 0 to 1");
+  if (!found->is_number() || found->get<double>() < 0 ||
+      found->get<double>() > static_cast<double>(most)) {
+    AddFault(key, "must be a number from 0 to " + std::to_string(most));
     return;
   }
   value = found->get<double>();
--- a/cornelweir/src/settings/section_reader.h
+++ b/cornelweir/src/settings/section_reader.h
@@ -42,8 +42,8 @@
   void OptionalFlag(std::string_view key, bool& value);
   void OptionalNumber(std::string_view key, std::int64_t least, std::int64_t most,
                       std::int64_t& value);
-  // A number from 0 to 1.
-  void OptionalFraction(std::string_view key, double& value);
+  // A number from 0 to most, whole or not.
+  void OptionalReal(std::string_view key, std::int64_t most, double& value);
   bool OptionalSection(std::string_view key, const std::function<void(section_reader&)>& read);
 
   // Records a fault for each key of the section that was not asked for.
--- a/cornelweir/src/settings/sidecar_settings.h
+++ b/cornelweir/src/settings/sidecar_settings.h
@@ -30,7 +30,7 @@
   // service within the window, plus a constant.
   double retry_ratio = 0.1;
   std::int64_t retry_window_ms = 10'000;
-  std::int64_t retry_slack = 10;
+  double retry_slack = 10;
   // How long a graceful shutdown may take.
   std::int64_t shutdown_ms = 6'000;
 };
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -116,8 +116,7 @@
 outcome::shared_retry_budget& call_router::RetryBudget(const kernel::service_name& service) {
   const auto& settings = *context_.settings.sidecar;
   return retry_budgets_
-      .try_emplace(service, outcome::retry_limits{settings.retry_ratio,
-                                                  static_cast<double>(settings.retry_slack),
+      .try_emplace(service, outcome::retry_limits{settings.retry_ratio, settings.retry_slack,
                                                   kernel::milliseconds(settings.retry_window_ms)})
       .first->second;
 }
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -47,6 +47,25 @@
   return found == faults.end() ? "" : found->reason;
 }
 
+// Guards against a daemon that does not start because a limit that a platform has worked out is not
+// a whole number.
+TEST(Settings, ReadsARetrySlackThatIsNotWhole) {
+  const auto settings = ParseSettings(R"({
+    "host": "s1", "failure_domain": "a", "region": "r", "admin_listen": "127.0.0.1:7000",
+    "plugins": ["platform_sidecar"],
+    "sidecar": {
+      "service": "forms", "upstream": "127.0.0.1:9000", "callers_listen": "127.0.0.1:9001",
+      "peers_listen": "127.0.0.1:9002", "readiness_listen": "127.0.0.1:9003",
+      "announce_listen": "127.0.0.1:9004", "seeds": ["127.0.0.1:9005"], "control_port": 9006,
+      "retry_ratio": 0.2, "retry_slack": 64.5
+    }
+  })",
+                                      {});
+  ASSERT_TRUE(settings);
+  EXPECT_DOUBLE_EQ(settings->sidecar->retry_slack, 64.5);
+  EXPECT_DOUBLE_EQ(settings->sidecar->retry_ratio, 0.2);
+}
+
 TEST(Settings, ReadsBothRolesWithCommentsAndDefaults) {
   const auto settings = ParseSettings(kBothRoles, {});
   ASSERT_TRUE(settings);
