Log whether a control host believes that its policy is the newest

A confirmed policy that is not in force can come from a control host that is behind, or from a daemon that gets the policy late. The logs could not tell these apart: nothing said whether a control host counted itself as current, nor how old the message was that it relied on, nor which version an operator had read. Event 2011 is written when that belief changes, with the age of the last confirmation and the position in the log; event 2012 for each read of an operator. No change of behaviour.

--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -29,6 +29,8 @@
   X(kGroupChanged, 2008, kInfo, "group of control hosts changes")                            \
   X(kPolicyInvalid, 2009, kWarning, "policy refused as invalid")                             \
   X(kStorageOpened, 2010, kInfo, "data folder opened")                                       \
+  X(kCurrentStateChanged, 2011, kInfo, "knowledge of the newest policy changed")             \
+  X(kPolicyRead, 2012, kInfo, "policy read by an operator")                                  \
   X(kPublisherConnected, 3001, kInfo, "connected to publisher")                              \
   X(kPublisherLost, 3002, kWarning, "publisher lost")                                        \
   X(kVersionApplied, 3003, kInfo, "version applied")                                         \
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -111,16 +111,33 @@
   confirmed_at_ = pauses_.InputArrival(clock_.Now());
 }
 
-bool fleet_feed::IsCurrentFor(const session& recipient) const {
+bool fleet_feed::IsCurrent() const {
   const replica& local = owner_.local_replica();
-  return recipient.proved_current && local.applied_index() >= local.node().commit_index() &&
+  return local.applied_index() >= local.node().commit_index() &&
          local.machine().policy().current()->version != kernel::policy_version() &&
          confirmed_round_ != kernel::heartbeat_round() &&
          clock_.Now() - confirmed_at_ < protocol::kMaxConfirmationAge;
 }
 
+bool fleet_feed::IsCurrentFor(const session& recipient) const {
+  return recipient.proved_current && IsCurrent();
+}
+
+void fleet_feed::LogCurrentStateChange() {
+  if (IsCurrent() == was_current_) return;
+  was_current_ = !was_current_;
+  const replica& local = owner_.local_replica();
+  logging::event(logging::event_id::kCurrentStateChanged)
+      .With("current", was_current_)
+      .With("version", local.machine().policy().current()->version)
+      .With("silent_ms", kernel::ToMilliseconds(clock_.Now() - confirmed_at_).count())
+      .With("applied", local.applied_index())
+      .With("committed", local.node().commit_index());
+}
+
 void fleet_feed::Tick() {
   UpdateConfirmation();
+  LogCurrentStateChange();
   const kernel::time_point now = clock_.Now();
   roster_.Expire(now);
   if (now - last_shared_at_ >= internal::kSharePeriod) {
--- a/plugins/control/fleet_feed.h
+++ b/plugins/control/fleet_feed.h
@@ -65,6 +65,9 @@
 
   void Tick();
   void UpdateConfirmation();
+  // Whether this host knows, from the leader's messages, that it has applied the newest policy.
+  bool IsCurrent() const;
+  void LogCurrentStateChange();
   // Whether this host may tell the daemon that its policy is the newest.
   bool IsCurrentFor(const session& recipient) const;
   void ProveCurrent(session& recipient);
@@ -84,6 +87,7 @@
   // The latest heartbeat round that a majority confirmed, and when this host first observed it.
   kernel::heartbeat_round confirmed_round_;
   kernel::time_point confirmed_at_;
+  bool was_current_ = false;
   // The last accepted policies, as bases of the deltas to the newest.
   std::map<kernel::policy_version, std::shared_ptr<const policy::policy_table>> recent_policies_;
   // The encoded updates to the newest policy by base version. Daemons with the same policy share
--- a/plugins/control/policy_service.cc
+++ b/plugins/control/policy_service.cc
@@ -41,7 +41,11 @@
 
 void policy_service::Read(const policy_port::read_callback& callback) {
   owner_.local_replica().Read([this, callback](bool is_current) {
-    callback(is_current ? owner_.local_replica().machine().policy().current() : nullptr);
+    const auto& newest = owner_.local_replica().machine().policy().current();
+    logging::event(logging::event_id::kPolicyRead)
+        .With("current", is_current)
+        .With("version", newest->version);
+    callback(is_current ? newest : nullptr);
   });
 }
 
