Count a control host as current only with all committed entries

Callers saw routes that had been added and confirmed more than 2 s before refused with 404, at daemons of one control host (CONFIG). Cause: the leader's messages carry the latest heartbeat round that a majority confirmed, and a host took that round as the proof that its state is the newest, whatever entries it had. A leader sends no further entries to a host from which no reply comes, only heartbeats. When a host is cut off one way, so that it hears the others but they don't hear it, it went on telling its daemons that its old policy is the newest, and they stayed until the connections broke, some 3 s later. Change: a host takes the confirmed round of a message only if it has all entries up to the message's commit index. Test: replication_test, ConfirmsNoRoundWithoutTheEntriesCommittedBefore: before, the host that is not heard confirmed the leader's rounds 10 times in 500 ms without its entries; it passes now.

--- a/cornelweir/src/replication/message.h
+++ b/cornelweir/src/replication/message.h
@@ -67,7 +67,8 @@
   kernel::term previous_term;
   std::vector<log_entry> entries;
   kernel::log_index commit;
-  // The heartbeat round that this message belongs to, and the latest confirmed one.
+  // The heartbeat round that this message belongs to, and the latest confirmed one. A receiver that
+  // has all entries up to `commit` knows what was committed before the confirmed round.
   kernel::heartbeat_round round;
   kernel::heartbeat_round confirmed;
 
@@ -118,7 +119,6 @@
   std::uint64_t total = 0;
   kernel::byte_string piece;
   kernel::heartbeat_round round;
-  kernel::heartbeat_round confirmed;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"term", &install_snapshot::term},
@@ -128,8 +128,7 @@
                       kernel::field{"offset", &install_snapshot::offset},
                       kernel::field{"total", &install_snapshot::total},
                       kernel::field{"piece", &install_snapshot::piece},
-                      kernel::field{"round", &install_snapshot::round},
-                      kernel::field{"confirmed", &install_snapshot::confirmed}};
+                      kernel::field{"round", &install_snapshot::round}};
   }
   friend bool operator==(const install_snapshot&, const install_snapshot&) = default;
 };
--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -75,7 +75,8 @@
   kernel::term current_term() const { return state_.term; }
   kernel::log_index commit_index() const { return commit_index_; }
   // The latest heartbeat round that a majority is known to have confirmed: the term in the upper
-  // and a counter in the lower 32 bits. Never decreases while the process runs.
+  // and a counter in the lower 32 bits. This node knows all entries that were committed before that
+  // round. Never decreases while the process runs.
   kernel::heartbeat_round confirmed_round() const { return confirmed_round_; }
   // The latest configuration in the log, committed or not.
   const group_configuration& configuration() const { return configurations_.rbegin()->second; }
@@ -124,8 +125,8 @@
   void Handle(const kernel::host_id& sender, const vote& reply);
 
   // Follower.
-  bool AcceptLeader(const kernel::host_id& sender, kernel::term term,
-                    kernel::heartbeat_round confirmed);
+  bool AcceptLeader(const kernel::host_id& sender, kernel::term term);
+  void RecordConfirmedRound(const append_entries& request);
   void Handle(const kernel::host_id& sender, const append_entries& request);
   void Handle(const kernel::host_id& sender, const install_snapshot& request);
   void InstallSnapshot(snapshot installed);
--- a/cornelweir/src/replication/node_follower.cc
+++ b/cornelweir/src/replication/node_follower.cc
@@ -25,21 +25,26 @@
 
 }  // namespace
 
-bool node::AcceptLeader(const kernel::host_id& sender, kernel::term term,
-                        kernel::heartbeat_round confirmed) {
+bool node::AcceptLeader(const kernel::host_id& sender, kernel::term term) {
   if (term < state_.term || (term == state_.term && role_ == role::kLeader)) return false;
   if (term > state_.term || role_ != role::kFollower) BecomeFollower(term, sender);
   leader_ = sender;
   last_leader_contact_ = now_;
   ResetElectionTimer();
-  confirmed_round_ = std::max(confirmed_round_, confirmed);
   return true;
 }
 
+// A leader whose messages arrive but gets no reply sends no further entries. A host that lacks
+// entries must not take the leader's rounds as a proof that its own state is the newest.
+void node::RecordConfirmedRound(const append_entries& request) {
+  if (commit_index_ < request.commit) return;
+  confirmed_round_ = std::max(confirmed_round_, request.confirmed);
+}
+
 void node::Handle(const kernel::host_id& sender, const append_entries& request) {
   if (!IsWellFormed(request)) return;
   append_reply reply{state_.term, false, {}, request.round, disk_, bootstrap_};
-  if (!AcceptLeader(sender, request.term, request.confirmed)) {
+  if (!AcceptLeader(sender, request.term)) {
     Send(sender, reply);
     return;
   }
@@ -47,6 +52,7 @@
   const kernel::log_index last_new_index(request.previous_index.value() + request.entries.size());
   if (last_new_index < commit_index_) {
     // A delayed message; its entries are committed here already.
+    RecordConfirmedRound(request);
     reply.accepted = true;
     reply.index = commit_index_;
     Send(sender, reply);
@@ -72,6 +78,7 @@
     AppendToLog(entry);
   }
   SetCommitIndex(std::min(request.commit, last_new_index));
+  RecordConfirmedRound(request);
   reply.accepted = true;
   reply.index = last_new_index;
   Send(sender, reply);
@@ -80,7 +87,7 @@
 void node::Handle(const kernel::host_id& sender, const install_snapshot& request) {
   snapshot_reply reply{state_.term, request.snapshot_index, 0, false, request.round, disk_,
                        bootstrap_};
-  if (!AcceptLeader(sender, request.term, request.confirmed)) {
+  if (!AcceptLeader(sender, request.term)) {
     Send(sender, reply);
     return;
   }
--- a/cornelweir/src/replication/node_leader.cc
+++ b/cornelweir/src/replication/node_leader.cc
@@ -152,8 +152,7 @@
                              peer.snapshot_offset,
                              outgoing.data.bytes.size(),
                              {},
-                             round,
-                             confirmed_round_};
+                             round};
     if (!peer.awaiting_reply) {
       install.piece.bytes = outgoing.data.bytes.substr(peer.snapshot_offset, kSnapshotPieceBytes);
     }
--- a/tests/replication_test.cc
+++ b/tests/replication_test.cc
@@ -71,7 +71,7 @@
         for (envelope& sent : taken.messages) {
           largest_message_bytes_ = std::max(largest_message_bytes_, codec::Encode(sent).size());
           if (nodes_.contains(sent.to) && !disconnected_.contains(sent.to) &&
-              !disconnected_.contains(host)) {
+              !disconnected_.contains(host) && !muted_.contains(host)) {
             snapshot_pieces_ += std::holds_alternative<install_snapshot>(sent.body) ? 1 : 0;
             in_transit_.push_back(std::move(sent));
           }
@@ -99,6 +99,8 @@
   std::size_t largest_message_bytes_ = 0;
   std::map<host_id, std::vector<read_index_result>> read_results_;
   std::set<host_id> disconnected_;
+  // Hosts whose messages are dropped, but that receive those of the others.
+  std::set<host_id> muted_;
   std::map<host_id, node> nodes_;
 
  private:
@@ -242,6 +244,30 @@
   EXPECT_EQ(FindDiskRecord(repaired, replaced)->disk, kernel::disk_id(9));
 }
 
+// Guards against a host that hands out an old state as the newest: it hears the heartbeats of a
+// leader, but as the leader gets no reply, it sends no entries.
+TEST(Replication, ConfirmsNoRoundWithoutTheEntriesCommittedBefore) {
+  test_group group(kThreeVoters);
+  group.RunFor(milliseconds(1000));
+  node& muted = *group.Leader();
+  group.muted_.insert(*muted.leader());
+  group.RunFor(2 * kElectionTimeoutMax);
+  node& leader = *group.Leader();
+  ASSERT_FALSE(muted.IsLeader());
+  leader.Propose(byte_string{"x"}, group.Now());
+  group.RunFor(kHeartbeatInterval);
+  ASSERT_GT(leader.commit_index(), muted.commit_index());
+  const kernel::heartbeat_round confirmed = muted.confirmed_round();
+  const kernel::heartbeat_round round_of_leader = leader.confirmed_round();
+  group.RunFor(10 * kHeartbeatInterval);
+  EXPECT_GT(leader.confirmed_round(), round_of_leader);
+  EXPECT_EQ(muted.confirmed_round(), confirmed);
+  group.muted_.clear();
+  group.RunFor(2 * kHeartbeatInterval);
+  EXPECT_EQ(muted.commit_index(), leader.commit_index());
+  EXPECT_GT(muted.confirmed_round(), round_of_leader);
+}
+
 // Guards against an isolated leader that keeps confirming heartbeat rounds or accepting proposals.
 TEST(Replication, StepsDownWithoutAMajority) {
   test_group group(kThreeVoters);
