Confirm no heartbeat round before an entry of the leader's term is committed

A host that has just become leader may not know yet that entries of earlier terms are committed. A majority confirmed its heartbeat rounds all the same, so it and its followers counted as current with a policy that could be older than an acknowledged one. Reads of operators were not affected: they wait for an entry of the term. Change: a leader confirms rounds only once an entry of its term is committed.

--- a/cornelweir/src/replication/node_leader.cc
+++ b/cornelweir/src/replication/node_leader.cc
@@ -197,7 +197,8 @@
 }
 
 void node::UpdateConfirmedRound() {
-  if (role_ != role::kLeader) return;
+  // Before its first entry is committed, a leader may not know that entries of earlier terms are.
+  if (role_ != role::kLeader || !HasCommittedInCurrentTerm()) return;
   std::vector<kernel::heartbeat_round> rounds;
   for (const kernel::host_id& host : configuration().voters) {
     if (host == self_) {
--- a/tests/replication_properties_test.cc
+++ b/tests/replication_properties_test.cc
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "cornelweir/kernel.h"
@@ -415,6 +416,7 @@
   }
 
   void Transmit(const envelope& sent) {
+    RecordRound(sent);
     if (cut_links_.contains({PositionOf(sent.from), PositionOf(sent.to)})) return;
     const std::uint64_t percentile = kernel::UniformBelow(random_, 100);
     if (percentile < loss_percent_) return;
@@ -426,6 +428,14 @@
     }
   }
 
+  void RecordRound(const envelope& sent) {
+    if (const auto* append = std::get_if<append_entries>(&sent.body)) {
+      committed_before_round_.emplace(append->round, committed_log_.size());
+    } else if (const auto* install = std::get_if<install_snapshot>(&sent.body)) {
+      committed_before_round_.emplace(install->round, committed_log_.size());
+    }
+  }
+
   // The state of the state machine after the entry at index: a hash of all commands up to it.
   byte_string StateAt(std::size_t index) const {
     std::uint64_t hash = 0;
@@ -460,6 +470,11 @@
     }
     RC_ASSERT(process.confirmed_round() >= host.confirmed);
     host.confirmed = process.confirmed_round();
+    // A host with a confirmed round counts as current, so it must know what was committed before.
+    const auto committed = committed_before_round_.find(host.confirmed);
+    if (committed != committed_before_round_.end()) {
+      RC_ASSERT(process.commit_index().value() >= committed->second);
+    }
   }
 
   kernel::seeded_random random_;
@@ -472,6 +487,8 @@
   std::set<std::pair<std::size_t, std::size_t>> cut_links_;
   std::vector<log_entry> committed_log_;
   std::map<kernel::term, std::pair<std::size_t, disk_id>> leaders_;
+  // The number of entries that were committed when the first message of a heartbeat round was sent.
+  std::map<kernel::heartbeat_round, std::size_t> committed_before_round_;
   std::uint64_t last_disk_ = 0;
   std::uint64_t proposals_ = 0;
   std::uint64_t reads_ = 0;
@@ -495,8 +512,9 @@
                                                   rc::gen::inRange<std::uint32_t>(200, 700))));
 }
 
-// Guards against two leaders in one term, lost or changed committed entries, stale reads, and a
-// group that doesn't recover once the faults end.
+// Guards against two leaders in one term, lost or changed committed entries, stale reads, hosts
+// that count as current without all committed entries, and a group that doesn't recover once the
+// faults end.
 TEST(ReplicationProperties, HoldUnderRandomFaults) {
   // A constant seed, so that every run checks the same schedules; RC_PARAMS overrides it.
   ::setenv("RC_PARAMS", "seed=20 max_success=6000", /*overwrite=*/0);
--- a/tests/replication_test.cc
+++ b/tests/replication_test.cc
@@ -268,6 +268,43 @@
   EXPECT_GT(muted.confirmed_round(), round_of_leader);
 }
 
+// Guards against a new leader that hands out an old state as the newest: it has the entries that an
+// earlier leader committed, but does not know yet that they are.
+TEST(Replication, ConfirmsNoRoundBeforeAnEntryOfItsTermIsCommitted) {
+  const kernel::term next_term(2);
+  node leader = node_builder()
+                    .Self(host_id("a"))
+                    .Disk(kernel::disk_id(1))
+                    .Bootstrap(true)
+                    .State({kernel::term(1), std::nullopt})
+                    .Entries({log_entry{kernel::term(1), log_index(1), entry_kind::kNoop, {}}})
+                    .Configuration(kThreeVoters)
+                    .Seed(1)
+                    .Build();
+  kernel::manual_clock clock;
+  const auto receive = [&](const message& body) {
+    leader.Receive({host_id("b"), host_id("a"), body}, clock.Now());
+  };
+  leader.Tick(clock.Now());
+  clock.Advance(kElectionTimeoutMax);
+  leader.Tick(clock.Now());
+  receive(vote{next_term, true, /*pre_vote=*/true, kernel::disk_id(2), true});
+  receive(vote{next_term, true, /*pre_vote=*/false, kernel::disk_id(2), true});
+  ASSERT_TRUE(leader.IsLeader());
+  const ready taken = leader.TakeReady();
+  leader.Persisted();
+  const auto sent = std::find_if(
+      taken.messages.begin(), taken.messages.end(),
+      [](const envelope& other) { return std::holds_alternative<append_entries>(other.body); });
+  ASSERT_NE(sent, taken.messages.end());
+  const kernel::heartbeat_round round = std::get<append_entries>(sent->body).round;
+  receive(append_reply{next_term, false, log_index(1), round, kernel::disk_id(2), true});
+  EXPECT_EQ(leader.confirmed_round(), kernel::heartbeat_round());
+  receive(append_reply{next_term, true, log_index(2), round, kernel::disk_id(2), true});
+  EXPECT_EQ(leader.commit_index(), log_index(2));
+  EXPECT_EQ(leader.confirmed_round(), round);
+}
+
 // Guards against an isolated leader that keeps confirming heartbeat rounds or accepting proposals.
 TEST(Replication, StepsDownWithoutAMajority) {
   test_group group(kThreeVoters);
