Keep within the rate limit that an upstream states in its responses

An upstream in need names in its responses how many requests a second it takes from all daemons together. Change: the daemon beside the upstream keeps the limit, since every request to the upstream passes through it. admission::rate_limiter spaces the starts; time without starts is credited up to 0.5 s, so the starts in 4 s are at most 4.5 s of the rate plus one. Requests beyond it wait in the queue by urgency, or are refused at once with the time of the next free start if they would miss their objective. The daemon reports only the slots that the limit lets requests use, so others choose another upstream. A limit ends with the first response that states none to a request that was sent after the last response that stated one. The control hosts keep the limit with what they know of the upstream, so that a daemon that restarts has it before its first request. Tests: rate_limiter_test, slot_queue_test, upstream_dispatcher_test, platform_format_test. With the reading of the header taken out, KeepsWithinTheRateLimitThatResponsesState and KeepsTheRateLimitAfterAResponseToAnEarlierRequest fail.

--- a/cornelweir/admission.h
+++ b/cornelweir/admission.h
@@ -11,6 +11,7 @@
 #include "cornelweir/src/admission/limits.h"
 #include "cornelweir/src/admission/nested_route_detector.h"
 #include "cornelweir/src/admission/priority_class.h"
+#include "cornelweir/src/admission/rate_limiter.h"
 #include "cornelweir/src/admission/refused_ticket.h"
 #include "cornelweir/src/admission/share_member.h"
 #include "cornelweir/src/admission/slot_queue.h"
--- a/cornelweir/src/admission/limits.h
+++ b/cornelweir/src/admission/limits.h
@@ -32,6 +32,12 @@
 inline constexpr std::uint64_t kMinRequestsToClassify = 24;
 inline constexpr std::uint64_t kCallerExpiryRequests = 128;
 
+// Time without starts that is credited to an upstream with a rate limit.
+inline constexpr kernel::microseconds kRateCreditTime = std::chrono::milliseconds(500);
+// One request in 4 s. An upstream that takes none at all would never be asked again, and so could
+// not lift its limit.
+inline constexpr kernel::request_rate kMinRate{250};
+
 // The run time that is expected of a queued request, in percent of the mean. It is above the mean
 // because run times have a long tail.
 inline constexpr std::int64_t kPlannedRunTimePercent = 120;
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -1,6 +1,7 @@
 #include "cornelweir/src/admission/slot_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "cornelweir/src/admission/limits.h"
@@ -17,15 +18,45 @@
   return AdmitQueued(now);
 }
 
-kernel::microseconds slot_queue::ExpectedWaitAt(std::int64_t position) const {
+std::vector<ticket> slot_queue::SetRateLimit(std::optional<kernel::request_rate> rate,
+                                             kernel::time_point now) {
+  starts_.SetRate(rate, now);
+  return AdmitQueued(now);
+}
+
+bool slot_queue::MayStart(kernel::time_point now) const {
+  return running() < slots_ && starts_.WaitFor(1, now) == kernel::microseconds::zero();
+}
+
+void slot_queue::Start(ticket id, kernel::time_point now) {
+  running_.insert(id);
+  starts_.OnStart(now);
+}
+
+kernel::microseconds slot_queue::MeanRunTime() const {
+  return run_time_.count() > 0 ? run_time_ : kInitialRunTimeEstimate;
+}
+
+std::int64_t slot_queue::UsableSlots() const {
+  if (!rate_limit() || slots_ <= 0) return slots_;
+  constexpr double kThousandthMicrosecondsPerSecond = 1e9;
+  const double concurrent_requests = static_cast<double>(rate_limit()->value()) *
+                                     static_cast<double>(MeanRunTime().count()) /
+                                     kThousandthMicrosecondsPerSecond;
+  return std::clamp(static_cast<std::int64_t>(std::ceil(concurrent_requests)), std::int64_t{1},
+                    slots_);
+}
+
+kernel::microseconds slot_queue::ExpectedWaitAt(std::int64_t position,
+                                                kernel::time_point now) const {
   if (slots_ <= 0) return kernel::microseconds::max() / 4;
-  const std::int64_t ahead = running() + position + 1 - slots_;
-  if (ahead <= 0) return kernel::microseconds::zero();
-  const kernel::microseconds run_time = run_time_.count() > 0 ? run_time_ : kInitialRunTimeEstimate;
-  return run_time * ahead / slots_;
+  const std::int64_t ahead = std::max<std::int64_t>(running() + position + 1 - slots_, 0);
+  return std::max(MeanRunTime() * ahead / slots_, starts_.WaitFor(position + 1, now));
 }
 
-kernel::microseconds slot_queue::ExpectedWait() const { return ExpectedWaitAt(queued()); }
+kernel::microseconds slot_queue::ExpectedWait(kernel::time_point now) const {
+  return ExpectedWaitAt(queued(), now);
+}
 
 // Whether the request would most likely miss its deadline even if it ran now.
 bool slot_queue::WouldMissDeadline(const slot_request& request, kernel::time_point now) const {
@@ -38,7 +69,7 @@
 // nested request may take until its deadline.
 bool slot_queue::WouldEndTooLate(const slot_request& request, std::int64_t position,
                                  kernel::time_point now) const {
-  const kernel::microseconds wait = ExpectedWaitAt(position);
+  const kernel::microseconds wait = ExpectedWaitAt(position, now);
   const kernel::microseconds run =
       request.run_time * kPlannedRunTimePercent / 100 + request.transfer_time;
   return now + wait + run > (request.nested ? request.deadline : request.objective);
@@ -47,9 +78,9 @@
 slot_decision slot_queue::Submit(const slot_request& request, kernel::time_point now) {
   using kind = slot_decision::kind;
   if (WouldMissDeadline(request, now)) return {};
-  if (running() < slots_ && queue_.empty()) {
+  if (queue_.empty() && MayStart(now)) {
     if (request.transfer_time.count() > 0 && WouldEndTooLate(request, 0, now)) return {};
-    running_.insert(request.id);
+    Start(request.id, now);
     return {kind::kRun, {}};
   }
   const queue_key key{!request.nested, request.priority, request.objective, next_arrival_++};
@@ -77,7 +108,7 @@
 // Skips requests that are overdue, which Expire() has not removed yet if the process was paused.
 std::vector<ticket> slot_queue::AdmitQueued(kernel::time_point now) {
   std::vector<ticket> admitted;
-  for (auto next = queue_.begin(); running() < slots_ && next != queue_.end();) {
+  for (auto next = queue_.begin(); MayStart(now) && next != queue_.end();) {
     if (WouldMissDeadline(next->second, now)) {
       ++next;
       continue;
@@ -85,7 +116,7 @@
     const ticket id = next->second.id;
     next = queue_.erase(next);
     queue_keys_.erase(id);
-    running_.insert(id);
+    Start(id, now);
     admitted.push_back(id);
   }
   return admitted;
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -9,6 +9,7 @@
 #include <tuple>
 #include <vector>
 
+#include "cornelweir/src/admission/rate_limiter.h"
 #include "cornelweir/src/admission/ticket.h"
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/kernel/quantity.h"
@@ -45,8 +46,9 @@
 kernel::microseconds UpdatedMovingAverage(kernel::microseconds average,
                                           kernel::microseconds sample);
 
-// Runs as many requests on an upstream as it has slots and queues the others: nested requests
-// first, then in order of priority, then of objective. A request that would wait too long to meet
+// Runs as many requests on an upstream as it has slots, and starts them within its rate limit if it
+// has one. Queues the others: nested requests first, then in order of priority, then of objective.
+// A request that would wait too long to meet
 // its objective is refused at once, while its caller still has time to use another upstream. A late
 // request gets a slot only if no other request needs it, and the network only if no other response
 // does.
@@ -55,12 +57,19 @@
   // Sets the number of slots. Returns the queued requests that run now.
   std::vector<ticket> SetSlots(std::int64_t slots, kernel::time_point now);
 
+  // Sets or removes the limit of the requests started a second. Returns the queued requests that
+  // run now.
+  std::vector<ticket> SetRateLimit(std::optional<kernel::request_rate> rate,
+                                   kernel::time_point now);
+
   // Runs, queues or refuses a request.
   slot_decision Submit(const slot_request& request, kernel::time_point now);
   // Ends a running request. run_time is set if the request completed. Returns the queued requests
   // that run now.
   std::vector<ticket> Release(ticket id, std::optional<kernel::microseconds> run_time,
                               kernel::time_point now);
+  // Returns the queued requests that run now because the rate limit allows it again.
+  std::vector<ticket> AdmitQueued(kernel::time_point now);
   // Removes a queued request. Returns false if it is not queued.
   bool Cancel(ticket id);
   // Removes and returns the queued requests that can no longer complete before their deadlines.
@@ -68,9 +77,12 @@
   // Removes and returns all queued requests.
   std::vector<ticket> Clear();
 
-  // Expected time that a request queued now would wait for a slot.
-  kernel::microseconds ExpectedWait() const;
+  // Expected time that a request queued now would wait for a slot and for the rate limit.
+  kernel::microseconds ExpectedWait(kernel::time_point now) const;
   std::int64_t slots() const { return slots_; }
+  // The number of slots that requests can use at the same time within the rate limit.
+  std::int64_t UsableSlots() const;
+  const std::optional<kernel::request_rate>& rate_limit() const { return starts_.rate(); }
   std::int64_t running() const { return static_cast<std::int64_t>(running_.size()); }
   std::int64_t queued() const { return static_cast<std::int64_t>(queue_.size()); }
 
@@ -78,14 +90,17 @@
   // Sort key of the queue: not nested, priority, objective, number of arrival.
   using queue_key = std::tuple<bool, std::int32_t, kernel::time_point, std::uint64_t>;
 
-  std::vector<ticket> AdmitQueued(kernel::time_point now);
-  kernel::microseconds ExpectedWaitAt(std::int64_t position) const;
+  bool MayStart(kernel::time_point now) const;
+  void Start(ticket id, kernel::time_point now);
+  kernel::microseconds MeanRunTime() const;
+  kernel::microseconds ExpectedWaitAt(std::int64_t position, kernel::time_point now) const;
   bool WouldMissDeadline(const slot_request& request, kernel::time_point now) const;
   bool WouldEndTooLate(const slot_request& request, std::int64_t position,
                        kernel::time_point now) const;
   std::vector<ticket> DisplaceLateRequests(kernel::time_point now);
 
   std::int64_t slots_ = 0;
+  rate_limiter starts_;
   std::set<ticket> running_;
   std::map<queue_key, slot_request> queue_;
   std::map<ticket, queue_key> queue_keys_;
--- a/cornelweir/src/kernel/quantity.h
+++ b/cornelweir/src/kernel/quantity.h
@@ -18,6 +18,8 @@
 
 // A number of requests: in progress, queued or allowed.
 using request_count = strong_id<struct request_count_tag, std::int64_t>;
+// A number of requests a second, in thousandths.
+using request_rate = strong_id<struct request_rate_tag, std::int64_t>;
 // A share of a service's traffic relative to the other weights of the same service.
 using weight = strong_id<struct weight_tag, std::int64_t>;
 // A number of bytes.
--- a/plugins/sidecar/request_dialect.h
+++ b/plugins/sidecar/request_dialect.h
@@ -13,6 +13,7 @@
 #include "cornelweir/membership.h"
 #include "cornelweir/protocol.h"
 #include "plugins/sidecar/call.h"
+#include "plugins/sidecar/upstream_notice.h"
 
 namespace cornelweir::plugins::sidecar {
 
@@ -59,6 +60,8 @@
   { T::ClassifyResponse(run, response) } -> std::same_as<upstream_response_kind>;
   // Whether the response belongs to a request, and not to a probe of the upstream's health.
   { T::HasRequestId(response) } -> std::same_as<bool>;
+  // Returns what the response says of the upstream itself.
+  { T::ReadNotice(response) } -> std::same_as<upstream_notice>;
   // Returns the upstream's id from a healthy response, or else an empty id.
   { T::HealthyUpstream(response) } -> std::same_as<kernel::upstream_id>;
   T::ServeAnnouncements(server, announce_handler(), withdraw_handler());
@@ -75,6 +78,7 @@
   upstream_response_kind (*classify_response)(const protocol::run_request&,
                                               const http::whole_response&);
   bool (*has_request_id)(const http::whole_response&);
+  upstream_notice (*read_notice)(const http::whole_response&);
   kernel::upstream_id (*healthy_upstream)(const http::whole_response&);
   void (*serve_announcements)(http::admin_server&, announce_handler, withdraw_handler);
   std::string_view readiness_path;
@@ -82,9 +86,9 @@
 
 template <request_dialect T>
 dialect_functions FunctionsOf() {
-  return {&T::DecodeCall,      &T::RejectUnreadable,   &T::Reply,
-          &T::EncodeRun,       &T::ClassifyResponse,   &T::HasRequestId,
-          &T::HealthyUpstream, &T::ServeAnnouncements, T::kReadinessPath};
+  return {&T::DecodeCall,         &T::RejectUnreadable, &T::Reply,      &T::EncodeRun,
+          &T::ClassifyResponse,   &T::HasRequestId,     &T::ReadNotice, &T::HealthyUpstream,
+          &T::ServeAnnouncements, T::kReadinessPath};
 }
 
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -113,11 +113,15 @@
   set("cornelweir_policy_version", "Policy in force",
       control_client_.policy() ? static_cast<double>(control_client_.policy()->version.value())
                                : 0);
-  set("cornelweir_upstream_slots", "Slots of the upstream", static_cast<double>(load.slots));
+  set("cornelweir_upstream_slots", "Slots of the upstream that requests can use",
+      static_cast<double>(load.slots));
   set("cornelweir_upstream_in_progress", "Requests at the upstream",
       static_cast<double>(load.in_progress));
   set("cornelweir_upstream_queued", "Requests that wait for the upstream",
       static_cast<double>(load.queued));
+  set("cornelweir_upstream_rate_limit",
+      "Requests a second that the upstream takes, 0 if it states no limit",
+      dispatcher_.RequestsPerSecond());
   set("cornelweir_peers", "Known daemons", static_cast<double>(peers_.size()));
   set("cornelweir_caller_connections", "Open connections of callers",
       static_cast<double>(callers_.connections()));
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -48,7 +48,7 @@
 }
 
 protocol::upstream_load upstream_dispatcher::Load() const {
-  return {queue_.slots(), queue_.running(), queue_.queued()};
+  return {queue_.UsableSlots(), queue_.running(), queue_.queued()};
 }
 
 protocol::upstream_report upstream_dispatcher::Report() const {
@@ -66,12 +66,19 @@
       .With("upstream", announced_ ? announced_->id.value() : std::string())
       .With("service", service())
       .With("open", IsOpen())
+      .With("rate_limit", RequestsPerSecond())
       .With("reason", reason);
   if (!IsOpen()) RefuseAll(queue_.Clear(), protocol::run_failure::kNoUpstream);
   UpdateSlots();
   on_change_();
 }
 
+double upstream_dispatcher::RequestsPerSecond() const {
+  constexpr double kThousandths = 1e3;
+  const auto limit = queue_.rate_limit();
+  return limit ? static_cast<double>(limit->value()) / kThousandths : 0;
+}
+
 void upstream_dispatcher::UpdateSlots() {
   StartAll(queue_.SetSlots(IsOpen() ? announced_->slots : 0, Now()));
 }
@@ -88,13 +95,25 @@
          (last_announced_->draining && !announcement.draining);
 }
 
+// Whether the announcement is from the upstream process that is known already.
+bool upstream_dispatcher::IsSameProcess(
+    const membership::upstream_announcement& announcement) const {
+  if (last_announced_) {
+    return last_announced_->id == announcement.id &&
+           last_announced_->started_at == announcement.started_at;
+  }
+  return announced_ && announced_->id == announcement.id;
+}
+
 void upstream_dispatcher::Restore(const membership::announced_upstream& upstream) {
   const auto order = [](const membership::announced_upstream& state) {
     return std::tuple(state.started_at, state.sequence, state.draining);
   };
   if (last_announced_ && order(*last_announced_) >= order(upstream)) return;
   last_announced_ = upstream;
-  if (!announced_ || announced_->id != upstream.id) return;
+  if (announced_ && announced_->id != upstream.id) return;
+  SetRateLimit(upstream.rate_limit);
+  if (!announced_) return;
   announced_->started_at = upstream.started_at;
   announced_->slots = upstream.slots;
   announced_->draining = upstream.draining;
@@ -114,8 +133,9 @@
                        announced_->service != announcement.service;
   if (replaced) client_.CloseIdleConnections();
   announced_ = announcement;
-  last_announced_ = {announcement.id, announcement.started_at, announcement.sequence,
-                     announcement.slots, announcement.draining};
+  if (!IsSameProcess(announcement)) SetRateLimit(std::nullopt);
+  last_announced_ = {announcement.id,    announcement.started_at, announcement.sequence,
+                     announcement.slots, announcement.draining,   queue_.rate_limit()};
   warmed_up_at_ = Now() + announcement.warm_up;
   unavailable_ = false;
   connect_failures_ = 0;
@@ -159,6 +179,8 @@
       announced_->started_at = last_announced_->started_at;
       announced_->slots = last_announced_->slots;
       announced_->draining = last_announced_->draining;
+    } else {
+      SetRateLimit(std::nullopt);
     }
     OnStateChanged("healthy");
   }
@@ -240,6 +262,7 @@
   if (queue_timer_.running() || queue_.queued() == 0) return;
   queue_timer_.Start(internal::kQueueCheckPeriod, [this] {
     RefuseAll(queue_.Expire(Now()), protocol::run_failure::kNoCapacity);
+    StartAll(queue_.AdmitQueued(Now()));
     StartQueueTimer();
   });
 }
@@ -247,7 +270,7 @@
 void upstream_dispatcher::RefuseAll(const std::vector<admission::ticket>& ids,
                                     protocol::run_failure failure) {
   const kernel::microseconds wait =
-      std::max(queue_.ExpectedWait(), bulk_.EstimatedTransferTime(expected_bytes_));
+      std::max(queue_.ExpectedWait(Now()), bulk_.EstimatedTransferTime(expected_bytes_));
   for (const admission::ticket& id : ids) {
     run_result result;
     result.failure = failure;
@@ -296,6 +319,7 @@
   std::optional<kernel::microseconds> run_time;
   if (result.status == http::upstream_status::kResponse) {
     run_time = Now() - found->second.started_at;
+    OnNotice(found->second, dialect_.read_notice(result.response));
   }
   run_result ended = TranslateResult(found->second, std::move(result));
   if (!ended.response) run_time.reset();
@@ -306,6 +330,29 @@
   if (!connected) OnConnectFailure();
 }
 
+// A limit ends with the first response that states none to a request that was sent after the last
+// response that stated one: earlier requests may have run before the limit.
+void upstream_dispatcher::OnNotice(const run& ended, const upstream_notice& notice) {
+  if (!announced_ || announced_->id != ended.upstream ||
+      ended.response_kind == upstream_response_kind::kOtherUpstream) {
+    return;
+  }
+  if (notice.rate_limit) {
+    rate_limited_at_ = Now();
+    SetRateLimit(notice.rate_limit);
+  } else if (ended.response_kind == upstream_response_kind::kResponse &&
+             ended.started_at > rate_limited_at_) {
+    SetRateLimit(std::nullopt);
+  }
+}
+
+void upstream_dispatcher::SetRateLimit(std::optional<kernel::request_rate> rate) {
+  const bool changed = rate.has_value() != queue_.rate_limit().has_value();
+  if (last_announced_) last_announced_->rate_limit = rate;
+  StartAll(queue_.SetRateLimit(rate, Now()));
+  if (changed) context_.loop.Post([this] { OnStateChanged("rate limit"); });
+}
+
 run_result upstream_dispatcher::TranslateResult(const run& ended, http::upstream_result result) {
   run_result translated;
   switch (result.status) {
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -42,7 +42,8 @@
   // Restores what this daemon knew of its upstream before it restarted. Announcements and health
   // responses of the same upstream process do not undo it.
   void Restore(const membership::announced_upstream& upstream);
-  // What the latest announcement said; empty if none was received or restored.
+  // What the latest announcement and the responses said; empty if no announcement was received or
+  // restored.
   std::optional<membership::announced_upstream> LastAnnounced() const { return last_announced_; }
   // Probes the health of the upstream until it announces itself, for a limited time after the
   // start.
@@ -61,6 +62,8 @@
   bool busy() const { return !runs_.empty(); }
   // The fraction of the requests at the upstream that another upstream may have received before.
   double RepeatedShare() const;
+  // The limit that the upstream's responses state; 0 if they state none.
+  double RequestsPerSecond() const;
   std::uint64_t connections_opened() const { return client_.opened_connections(); }
 
  private:
@@ -89,10 +92,13 @@
 
   kernel::time_point Now() const { return context_.clock.Now(); }
   bool IsOutdated(const membership::upstream_announcement& announcement) const;
+  bool IsSameProcess(const membership::upstream_announcement& announcement) const;
   bool IsOpen() const;
   void Start(admission::ticket id);
   void StartAll(const std::vector<admission::ticket>& ids);
   void OnExchangeEnded(admission::ticket id, http::upstream_result result);
+  void OnNotice(const run& ended, const upstream_notice& notice);
+  void SetRateLimit(std::optional<kernel::request_rate> rate);
   run_result TranslateResult(const run& ended, http::upstream_result result);
   kernel::microseconds EstimateTransferTime(const route_history& route) const;
   void RecordRun(const kernel::route_name& route, kernel::microseconds run_time, std::size_t bytes);
@@ -117,6 +123,8 @@
   std::optional<membership::upstream_announcement> announced_;
   std::optional<membership::announced_upstream> last_announced_;
   kernel::time_point warmed_up_at_;
+  // When a response last stated a rate limit.
+  kernel::time_point rate_limited_at_;
   // The upstream refused connections or was replaced. Reset by the next announcement.
   bool unavailable_ = false;
   bool shutting_down_ = false;
--- a/tests/platform_format_test.cc
+++ b/tests/platform_format_test.cc
@@ -133,5 +133,20 @@
   EXPECT_EQ(reply(reply_kind::kNoRoute).status, 404);
 }
 
+// Guards against a rate limit that is ignored, or read from a header that is no number.
+TEST(PlatformDialect, ReadsTheRateLimitOfAnUpstream) {
+  const auto limit = [](const std::string& value) {
+    return sidecar_dialect::ReadNotice({200, {{"server-limit", value}}, ""}).rate_limit;
+  };
+  EXPECT_EQ(limit("8.6"), kernel::request_rate(8'600));
+  EXPECT_EQ(limit("120"), kernel::request_rate(120'000));
+  EXPECT_EQ(limit("0"), kernel::request_rate(0));
+  EXPECT_FALSE(limit(""));
+  EXPECT_FALSE(limit("8.6/s"));
+  EXPECT_FALSE(limit("-1"));
+  EXPECT_FALSE(limit("nan"));
+  EXPECT_FALSE(sidecar_dialect::ReadNotice({200, {}, ""}).rate_limit);
+}
+
 }  // namespace
 }  // namespace cornelweir::platform
--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -159,5 +159,34 @@
   EXPECT_TRUE(queue.Release(ticket(1), std::nullopt, kStart).empty());
 }
 
+// Guards against sending an upstream more requests a second than it takes: those beyond its limit
+// wait although slots are free, and are refused at once if they would wait too long.
+TEST(SlotQueue, StartsRequestsWithinTheRateLimit) {
+  slot_queue queue = Queue(6);
+  queue.SetRateLimit(kernel::request_rate(4'000), kStart);
+  EXPECT_EQ(queue.Submit(Request(1, 500), kStart).outcome, kind::kRun);
+  EXPECT_EQ(queue.Submit(Request(2, 500), kStart).outcome, kind::kQueue);
+  EXPECT_EQ(queue.Submit(Request(3, 500), kStart).outcome, kind::kRefuse)
+      << "it would wait for 500 ms";
+  EXPECT_EQ(queue.ExpectedWait(kStart), milliseconds(500));
+  EXPECT_TRUE(queue.AdmitQueued(kStart + milliseconds(240)).empty());
+  EXPECT_EQ(queue.AdmitQueued(kStart + milliseconds(250)), std::vector{ticket(2)});
+  EXPECT_EQ(queue.Release(ticket(1), milliseconds(100), kStart + milliseconds(260)),
+            std::vector<ticket>());
+}
+
+// Guards against daemons that count slots which the rate limit leaves idle, and so keep choosing an
+// upstream that can't take more.
+TEST(SlotQueue, ReportsOnlySlotsThatTheRateLimitLetsRequestsUse) {
+  slot_queue queue = Queue(6);
+  EXPECT_EQ(queue.UsableSlots(), 6);
+  queue.SetRateLimit(kernel::request_rate(15'000), kStart);
+  EXPECT_EQ(queue.UsableSlots(), 2) << "15 requests a second that take 100 ms each";
+  queue.SetRateLimit(kernel::request_rate(1'000), kStart);
+  EXPECT_EQ(queue.UsableSlots(), 1);
+  queue.SetRateLimit(kernel::request_rate(900'000), kStart);
+  EXPECT_EQ(queue.UsableSlots(), 6);
+}
+
 }  // namespace
 }  // namespace cornelweir::admission
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -1,12 +1,15 @@
-// Tests what a daemon uses of its upstream after the daemon alone has restarted.
+// Tests what a daemon uses of its upstream: within what the upstream's responses say of it, and
+// after the daemon alone has restarted.
 
 #include "plugins/sidecar/upstream_dispatcher.h"
 
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "tests/http_test_support.h"
 #include "tests/sidecar_test_context.h"
@@ -29,6 +32,13 @@
   return !http::FindHeader(response.headers, "Id").empty();
 }
 
+upstream_notice ReadNotice(const http::whole_response& response) {
+  upstream_notice notice;
+  const std::string_view limit = http::FindHeader(response.headers, "Limit");
+  if (!limit.empty()) notice.rate_limit = kernel::request_rate(std::stoll(std::string(limit)));
+  return notice;
+}
+
 kernel::upstream_id HealthyUpstream(const http::whole_response& response) {
   return response.status == 200
              ? kernel::upstream_id(std::string(http::FindHeader(response.headers, "Upstream")))
@@ -43,13 +53,19 @@
     dialect_.encode_run = &EncodeRun;
     dialect_.classify_response = &ClassifyResponse;
     dialect_.has_request_id = &HasRequestId;
+    dialect_.read_notice = &ReadNotice;
     dialect_.healthy_upstream = &HealthyUpstream;
     server_.on_bytes = [this](http::raw_peer& peer) {
       while (peer.received.find("\r\n\r\n") != std::string::npos) {
         const bool is_probe = peer.received.starts_with("GET /health");
         peer.received.erase(0, peer.received.find("\r\n\r\n") + 4);
         ++(is_probe ? probes_ : runs_);
-        if (is_probe) peer.Send(probe_response_);
+        if (is_probe) {
+          peer.Send(probe_response_);
+        } else if (!run_responses_.empty()) {
+          peer.Send(run_responses_.front());
+          run_responses_.pop_front();
+        }
       }
     };
     dispatcher_ = std::make_unique<upstream_dispatcher>(daemon_.context, dialect_, bulk_, [] {});
@@ -82,15 +98,46 @@
     }
   }
 
+  // Runs as many requests as there are headers, which are added to the responses.
+  void RunToEnd(const std::vector<std::string>& headers) {
+    for (const std::string& header : headers) {
+      run_responses_.push_back("HTTP/1.1 200 OK\r\nId: /run\r\nContent-Length: 0\r\n" + header +
+                               "\r\n");
+    }
+    Run(static_cast<int>(headers.size()), kLongTime);
+    http::RunUntil(daemon_.loop, [this] { return !dispatcher_->busy(); });
+  }
+
+  // Sends ten requests and returns how many of them have not started.
+  std::int64_t QueuedOfTen() {
+    Run(10, kLongTime);
+    return dispatcher_->Load().queued;
+  }
+
   static membership::announced_upstream Known(std::uint64_t sequence, bool draining) {
-    return {kernel::upstream_id("u1"), kernel::incarnation(1'000), sequence, 3, draining};
+    membership::announced_upstream known;
+    known.id = kernel::upstream_id("u1");
+    known.started_at = kernel::incarnation(1'000);
+    known.sequence = sequence;
+    known.slots = 3;
+    known.draining = draining;
+    return known;
   }
 
+  // More than ten requests take at kSlowRate.
+  static constexpr kernel::milliseconds kLongTime{60'000};
+  static constexpr kernel::request_rate kSlowRate{250};
+  static constexpr const char* kSlowRateHeader = "Limit: 250\r\n";
+  static constexpr const char* kHighRateHeader = "Limit: 1000000\r\n";
+  static constexpr const char* kNoHeader = "";
+
   sidecar_test_context daemon_;
   http::raw_server server_{daemon_.loop};
   dialect_functions dialect_{};
   bulk_sender bulk_{daemon_.context};
   std::string probe_response_ = "HTTP/1.1 200 OK\r\nUpstream: u1\r\nContent-Length: 0\r\n\r\n";
+  // The responses to the next requests. Later requests get none.
+  std::deque<std::string> run_responses_;
   int probes_ = 0;
   int runs_ = 0;
   std::unique_ptr<upstream_dispatcher> dispatcher_;
@@ -157,5 +204,51 @@
   EXPECT_EQ(runs_, 0);
 }
 
+// Guards against an upstream that gets more requests than the limit that its responses state,
+// although it has free slots.
+TEST_F(UpstreamDispatcherTest, KeepsWithinTheRateLimitThatResponsesState) {
+  dispatcher_->Announce(Announcement(1));
+  RunToEnd({kSlowRateHeader});
+  EXPECT_GE(QueuedOfTen(), 9);
+  EXPECT_EQ(dispatcher_->Load().slots, 1);
+  ASSERT_TRUE(dispatcher_->LastAnnounced());
+  EXPECT_EQ(dispatcher_->LastAnnounced()->rate_limit, kSlowRate);
+}
+
+// Guards against a limit that the upstream no longer states.
+TEST_F(UpstreamDispatcherTest, LiftsTheRateLimitOnceALaterResponseStatesNone) {
+  dispatcher_->Announce(Announcement(1));
+  RunToEnd({kHighRateHeader});
+  RunToEnd({kNoHeader});
+  EXPECT_EQ(QueuedOfTen(), 4) << "there are six slots";
+}
+
+// Guards against a limit that is lost because a request which ran before it ends later.
+TEST_F(UpstreamDispatcherTest, KeepsTheRateLimitAfterAResponseToAnEarlierRequest) {
+  dispatcher_->Announce(Announcement(1));
+  RunToEnd({kSlowRateHeader, kNoHeader});
+  EXPECT_GE(QueuedOfTen(), 9);
+}
+
+// Guards against a restart of the daemon that lets its upstream have more than it takes.
+TEST_F(UpstreamDispatcherTest, KeepsTheRateLimitAcrossARestartOfTheDaemon) {
+  membership::announced_upstream known = Known(9, false);
+  known.rate_limit = kSlowRate;
+  dispatcher_->Restore(known);
+  Probe();
+  dispatcher_->Announce(Announcement(10));
+  EXPECT_GE(QueuedOfTen(), 9);
+}
+
+// Guards against a limit of an upstream process that holds for its successor.
+TEST_F(UpstreamDispatcherTest, DropsTheRateLimitWithItsUpstream) {
+  dispatcher_->Announce(Announcement(1));
+  RunToEnd({kSlowRateHeader});
+  membership::upstream_announcement successor = Announcement(1);
+  successor.started_at = kernel::incarnation(2'000);
+  dispatcher_->Announce(successor);
+  EXPECT_EQ(QueuedOfTen(), 4) << "there are six slots";
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
