Stop using an upstream whose responses say that it leaves

An upstream that will end says so in its responses, possibly before it announces it, or without. Nothing read that header, so requests went on reaching such an upstream until its announcement or its withdrawal was heard. Change: the daemon beside the upstream treats such a response as a withdrawal: it refuses queued and further requests as not run, tells the other daemons, and the control hosts keep it across a restart of the daemon. Only a later process of the upstream opens it again. Test: upstream_dispatcher_test, StopsUsingAnUpstreamWhoseResponseSaysThatItLeaves, with a queued request that must not be sent; it fails without the change at three checks. platform_format_test reads the header.

--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -64,7 +64,7 @@
       [this](const membership::upstream_announcement& announcement) {
         return dispatcher_.Announce(announcement);
       },
-      [this](const kernel::upstream_id& id) { dispatcher_.Withdraw(id); });
+      [this](const kernel::upstream_id& id) { dispatcher_.Withdraw(id, "withdrawn"); });
 }
 
 boost::leaf::result<void> sidecar_node::Listen() {
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -188,11 +188,11 @@
                      [this, health_path] { ProbeUntilAnnounced(health_path); });
 }
 
-void upstream_dispatcher::Withdraw(const kernel::upstream_id& id) {
+void upstream_dispatcher::Withdraw(const kernel::upstream_id& id, std::string_view reason) {
   if (last_announced_ && last_announced_->id == id) last_announced_->draining = true;
   if (!announced_ || announced_->id != id || announced_->draining) return;
   announced_->draining = true;
-  OnStateChanged("withdrawn");
+  OnStateChanged(reason);
 }
 
 void upstream_dispatcher::BeginShutdown() {
@@ -337,6 +337,7 @@
       ended.response_kind == upstream_response_kind::kOtherUpstream) {
     return;
   }
+  if (notice.leaving) Withdraw(ended.upstream, "leaving");
   if (notice.rate_limit) {
     rate_limited_at_ = Now();
     SetRateLimit(notice.rate_limit);
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -38,7 +38,8 @@
   void Cancel(admission::ticket id);
 
   announcement_result Announce(const membership::upstream_announcement& announcement);
-  void Withdraw(const kernel::upstream_id& id);
+  // Stops sending requests to the upstream.
+  void Withdraw(const kernel::upstream_id& id, std::string_view reason);
   // Restores what this daemon knew of its upstream before it restarted. Announcements and health
   // responses of the same upstream process do not undo it.
   void Restore(const membership::announced_upstream& upstream);
--- a/plugins/sidecar/upstream_notice.h
+++ b/plugins/sidecar/upstream_notice.h
@@ -11,6 +11,8 @@
 struct upstream_notice {
   // The most requests a second that the upstream takes from all daemons together.
   std::optional<kernel::request_rate> rate_limit;
+  // The upstream will end, and takes no new requests.
+  bool leaving = false;
 };
 
 }  // namespace cornelweir::plugins::sidecar
--- a/tests/platform_format_test.cc
+++ b/tests/platform_format_test.cc
@@ -133,6 +133,13 @@
   EXPECT_EQ(reply(reply_kind::kNoRoute).status, 404);
 }
 
+// Guards against an upstream that is used although it leaves, or not used although it stays.
+TEST(PlatformDialect, ReadsThatAnUpstreamLeaves) {
+  EXPECT_TRUE(sidecar_dialect::ReadNotice({200, {{"Server-Leaving", "1"}}, ""}).leaving);
+  EXPECT_FALSE(sidecar_dialect::ReadNotice({200, {{"Server-Leaving", "0"}}, ""}).leaving);
+  EXPECT_FALSE(sidecar_dialect::ReadNotice({200, {}, ""}).leaving);
+}
+
 // Guards against a rate limit that is ignored, or read from a header that is no number.
 TEST(PlatformDialect, ReadsTheRateLimitOfAnUpstream) {
   const auto limit = [](const std::string& value) {
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -35,6 +35,7 @@
 upstream_notice ReadNotice(const http::whole_response& response) {
   upstream_notice notice;
   const std::string_view limit = http::FindHeader(response.headers, "Limit");
+  notice.leaving = !http::FindHeader(response.headers, "Leaving").empty();
   if (!limit.empty()) notice.rate_limit = kernel::request_rate(std::stoll(std::string(limit)));
   return notice;
 }
@@ -98,12 +99,13 @@
     }
   }
 
+  static std::string Response(const std::string& header) {
+    return "HTTP/1.1 200 OK\r\nId: /run\r\nContent-Length: 0\r\n" + header + "\r\n";
+  }
+
   // Runs as many requests as there are headers, which are added to the responses.
   void RunToEnd(const std::vector<std::string>& headers) {
-    for (const std::string& header : headers) {
-      run_responses_.push_back("HTTP/1.1 200 OK\r\nId: /run\r\nContent-Length: 0\r\n" + header +
-                               "\r\n");
-    }
+    for (const std::string& header : headers) run_responses_.push_back(Response(header));
     Run(static_cast<int>(headers.size()), kLongTime);
     http::RunUntil(daemon_.loop, [this] { return !dispatcher_->busy(); });
   }
@@ -129,6 +131,7 @@
   static constexpr kernel::request_rate kSlowRate{250};
   static constexpr const char* kSlowRateHeader = "Limit: 250\r\n";
   static constexpr const char* kHighRateHeader = "Limit: 1000000\r\n";
+  static constexpr const char* kLeavingHeader = "Leaving: 1\r\n";
   static constexpr const char* kNoHeader = "";
 
   sidecar_test_context daemon_;
@@ -250,5 +253,29 @@
   EXPECT_EQ(QueuedOfTen(), 4) << "there are six slots";
 }
 
+// Guards against new requests for an upstream whose responses say that it leaves, before or without
+// an announcement that says so.
+TEST_F(UpstreamDispatcherTest, StopsUsingAnUpstreamWhoseResponseSaysThatItLeaves) {
+  dispatcher_->Announce(Announcement(1));
+  Run(6, kLongTime);
+  Run(1, kLongTime);
+  ASSERT_EQ(dispatcher_->Load().queued, 1);
+  http::RunUntil(daemon_.loop, [this] { return runs_ == 6; });
+  dispatcher_->Announce(Announcement(2));
+  EXPECT_TRUE(dispatcher_->Serves(kernel::service_name("forms")));
+  server_.peers.front()->Send(Response(kLeavingHeader));
+  http::RunUntil(daemon_.loop, [this] { return latest_ && latest_->response; });
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  http::RunUntil(daemon_.loop, [this] { return dispatcher_->Load().queued == 0; });
+  EXPECT_EQ(runs_, 6) << "the queued request was sent";
+  EXPECT_EQ(dispatcher_->Announce(Announcement(3)), announcement_result::kOutdated);
+  ASSERT_TRUE(dispatcher_->LastAnnounced());
+  EXPECT_TRUE(dispatcher_->LastAnnounced()->draining) << "lost if the daemon restarts";
+  membership::upstream_announcement successor = Announcement(1);
+  successor.started_at = kernel::incarnation(2'000);
+  dispatcher_->Announce(successor);
+  EXPECT_TRUE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
