Rename the host that a pending read came from

pending_read::requester -> origin_host, in the replication node only: the old name was the users' word for a caller. No change of behaviour.

--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -87,7 +87,7 @@
   enum class role : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
 
   struct pending_read {
-    kernel::host_id requester;
+    kernel::host_id origin_host;
     kernel::nonce request_nonce;
     // The commit index at the start of the heartbeat round that confirms the read, and that round;
     // both 0 until it starts.
--- a/cornelweir/src/replication/node_reads.cc
+++ b/cornelweir/src/replication/node_reads.cc
@@ -53,10 +53,10 @@
 }
 
 void node::ReplyToRead(const pending_read& read, std::optional<kernel::log_index> index) {
-  if (read.requester == self_) {
+  if (read.origin_host == self_) {
     Handle(self_, read_index_reply{read.request_nonce, index});
   } else {
-    Send(read.requester, read_index_reply{read.request_nonce, index});
+    Send(read.origin_host, read_index_reply{read.request_nonce, index});
   }
 }
 
