Wait before the next accept if a listener has no free file descriptors

The listener of links began the next accept at once after any error. It now waits for 100 ms, as the HTTP listener does; an aborted connection is no reason to wait. Test: transport_test, WaitsForFreeFileDescriptorsWithoutSpinning: before, 100 of 100 handlers ran at once with a descriptor limit that leaves none; now fewer, and the link opens when there are some.

--- a/cornelweir/src/transport/listener.cc
+++ b/cornelweir/src/transport/listener.cc
@@ -12,7 +12,11 @@
 using boost::system::error_code;
 
 listener::listener(boost::asio::io_context& context, tls_context tls, link_handlers handlers)
-    : context_(context), acceptor_(context), tls_(std::move(tls)), handlers_(std::move(handlers)) {}
+    : context_(context),
+      acceptor_(context),
+      accept_retry_timer_(context),
+      tls_(std::move(tls)),
+      handlers_(std::move(handlers)) {}
 
 boost::leaf::result<std::shared_ptr<listener>> listener::Open(boost::asio::io_context& context,
                                                               const kernel::endpoint& local,
@@ -46,6 +50,7 @@
 void listener::AcceptNext() {
   acceptor_.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
     if (self->closed_) return;
+    if (error && error != boost::asio::error::connection_aborted) return self->RetryAcceptLater();
     if (!error && self->links_.size() < kMaxLinks) {
       link_handlers handlers = self->handlers_;
       handlers.closed = [weak = self->weak_from_this()](const std::shared_ptr<link>& closed_link,
@@ -63,8 +68,16 @@
   });
 }
 
+void listener::RetryAcceptLater() {
+  accept_retry_timer_.expires_after(kAcceptRetryDelay);
+  accept_retry_timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error && !self->closed_) self->AcceptNext();
+  });
+}
+
 void listener::StopAccepting() {
   closed_ = true;
+  accept_retry_timer_.cancel();
   error_code ignored;
   acceptor_.close(ignored);
 }
--- a/cornelweir/src/transport/listener.h
+++ b/cornelweir/src/transport/listener.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/leaf.hpp>
 #include <functional>
 #include <memory>
@@ -35,11 +36,13 @@
  private:
   listener(boost::asio::io_context& context, tls_context tls, link_handlers handlers);
   void AcceptNext();
+  void RetryAcceptLater();
   void StopAccepting();
   void CallDrainedIfEmpty();
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_retry_timer_;
   tls_context tls_;
   link_handlers handlers_;
   std::set<std::shared_ptr<link>> links_;
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -1,6 +1,8 @@
 #include "cornelweir/transport.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <string>
 #include <vector>
@@ -69,6 +71,37 @@
   EXPECT_EQ(closed_count, 1);
 }
 
+// Guards against a loop that spins while the process has no free file descriptors, and against a
+// listener that stays deaf when it has some again.
+TEST_F(LinkTest, WaitsForFreeFileDescriptorsWithoutSpinning) {
+  Listen();
+  bool opened = false;
+  link_handlers handlers;
+  handlers.opened = [&](const std::shared_ptr<link>& self) {
+    opened = true;
+    self->Close("done");
+  };
+  handlers.closed = [&](const std::shared_ptr<link>&, const std::string&) { listener_->Close(); };
+  Connect(handlers);
+  rlimit before{};
+  ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &before), 0);
+  rlimit none_free = before;
+  // The lowest free descriptor; all descriptors from it on are above the limit.
+  const int lowest_free = ::dup(0);
+  ASSERT_GE(lowest_free, 0);
+  ::close(lowest_free);
+  none_free.rlim_cur = static_cast<rlim_t>(lowest_free);
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &none_free), 0);
+  constexpr std::size_t kManyHandlers = 100;
+  std::size_t handlers_run = 0;
+  while (handlers_run < kManyHandlers && context_.poll_one() > 0) ++handlers_run;
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &before), 0);
+  EXPECT_LT(handlers_run, kManyHandlers);
+  context_.restart();
+  context_.run();
+  EXPECT_TRUE(opened);
+}
+
 // Guards against unbounded buffering of a message above the size limit.
 TEST_F(LinkTest, ClosesOnAMessageAboveTheLimit) {
   Listen();
