--- a/cornelweir/src/admission/rate_limiter.cc
+++ b/cornelweir/src/admission/rate_limiter.cc
@@ -13,8 +13,8 @@
 }
 
 kernel::microseconds rate_limiter::Interval() const {
-  constexpr std::int64_t kMicrosecondsForOneThousandth = 1'000'000'000;
-  return kernel::microseconds(kMicrosecondsForOneThousandth / rate_->value());
+  // A rate of one thousandth is one request in 1000 s.
+  return kernel::microseconds(std::chrono::seconds(1'000)) / rate_->value();
 }
 
 kernel::microseconds rate_limiter::WaitFor(std::int64_t requests, kernel::time_point now) const {
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -39,10 +39,8 @@
 
 std::int64_t slot_queue::UsableSlots() const {
   if (!rate_limit() || slots_ <= 0) return slots_;
-  constexpr double kThousandthMicrosecondsPerSecond = 1e9;
-  const double concurrent_requests = static_cast<double>(rate_limit()->value()) *
-                                     static_cast<double>(MeanRunTime().count()) /
-                                     kThousandthMicrosecondsPerSecond;
+  const double concurrent_requests = kernel::RequestsPerSecond(*rate_limit()) *
+                                     std::chrono::duration<double>(MeanRunTime()).count();
   return std::clamp(static_cast<std::int64_t>(std::ceil(concurrent_requests)), std::int64_t{1},
                     slots_);
 }
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -48,10 +48,9 @@
 
 // Runs as many requests on an upstream as it has slots, and starts them within its rate limit if it
 // has one. Queues the others: nested requests first, then in order of priority, then of objective.
-// A request that would wait too long to meet
-// its objective is refused at once, while its caller still has time to use another upstream. A late
-// request gets a slot only if no other request needs it, and the network only if no other response
-// does.
+// A request that would wait too long to meet its objective is refused at once, while its caller
+// still has time to use another upstream. A late request gets a slot only if no other request needs
+// it, and the network only if no other response does.
 class slot_queue {
  public:
   // Sets the number of slots. Returns the queued requests that run now.
--- a/cornelweir/src/kernel/quantity.h
+++ b/cornelweir/src/kernel/quantity.h
@@ -20,11 +20,16 @@
 using request_count = strong_id<struct request_count_tag, std::int64_t>;
 // A number of requests a second, in thousandths.
 using request_rate = strong_id<struct request_rate_tag, std::int64_t>;
+inline constexpr double kRateUnitsPerRequest = 1'000;
 // A share of a service's traffic relative to the other weights of the same service.
 using weight = strong_id<struct weight_tag, std::int64_t>;
 // A number of bytes.
 using byte_count = strong_id<struct byte_count_tag, std::int64_t>;
 
+constexpr double RequestsPerSecond(request_rate rate) {
+  return static_cast<double>(rate.value()) / kRateUnitsPerRequest;
+}
+
 }  // namespace cornelweir::kernel
 
 #endif  // CORNELWEIR_SRC_KERNEL_QUANTITY_H_
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -74,9 +74,8 @@
 }
 
 double upstream_dispatcher::RequestsPerSecond() const {
-  constexpr double kThousandths = 1e3;
   const auto limit = queue_.rate_limit();
-  return limit ? static_cast<double>(limit->value()) / kThousandths : 0;
+  return limit ? kernel::RequestsPerSecond(*limit) : 0;
 }
 
 void upstream_dispatcher::UpdateSlots() {
