Keep a stated rate limit when the daemon gets back what it knew

After a restart a daemon may read a limit in a response before its control host returns what the daemon last knew of the upstream; if no limit was known then, the new one was dropped until the next response. What a response has stated since the restart is kept now. Whether an announcement is from the known process is decided before the announcement is taken over, which otherwise always said yes for an upstream that a probe had found. Tests: upstream_dispatcher_test, KeepsAStatedRateLimitWhenItsUpstreamIsRestored (before: 7 of 10 requests waited instead of 9 or more); SendsQueuedRequestsToTheSuccessor passed before too.

--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -111,7 +111,8 @@
   if (last_announced_ && order(*last_announced_) >= order(upstream)) return;
   last_announced_ = upstream;
   if (announced_ && announced_->id != upstream.id) return;
-  SetRateLimit(upstream.rate_limit);
+  // What a response has stated since the restart is newer.
+  SetRateLimit(queue_.rate_limit() ? queue_.rate_limit() : upstream.rate_limit);
   if (!announced_) return;
   announced_->started_at = upstream.started_at;
   announced_->slots = upstream.slots;
@@ -127,17 +128,18 @@
   if (IsOutdated(announcement)) return announcement_result::kOutdated;
   const bool replaced = !announced_ || announced_->id != announcement.id ||
                         announced_->started_at != announcement.started_at;
+  const bool same_process = IsSameProcess(announcement);
   const bool changed = replaced || unavailable_ || announced_->draining != announcement.draining ||
                        announced_->slots != announcement.slots ||
                        announced_->service != announcement.service;
   if (replaced) client_.CloseIdleConnections();
   announced_ = announcement;
-  if (!IsSameProcess(announcement)) SetRateLimit(std::nullopt);
   last_announced_ = {announcement.id,    announcement.started_at, announcement.sequence,
                      announcement.slots, announcement.draining,   queue_.rate_limit()};
   warmed_up_at_ = Now() + announcement.warm_up;
   unavailable_ = false;
   connect_failures_ = 0;
+  if (!same_process) SetRateLimit(std::nullopt);
   if (changed) OnStateChanged(replaced ? "announced" : "state");
   return announcement_result::kAccepted;
 }
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -18,8 +18,11 @@
 namespace {
 
 http::whole_request EncodeRun(const protocol::run_request& run, std::string body,
-                              const kernel::upstream_id&, kernel::milliseconds) {
-  return {run.method, run.target, {{"Host", "h"}, {"Id", run.target}}, std::move(body)};
+                              const kernel::upstream_id& upstream, kernel::milliseconds) {
+  return {run.method,
+          run.target,
+          {{"Host", "h"}, {"Id", run.target}, {"Upstream", upstream.value()}},
+          std::move(body)};
 }
 
 upstream_response_kind ClassifyResponse(const protocol::run_request& run,
@@ -59,6 +62,7 @@
     server_.on_bytes = [this](http::raw_peer& peer) {
       while (peer.received.find("\r\n\r\n") != std::string::npos) {
         const bool is_probe = peer.received.starts_with("GET /health");
+        if (peer.received.find("Upstream: u2") != std::string::npos) ++runs_for_successor_;
         peer.received.erase(0, peer.received.find("\r\n\r\n") + 4);
         ++(is_probe ? probes_ : runs_);
         if (is_probe) {
@@ -143,6 +147,8 @@
   std::deque<std::string> run_responses_;
   int probes_ = 0;
   int runs_ = 0;
+  // Requests that are addressed to upstream u2.
+  int runs_for_successor_ = 0;
   std::unique_ptr<upstream_dispatcher> dispatcher_;
   std::optional<run_result> latest_;
 };
@@ -253,6 +259,28 @@
   EXPECT_EQ(QueuedOfTen(), 4) << "there are six slots";
 }
 
+// Guards against queued requests that are sent, addressed to the upstream that is gone, when its
+// successor has no limit.
+TEST_F(UpstreamDispatcherTest, SendsQueuedRequestsToTheSuccessor) {
+  dispatcher_->Announce(Announcement(1));
+  RunToEnd({kSlowRateHeader});
+  ASSERT_EQ(QueuedOfTen(), 9);
+  membership::upstream_announcement successor = Announcement(1);
+  successor.id = kernel::upstream_id("u2");
+  successor.started_at = kernel::incarnation(2'000);
+  dispatcher_->Announce(successor);
+  http::RunUntil(daemon_.loop, [this] { return runs_ == 7; });
+  EXPECT_EQ(runs_for_successor_, 5) << "there are six slots, and one request runs";
+}
+
+// Guards against a limit that is forgotten because what was known before the restart arrives later.
+TEST_F(UpstreamDispatcherTest, KeepsAStatedRateLimitWhenItsUpstreamIsRestored) {
+  Probe();
+  RunToEnd({kSlowRateHeader});
+  dispatcher_->Restore(Known(9, false));
+  EXPECT_GE(QueuedOfTen(), 9);
+}
+
 // Guards against new requests for an upstream whose responses say that it leaves, before or without
 // an announcement that says so.
 TEST_F(UpstreamDispatcherTest, StopsUsingAnUpstreamWhoseResponseSaysThatItLeaves) {
