--- a/cornelweir/loop.h
+++ b/cornelweir/loop.h
@@ -4,6 +4,7 @@
 // The event loop of a process, with timers and signal handling.
 
 #include "cornelweir/src/loop/event_loop.h"
+#include "cornelweir/src/loop/limits.h"
 #include "cornelweir/src/loop/pause_tracker.h"
 #include "cornelweir/src/loop/tcp_keepalive_options.h"
 #include "cornelweir/src/loop/timer.h"
--- a/cornelweir/src/http/listener.cc
+++ b/cornelweir/src/http/listener.cc
@@ -1,20 +1,16 @@
 #include "cornelweir/src/http/listener.h"
 
 #include <boost/asio/error.hpp>
-#include <chrono>
 #include <utility>
 
 #include "cornelweir/src/http/endpoint_address.h"
 #include "cornelweir/src/http/http_error.h"
+#include "cornelweir/src/loop/limits.h"
 
 namespace cornelweir::http::internal {
 
 using boost::asio::ip::tcp;
 
-// If the process has no free file descriptors, accept fails immediately each time; the delay keeps
-// the loop from spinning until some are released.
-inline constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(100);
-
 listener::listener(loop::event_loop& loop, accept_callback on_accept)
     : acceptor_(loop.context()), accept_retry_timer_(loop), on_accept_(std::move(on_accept)) {}
 
@@ -53,7 +49,7 @@
       [self = shared_from_this()](const boost::system::error_code& error, tcp::socket socket) {
         if (!self->acceptor_.is_open()) return;
         if (error && error != boost::asio::error::connection_aborted) {
-          self->accept_retry_timer_.Start(kAcceptRetryDelay, [weak = std::weak_ptr(self)] {
+          self->accept_retry_timer_.Start(loop::kAcceptRetryDelay, [weak = std::weak_ptr(self)] {
             if (const auto locked = weak.lock()) locked->Accept();
           });
           return;
--- a/cornelweir/src/transport/limits.h
+++ b/cornelweir/src/transport/limits.h
@@ -26,9 +26,6 @@
                                                                    .max_keepalive_probes = 2};
 // Links per listener, including those in the handshake; further connections are closed.
 inline constexpr std::size_t kMaxLinks = 4096;
-// If the process has no free file descriptors, accept fails immediately each time; the delay keeps
-// the loop from spinning until some are released.
-inline constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 
 }  // namespace cornelweir::transport
 
--- a/cornelweir/src/transport/listener.cc
+++ b/cornelweir/src/transport/listener.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "cornelweir/src/loop/limits.h"
 #include "cornelweir/src/transport/transport_error.h"
 
 namespace cornelweir::transport {
@@ -69,7 +70,7 @@
 }
 
 void listener::RetryAcceptLater() {
-  accept_retry_timer_.expires_after(kAcceptRetryDelay);
+  accept_retry_timer_.expires_after(loop::kAcceptRetryDelay);
   accept_retry_timer_.async_wait([self = shared_from_this()](error_code error) {
     if (!error && !self->closed_) self->AcceptNext();
   });
