Set up the other control host of a test at one place

Two tests of control_mesh opened its listener in the same way, and three built the same settings. The checks are the same.

--- a/tests/control_mesh_test.cc
+++ b/tests/control_mesh_test.cc
@@ -18,6 +18,21 @@
 namespace cornelweir::plugins::control {
 namespace {
 
+// Opens the listener of another control host; null if it can't listen.
+std::shared_ptr<transport::listener> ListenAsHost(loop::event_loop& loop,
+                                                  transport::link_handlers handlers) {
+  auto opened = transport::listener::Open(loop.context(), kernel::endpoint("127.0.0.1:0"), nullptr,
+                                          std::move(handlers));
+  return opened ? opened.value() : nullptr;
+}
+
+settings::daemon_settings SettingsOfAHost() {
+  settings::daemon_settings settings;
+  settings.host = kernel::host_id("127.0.0.1:1");
+  settings.control.emplace();
+  return settings;
+}
+
 // Guards against a host with an empty disk that can't reply to its leader. It knows only the seeds;
 // if its leader is not one of them, it would never hold a log entry.
 TEST(ControlMesh, SendsToAHostThatGreetedIt) {
@@ -25,14 +40,11 @@
   int received = 0;
   transport::link_handlers handlers;
   handlers.message = [&](const std::shared_ptr<transport::link>&, std::string_view) { ++received; };
-  auto leader = transport::listener::Open(loop.context(), kernel::endpoint("127.0.0.1:0"), nullptr,
-                                          std::move(handlers));
+  const auto leader = ListenAsHost(loop, std::move(handlers));
   ASSERT_TRUE(leader);
-  const kernel::host_id host(leader.value()->local_endpoint().value());
+  const kernel::host_id host(leader->local_endpoint().value());
 
-  settings::daemon_settings settings;
-  settings.host = kernel::host_id("127.0.0.1:1");
-  settings.control.emplace();
+  const settings::daemon_settings settings = SettingsOfAHost();
   control_mesh mesh(loop, settings, nullptr, 1);
   const protocol::control_message reply = protocol::join_request{settings.host};
   EXPECT_FALSE(mesh.Send(host, reply));
@@ -43,7 +55,7 @@
 
   mesh.SetPeers({});
   EXPECT_FALSE(mesh.IsConnected(host));
-  leader.value()->Close();
+  leader->Close();
 }
 
 // Guards against a group that has no leader for more than a second after all hosts lost power: a
@@ -65,9 +77,7 @@
   });
   const kernel::host_id host("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
 
-  settings::daemon_settings settings;
-  settings.host = kernel::host_id("127.0.0.1:1");
-  settings.control.emplace();
+  const settings::daemon_settings settings = SettingsOfAHost();
   control_mesh mesh(loop, settings, nullptr, 1);
   mesh.AddPeer(host);
   // Repeats the greeting until the first attempt is old enough to be replaced.
@@ -92,13 +102,10 @@
       submitted = submit->id;
     }
   };
-  auto leader = transport::listener::Open(loop.context(), kernel::endpoint("127.0.0.1:0"), nullptr,
-                                          std::move(handlers));
+  const auto leader = ListenAsHost(loop, std::move(handlers));
   ASSERT_TRUE(leader);
-  const kernel::host_id host(leader.value()->local_endpoint().value());
-  settings::daemon_settings settings;
-  settings.host = kernel::host_id("127.0.0.1:1");
-  settings.control.emplace();
+  const kernel::host_id host(leader->local_endpoint().value());
+  const settings::daemon_settings settings = SettingsOfAHost();
 
   const auto submit = [&](control_mesh& mesh, control_mesh::outcome_callback callback) {
     submitted.reset();
@@ -120,7 +127,7 @@
   restarted.OnReply({*submitted, cornelweir::control::refused_outcome{"of this change"}});
   EXPECT_TRUE(replied);
   restarted.Stop();
-  leader.value()->Close();
+  leader->Close();
 }
 
 }  // namespace
