Resolve workspaces by API key and read uploads in policies

Cause: policies with workspaces and with the request kind "upload" were refused or served without keys: the key of a caller was passed on to the upstream, which got no name of the workspace.

The key ends at the daemon that the caller reached; the daemon beside the upstream states the workspace.

--- a/cornelweir/src/kernel/ids.h
+++ b/cornelweir/src/kernel/ids.h
@@ -17,6 +17,10 @@
 using host_id = strong_id<struct host_id_tag, std::string>;
 using upstream_id = strong_id<struct upstream_id_tag, std::string>;
 using workspace_id = strong_id<struct workspace_id_tag, std::string>;
+// The secret by which callers of a workspace identify themselves.
+using api_key = strong_id<struct api_key_tag, std::string>;
+// The version of the software that an upstream runs.
+using software_version = strong_id<struct software_version_tag, std::string>;
 using failure_domain = strong_id<struct failure_domain_tag, std::string>;
 
 // The version of an accepted table. Grows by one with every accepted version.
--- a/cornelweir/src/kernel/quantity.h
+++ b/cornelweir/src/kernel/quantity.h
@@ -18,7 +18,8 @@
 
 // A number of requests: in progress, queued or allowed.
 using request_count = strong_id<struct request_count_tag, std::int64_t>;
-// A number of requests a second, in thousandths.
+// A number of requests that may have a fraction, and such a number a second; both in thousandths.
+using request_amount = strong_id<struct request_amount_tag, std::int64_t>;
 using request_rate = strong_id<struct request_rate_tag, std::int64_t>;
 inline constexpr double kRateUnitsPerRequest = 1'000;
 // A share of a service's traffic relative to the other weights of the same service.
@@ -26,6 +27,10 @@
 // A number of bytes.
 using byte_count = strong_id<struct byte_count_tag, std::int64_t>;
 
+constexpr double Requests(request_amount amount) {
+  return static_cast<double>(amount.value()) / kRateUnitsPerRequest;
+}
+
 constexpr double RequestsPerSecond(request_rate rate) {
   return static_cast<double>(rate.value()) / kRateUnitsPerRequest;
 }
--- a/cornelweir/src/membership/upstream_announcement.h
+++ b/cornelweir/src/membership/upstream_announcement.h
@@ -13,6 +13,8 @@
   kernel::upstream_id id;
   kernel::endpoint address;
   kernel::service_name service;
+  // Of its software; empty if unknown.
+  kernel::software_version version;
   // Requests that it processes concurrently.
   std::int64_t slots = 0;
   bool draining = false;
--- a/cornelweir/src/policy/limits.h
+++ b/cornelweir/src/policy/limits.h
@@ -10,6 +10,9 @@
 inline constexpr std::size_t kMaxRoutes = 20'000;
 inline constexpr std::size_t kMaxServices = 2'000;
 inline constexpr std::size_t kMaxSplitParts = 64;
+inline constexpr std::size_t kMaxWorkspaces = 20'000;
+inline constexpr std::size_t kMaxWorkspaceKeys = 64;
+inline constexpr std::size_t kMaxKeyBytes = 512;
 // Work that takes longer than this should run as an asynchronous job instead of keeping a caller
 // waiting.
 inline constexpr kernel::milliseconds kMaxTimeout{600'000};
--- a/cornelweir/src/policy/route.h
+++ b/cornelweir/src/policy/route.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "cornelweir/src/kernel/field.h"
@@ -20,9 +22,13 @@
   kNonIdempotent,
   // May be retried; the response is large.
   kDownload,
+  // Runs at most once for each attempt of the caller; the request is large.
+  kUpload,
 };
 
-constexpr bool IsIdempotent(retry_safety safety) { return safety != retry_safety::kNonIdempotent; }
+constexpr bool IsIdempotent(retry_safety safety) {
+  return safety == retry_safety::kIdempotent || safety == retry_safety::kDownload;
+}
 
 // One service of a traffic split.
 struct split_part {
@@ -39,6 +45,9 @@
 // The destination of requests for a host and path prefix, and how they are handled. A route is
 // identified by its host and prefix.
 struct route {
+  // The name of a list element in an encoded list_delta.
+  static constexpr std::string_view kElementName = "route";
+
   kernel::route_name name;
   std::string host;
   std::string path_prefix;
@@ -54,14 +63,17 @@
   // Empty if there is a split.
   kernel::service_name service;
   std::vector<split_part> split;
+  // Callers need no key even if the policy has workspaces.
+  bool public_access = false;
 
   static constexpr auto Fields() {
     return std::tuple{
-        kernel::field{"n", &route::name},        kernel::field{"h", &route::host},
-        kernel::field{"p", &route::path_prefix}, kernel::field{"r", &route::retry_safety},
-        kernel::field{"t", &route::timeout},     kernel::field{"o", &route::latency_objective},
-        kernel::field{"y", &route::priority},    kernel::field{"a", &route::attempts},
-        kernel::field{"s", &route::service},     kernel::field{"w", &route::split}};
+        kernel::field{"n", &route::name},         kernel::field{"h", &route::host},
+        kernel::field{"p", &route::path_prefix},  kernel::field{"r", &route::retry_safety},
+        kernel::field{"t", &route::timeout},      kernel::field{"o", &route::latency_objective},
+        kernel::field{"y", &route::priority},     kernel::field{"a", &route::attempts},
+        kernel::field{"s", &route::service},      kernel::field{"w", &route::split},
+        kernel::field{"f", &route::public_access}};
   }
   friend bool operator==(const route&, const route&) = default;
 };
@@ -78,7 +90,12 @@
   friend auto operator<=>(const route_key&, const route_key&) = default;
 };
 
+// The strings of a route_key without copies.
+using route_key_view = std::pair<std::string_view, std::string_view>;
+
 inline route_key KeyOf(const route& keyed) { return {keyed.host, keyed.path_prefix}; }
+inline route_key_view ViewOf(const route& keyed) { return {keyed.host, keyed.path_prefix}; }
+inline route_key_view ViewOf(const route_key& key) { return {key.host, key.path_prefix}; }
 
 }  // namespace cornelweir::policy
 
--- a/cornelweir/src/policy/validate.cc
+++ b/cornelweir/src/policy/validate.cc
@@ -1,7 +1,9 @@
 #include "cornelweir/src/policy/validate.h"
 
 #include <cstdint>
+#include <map>
 #include <set>
+#include <string_view>
 
 #include "cornelweir/src/policy/limits.h"
 
@@ -43,6 +45,28 @@
   errors.Check(sum > 0, location, "the weights of the split sum to zero");
 }
 
+// The messages name workspaces, but never keys.
+void CheckWorkspaces(const policy_table& table, error_list& errors) {
+  errors.Check(table.workspaces.size() <= kMaxWorkspaces, "workspaces", "too many workspaces");
+  std::set<std::string_view> names;
+  std::map<std::string_view, const workspace*> holders;
+  for (const workspace& entry : table.workspaces) {
+    const std::string location = "workspace " + entry.name.value();
+    errors.Check(!entry.name.value().empty(), "workspaces", "a workspace has no name");
+    errors.Check(names.insert(entry.name.value()).second, location, "is listed twice");
+    errors.Check(entry.keys.size() <= kMaxWorkspaceKeys, location, "has too many keys");
+    errors.Check(!entry.rate || entry.rate->value() >= 0, location, "the rate is negative");
+    errors.Check(!entry.burst || entry.burst->value() >= 0, location, "the burst is negative");
+    for (const kernel::api_key& key : entry.keys) {
+      errors.Check(!key.value().empty() && key.value().size() <= kMaxKeyBytes, location,
+                   "a key is empty or too long");
+      const auto [holder, added] = holders.emplace(key.value(), &entry);
+      errors.Check(added, location,
+                   "a key is held by workspace '" + holder->second->name.value() + "' as well");
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<std::string> Validate(const policy_table& table) {
@@ -60,6 +84,7 @@
   errors.Check(limits.max_header_bytes > 0 && limits.max_body_bytes >= 0 &&
                    limits.header_timeout.count() > 0 && limits.idle_timeout.count() > 0,
                "limits", "must be positive");
+  CheckWorkspaces(table, errors);
   std::set<route_key> keys;
   for (const route& entry : table.routes) {
     const std::string location = "route " + entry.name.value();
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -39,6 +39,8 @@
   kernel::service_name service;
   // The service that sent the request.
   kernel::service_name caller;
+  // The workspace of the caller. Empty if the request has no key of a workspace and needs none.
+  kernel::workspace_id workspace;
   std::string method;
   std::string target;
   header_pairs headers;
@@ -57,6 +59,7 @@
     return std::tuple{kernel::field{"i", &run_request::id},
                       kernel::field{"s", &run_request::service},
                       kernel::field{"c", &run_request::caller},
+                      kernel::field{"w", &run_request::workspace},
                       kernel::field{"m", &run_request::method},
                       kernel::field{"t", &run_request::target},
                       kernel::field{"h", &run_request::headers},
--- a/plugins/sidecar/call.h
+++ b/plugins/sidecar/call.h
@@ -18,6 +18,8 @@
   // Path and query as received.
   std::string target;
   std::string host;
+  // The caller's key; empty if the request has none, or more than one. It is not forwarded.
+  kernel::api_key key;
   // Only the headers to forward.
   http::header_pairs headers;
   std::string body;
@@ -31,6 +33,10 @@
   kNotRun,
   // No route matches the request.
   kNoRoute,
+  // The request needs the key of a workspace and has none.
+  kUnauthenticated,
+  // The quota of the workspace is used up. The request was not run.
+  kQuotaExceeded,
   // The upstream failed without a response. The request may have run.
   kUpstreamFailed,
   // No response before the deadline. The request may have run.
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -39,9 +39,11 @@
 
   std::shared_ptr<http::pipeline_request> request;
   call decoded;
-  // Owns the route.
+  // Owns the route and the workspace.
   std::shared_ptr<const policy::policy_table> policy;
   const policy::route* route = nullptr;
+  kernel::workspace_id workspace;
+  std::int32_t priority = 0;
   kernel::service_name service;
   kernel::time_point started_at;
   kernel::time_point deadline;
@@ -72,6 +74,7 @@
       dialect_(dialect),
       peers_(peers),
       dispatcher_(dispatcher),
+      key_hash_seed_(context.random.NextU64()),
       deferred_timer_(context.loop),
       started_at_(context.clock.Now()) {}
 
@@ -88,11 +91,10 @@
 }
 
 void call_router::SetPolicy(std::shared_ptr<const policy::policy_table> table) {
-  policy_ = std::move(table);
-  routes_ = policy::route_index(*policy_);
+  resolver_.emplace(std::move(table), key_hash_seed_);
   // Selectors with unchanged weights keep their position.
   std::map<policy::route_key, routing::weighted_round_robin> updated_selectors;
-  for (const policy::route& route : policy_->routes) {
+  for (const policy::route& route : resolver_->table()->routes) {
     if (route.split.empty()) continue;
     std::vector<std::int64_t> weights;
     for (const policy::split_part& part : route.split) weights.push_back(part.weight.value());
@@ -146,20 +148,36 @@
   RouteRequest(created);
 }
 
-void call_router::RouteRequest(const request_state_ptr& state) {
-  if (!policy_) {
-    if (Defer(state)) return;
-    Refuse(state, kernel::microseconds(internal::kMaxRetryAfter), "no policy");
-    return;
-  }
-  state->policy = policy_;
+// Finds the route and workspace of a request by the policy in force. Rejects the request and
+// returns false if there is no route, or no key where one is needed.
+bool call_router::ResolveRequest(const request_state_ptr& state) {
+  using kind = policy::resolved_request::kind;
+  state->policy = resolver_->table();
   std::string_view path = state->decoded.target;
   path = path.substr(0, path.find('?'));
-  state->route = routes_.Match(state->decoded.host, path);
-  if (state->route == nullptr) {
+  const policy::resolved_request resolved =
+      resolver_->Resolve(state->decoded.host, path, state->decoded.key.value());
+  if (resolved.outcome == kind::kUnauthenticated) {
+    Reply(state, reply_kind::kUnauthenticated, {}, "no valid key");
+    return false;
+  }
+  if (resolved.outcome == kind::kNoRoute) {
     Reply(state, reply_kind::kNoRoute, {}, "no route");
+    return false;
+  }
+  state->route = resolved.route;
+  state->priority = resolved.priority();
+  if (resolved.workspace != nullptr) state->workspace = resolved.workspace->name;
+  return true;
+}
+
+void call_router::RouteRequest(const request_state_ptr& state) {
+  if (!resolver_) {
+    if (Defer(state)) return;
+    Refuse(state, kernel::microseconds(internal::kMaxRetryAfter), "no policy");
     return;
   }
+  if (!ResolveRequest(state)) return;
   const policy::route& route = *state->route;
   state->deadline =
       state->started_at + std::min(state->decoded.time_left.value_or(route.timeout), route.timeout);
@@ -220,11 +238,12 @@
   protocol::run_request run;
   run.service = state->service;
   run.caller = dispatcher_.service();
+  run.workspace = state->workspace;
   run.method = state->decoded.method;
   run.target = state->decoded.target;
   run.headers = state->decoded.headers;
   run.retry_safety = route.retry_safety;
-  run.priority = route.priority;
+  run.priority = state->priority;
   run.time_left = state->deadline - now;
   run.route = route.name;
   run.objective_left = state->objective_deadline - now;
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -31,7 +31,7 @@
 
   // Replaces the policy. Requests in progress keep the one they were routed by.
   void SetPolicy(std::shared_ptr<const policy::policy_table> table);
-  bool has_policy() const { return policy_ != nullptr; }
+  bool has_policy() const { return resolver_.has_value(); }
 
   // Responds to the request once, at the latest at its deadline, unless its caller disconnects.
   void Handle(const std::shared_ptr<http::pipeline_request>& request);
@@ -45,6 +45,7 @@
   kernel::time_point ComputeObjective(const request_state& state);
   const kernel::service_name& SelectService(const policy::route& route);
   outcome::shared_retry_budget& RetryBudget(const kernel::service_name& service);
+  bool ResolveRequest(const request_state_ptr& state);
   void RouteRequest(const request_state_ptr& state);
   bool Defer(const request_state_ptr& state);
   void RetryDeferred();
@@ -68,8 +69,8 @@
   const dialect_functions& dialect_;
   peer_set& peers_;
   const upstream_dispatcher& dispatcher_;
-  std::shared_ptr<const policy::policy_table> policy_;
-  policy::route_index routes_;
+  const std::uint64_t key_hash_seed_;
+  std::optional<policy::request_resolver> resolver_;
   std::map<policy::route_key, routing::weighted_round_robin> split_selectors_;
   // The longest caller timeout seen per route. A caller with a shorter one is assumed to belong
   // to a retry.
