Refuse keys of an unconfirmed policy where the settings ask for it

Cause: a daemon that hears nothing of newer policies goes on accepting keys that were withdrawn, which some deployments rule out.

Change: settings strict_key_revocation and max_policy_age, rendered from the platform's bounds; a daemon to which no control host confirmed its policy for that long refuses requests with a key as not run. Tests of workspaces: deltas, shared keys, resolution, headers, documents.

--- a/cornelweir/src/settings/limits.h
+++ b/cornelweir/src/settings/limits.h
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "cornelweir/src/kernel/quantity.h"
+
 namespace cornelweir::settings {
 
 inline constexpr std::size_t kMaxFileBytes = std::size_t{1} << 20;
@@ -23,6 +25,7 @@
 inline constexpr std::int64_t kMaxPort = 65'535;
 inline constexpr std::int64_t kMaxRetryWindowMs = 600'000;
 inline constexpr std::int64_t kMaxRetrySlack = 100'000;
+inline constexpr kernel::milliseconds kMaxPolicyAge{600'000};
 
 }  // namespace cornelweir::settings
 
--- a/cornelweir/src/settings/load_settings.cc
+++ b/cornelweir/src/settings/load_settings.cc
@@ -77,6 +77,9 @@
   reader.OptionalReal("retry_ratio", 1, sidecar.retry_ratio);
   reader.OptionalNumber("retry_window_ms", 1, kMaxRetryWindowMs, sidecar.retry_window_ms);
   reader.OptionalReal("retry_slack", kMaxRetrySlack, sidecar.retry_slack);
+  reader.OptionalFlag("strict_key_revocation", sidecar.strict_key_revocation);
+  reader.OptionalDuration("max_policy_age", kernel::milliseconds(1), kMaxPolicyAge,
+                          sidecar.max_policy_age);
   reader.OptionalNumber("shutdown_ms", 0, kMaxDrainMs, sidecar.shutdown_ms);
 }
 
--- a/cornelweir/src/settings/section_reader.cc
+++ b/cornelweir/src/settings/section_reader.cc
@@ -221,6 +221,25 @@
   value = found->get<double>();
 }
 
+void section_reader::OptionalDuration(std::string_view key, kernel::milliseconds least,
+                                      kernel::milliseconds most, kernel::milliseconds& value) {
+  const json* found = Find(key);
+  if (found == nullptr) return;
+  const std::string text = found->is_string() ? found->get<std::string>() : std::string();
+  std::int64_t count = 0;
+  const char* const end = text.data() + text.size();
+  const auto [unit, parse_error] = std::from_chars(text.data(), end, count);
+  const std::string_view unit_text(unit, static_cast<std::size_t>(end - unit));
+  const std::int64_t unit_ms = unit_text == "ms" ? 1 : unit_text == "s" ? 1'000 : 0;
+  if (parse_error != std::errc() || unit_ms == 0 || count < least.count() / unit_ms ||
+      count > most.count() / unit_ms) {
+    AddFault(key, "must be a time from " + std::to_string(least.count()) + "ms to " +
+                      std::to_string(most.count()) + "ms, with its unit ms or s");
+    return;
+  }
+  value = kernel::milliseconds(count * unit_ms);
+}
+
 bool section_reader::OptionalSection(std::string_view key,
                                      const std::function<void(section_reader&)>& read) {
   const json* found = Find(key);
--- a/cornelweir/src/settings/section_reader.h
+++ b/cornelweir/src/settings/section_reader.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/kernel/quantity.h"
 #include "cornelweir/src/kernel/strong_id.h"
 #include "cornelweir/src/settings/settings_document.h"
 
@@ -44,6 +45,9 @@
                       std::int64_t& value);
   // A number from 0 to most, whole or not.
   void OptionalReal(std::string_view key, std::int64_t most, double& value);
+  // Reads a time such as "1500ms" or "5s".
+  void OptionalDuration(std::string_view key, kernel::milliseconds least, kernel::milliseconds most,
+                        kernel::milliseconds& value);
   bool OptionalSection(std::string_view key, const std::function<void(section_reader&)>& read);
 
   // Records a fault for each key of the section that was not asked for.
--- a/cornelweir/src/settings/sidecar_settings.h
+++ b/cornelweir/src/settings/sidecar_settings.h
@@ -31,6 +31,10 @@
   double retry_ratio = 0.1;
   std::int64_t retry_window_ms = 10'000;
   double retry_slack = 10;
+  // Whether keys of callers count only while the policy is known to be the newest: a daemon to
+  // which no control host has confirmed it for max_policy_age refuses requests that need a key.
+  bool strict_key_revocation = false;
+  kernel::milliseconds max_policy_age{5'000};
   // How long a graceful shutdown may take.
   std::int64_t shutdown_ms = 6'000;
 };
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -157,6 +157,11 @@
   path = path.substr(0, path.find('?'));
   const policy::resolved_request resolved =
       resolver_->Resolve(state->decoded.host, path, state->decoded.key.value());
+  if (!resolver_->table()->workspaces.empty() && !state->decoded.key.value().empty() &&
+      !KeysAreCurrent()) {
+    Refuse(state, kernel::microseconds(internal::kMaxRetryAfter), "keys not confirmed");
+    return false;
+  }
   if (resolved.outcome == kind::kUnauthenticated) {
     Reply(state, reply_kind::kUnauthenticated, {}, "no valid key");
     return false;
@@ -171,6 +176,13 @@
   return true;
 }
 
+// With strict revocation, a policy that no control host has confirmed recently may hold keys that
+// were withdrawn.
+bool call_router::KeysAreCurrent() const {
+  const settings::sidecar_settings& settings = *context_.settings.sidecar;
+  return !settings.strict_key_revocation || Now() - policy_confirmed_at_ < settings.max_policy_age;
+}
+
 void call_router::RouteRequest(const request_state_ptr& state) {
   if (!resolver_) {
     if (Defer(state)) return;
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -32,6 +32,8 @@
   // Replaces the policy. Requests in progress keep the one they were routed by.
   void SetPolicy(std::shared_ptr<const policy::policy_table> table);
   bool has_policy() const { return resolver_.has_value(); }
+  // Records that the policy was the newest at a time, for strict revocation of keys.
+  void OnPolicyConfirmed(kernel::time_point confirmed_at) { policy_confirmed_at_ = confirmed_at; }
 
   // Responds to the request once, at the latest at its deadline, unless its caller disconnects.
   void Handle(const std::shared_ptr<http::pipeline_request>& request);
@@ -46,6 +48,7 @@
   const kernel::service_name& SelectService(const policy::route& route);
   outcome::shared_retry_budget& RetryBudget(const kernel::service_name& service);
   bool ResolveRequest(const request_state_ptr& state);
+  bool KeysAreCurrent() const;
   void RouteRequest(const request_state_ptr& state);
   bool Defer(const request_state_ptr& state);
   void RetryDeferred();
@@ -71,6 +74,7 @@
   const upstream_dispatcher& dispatcher_;
   const std::uint64_t key_hash_seed_;
   std::optional<policy::request_resolver> resolver_;
+  kernel::time_point policy_confirmed_at_;
   std::map<policy::route_key, routing::weighted_round_robin> split_selectors_;
   // The longest caller timeout seen per route. A caller with a shorter one is assumed to belong
   // to a retry.
--- a/plugins/sidecar/control_client.cc
+++ b/plugins/sidecar/control_client.cc
@@ -197,6 +197,10 @@
     }
     ApplyPolicy(delta.value());
   }
+  // After a pause of this process, the message may be as old as the pause.
+  if (policy_ && policy_->version >= update.newest_policy) {
+    handlers_.policy_confirmed(context_.pauses.InputArrival(Now()));
+  }
   ApplyRoster(update);
 }
 
--- a/plugins/sidecar/control_client.h
+++ b/plugins/sidecar/control_client.h
@@ -27,6 +27,8 @@
  public:
   struct handlers {
     std::function<void()> policy_changed;
+    // The policy was the newest at this time.
+    std::function<void(kernel::time_point)> policy_confirmed;
     std::function<void()> roster_changed;
     // Return what this daemon reports.
     std::function<kernel::service_name()> service;
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -36,6 +36,10 @@
       control_client_(context,
                       control_client::handlers{
                           .policy_changed = [this] { OnPolicyChanged(); },
+                          .policy_confirmed =
+                              [this](kernel::time_point confirmed_at) {
+                                router_.OnPolicyConfirmed(confirmed_at);
+                              },
                           .roster_changed = [this] { peers_.Update(control_client_.roster()); },
                           .service = [this] { return dispatcher_.service(); },
                           .last_upstream = [this] { return dispatcher_.LastAnnounced(); },
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr kernel::milliseconds kCallerTimeout{300};
+constexpr const char* kCallerKey = "k1";
 
 // The reply to the latest request.
 struct {
@@ -26,6 +27,7 @@
   decoded.target = std::move(request.target);
   decoded.host = "forms.example";
   decoded.time_left = kCallerTimeout;
+  decoded.key = kernel::api_key(kCallerKey);
   return decoded;
 }
 
@@ -107,5 +109,25 @@
   EXPECT_EQ(dispatcher_.Load().in_progress, 0);
 }
 
+// Guards against a key that stays in use at a daemon that does not hear of its withdrawal, where
+// the settings ask for strict revocation.
+TEST_F(CallRouterStartupTest, RefusesKeysOfAPolicyThatNoOneConfirms) {
+  policy::policy_table table;
+  policy::workspace workspace;
+  workspace.name = kernel::workspace_id("w1");
+  workspace.keys.emplace_back(kCallerKey);
+  table.workspaces.push_back(workspace);
+  router_.SetPolicy(std::make_shared<policy::policy_table>(table));
+  HandleRequest();
+  EXPECT_EQ(last_reply.kind, reply_kind::kNoRoute);
+  daemon_.settings.sidecar->strict_key_revocation = true;
+  router_.OnPolicyConfirmed(daemon_.clock.Now() - daemon_.settings.sidecar->max_policy_age);
+  HandleRequest();
+  EXPECT_EQ(last_reply.kind, reply_kind::kNotRun);
+  router_.OnPolicyConfirmed(daemon_.clock.Now());
+  HandleRequest();
+  EXPECT_EQ(last_reply.kind, reply_kind::kNoRoute);
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
--- a/tests/platform_format_test.cc
+++ b/tests/platform_format_test.cc
@@ -46,6 +46,30 @@
   EXPECT_EQ(json::parse(serialized)["version"], "0000000c");
 }
 
+// Guards against reading back workspaces that differ from what operators wrote, and against new
+// members in the documents of deployments without workspaces.
+TEST(PlatformFormat, SerializesWorkspacesAsTheyWereWritten) {
+  EXPECT_EQ(SerializePolicy(ParsePolicy(std::string(kPolicy)).value()).find("public"),
+            std::string::npos);
+  json document = json::parse(kPolicy);
+  document["tenants"] = json::parse(R"([
+    {"name": "w1", "api_keys": ["k1", "k2"], "priority": 1, "rate_per_s": 576, "burst": 60.5},
+    {"name": "w2", "api_keys": []}])");
+  json& routes = document["virtual_hosts"][0]["host_routes"];
+  routes[0]["public"] = true;
+  routes[1]["public"] = false;
+  routes[1]["route_type"] = "upload";
+  const auto table = ParsePolicy(document.dump());
+  ASSERT_TRUE(table);
+  EXPECT_EQ(table->workspaces.at(0).rate, kernel::request_rate(576'000));
+  EXPECT_FALSE(table->workspaces.at(1).HasQuota());
+  EXPECT_FALSE(policy::IsIdempotent(table->routes.at(1).retry_safety));
+  const json serialized = json::parse(SerializePolicy(table.value()));
+  EXPECT_EQ(serialized["tenants"], document["tenants"]);
+  EXPECT_EQ(serialized["virtual_hosts"][0]["host_routes"][0]["public"], true);
+  EXPECT_EQ(serialized["virtual_hosts"][0]["host_routes"][1]["public"], false);
+}
+
 // Guards against accepting a policy with a malformed member.
 TEST(PlatformFormat, RejectsAMalformedPolicy) {
   const auto is_accepted_with = [](const std::string& from, const std::string& to) {
@@ -113,6 +137,27 @@
   EXPECT_EQ(http::FindHeader(sent.headers, "Deadline-Ms"), "99");
 }
 
+// Guards against keys that reach an upstream, and against callers who choose their workspace.
+TEST(PlatformDialect, StatesTheWorkspaceInsteadOfTheKey) {
+  const auto decode = [](http::header_pairs headers) {
+    return std::get<call>(
+        sidecar_dialect::DecodeCall({"GET", "/a", std::move(headers), std::string()}));
+  };
+  const call received_call = decode({{"api-key", "secret"}, {"Tenant", "forged"}});
+  EXPECT_EQ(received_call.key, kernel::api_key("secret"));
+  EXPECT_TRUE(received_call.headers.empty());
+  EXPECT_EQ(decode({{"Api-Key", "a"}, {"Api-Key", "b"}}).key, kernel::api_key());
+  protocol::run_request run = RunWithId("7");
+  const auto workspace_header = [&run] {
+    const http::whole_request sent =
+        sidecar_dialect::EncodeRun(run, "", kernel::upstream_id("i-1"), kernel::milliseconds(99));
+    return std::string(http::FindHeader(sent.headers, "Tenant"));
+  };
+  EXPECT_EQ(workspace_header(), "");
+  run.workspace = kernel::workspace_id("w1");
+  EXPECT_EQ(workspace_header(), "w1");
+}
+
 // Guards against treating a malformed time limit as no time limit.
 TEST(PlatformDialect, RejectsATimeLimitThatIsNotANumber) {
   auto decoded = sidecar_dialect::DecodeCall({"GET", "/", {{"Deadline-Ms", "soon"}}, ""});
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,13 @@
   return result;
 }
 
+workspace Workspace(const std::string& name, const std::vector<std::string>& keys) {
+  workspace result;
+  result.name = kernel::workspace_id(name);
+  for (const std::string& key : keys) result.keys.emplace_back(key);
+  return result;
+}
+
 policy_table Table(std::uint64_t version, std::vector<route> routes) {
   policy_table table;
   table.version = kernel::policy_version(version);
@@ -52,6 +60,9 @@
     const policy_table old_table = Table(3, random_routes());
     policy_table new_table = Table(7, random_routes());
     if (*rc::gen::arbitrary<bool>()) new_table.limits.max_body_bytes = 5;
+    for (int i = *rc::gen::inRange(0, 5); i > 0; --i) {
+      new_table.workspaces.push_back(Workspace("w" + std::to_string(i), {std::to_string(i)}));
+    }
     const auto applied = Apply(old_table, Diff(old_table, new_table));
     RC_ASSERT(applied.has_value());
     RC_ASSERT(*applied == new_table);
@@ -121,6 +132,59 @@
   EXPECT_EQ(Validate(Table(0, {Route("h", "/a/")})).size(), 1U);
 }
 
+// Guards against a change of one key that sends all workspaces to every daemon.
+TEST(Policy, ADeltaCarriesOnlyTheWorkspacesThatChanged) {
+  policy_table one = Table(1, {Route("h", "/a/")});
+  one.workspaces = {Workspace("w1", {"k1"}), Workspace("w2", {"k2"}), Workspace("w3", {"k3"})};
+  policy_table two = one;
+  two.version = kernel::policy_version(2);
+  two.workspaces[1].keys.clear();
+  const policy_delta delta = Diff(one, two);
+  EXPECT_EQ(delta.workspaces.changed.size(), 1U);
+  EXPECT_TRUE(delta.workspaces.inserted.empty());
+  EXPECT_FALSE(delta.workspaces.order);
+  EXPECT_EQ(Apply(one, delta), two);
+}
+
+// Guards against a key that admits callers of two workspaces, and against a key in an error text.
+TEST(Policy, RejectsAKeyThatTwoWorkspacesHold) {
+  policy_table table = Table(1, {Route("h", "/a/")});
+  table.workspaces = {Workspace("w1", {"secret"}), Workspace("w2", {"other"})};
+  EXPECT_TRUE(Validate(table).empty());
+  table.workspaces[1].keys.emplace_back("secret");
+  const std::vector<std::string> errors = Validate(table);
+  ASSERT_EQ(errors.size(), 1U);
+  EXPECT_EQ(errors.front().find("secret"), std::string::npos);
+}
+
+// Guards against access without a key, with a withdrawn key, and against telling callers without a
+// key which routes exist.
+TEST(Policy, ResolvesARequestByItsKey) {
+  using kind = resolved_request::kind;
+  policy_table table = Table(1, {Route("h", "/a/"), Route("h", "/open/")});
+  table.routes[0].priority = 3;
+  table.routes[1].public_access = true;
+  table.workspaces = {Workspace("w1", {"k1"}), Workspace("w2", {"k2"})};
+  table.workspaces[1].priority = 1;
+  const request_resolver resolver(std::make_shared<policy_table>(table), 5);
+  EXPECT_EQ(resolver.Resolve("h", "/a/1", "k1").workspace->name, kernel::workspace_id("w1"));
+  EXPECT_EQ(resolver.Resolve("h", "/a/1", "k1").priority(), 3);
+  EXPECT_EQ(resolver.Resolve("h", "/a/1", "k2").priority(), 1) << "the priority of the workspace";
+  EXPECT_EQ(resolver.Resolve("h", "/a/1", "").outcome, kind::kUnauthenticated);
+  EXPECT_EQ(resolver.Resolve("h", "/a/1", "k").outcome, kind::kUnauthenticated);
+  EXPECT_EQ(resolver.Resolve("h", "/none/", "").outcome, kind::kUnauthenticated);
+  EXPECT_EQ(resolver.Resolve("h", "/none/", "k1").outcome, kind::kNoRoute);
+  EXPECT_EQ(resolver.Resolve("h", "/open/1", "").outcome, kind::kRouted);
+  EXPECT_EQ(resolver.Resolve("h", "/open/1", "").workspace, nullptr);
+
+  table.workspaces[0].keys.clear();
+  const request_resolver later(std::make_shared<policy_table>(table), 5);
+  EXPECT_EQ(later.Resolve("h", "/a/1", "k1").outcome, kind::kUnauthenticated) << "withdrawn";
+  table.workspaces.clear();
+  const request_resolver without(std::make_shared<policy_table>(table), 5);
+  EXPECT_EQ(without.Resolve("h", "/a/1", "").outcome, kind::kRouted);
+}
+
 // Guards against matching a route of another host, or a shorter prefix than possible.
 TEST(Policy, MatchesTheLongestPrefixOfTheHost) {
   const policy_table table =
