Accept policy changes as large as a policy may be

Change: a command that does not fit one entry is deflated and split over consecutive entries; the record counts only if all of its parts follow each other in one term. The same parts carry a change to the leader (submit_part) and a policy to daemons (fleet_update, "delta_part"). Smaller entries keep their form, so hosts of the earlier version read them. Inflating continues one stream where it started again from the beginning with a larger buffer.

--- a/cornelweir/protocol.h
+++ b/cornelweir/protocol.h
@@ -6,6 +6,9 @@
 #include "cornelweir/src/protocol/data_messages.h"
 #include "cornelweir/src/protocol/fleet_messages.h"
 #include "cornelweir/src/protocol/limits.h"
+#include "cornelweir/src/protocol/message_part.h"
 #include "cornelweir/src/protocol/messages.h"
+#include "cornelweir/src/protocol/part_assembler.h"
+#include "cornelweir/src/protocol/split_into_parts.h"
 
 #endif  // CORNELWEIR_PROTOCOL_H_
--- a/cornelweir/src/codec/cbor.cc
+++ b/cornelweir/src/codec/cbor.cc
@@ -3,8 +3,6 @@
 #include <cstddef>
 #include <cstdint>
 
-#include "cornelweir/src/codec/limits.h"
-
 namespace cornelweir::codec {
 namespace internal {
 
@@ -54,8 +52,8 @@
   return bytes;
 }
 
-boost::leaf::result<json> ReadCbor(std::string_view bytes) {
-  if (bytes.size() > kMaxMessageBytes) {
+boost::leaf::result<json> ReadCbor(std::string_view bytes, std::size_t max_bytes) {
+  if (bytes.size() > max_bytes) {
     return boost::leaf::new_error(codec_error{codec_fault::kTooLarge, "message"});
   }
   internal::nesting_checker checker;
--- a/cornelweir/src/codec/cbor.h
+++ b/cornelweir/src/codec/cbor.h
@@ -2,18 +2,21 @@
 #define CORNELWEIR_SRC_CODEC_CBOR_H_
 
 #include <boost/leaf.hpp>
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 #include "cornelweir/src/codec/json_value.h"
+#include "cornelweir/src/codec/limits.h"
 
 namespace cornelweir::codec {
 
 // Writes the JSON data model as CBOR.
 std::string WriteCbor(const json& value);
 
-// Reads CBOR of at most kMaxMessageBytes and kMaxNesting levels.
-boost::leaf::result<json> ReadCbor(std::string_view bytes);
+// Reads CBOR of at most max_bytes and kMaxNesting levels.
+boost::leaf::result<json> ReadCbor(std::string_view bytes,
+                                   std::size_t max_bytes = kMaxMessageBytes);
 
 // Encodes a value that has json_traits.
 template <class T>
@@ -23,8 +26,8 @@
 
 // Decodes a value that has json_traits. Errors carry a codec_error.
 template <class T>
-boost::leaf::result<T> Decode(std::string_view bytes) {
-  BOOST_LEAF_AUTO(document, ReadCbor(bytes));
+boost::leaf::result<T> Decode(std::string_view bytes, std::size_t max_bytes = kMaxMessageBytes) {
+  BOOST_LEAF_AUTO(document, ReadCbor(bytes, max_bytes));
   T value{};
   BOOST_LEAF_CHECK(FromJson(document, value, "message"));
   return value;
--- a/cornelweir/src/codec/deflate.cc
+++ b/cornelweir/src/codec/deflate.cc
@@ -4,9 +4,9 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <memory>
 
 #include "cornelweir/src/codec/codec_error.h"
-#include "cornelweir/src/codec/limits.h"
 
 namespace cornelweir::codec {
 namespace {
@@ -29,26 +29,32 @@
   return compressed;
 }
 
-boost::leaf::result<std::string> Inflate(std::string_view compressed) {
-  std::size_t capacity = kFirstOutputBytes;
-  while (true) {
-    std::string bytes(capacity, '\0');
-    auto size = static_cast<uLongf>(bytes.size());
-    const int outcome =
-        uncompress(Output(bytes), &size, Input(compressed), static_cast<uLong>(compressed.size()));
-    if (outcome == Z_OK) {
-      bytes.resize(size);
-      return bytes;
-    }
-    if (outcome != Z_BUF_ERROR) {
-      return boost::leaf::new_error(codec_error{codec_fault::kMalformed, "compressed bytes"});
-    }
-    // Either the output is too small or the input is cut; the limit ends both.
-    if (capacity == kMaxMessageBytes) {
-      return boost::leaf::new_error(codec_error{codec_fault::kTooLarge, "compressed bytes"});
-    }
-    capacity = std::min(capacity * 4, kMaxMessageBytes);
+boost::leaf::result<std::string> Inflate(std::string_view compressed, std::size_t max_bytes) {
+  z_stream stream{};
+  if (inflateInit(&stream) != Z_OK) {
+    return boost::leaf::new_error(codec_error{codec_fault::kTooLarge, "compressed bytes"});
   }
+  const std::unique_ptr<z_stream, decltype(&inflateEnd)> end(&stream, &inflateEnd);
+  stream.next_in = const_cast<Bytef*>(Input(compressed));
+  stream.avail_in = static_cast<uInt>(compressed.size());
+  std::string bytes;
+  int outcome = Z_OK;
+  // One byte beyond the bound shows that there is more.
+  while (outcome == Z_OK && bytes.size() <= max_bytes) {
+    const std::size_t restored = bytes.size();
+    bytes.resize(std::min(std::max(kFirstOutputBytes, restored * 2), max_bytes + 1));
+    stream.next_out = Output(bytes) + restored;
+    stream.avail_out = static_cast<uInt>(bytes.size() - restored);
+    outcome = inflate(&stream, Z_NO_FLUSH);
+    bytes.resize(bytes.size() - stream.avail_out);
+  }
+  if (bytes.size() > max_bytes) {
+    return boost::leaf::new_error(codec_error{codec_fault::kTooLarge, "compressed bytes"});
+  }
+  if (outcome != Z_STREAM_END || stream.avail_in > 0) {
+    return boost::leaf::new_error(codec_error{codec_fault::kMalformed, "compressed bytes"});
+  }
+  return bytes;
 }
 
 }  // namespace cornelweir::codec
--- a/cornelweir/src/protocol/fleet_messages.h
+++ b/cornelweir/src/protocol/fleet_messages.h
@@ -11,6 +11,7 @@
 #include "cornelweir/kernel.h"
 #include "cornelweir/membership.h"
 #include "cornelweir/policy.h"
+#include "cornelweir/src/protocol/message_part.h"
 
 namespace cornelweir::protocol {
 
@@ -40,6 +41,9 @@
   // The encoded and deflated policy_delta from the policy of the daemon, or from the empty policy.
   // Empty if the policy is unchanged.
   kernel::byte_string policy_delta;
+  // A part of these bytes instead, if they are too large for one message. The parts arrive in
+  // order.
+  std::optional<message_part> policy_part;
   std::vector<membership::roster_entry> present;
   std::vector<kernel::endpoint> gone;
   // Endpoints at which other control hosts accept links of daemons. Empty if unchanged.
@@ -53,6 +57,7 @@
     return std::tuple{kernel::field{"current", &fleet_update::leader_confirmed},
                       kernel::field{"newest", &fleet_update::newest_policy},
                       kernel::field{"delta", &fleet_update::policy_delta},
+                      kernel::field{"delta_part", &fleet_update::policy_part},
                       kernel::field{"present", &fleet_update::present},
                       kernel::field{"gone", &fleet_update::gone},
                       kernel::field{"control_hosts", &fleet_update::control_hosts},
--- a/cornelweir/src/protocol/limits.h
+++ b/cornelweir/src/protocol/limits.h
@@ -24,6 +24,12 @@
 // A control host that has not learned of a round confirmed by a majority for this long reports that
 // it is not current.
 inline constexpr kernel::milliseconds kMaxConfirmationAge{500};
+// Size of the parts into which larger bytes are split: a part fits into one log entry and message
+// and delays what is sent behind it on the link of a daemon by 0.3 s at most.
+inline constexpr std::size_t kPartBytes = std::size_t{192} << 10;
+// Largest sum of the parts of deflated bytes, such as a policy. It stays below the send queue of a
+// link and below the backlog of the leader's log.
+inline constexpr std::size_t kMaxPartedBytes = std::size_t{6} << 20;
 // Bodies are sent between daemons in pieces of this size, so that other requests can interleave.
 inline constexpr std::size_t kBodyPieceBytes = std::size_t{64} << 10;
 // Largest sum of the bodies that are being received on one link.
--- a/cornelweir/src/protocol/messages.h
+++ b/cornelweir/src/protocol/messages.h
@@ -58,6 +58,20 @@
   }
 };
 
+// A part of an encoded and deflated command that is too large for a submit message. Sent in order
+// from a control host to the leader, which replies to the last part.
+struct submit_part {
+  static constexpr std::string_view kType = "submit_part";
+
+  std::uint64_t id = 0;
+  message_part part;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"id", &submit_part::id},
+                      kernel::field{"part", &submit_part::part}};
+  }
+};
+
 // The outcome of a command. Without an outcome the command may still take effect later.
 struct submit_reply {
   static constexpr std::string_view kType = "submit_reply";
@@ -123,8 +137,8 @@
 };
 
 // A message between control hosts.
-using control_message =
-    std::variant<hello, replicate, submit, submit_reply, renew, roster_share, join_request>;
+using control_message = std::variant<hello, replicate, submit, submit_part, submit_reply, renew,
+                                     roster_share, join_request>;
 // A message from a daemon to its publisher.
 using daemon_message = std::variant<hello, distribution::subscribe, distribution::applied,
                                     distribution::proof_query, submit, renew, proxy_status>;
--- a/plugins/control/control_mesh.cc
+++ b/plugins/control/control_mesh.cc
@@ -2,9 +2,11 @@
 
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "cornelweir/codec.h"
+#include "plugins/control/log_payload.h"
 #include "plugins/greeting.h"
 
 namespace cornelweir::plugins::control {
@@ -133,9 +135,21 @@
 
 bool control_mesh::Send(const kernel::host_id& recipient,
                         const protocol::control_message& message) {
+  return SendEncoded(recipient, codec::Encode(message));
+}
+
+bool control_mesh::SendEncoded(const kernel::host_id& recipient, const std::string& payload) {
   const auto found = peers_.find(recipient);
   if (found == peers_.end() || !found->second.link) return false;
-  return found->second.link->Send(codec::Encode(message));
+  return found->second.link->Send(payload);
+}
+
+bool control_mesh::SendParts(const kernel::host_id& leader, std::uint64_t id,
+                             const std::string& packed) {
+  for (protocol::message_part& part : protocol::SplitIntoParts(packed)) {
+    if (!Send(leader, protocol::submit_part{id, std::move(part)})) return false;
+  }
+  return true;
 }
 
 bool control_mesh::IsConnected(const kernel::host_id& host) const {
@@ -146,7 +160,20 @@
 void control_mesh::Submit(const kernel::host_id& leader, cornelweir::control::command command,
                           outcome_callback callback) {
   const std::uint64_t id = next_submission_++;
-  if (!Send(leader, protocol::submit{id, std::move(command)})) {
+  const protocol::control_message message = protocol::submit{id, std::move(command)};
+  const std::string encoded = codec::Encode(message);
+  bool is_sent = false;
+  if (encoded.size() <= protocol::kPartBytes) {
+    is_sent = SendEncoded(leader, encoded);
+  } else {
+    const auto packed = PackCommand(std::get<protocol::submit>(message).command);
+    if (!packed) {
+      callback(cornelweir::control::refused_outcome{"the change is too large"});
+      return;
+    }
+    is_sent = SendParts(leader, id, *packed);
+  }
+  if (!is_sent) {
     callback(std::nullopt);
     return;
   }
--- a/plugins/control/control_mesh.h
+++ b/plugins/control/control_mesh.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 
 #include "cornelweir/kernel.h"
@@ -66,6 +67,9 @@
     outcome_callback callback;
   };
 
+  bool SendEncoded(const kernel::host_id& recipient, const std::string& payload);
+  // Sends a command that is too large for one message.
+  bool SendParts(const kernel::host_id& leader, std::uint64_t id, const std::string& packed);
   void Connect(const kernel::host_id& host);
   void OnClosed(const kernel::host_id& host, std::uint64_t generation);
   void Maintain();
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -271,6 +271,8 @@
     } else {
       replica_.Propose(command->command, reply);
     }
+  } else if (const auto* forwarded = std::get_if<protocol::submit_part>(&message)) {
+    OnForwarded(sender, *forwarded);
   } else if (const auto* reply = std::get_if<protocol::submit_reply>(&message)) {
     mesh_.OnReply(*reply);
   } else if (const auto* renewals = std::get_if<protocol::renew>(&message)) {
@@ -282,6 +284,20 @@
   }
 }
 
+void control_plugin::OnForwarded(const kernel::host_id& sender,
+                                 const protocol::submit_part& forwarded) {
+  const auto packed = forwarded_parts_[sender].Add(forwarded.part);
+  if (!packed) return;
+  const auto reply = [this, sender, id = forwarded.id](const auto& outcome) {
+    mesh_.Send(sender, protocol::submit_reply{id, outcome});
+  };
+  if (IsBootstrapping()) {
+    reply(std::nullopt);
+  } else {
+    replica_.ProposePacked(*packed, reply);
+  }
+}
+
 void control_plugin::OnJoin(const protocol::join_request& request) {
   if (context_.settings.control->seeds.empty()) return;
   const replication::node& node = replica_.node();
@@ -343,7 +359,10 @@
 }
 
 void control_plugin::OnLinkClosed(const transport::link* link) {
-  peers_.erase(link);
+  if (const auto peer = peers_.find(link); peer != peers_.end()) {
+    forwarded_parts_.erase(peer->second);
+    peers_.erase(peer);
+  }
   daemons_.erase(link);
   feed_.Remove(link);
   gateway_.Remove(link);
--- a/plugins/control/control_plugin.h
+++ b/plugins/control/control_plugin.h
@@ -61,6 +61,7 @@
   void OnMessage(const std::shared_ptr<transport::link>& link, std::string_view payload);
   void OnGreeting(const std::shared_ptr<transport::link>& link, std::string_view payload);
   void OnPeerMessage(const kernel::host_id& sender, const protocol::control_message& message);
+  void OnForwarded(const kernel::host_id& sender, const protocol::submit_part& forwarded);
   void OnLinkClosed(const transport::link* link);
   void OnApplied(const cornelweir::control::applied_effects& effects);
   void OnLeadershipChanged(bool is_leader);
@@ -84,6 +85,8 @@
   // Inbound links whose greeting named another control host.
   std::map<const transport::link*, kernel::host_id> peers_;
   std::map<const transport::link*, bool> daemons_;
+  // The parts of a command that each of these hosts is forwarding.
+  std::map<kernel::host_id, protocol::part_assembler> forwarded_parts_;
   protocol::renew pending_renewals_;
   loop::timer renewal_timer_;
   loop::timer lease_timer_;
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -168,20 +168,27 @@
   return hosts;
 }
 
-const std::string& fleet_feed::PolicyMessageFor(kernel::policy_version base_version) {
+const std::vector<std::string>& fleet_feed::PolicyMessagesFor(kernel::policy_version base_version) {
   const auto found = recent_policies_.find(base_version);
   const policy::policy_table empty;
   const policy::policy_table& base = found != recent_policies_.end() ? *found->second : empty;
-  const auto [message, added] = policy_messages_.try_emplace(base.version);
+  const auto [messages, added] = policy_messages_.try_emplace(base.version);
   if (added) {
     const policy::policy_table& newest = *owner_.local_replica().machine().policy().current();
-    protocol::fleet_update update;
-    update.leader_confirmed = true;
-    update.newest_policy = newest.version;
-    update.policy_delta.bytes = codec::Deflate(codec::Encode(policy::Diff(base, newest)));
-    message->second = codec::Encode(protocol::fleet_message{std::move(update)});
+    const std::string delta = codec::Deflate(codec::Encode(policy::Diff(base, newest)));
+    for (protocol::message_part& part : protocol::SplitIntoParts(delta)) {
+      protocol::fleet_update update;
+      update.leader_confirmed = true;
+      update.newest_policy = newest.version;
+      if (part.count == 1) {
+        update.policy_delta = std::move(part.bytes);
+      } else {
+        update.policy_part = std::move(part);
+      }
+      messages->second.push_back(codec::Encode(protocol::fleet_message{std::move(update)}));
+    }
   }
-  return message->second;
+  return messages->second;
 }
 
 // Sent before the first policy, since a daemon that has a policy starts to use its upstream.
@@ -209,7 +216,9 @@
   if (is_current) {
     SendLastUpstream(recipient);
     if (*recipient.known_policy < update.newest_policy) {
-      recipient.link->Send(PolicyMessageFor(*recipient.known_policy));
+      for (const std::string& message : PolicyMessagesFor(*recipient.known_policy)) {
+        recipient.link->Send(message);
+      }
       recipient.known_policy = update.newest_policy;
       recipient.last_sent_at = clock_.Now();
     }
--- a/plugins/control/fleet_feed.h
+++ b/plugins/control/fleet_feed.h
@@ -74,7 +74,7 @@
   void ShareEntries();
   void SendUpdate(session& recipient, bool heartbeat);
   void SendLastUpstream(session& recipient);
-  const std::string& PolicyMessageFor(kernel::policy_version base_version);
+  const std::vector<std::string>& PolicyMessagesFor(kernel::policy_version base_version);
   std::vector<kernel::endpoint> ControlHosts() const;
 
   control_plugin& owner_;
@@ -90,9 +90,9 @@
   bool was_current_ = false;
   // The last accepted policies, as bases of the deltas to the newest.
   std::map<kernel::policy_version, std::shared_ptr<const policy::policy_table>> recent_policies_;
-  // The encoded updates to the newest policy by base version. Daemons with the same policy share
-  // one encoded message.
-  std::map<kernel::policy_version, std::string> policy_messages_;
+  // The encoded updates to the newest policy by base version, in parts if they are large. Daemons
+  // with the same policy share the encoded messages.
+  std::map<kernel::policy_version, std::vector<std::string>> policy_messages_;
 };
 
 }  // namespace cornelweir::plugins::control
--- a/plugins/control/policy_service.cc
+++ b/plugins/control/policy_service.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -13,15 +14,21 @@
 namespace cornelweir::plugins::control {
 namespace internal {
 
-kernel::policy_digest ComputeDigest(const policy::policy_table& table) {
-  const std::string bytes = codec::Encode(table);
-  return kernel::policy_digest(XXH3_64bits(bytes.data(), bytes.size()));
+kernel::policy_digest ComputeDigest(std::string_view encoded_table) {
+  return kernel::policy_digest(XXH3_64bits(encoded_table.data(), encoded_table.size()));
 }
 
-void LogOutcome(const policy::policy_table& table, kernel::policy_version base,
+// Whether the whole table can be sent to a daemon that has no policy. Most tables are small enough
+// without compression.
+bool FitsDaemons(std::string_view encoded_table) {
+  return encoded_table.size() <= protocol::kMaxPartedBytes / 2 ||
+         codec::Deflate(encoded_table).size() <= protocol::kMaxPartedBytes / 2;
+}
+
+void LogOutcome(kernel::policy_version version, kernel::policy_version base,
                 kernel::policy_version current, std::string_view outcome) {
   logging::event(logging::event_id::kPolicyDecided)
-      .With("version", table.version)
+      .With("version", version)
       .With("base", base)
       .With("current", current)
       .With("outcome", outcome);
@@ -31,9 +38,9 @@
 
 policy_port policy_service::MakePort() {
   policy_port port;
-  port.replace = [this](kernel::policy_version base, const policy::policy_table& table,
+  port.replace = [this](kernel::policy_version base, policy::policy_table table,
                         const policy_port::replace_callback& callback) {
-    Replace(base, table, callback);
+    Replace(base, std::make_shared<const policy::policy_table>(std::move(table)), callback);
   };
   port.read = [this](const policy_port::read_callback& callback) { Read(callback); };
   return port;
@@ -49,15 +56,15 @@
   });
 }
 
-void policy_service::Replace(kernel::policy_version base, const policy::policy_table& table,
+void policy_service::Replace(kernel::policy_version base, const shared_table& table,
                              const policy_port::replace_callback& callback) {
   owner_.local_replica().Read([this, base, table, callback](bool is_current) {
     if (!is_current) {
-      internal::LogOutcome(table, base, kernel::policy_version(), "not-proved-current");
+      internal::LogOutcome(table->version, base, kernel::policy_version(), "not-proved-current");
       callback(policy_answer::kUnknown);
       return;
     }
-    Submit(base, table, callback);
+    Submit(base, *table, callback);
   });
 }
 
@@ -65,27 +72,41 @@
                             const policy_port::replace_callback& callback) {
   const cornelweir::control::policy_store& store = owner_.local_replica().machine().policy();
   const policy::policy_table& current = *store.current();
-  const kernel::policy_digest digest = internal::ComputeDigest(table);
-  if (store.WasAccepted(table.version, digest)) {
-    internal::LogOutcome(table, base, current.version, "accepted-before");
+  const kernel::policy_version version = table.version;
+  const std::string encoded = codec::Encode(table);
+  const kernel::policy_digest digest = internal::ComputeDigest(encoded);
+  if (store.WasAccepted(version, digest)) {
+    internal::LogOutcome(version, base, current.version, "accepted-before");
     callback(policy_answer::kAccepted);
     return;
   }
-  if (base != current.version || table.version <= current.version) {
-    internal::LogOutcome(table, base, current.version, "conflict");
+  if (base != current.version || version <= current.version) {
+    internal::LogOutcome(version, base, current.version, "conflict");
     callback(policy_answer::kConflict);
     return;
   }
+  if (!internal::FitsDaemons(encoded)) {
+    internal::LogOutcome(version, base, current.version, "too-large");
+    callback(policy_answer::kTooLarge);
+    return;
+  }
   cornelweir::control::replace_policy_command command{policy::Diff(current, table), digest};
-  owner_.Submit(std::move(command), [table, base, callback](const auto& outcome) {
+  owner_.Submit(std::move(command), [version, base, callback](const auto& outcome) {
+    const auto* refused =
+        outcome ? std::get_if<cornelweir::control::refused_outcome>(&*outcome) : nullptr;
+    if (refused != nullptr) {
+      internal::LogOutcome(version, base, kernel::policy_version(), refused->reason);
+      callback(policy_answer::kTooLarge);
+      return;
+    }
     const auto* decided =
         outcome ? std::get_if<cornelweir::control::policy_outcome>(&*outcome) : nullptr;
     if (decided == nullptr) {
-      internal::LogOutcome(table, base, kernel::policy_version(), "unknown");
+      internal::LogOutcome(version, base, kernel::policy_version(), "unknown");
       callback(policy_answer::kUnknown);
       return;
     }
-    internal::LogOutcome(table, base, decided->current,
+    internal::LogOutcome(version, base, decided->current,
                          decided->accepted ? "accepted" : "conflict");
     callback(decided->accepted ? policy_answer::kAccepted : policy_answer::kConflict);
   });
--- a/plugins/control/policy_service.h
+++ b/plugins/control/policy_service.h
@@ -1,6 +1,8 @@
 #ifndef CORNELWEIR_PLUGINS_CONTROL_POLICY_SERVICE_H_
 #define CORNELWEIR_PLUGINS_CONTROL_POLICY_SERVICE_H_
 
+#include <memory>
+
 #include "plugins/policy_port.h"
 
 namespace cornelweir::plugins::control {
@@ -17,7 +19,9 @@
   policy_port MakePort();
 
  private:
-  void Replace(kernel::policy_version base, const policy::policy_table& table,
+  using shared_table = std::shared_ptr<const policy::policy_table>;
+
+  void Replace(kernel::policy_version base, const shared_table& table,
                const policy_port::replace_callback& callback);
   void Submit(kernel::policy_version base, const policy::policy_table& table,
               const policy_port::replace_callback& callback);
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -1,6 +1,7 @@
 #include "plugins/control/replica.h"
 
 #include <utility>
+#include <variant>
 
 #include "cornelweir/codec.h"
 #include "cornelweir/logging.h"
@@ -13,6 +14,8 @@
 constexpr kernel::milliseconds kTickPeriod{10};
 // Number of entries between two snapshots. It limits the log that a restart has to read.
 constexpr std::uint64_t kCompactionInterval = 10'000;
+// Bytes of the entries between two snapshots. It limits the log that is held in memory.
+constexpr std::size_t kCompactionBytes = std::size_t{16} << 20;
 
 }  // namespace internal
 
@@ -26,13 +29,15 @@
 
 void replica::Restore(const replication::snapshot& snapshot) {
   if (snapshot.index == kernel::log_index()) return;
-  const auto decoded = codec::Decode<state::state_snapshot>(snapshot.data.bytes);
+  const auto decoded =
+      codec::Decode<state::state_snapshot>(snapshot.data.bytes, codec::kMaxStateBytes);
   if (!decoded) {
     failed_ = true;
     logging::event(logging::event_id::kStorageFailed).With("what", "snapshot can't be decoded");
     return;
   }
   machine_.Restore(decoded.value());
+  reader_.Clear();
   applied_index_ = snapshot.index;
   compacted_index_ = snapshot.index;
 }
@@ -72,12 +77,35 @@
     callback(std::nullopt);
     return;
   }
-  const state::log_record record{SinceEpochMs().count(), std::move(command)};
-  const auto index = node_.Propose(kernel::byte_string{codec::Encode(record)}, Now());
-  if (!index) {
+  std::vector<kernel::byte_string> payloads =
+      EncodeLogRecord({SinceEpochMs().count(), std::move(command)});
+  if (payloads.empty()) {
+    callback(state::refused_outcome{"the change is too large"});
+    return;
+  }
+  ProposePayloads(std::move(payloads), std::move(callback));
+}
+
+void replica::ProposePacked(const std::string& packed, outcome_callback callback) {
+  if (failed_) {
     callback(std::nullopt);
     return;
   }
+  ProposePayloads(EncodePackedCommand(SinceEpochMs().count(), packed), std::move(callback));
+}
+
+// If the log refuses one of several entries, the earlier ones have no effect, since no entry
+// completes their record.
+void replica::ProposePayloads(std::vector<kernel::byte_string> payloads,
+                              outcome_callback callback) {
+  std::optional<kernel::log_index> index;
+  for (kernel::byte_string& payload : payloads) {
+    index = node_.Propose(std::move(payload), Now());
+    if (!index) {
+      callback(std::nullopt);
+      return;
+    }
+  }
   proposals_.emplace(*index,
                      pending_proposal{node_.current_term(), Now() + protocol::kSubmissionTimeout,
                                       std::move(callback)});
@@ -148,18 +176,25 @@
   return false;
 }
 
+std::optional<state::outcome> replica::ApplyRecord(const replication::log_entry& entry,
+                                                   state::applied_effects& effects) {
+  const log_record_reader::result read = reader_.Read(entry);
+  if (const auto* record = std::get_if<state::log_record>(&read)) {
+    return machine_.Apply(entry.index, *record, effects);
+  }
+  if (std::holds_alternative<log_record_reader::incomplete>(read)) return std::nullopt;
+  return state::refused_outcome{"the command can't be decoded"};
+}
+
 void replica::ApplyEntry(const replication::log_entry& entry) {
   applied_index_ = entry.index;
+  applied_bytes_ += entry.payload.bytes.size();
   state::applied_effects effects;
   std::optional<state::outcome> outcome;
   if (entry.kind == replication::entry_kind::kCommand) {
-    const auto record = codec::Decode<state::log_record>(entry.payload.bytes);
-    if (record) {
-      outcome = machine_.Apply(entry.index, record.value(), effects);
-    } else {
-      // Every host refuses the same bytes, so the replicas stay identical.
-      outcome = state::refused_outcome{"the command can't be decoded"};
-    }
+    outcome = ApplyRecord(entry, effects);
+  } else {
+    reader_.Clear();
   }
   handlers_.applied(effects);
   const auto pending = proposals_.find(entry.index);
@@ -219,12 +254,21 @@
 }
 
 void replica::CompactIfDue() {
-  if (failed_ ||
-      applied_index_.value() < compacted_index_.value() + internal::kCompactionInterval) {
+  const bool is_due =
+      applied_index_.value() >= compacted_index_.value() + internal::kCompactionInterval ||
+      applied_bytes_ >= internal::kCompactionBytes;
+  if (failed_ || !is_due || reader_.HasIncomplete()) return;
+  compacted_index_ = applied_index_;
+  applied_bytes_ = 0;
+  std::string snapshot = codec::Encode(machine_.Snapshot());
+  if (snapshot.size() > codec::kMaxStateBytes) {
+    // No host could read it back. The log keeps all entries instead.
+    logging::event(logging::event_id::kStorageFailed)
+        .With("what", "the state is too large for a snapshot")
+        .With("bytes", snapshot.size());
     return;
   }
-  compacted_index_ = applied_index_;
-  node_.Compact(applied_index_, kernel::byte_string{codec::Encode(machine_.Snapshot())});
+  node_.Compact(applied_index_, kernel::byte_string{std::move(snapshot)});
   ScheduleProcessReady();
 }
 
--- a/plugins/control/replica.h
+++ b/plugins/control/replica.h
@@ -1,6 +1,7 @@
 #ifndef CORNELWEIR_PLUGINS_CONTROL_REPLICA_H_
 #define CORNELWEIR_PLUGINS_CONTROL_REPLICA_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -14,11 +15,10 @@
 #include "cornelweir/loop.h"
 #include "cornelweir/replication.h"
 #include "cornelweir/storage.h"
+#include "plugins/control/log_payload.h"
 
 namespace cornelweir::plugins::control {
 
-namespace state = cornelweir::control;
-
 // This host's replica of the state machine: runs the node of the replicated log, stores the state
 // and entries that it returns, and applies committed entries.
 class replica {
@@ -51,6 +51,8 @@
   // Proposes a command, which succeeds on the leader only. Calls back with the outcome once the
   // command has been applied, or with none after protocol::kSubmissionTimeout.
   void Propose(state::command command, outcome_callback callback);
+  // Proposes a command that PackCommand() returned, possibly on another host.
+  void ProposePacked(const std::string& packed, outcome_callback callback);
   // Calls back with true once this host has applied every entry that was committed at the time of
   // the call, or with false if that can't be proved.
   void Read(read_callback callback);
@@ -79,8 +81,13 @@
   void Tick();
   void ScheduleProcessReady();
   void ProcessReady();
+  // Proposes the payloads as consecutive entries. The last one has the outcome.
+  void ProposePayloads(std::vector<kernel::byte_string> payloads, outcome_callback callback);
   bool Persist(const replication::ready& ready);
   void ApplyEntry(const replication::log_entry& entry);
+  // Applies a record. Returns no outcome if the entry doesn't complete one.
+  std::optional<state::outcome> ApplyRecord(const replication::log_entry& entry,
+                                            state::applied_effects& effects);
   void HandleReadResults(const std::vector<replication::read_index_result>& reads);
   void CompleteAppliedReads();
   void ExpireProposals();
@@ -97,6 +104,9 @@
   state::state_machine machine_;
   kernel::log_index applied_index_;
   kernel::log_index compacted_index_;
+  // Bytes of the payloads that were applied since the last snapshot.
+  std::size_t applied_bytes_ = 0;
+  log_record_reader reader_;
   std::map<kernel::log_index, pending_proposal> proposals_;
   std::map<kernel::nonce, read_callback> pending_reads_;
   std::vector<waiting_read> waiting_reads_;
--- a/plugins/policy_port.h
+++ b/plugins/policy_port.h
@@ -16,6 +16,8 @@
   kAccepted,
   // The base is not the current policy, or the new version is not above the current one.
   kConflict,
+  // Larger than the log can hold. It has not been and will not be accepted.
+  kTooLarge,
   // The result is unknown: no majority answered in time. The replacement may take effect later.
   kUnknown,
 };
--- a/plugins/sidecar/control_client.cc
+++ b/plugins/sidecar/control_client.cc
@@ -27,8 +27,8 @@
 constexpr kernel::milliseconds kMaxTransferTime{5'000};
 
 boost::leaf::result<policy::policy_delta> ReadDelta(std::string_view deflated) {
-  BOOST_LEAF_AUTO(bytes, codec::Inflate(deflated));
-  return codec::Decode<policy::policy_delta>(bytes);
+  BOOST_LEAF_AUTO(bytes, codec::Inflate(deflated, codec::kMaxStateBytes));
+  return codec::Decode<policy::policy_delta>(bytes, codec::kMaxStateBytes);
 }
 
 }  // namespace internal
@@ -78,6 +78,7 @@
   alive_ = std::make_shared<bool>(true);
   connected_ = false;
   last_bytes_received_ = 0;
+  policy_parts_.Clear();
   last_progress_at_ = last_update_at_ = Now();
   transport::link_handlers callbacks;
   callbacks.opened = [this, alive = alive_](const std::shared_ptr<transport::link>& link) {
@@ -190,16 +191,24 @@
     AddSeeds();
   }
   if (!update.policy_delta.bytes.empty()) {
-    const auto delta = internal::ReadDelta(update.policy_delta.bytes);
-    if (!delta) {
-      Disconnect("malformed policy");
-      return;
-    }
-    ApplyPolicy(delta.value());
+    if (!ReadPolicy(update.policy_delta.bytes)) return;
+  } else if (update.policy_part) {
+    const auto whole = policy_parts_.Add(*update.policy_part);
+    if (whole && !ReadPolicy(*whole)) return;
   }
   ApplyRoster(update);
 }
 
+bool control_client::ReadPolicy(std::string_view deflated) {
+  const auto delta = internal::ReadDelta(deflated);
+  if (!delta) {
+    Disconnect("malformed policy");
+    return false;
+  }
+  ApplyPolicy(delta.value());
+  return true;
+}
+
 void control_client::ApplyPolicy(const policy::policy_delta& delta) {
   const policy::policy_table empty;
   if (policy_ && delta.version <= policy_->version) return;
--- a/plugins/sidecar/control_client.h
+++ b/plugins/sidecar/control_client.h
@@ -60,6 +60,8 @@
   kernel::microseconds ConnectTimeout() const;
   void OnMessage(std::string_view payload);
   void OnUpdate(const protocol::fleet_update& update);
+  // Applies an encoded and deflated delta. Closes the link and returns false if it is malformed.
+  bool ReadPolicy(std::string_view deflated);
   void ApplyPolicy(const policy::policy_delta& delta);
   void ApplyRoster(const protocol::fleet_update& update);
 
@@ -81,6 +83,8 @@
   kernel::time_point reported_at_;
   kernel::time_point retry_at_;
   std::shared_ptr<const policy::policy_table> policy_;
+  // The parts of a delta that this link has received so far.
+  protocol::part_assembler policy_parts_;
   std::map<kernel::endpoint, membership::roster_entry> roster_;
   kernel::incarnation incarnation_;
   std::uint64_t sequence_ = 0;
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -42,6 +42,8 @@
   EXPECT_FALSE(Inflate("not compressed"));
   EXPECT_FALSE(Inflate(std::string_view(compressed).substr(0, compressed.size() / 2)));
   EXPECT_FALSE(Inflate(Deflate(std::string(kMaxMessageBytes + 1, 'x'))));
+  EXPECT_EQ(Inflate(Deflate(std::string(kMaxMessageBytes, 'x'))).value().size(), kMaxMessageBytes);
+  EXPECT_TRUE(Inflate(Deflate(std::string(kMaxMessageBytes + 1, 'x')), kMaxStateBytes));
 }
 
 // Guards against a number that does not fit its member being truncated.
--- a/tests/control_plugin_test.cc
+++ b/tests/control_plugin_test.cc
@@ -37,23 +37,56 @@
     pause_timer_.StartPeriodic(loop::pause_tracker::kTickPeriod, [this] {
       if (ticking_) pauses_.Tick(clock_.Now());
     });
+    Create();
+  }
+  ~ControlPluginTest() override {
+    plugin_.reset();
+    std::filesystem::remove_all(folder_);
+  }
+
+  void Create() {
     auto created = control_plugin::Create(context_);
     EXPECT_TRUE(created);
     plugin_ = created.value();
     plugin_->Start();
     http::RunUntil(loop_, [this] { return plugin_->local_replica().node().IsLeader(); });
   }
-  ~ControlPluginTest() override {
-    plugin_.reset();
-    std::filesystem::remove_all(folder_);
-  }
 
   void Replace(std::uint64_t version) {
     policy::policy_table table;
     table.version = kernel::policy_version(version);
+    Replace(table);
+  }
+  // A policy with random keys, which can't be compressed.
+  policy::policy_table LargePolicy(int routes, int workspaces) {
+    policy::policy_table table;
+    table.version = kernel::policy_version(static_cast<std::uint64_t>(routes));
+    policy::service service;
+    service.name = kernel::service_name("archive");
+    table.services = {service};
+    for (int i = 0; i < routes; ++i) {
+      const std::string number = std::to_string(i);
+      policy::route route;
+      route.name = kernel::route_name("route-" + number);
+      route.host = "host-" + std::to_string(i % 50) + ".example";
+      route.path_prefix = "/prefix/" + number + "/";
+      route.service = service.name;
+      table.routes.push_back(route);
+    }
+    for (int i = 0; i < workspaces; ++i) {
+      std::string key;
+      for (int word = 0; word < 5; ++word) key += std::to_string(random_.NextU64());
+      policy::workspace workspace;
+      workspace.name = kernel::workspace_id("workspace-" + std::to_string(i));
+      workspace.keys = {kernel::api_key(key)};
+      table.workspaces.push_back(workspace);
+    }
+    return table;
+  }
+
+  void Replace(const policy::policy_table& table, kernel::policy_version base = {}) {
     answer_.reset();
-    context_.policy.replace(kernel::policy_version(), table,
-                            [this](policy_answer answer) { answer_ = answer; });
+    context_.policy.replace(base, table, [this](policy_answer answer) { answer_ = answer; });
   }
 
   // Connects as a sidecar daemon and reports that it enforces no policy.
@@ -75,6 +108,11 @@
       const auto* update = std::get_if<protocol::fleet_update>(&message.value());
       ASSERT_NE(update, nullptr);
       ++(update->leader_confirmed ? confirmed_updates_ : unconfirmed_updates_);
+      if (update->policy_part) {
+        if (const auto whole = parts_.Add(*update->policy_part)) received_delta_ = *whole;
+      } else if (!update->policy_delta.bytes.empty()) {
+        received_delta_ = update->policy_delta.bytes;
+      }
     };
     link_ = transport::link::Connect(loop_.context(), plugin_->mesh_endpoint(), nullptr,
                                      std::move(handlers));
@@ -94,6 +132,9 @@
   std::shared_ptr<control_plugin> plugin_;
   std::shared_ptr<transport::link> link_;
   std::optional<policy_answer> answer_;
+  protocol::part_assembler parts_;
+  // The encoded and deflated policy_delta that the daemon received.
+  std::string received_delta_;
   int confirmed_updates_ = 0;
   int unconfirmed_updates_ = 0;
 };
@@ -128,5 +169,79 @@
   EXPECT_EQ(*answer_, policy_answer::kAccepted);
 }
 
+// Guards against a large policy that no entry of the log, no message to a daemon or no decoder can
+// hold, so that it is never accepted or is lost when a host restarts.
+TEST_F(ControlPluginTest, AcceptsAndKeepsTheLargestPolicy) {
+  for (const int routes : {6'000, 20'000}) {
+    const policy::policy_table table = LargePolicy(routes, routes / 2);
+    const kernel::policy_version base =
+        plugin_->local_replica().machine().policy().current()->version;
+    Replace(table, base);
+    http::RunUntil(loop_, [this] { return answer_.has_value(); });
+    ASSERT_EQ(*answer_, policy_answer::kAccepted);
+    EXPECT_EQ(*plugin_->local_replica().machine().policy().current(), table);
+  }
+  const policy::policy_table newest = *plugin_->local_replica().machine().policy().current();
+  ConnectDaemon();
+  http::RunUntil(loop_, [this] { return !received_delta_.empty(); });
+  const auto bytes = codec::Inflate(received_delta_, codec::kMaxStateBytes);
+  ASSERT_TRUE(bytes);
+  const auto delta = codec::Decode<policy::policy_delta>(bytes.value(), codec::kMaxStateBytes);
+  ASSERT_TRUE(delta);
+  EXPECT_EQ(policy::Apply(policy::policy_table(), delta.value()), newest);
+
+  replica& local = plugin_->local_replica();
+  local.Restore({local.applied_index(),
+                 local.node().current_term(),
+                 local.node().configuration(),
+                 {codec::Encode(local.machine().Snapshot())}});
+  EXPECT_FALSE(local.failed());
+  EXPECT_EQ(*local.machine().policy().current(), newest);
+
+  bool stopped = false;
+  plugin_->BeginShutdown([&] { stopped = true; });
+  http::RunUntil(loop_, [&] { return stopped; });
+  plugin_.reset();
+  Create();
+  http::RunUntil(loop_, [&] {
+    return plugin_->local_replica().machine().policy().current()->version == newest.version;
+  });
+  EXPECT_EQ(*plugin_->local_replica().machine().policy().current(), newest);
+}
+
+// Guards against a large change that is lost on its way from another control host to the leader.
+TEST_F(ControlPluginTest, AppliesALargeChangeThatAnotherHostForwards) {
+  settings::daemon_settings other = settings_;
+  other.host = kernel::host_id("b");
+  other.control->peers = {{settings_.host, plugin_->mesh_endpoint(), {}}};
+  control_mesh mesh(loop_, other, nullptr, 1);
+  mesh.Start();
+  http::RunUntil(loop_, [&] { return mesh.IsConnected(settings_.host); });
+  const policy::policy_table table = LargePolicy(6'000, 10'000);
+  mesh.Submit(settings_.host,
+              cornelweir::control::replace_policy_command{
+                  policy::Diff(policy::policy_table(), table), kernel::policy_digest(1)},
+              [](const auto&) {});
+  const auto& store = plugin_->local_replica().machine().policy();
+  http::RunUntil(loop_, [&] { return store.current()->version == table.version; });
+  EXPECT_EQ(*store.current(), table);
+  mesh.Stop();
+}
+
+// Guards against an operator who resends a policy that can never be accepted.
+TEST_F(ControlPluginTest, RefusesAPolicyAboveTheBound) {
+  policy::policy_table table = LargePolicy(1, 1);
+  for (int i = 0; i < 1'000; ++i) {
+    policy::route route;
+    route.host = std::to_string(i);
+    route.path_prefix.resize(10'000);
+    for (char& byte : route.path_prefix) byte = static_cast<char>(random_.NextU64());
+    table.routes.push_back(route);
+  }
+  Replace(table);
+  http::RunUntil(loop_, [this] { return answer_.has_value(); });
+  EXPECT_EQ(*answer_, policy_answer::kTooLarge);
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::control
