Order large request bodies and grant credit for them

Bodies that arrive at a host are sent without regard to its link, so small messages wait behind them and the bodies of requests that are late anyway take link time from the others.

admission::inbound_transfers orders announced bodies by priority, by whether the objective can be met, and by objective, grants credit over all senders for about 30 ms of the link, and refuses bodies that can't arrive and run before their deadline. admission::arrival_rate learns the rate of the link from the arrivals.

--- a/cornelweir/admission.h
+++ b/cornelweir/admission.h
@@ -7,6 +7,8 @@
 #include "cornelweir/src/admission/admission_controller.h"
 #include "cornelweir/src/admission/admission_limits.h"
 #include "cornelweir/src/admission/admission_result.h"
+#include "cornelweir/src/admission/arrival_rate.h"
+#include "cornelweir/src/admission/inbound_transfers.h"
 #include "cornelweir/src/admission/limit_share.h"
 #include "cornelweir/src/admission/limits.h"
 #include "cornelweir/src/admission/nested_route_detector.h"
@@ -16,6 +18,8 @@
 #include "cornelweir/src/admission/share_member.h"
 #include "cornelweir/src/admission/slot_queue.h"
 #include "cornelweir/src/admission/ticket.h"
+#include "cornelweir/src/admission/transfer_id.h"
+#include "cornelweir/src/admission/transfer_limits.h"
 #include "cornelweir/src/admission/transfer_window.h"
 
 #endif  // CORNELWEIR_ADMISSION_H_
--- /dev/null
+++ b/cornelweir/src/admission/inbound_transfers.cc
@@ -0,0 +1,198 @@
+#include "cornelweir/src/admission/inbound_transfers.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "cornelweir/src/admission/limits.h"
+#include "cornelweir/src/admission/transfer_limits.h"
+
+namespace cornelweir::admission {
+
+bool inbound_transfers::Announce(const transfer_request& request, kernel::time_point now) {
+  if (transfers_.size() >= kMaxInboundTransfers || request.bytes == 0) return false;
+  const auto [added, is_new] = transfers_.try_emplace(request.id);
+  if (!is_new) return false;
+  added->second.request = request;
+  added->second.arrival = next_arrival_++;
+  missing_bytes_ += request.bytes;
+  for (const planned_transfer& next : Plan(now)) {
+    if (next.planned != &added->second || MeetsDeadline(*next.planned, next.complete_at)) continue;
+    Erase(added);
+    return false;
+  }
+  return true;
+}
+
+bool inbound_transfers::MeetsObjective(const transfer& body, kernel::time_point complete_at,
+                                       kernel::time_point now) const {
+  const kernel::time_point start = std::max(complete_at, now + body.request.slot_wait);
+  return start + body.request.run_time * kPlannedRunTimePercent / 100 <= body.request.objective;
+}
+
+bool inbound_transfers::MeetsDeadline(const transfer& body, kernel::time_point complete_at) const {
+  return complete_at + body.request.run_time * kMinRemainingRunTimePercent / 100 <=
+         body.request.deadline;
+}
+
+// Returns all transfers in the order in which they are served. Within one priority, the largest
+// number of bodies that can meet their objectives is found by adding them in the order of the
+// objectives and, whenever one would miss its objective, moving the one with the most missing bytes
+// behind the others (Moore and Hodgson).
+std::vector<inbound_transfers::planned_transfer> inbound_transfers::Plan(kernel::time_point now) {
+  std::vector<transfer*> ordered;
+  ordered.reserve(transfers_.size());
+  for (auto& [id, body] : transfers_) ordered.push_back(&body);
+  std::sort(ordered.begin(), ordered.end(), [](const transfer* a, const transfer* b) {
+    return std::tuple(a->request.priority, a->request.objective, a->arrival) <
+           std::tuple(b->request.priority, b->request.objective, b->arrival);
+  });
+  std::vector<planned_transfer> plan;
+  plan.reserve(ordered.size());
+  std::size_t bytes_ahead = 0;
+  const auto append = [&](transfer* next) {
+    bytes_ahead += next->missing();
+    plan.push_back({next, now + rate_.TimeFor(bytes_ahead)});
+  };
+  for (auto group = ordered.begin(); group != ordered.end();) {
+    const auto end = std::find_if(group, ordered.end(), [&](const transfer* body) {
+      return body->request.priority != (*group)->request.priority;
+    });
+    std::set<std::pair<std::size_t, std::uint64_t>> on_time;
+    std::set<std::uint64_t> late;
+    std::size_t bytes = bytes_ahead;
+    for (auto next = group; next != end; ++next) {
+      bytes += (*next)->missing();
+      on_time.emplace((*next)->missing(), (*next)->arrival);
+      if (MeetsObjective(**next, now + rate_.TimeFor(bytes), now)) continue;
+      const auto largest = std::prev(on_time.end());
+      bytes -= largest->first;
+      late.insert(largest->second);
+      on_time.erase(largest);
+    }
+    const auto first_late = std::stable_partition(
+        group, end, [&](const transfer* body) { return !late.contains(body->arrival); });
+    std::sort(first_late, end, [](const transfer* a, const transfer* b) {
+      return std::tuple(a->request.deadline, a->arrival) <
+             std::tuple(b->request.deadline, b->arrival);
+    });
+    std::for_each(group, end, append);
+    group = end;
+  }
+  return plan;
+}
+
+std::size_t inbound_transfers::CreditWindow() const {
+  if (!rate_.known()) return kInitialCreditBytes;
+  return std::clamp(rate_.BytesIn(kCreditTime), kMinCreditBytes, kMaxCreditBytes);
+}
+
+bool inbound_transfers::MayGrant(std::size_t bytes) const {
+  const std::size_t window = CreditWindow();
+  if (outstanding_ > 0 && outstanding_ + bytes > window) return false;
+  return outstanding_bytes() + bytes <= window * kMaxCreditFactor;
+}
+
+std::size_t inbound_transfers::GrantTo(transfer& body, kernel::time_point now) {
+  std::size_t granted = 0;
+  while (body.ungranted() > 0) {
+    const std::size_t bytes =
+        std::min(body.ungranted(),
+                 std::clamp(CreditWindow() / kGrantsPerCredit, kMinGrantBytes, kMaxGrantBytes));
+    if (!MayGrant(bytes)) break;
+    if (body.granted == 0) started_bytes_ += body.request.bytes;
+    if (body.outstanding() == 0) body.waiting_since = now;
+    body.granted += bytes;
+    outstanding_ += bytes;
+    granted += bytes;
+  }
+  return granted;
+}
+
+std::vector<transfer_credit> inbound_transfers::Grant(kernel::time_point now) {
+  DetectStalledSenders(now);
+  std::vector<transfer_credit> credits;
+  if (MayGrant(1)) credits = GrantInOrder(now);
+  if (outstanding_ == 0) rate_.OnIdle();
+  return credits;
+}
+
+std::vector<transfer_credit> inbound_transfers::GrantInOrder(kernel::time_point now) {
+  std::vector<transfer_credit> credits;
+  for (const planned_transfer& next : Plan(now)) {
+    transfer& body = *next.planned;
+    if (body.stalled || body.ungranted() == 0) continue;
+    const bool exceeds_memory = body.granted == 0 && started_bytes_ > 0 &&
+                                started_bytes_ + body.request.bytes > kMaxStartedBodyBytes;
+    if (exceeds_memory) continue;
+    const std::size_t granted = GrantTo(body, now);
+    if (granted > 0) credits.push_back({body.request.id, granted});
+    // What is left of the window is kept for this body, so that larger grants are not starved.
+    if (body.ungranted() > 0) break;
+  }
+  return credits;
+}
+
+void inbound_transfers::DetectStalledSenders(kernel::time_point now) {
+  for (auto& [id, body] : transfers_) {
+    if (body.stalled || body.outstanding() == 0) continue;
+    if (now - body.waiting_since < kCreditStallTime) continue;
+    body.stalled = true;
+    outstanding_ -= body.outstanding();
+    stalled_outstanding_ += body.outstanding();
+  }
+}
+
+transfer_progress inbound_transfers::OnArrived(transfer_id id, std::size_t bytes,
+                                               kernel::time_point now) {
+  const auto found = transfers_.find(id);
+  if (found == transfers_.end()) return transfer_progress::kUnknown;
+  transfer& body = found->second;
+  if (bytes > body.outstanding()) return transfer_progress::kBeyondCredit;
+  if (body.stalled) {
+    body.stalled = false;
+    stalled_outstanding_ -= body.outstanding();
+    outstanding_ += body.outstanding();
+  }
+  body.waiting_since = now;
+  body.arrived += bytes;
+  outstanding_ -= bytes;
+  missing_bytes_ -= bytes;
+  rate_.OnArrived(bytes, missing_bytes_ > 0, now);
+  if (body.missing() > 0) return transfer_progress::kPartial;
+  Erase(found);
+  return transfer_progress::kComplete;
+}
+
+void inbound_transfers::Erase(std::map<transfer_id, transfer>::iterator ended) {
+  const transfer& body = ended->second;
+  missing_bytes_ -= body.missing();
+  if (body.granted > 0) started_bytes_ -= body.request.bytes;
+  (body.stalled ? stalled_outstanding_ : outstanding_) -= body.outstanding();
+  transfers_.erase(ended);
+}
+
+void inbound_transfers::Remove(transfer_id id) {
+  const auto found = transfers_.find(id);
+  if (found != transfers_.end()) Erase(found);
+}
+
+std::vector<transfer_id> inbound_transfers::Expire(kernel::time_point now) {
+  std::vector<transfer_id> expired;
+  std::size_t expired_bytes = 0;
+  for (const planned_transfer& next : Plan(now)) {
+    const transfer& body = *next.planned;
+    // The bytes of bodies that expire do not delay those behind them.
+    const kernel::time_point complete_at = body.granted == 0
+                                               ? next.complete_at - rate_.TimeFor(expired_bytes)
+                                               : now + rate_.TimeFor(body.missing());
+    if (MeetsDeadline(body, complete_at)) continue;
+    expired_bytes += body.missing();
+    expired.push_back(body.request.id);
+  }
+  for (const transfer_id id : expired) Remove(id);
+  return expired;
+}
+
+}  // namespace cornelweir::admission
--- /dev/null
+++ b/cornelweir/src/admission/transfer_id.h
@@ -0,0 +1,15 @@
+#ifndef CORNELWEIR_SRC_ADMISSION_TRANSFER_ID_H_
+#define CORNELWEIR_SRC_ADMISSION_TRANSFER_ID_H_
+
+#include <cstdint>
+
+#include "cornelweir/src/kernel/strong_id.h"
+
+namespace cornelweir::admission {
+
+// Identifies a large request body at the daemon that receives it.
+using transfer_id = kernel::strong_id<struct transfer_id_tag, std::uint64_t>;
+
+}  // namespace cornelweir::admission
+
+#endif  // CORNELWEIR_SRC_ADMISSION_TRANSFER_ID_H_
--- /dev/null
+++ b/cornelweir/src/admission/transfer_limits.h
@@ -0,0 +1,46 @@
+#ifndef CORNELWEIR_SRC_ADMISSION_TRANSFER_LIMITS_H_
+#define CORNELWEIR_SRC_ADMISSION_TRANSFER_LIMITS_H_
+
+#include <chrono>
+#include <cstddef>
+
+#include "cornelweir/src/kernel/quantity.h"
+
+namespace cornelweir::admission {
+
+// The credit that a daemon grants to all senders together takes its link about this long. Small
+// messages wait at most that long behind bodies, and a link stays busy although the credit reaches
+// the senders some milliseconds later.
+inline constexpr kernel::microseconds kCreditTime = std::chrono::milliseconds(30);
+// The credit while the rate of the link is unknown: 32 ms at 6 Mbit/s.
+inline constexpr std::size_t kInitialCreditBytes = std::size_t{24} << 10;
+// The minimum lets two pieces be on the way, so that the link does not idle between them.
+inline constexpr std::size_t kMinCreditBytes = std::size_t{16} << 10;
+inline constexpr std::size_t kMaxCreditBytes = std::size_t{1} << 20;
+// Bounds of a single grant. A grant of the minimum takes 11 ms at 6 Mbit/s.
+inline constexpr std::size_t kMinGrantBytes = std::size_t{8} << 10;
+inline constexpr std::size_t kMaxGrantBytes = std::size_t{64} << 10;
+inline constexpr std::size_t kGrantsPerCredit = 3;
+// A sender of which nothing has arrived for this long although it has credit is paused, gone or
+// behind a slow link of its own. Its credit no longer keeps others from using the link.
+inline constexpr kernel::microseconds kCreditStallTime = 2 * kCreditTime;
+// Bound of all credit on the way, including that of stalled senders, in multiples of the usual one.
+inline constexpr std::size_t kMaxCreditFactor = 3;
+
+// Bodies that are announced and not complete, and the total size of those of which a part has been
+// granted. Further ones wait, or are refused beyond the first bound.
+inline constexpr std::size_t kMaxInboundTransfers = 512;
+inline constexpr std::size_t kMaxStartedBodyBytes = std::size_t{24} << 20;
+
+// A sample of the arrival rate covers at least this time, or at least these bytes if the link is
+// idle before.
+inline constexpr kernel::microseconds kArrivalSampleInterval = std::chrono::milliseconds(100);
+inline constexpr std::size_t kMinArrivalSampleBytes = std::size_t{32} << 10;
+// Weights of a sample above and below the average. A sender that pauses makes single samples low
+// although the link is as fast as before; nothing but a faster link makes them high.
+inline constexpr double kHigherRateWeight = 0.5;
+inline constexpr double kLowerRateWeight = 0.1;
+
+}  // namespace cornelweir::admission
+
+#endif  // CORNELWEIR_SRC_ADMISSION_TRANSFER_LIMITS_H_
--- a/cornelweir/src/admission/transfer_window.h
+++ b/cornelweir/src/admission/transfer_window.h
@@ -25,6 +25,9 @@
   void OnSent(std::size_t bytes, kernel::time_point now);
   // Records that the receiver acknowledged a piece; delay is the time since it was sent.
   void OnAcknowledged(std::size_t bytes, kernel::microseconds delay, kernel::time_point now);
+  // Records that the receiver acknowledged a piece that was sent on its credit. The delay of such a
+  // piece is that of the receiver's link, so it says nothing of the link of this host.
+  void OnAcknowledgedOnCredit(std::size_t bytes) { OnLost(bytes); }
   // Records that no acknowledgement of a piece is expected: its link was closed or is stalled.
   void OnLost(std::size_t bytes);
 
