--- a/cornelweir/routing.h
+++ b/cornelweir/routing.h
@@ -6,6 +6,7 @@
 #include "cornelweir/src/routing/balancer.h"
 #include "cornelweir/src/routing/finish_kind.h"
 #include "cornelweir/src/routing/limits.h"
+#include "cornelweir/src/routing/link_load.h"
 #include "cornelweir/src/routing/peer_choice.h"
 #include "cornelweir/src/routing/route_index.h"
 #include "cornelweir/src/routing/route_match.h"
--- a/cornelweir/src/routing/peer_choice.cc
+++ b/cornelweir/src/routing/peer_choice.cc
@@ -34,7 +34,7 @@
                 (utilization <= 1 ? 1 + kPeerUtilizationCost * utilization
                                   : 1 + kPeerUtilizationCost + (utilization - 1));
   cost *= 1 + kPeerFailureCost * candidate.failure_rate;
-  return cost * candidate.network_cost;
+  return cost * candidate.network_cost + static_cast<double>(candidate.transfer_time.count());
 }
 
 }  // namespace cornelweir::routing
--- a/cornelweir/src/routing/peer_choice.h
+++ b/cornelweir/src/routing/peer_choice.h
@@ -26,6 +26,8 @@
   double failure_rate = 0;
   // Factor on the cost for the network path to the upstream.
   double network_cost = 1;
+  // Expected time until the body of the request has arrived; zero unless it is large.
+  kernel::microseconds transfer_time{};
 };
 
 // The expected cost of a request at a candidate, in microseconds. The mean response time of all
