Send large request bodies between daemons on credit

A request was sent with its whole body at once, so the links of hosts that receive uploads were over full and small nested calls behind the bodies missed their timeouts.

The daemon beside the upstream grants credit (body_credit), the sender sends pieces within it, through the window that paces responses. A request whose body has not been sent in full has not run, so a broken or silent link lets it go to another daemon. The load of an upstream contains the bytes to arrive and the rate of the link, and the choice of a daemon counts their time. Bodies are refused before they are sent if they would be too late or the upstream stops. The protocol version is 3: an older daemon would never grant credit.

--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -21,17 +21,24 @@
   std::int64_t slots = 0;
   std::int64_t in_progress = 0;
   std::int64_t queued = 0;
+  // Bytes of announced request bodies that have not arrived, and the rate at which such bodies
+  // arrive in bytes a second; 0 if unknown.
+  std::int64_t missing_body_bytes = 0;
+  std::int64_t body_bytes_per_second = 0;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"s", &upstream_load::slots},
                       kernel::field{"p", &upstream_load::in_progress},
-                      kernel::field{"q", &upstream_load::queued}};
+                      kernel::field{"q", &upstream_load::queued},
+                      kernel::field{"b", &upstream_load::missing_body_bytes},
+                      kernel::field{"v", &upstream_load::body_bytes_per_second}};
   }
   friend bool operator==(const upstream_load&, const upstream_load&) = default;
 };
 
-// A request for the upstream on the host of the receiving daemon. The first part of the body
-// follows the encoded message; unless `last` is set, body_piece messages carry the rest.
+// A request for the upstream on the host of the receiving daemon. A small body follows the encoded
+// message. Of a large one only the size is stated: body_piece messages carry it, as far as the
+// receiver has granted credit by body_credit messages. It runs only when the body is complete.
 struct run_request {
   static constexpr std::string_view kType = "run";
 
@@ -53,7 +60,8 @@
   kernel::microseconds objective_left{};
   // Another upstream may have received the request before.
   bool repeated = false;
-  bool last = true;
+  // Size of the body that follows in pieces; 0 if the message contains the whole body.
+  std::uint64_t body_bytes = 0;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"i", &run_request::id},
@@ -69,7 +77,7 @@
                       kernel::field{"l", &run_request::time_left},
                       kernel::field{"o", &run_request::objective_left},
                       kernel::field{"x", &run_request::repeated},
-                      kernel::field{"e", &run_request::last}};
+                      kernel::field{"b", &run_request::body_bytes}};
   }
 };
 
@@ -85,6 +93,19 @@
   }
 };
 
+// Allows the receiver of this message to send further bytes of the body of a request.
+struct body_credit {
+  static constexpr std::string_view kType = "credit";
+
+  kernel::call_id id;
+  std::uint64_t bytes = 0;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"i", &body_credit::id},
+                      kernel::field{"b", &body_credit::bytes}};
+  }
+};
+
 // Cancels a request, because the caller disconnected or the request was abandoned.
 struct cancel_request {
   static constexpr std::string_view kType = "cancel";
@@ -94,7 +115,8 @@
   static constexpr auto Fields() { return std::tuple{kernel::field{"i", &cancel_request::id}}; }
 };
 
-// The response of the upstream. Its body is sent as in run_request.
+// The response of the upstream. The first part of the body follows the encoded message; unless
+// `last` is set, body_piece messages carry the rest.
 struct run_response {
   static constexpr std::string_view kType = "ran";
 
@@ -148,7 +170,7 @@
   }
 };
 
-// Acknowledges the oldest unacknowledged piece of a response on this link, for flow control.
+// Acknowledges the oldest unacknowledged piece of a body on this link, for flow control.
 struct body_piece_ack {
   static constexpr std::string_view kType = "taken";
 
@@ -190,7 +212,7 @@
 
 // A message between two daemons.
 using data_message = std::variant<run_request, body_piece, cancel_request, run_response, run_failed,
-                                  upstream_report, link_probe, body_piece_ack>;
+                                  upstream_report, link_probe, body_piece_ack, body_credit>;
 
 }  // namespace cornelweir::protocol
 
--- a/cornelweir/src/protocol/limits.h
+++ b/cornelweir/src/protocol/limits.h
@@ -9,7 +9,7 @@
 namespace cornelweir::protocol {
 
 // Incremented when a message changes incompatibly.
-inline constexpr std::uint32_t kProtocolVersion = 2;
+inline constexpr std::uint32_t kProtocolVersion = 3;
 // Commands of one daemon that a control host handles concurrently. Further ones are refused.
 inline constexpr std::size_t kMaxSubmissionsInFlight = 4'096;
 // A daemon abandons a command without an outcome after this time; the outcome is then unknown.
@@ -26,7 +26,8 @@
 inline constexpr kernel::milliseconds kMaxConfirmationAge{500};
 // Bodies are sent between daemons in pieces of this size, so that other requests can interleave.
 inline constexpr std::size_t kBodyPieceBytes = std::size_t{64} << 10;
-// Largest sum of the bodies that are being received on one link.
+// Largest body of a request that is sent on credit, and largest sum of the bodies of the responses
+// that are being received on one link.
 inline constexpr std::size_t kMaxLinkBodyBytes = std::size_t{32} << 20;
 // A link with pending requests is probed after kLinkProbeDelay without any message, and not used
 // for new requests after kLinkTimeout without any message. It is closed then if no results are
--- a/plugins/sidecar/bulk_sender.cc
+++ b/plugins/sidecar/bulk_sender.cc
@@ -22,31 +22,69 @@
 
 void bulk_sender::Send(const std::shared_ptr<transport::link>& link, kernel::call_id id,
                        std::string body) {
-  unsent_bytes_ += body.size();
-  transfers_.push_back({link, id, std::move(body)});
+  transfer& added = transfers_.emplace_back();
+  added.link = link;
+  added.id = id;
+  added.body = std::make_shared<const std::string>(std::move(body));
+  added.allowed_bytes = added.body->size();
+  unsent_bytes_ += added.body->size();
   SendQueuedPieces();
 }
 
+void bulk_sender::SendOnCredit(const std::shared_ptr<transport::link>& link, kernel::call_id id,
+                               std::shared_ptr<const std::string> body,
+                               std::function<void()> on_sent) {
+  transfer& added = transfers_.emplace_back();
+  added.link = link;
+  added.id = id;
+  added.body = std::move(body);
+  added.on_credit = true;
+  added.on_sent = std::move(on_sent);
+}
+
+void bulk_sender::AddCredit(const transport::link* link, kernel::call_id id, std::uint64_t bytes) {
+  const auto found =
+      std::find_if(transfers_.begin(), transfers_.end(), [&](const transfer& waiting) {
+        return waiting.on_credit && waiting.link.get() == link && waiting.id == id;
+      });
+  if (found == transfers_.end()) return;
+  const std::size_t ungranted = found->body->size() - found->allowed_bytes;
+  found->allowed_bytes += static_cast<std::size_t>(std::min<std::uint64_t>(bytes, ungranted));
+  SendQueuedPieces();
+}
+
+std::deque<bulk_sender::transfer>::iterator bulk_sender::NextTransfer() {
+  auto next = transfers_.end();
+  for (auto waiting = transfers_.begin(); waiting != transfers_.end(); ++waiting) {
+    if (waiting->sent_bytes == waiting->allowed_bytes) continue;
+    if (receivers_[waiting->link.get()].stalled) continue;
+    if (waiting->on_credit) return waiting;
+    if (next == transfers_.end()) next = waiting;
+  }
+  return next;
+}
+
 void bulk_sender::SendQueuedPieces() {
   while (window_.HasRoom()) {
-    const auto next = std::find_if(
-        transfers_.begin(), transfers_.end(),
-        [this](const transfer& waiting) { return !receivers_[waiting.link.get()].stalled; });
+    const auto next = NextTransfer();
     if (next == transfers_.end()) break;
     SendPiece(*next);
-    if (next->sent_bytes == next->body.size()) transfers_.erase(next);
+    if (next->sent_bytes < next->body->size()) continue;
+    const std::function<void()> on_sent = std::move(next->on_sent);
+    transfers_.erase(next);
+    if (on_sent) on_sent();
   }
   StartStallTimer();
 }
 
 void bulk_sender::SendPiece(transfer& next) {
-  std::string_view piece = next.body;
-  piece = piece.substr(next.sent_bytes, window_.PieceBytes());
-  next.sent_bytes += piece.size();
-  unsent_bytes_ -= piece.size();
-  receivers_[next.link.get()].pieces.push_back({piece.size(), Now()});
-  window_.OnSent(piece.size(), Now());
-  SendData(*next.link, protocol::body_piece{next.id, next.sent_bytes == next.body.size()}, piece);
+  const std::size_t bytes = std::min(window_.PieceBytes(), next.allowed_bytes - next.sent_bytes);
+  const std::string_view piece = std::string_view(*next.body).substr(next.sent_bytes, bytes);
+  next.sent_bytes += bytes;
+  if (!next.on_credit) unsent_bytes_ -= bytes;
+  receivers_[next.link.get()].pieces.push_back({bytes, Now(), next.on_credit});
+  window_.OnSent(bytes, Now());
+  SendData(*next.link, protocol::body_piece{next.id, next.sent_bytes == next.body->size()}, piece);
 }
 
 void bulk_sender::OnPieceAcknowledged(const transport::link* link) {
@@ -56,27 +94,31 @@
   const piece acknowledged = receiver.pieces.front();
   receiver.pieces.pop_front();
   // The pieces of a stalled receiver have already left the window.
-  if (!receiver.stalled) {
+  if (!receiver.stalled && acknowledged.on_credit) {
+    window_.OnAcknowledgedOnCredit(acknowledged.bytes);
+  } else if (!receiver.stalled) {
     window_.OnAcknowledged(acknowledged.bytes, Now() - acknowledged.sent_at, Now());
   }
   if (receiver.pieces.empty()) receiver.stalled = false;
   SendQueuedPieces();
 }
 
-void bulk_sender::Cancel(const transport::link* link, kernel::call_id id) {
+template <class Predicate>
+void bulk_sender::DropTransfers(Predicate&& is_dropped) {
   std::erase_if(transfers_, [&](const transfer& waiting) {
-    if (waiting.link.get() != link || waiting.id != id) return false;
-    unsent_bytes_ -= waiting.body.size() - waiting.sent_bytes;
+    if (!is_dropped(waiting)) return false;
+    if (!waiting.on_credit) unsent_bytes_ -= waiting.body->size() - waiting.sent_bytes;
     return true;
   });
 }
 
+void bulk_sender::Cancel(const transport::link* link, kernel::call_id id) {
+  DropTransfers(
+      [&](const transfer& waiting) { return waiting.link.get() == link && waiting.id == id; });
+}
+
 void bulk_sender::OnClosed(const transport::link* link) {
-  std::erase_if(transfers_, [&](const transfer& waiting) {
-    if (waiting.link.get() != link) return false;
-    unsent_bytes_ -= waiting.body.size() - waiting.sent_bytes;
-    return true;
-  });
+  DropTransfers([&](const transfer& waiting) { return waiting.link.get() == link; });
   const auto found = receivers_.find(link);
   if (found == receivers_.end()) return;
   if (!found->second.stalled) {
--- a/plugins/sidecar/bulk_sender.h
+++ b/plugins/sidecar/bulk_sender.h
@@ -2,7 +2,9 @@
 #define CORNELWEIR_PLUGINS_SIDECAR_BULK_SENDER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,9 +17,10 @@
 
 namespace cornelweir::plugins::sidecar {
 
-// Sends large response bodies to other daemons in the order of Send(), as pieces within a shared
-// window, so that small messages do not wait behind them on this host's network link. Receivers
-// acknowledge each piece.
+// Sends large bodies to other daemons as pieces within a shared window, so that small messages do
+// not wait behind them on this host's network link. Request bodies are sent as far as their
+// receivers have granted credit, and before responses, since a receiver keeps its link free for the
+// bytes that it has granted. Receivers acknowledge each piece.
 class bulk_sender {
  public:
   explicit bulk_sender(daemon_context& context);
@@ -27,9 +30,15 @@
 
   // Queues the body of the response to request id for the link.
   void Send(const std::shared_ptr<transport::link>& link, kernel::call_id id, std::string body);
+  // Queues the body of request id for the link. on_sent is called when its last piece was handed to
+  // the link.
+  void SendOnCredit(const std::shared_ptr<transport::link>& link, kernel::call_id id,
+                    std::shared_ptr<const std::string> body, std::function<void()> on_sent);
+  // Records that the receiver granted further bytes of the body of request id.
+  void AddCredit(const transport::link* link, kernel::call_id id, std::uint64_t bytes);
   // Records the acknowledgement of the oldest outstanding piece on the link.
   void OnPieceAcknowledged(const transport::link* link);
-  // Drops the unsent rest of the response to request id.
+  // Drops the unsent rest of the body of request id or of the response to it.
   void Cancel(const transport::link* link, kernel::call_id id);
   // Drops all transfers on the link and its outstanding pieces.
   void OnClosed(const transport::link* link);
@@ -44,12 +53,17 @@
   struct transfer {
     std::shared_ptr<transport::link> link;
     kernel::call_id id;
-    std::string body;
+    std::shared_ptr<const std::string> body;
+    bool on_credit = false;
+    // Bytes of the body that may be sent.
+    std::size_t allowed_bytes = 0;
     std::size_t sent_bytes = 0;
+    std::function<void()> on_sent;
   };
   struct piece {
     std::size_t bytes = 0;
     kernel::time_point sent_at;
+    bool on_credit = false;
   };
   struct receiver_state {
     // Sent and not yet acknowledged, oldest first.
@@ -61,14 +75,18 @@
 
   kernel::time_point Now() const { return context_.clock.Now(); }
   void SendQueuedPieces();
+  // The transfer to send a piece of next; the end of transfers_ if there is none.
+  std::deque<transfer>::iterator NextTransfer();
   void SendPiece(transfer& next);
+  template <class Predicate>
+  void DropTransfers(Predicate&& is_dropped);
   void DetectStalledReceivers();
   void StartStallTimer();
 
   daemon_context& context_;
   admission::transfer_window window_;
   std::deque<transfer> transfers_;
-  // Unsent bytes of all transfers.
+  // Unsent bytes of all responses.
   std::size_t unsent_bytes_ = 0;
   std::map<const transport::link*, receiver_state> receivers_;
   loop::timer stall_timer_;
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -39,6 +39,8 @@
 
   std::shared_ptr<http::pipeline_request> request;
   call decoded;
+  // The body of the call, which the peers share.
+  std::shared_ptr<const std::string> body;
   // Owns the route and the workspace.
   std::shared_ptr<const policy::policy_table> policy;
   const policy::route* route = nullptr;
@@ -132,6 +134,7 @@
   auto created = std::make_shared<request_state>(context_.loop);
   created->request = request;
   created->decoded = std::move(std::get<call>(decoded));
+  created->body = std::make_shared<const std::string>(std::move(created->decoded.body));
   created->started_at = context_.pauses.InputArrival(Now());
   created->repeated_share = dispatcher_.RepeatedShare();
   const kernel::microseconds caller_timeout =
@@ -224,7 +227,8 @@
     return;
   }
   const bool large = state->route->retry_safety == policy::retry_safety::kDownload;
-  const std::shared_ptr<peer> chosen = peers_.Choose(state->service, state->tried_peers, large);
+  const std::shared_ptr<peer> chosen =
+      peers_.Choose(state->service, state->tried_peers, large, state->body->size());
   if (chosen == nullptr) {
     if (state->tried_peers.empty() && Defer(state)) return;
     Refuse(state, kernel::microseconds::zero(),
@@ -248,9 +252,9 @@
   run.route = route.name;
   run.objective_left = state->objective_deadline - now;
   run.repeated = state->sent_count > 0;
-  state->run_id =
-      chosen->Run(std::move(run), state->decoded.body,
-                  [this, state](run_result result) { OnResult(state, std::move(result)); });
+  state->run_id = chosen->Run(std::move(run), state->body, [this, state](run_result result) {
+    OnResult(state, std::move(result));
+  });
 }
 
 void call_router::OnResult(const request_state_ptr& state, run_result result) {
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -22,13 +22,23 @@
 // so that an upstream that was slow or failing is tried again.
 constexpr double kDecaySeconds = 3.0;
 
+// The result of a request whose daemon is lost. One without its whole body has certainly not run.
+run_result LostResult(bool body_unsent) {
+  run_result result;
+  result.failure =
+      body_unsent ? protocol::run_failure::kNoUpstream : protocol::run_failure::kUpstreamError;
+  return result;
+}
+
 }  // namespace internal
 
-peer::peer(daemon_context& context, membership::roster_entry entry, upstream_dispatcher* dispatcher)
-    : context_(context), entry_(std::move(entry)), dispatcher_(dispatcher) {}
+peer::peer(daemon_context& context, membership::roster_entry entry, upstream_dispatcher* dispatcher,
+           bulk_sender& bulk)
+    : context_(context), entry_(std::move(entry)), dispatcher_(dispatcher), bulk_(bulk) {}
 
 peer::~peer() {
   if (alive_) *alive_ = false;
+  DropAllBodies();
   if (link_) link_->Close("the peer is not needed any more");
 }
 
@@ -110,17 +120,27 @@
   }
   backoff_ = std::clamp(backoff_ * 2, internal::kMinBackoff, internal::kMaxBackoff);
   if (retry_at_ != kernel::time_point::max()) retry_at_ = Now() + backoff_;
+  DropAllBodies();
   link_.reset();
   connected_ = false;
   silent_ = false;
   response_bytes_ = 0;
   report_.reset();
   const auto abandoned = std::exchange(pending_, {});
-  for (const auto& [id, call] : abandoned) call.done(run_result{});
+  for (const auto& [id, call] : abandoned) call.done(internal::LostResult(call.body_unsent));
+}
+
+void peer::DropAllBodies() {
+  if (link_) bulk_.OnClosed(link_.get());
+}
+
+void peer::DropBody(kernel::call_id id, const pending& call) {
+  if (call.body_unsent && link_) bulk_.Cancel(link_.get(), id);
 }
 
 // The daemon may only be paused, or its network be slow, so requests that must not run twice wait
-// for their result until their deadline. The others are sent elsewhere.
+// for their result until their deadline. The others, and those whose bodies have not been sent in
+// full, are sent elsewhere.
 void peer::OnSilent() {
   if (!silent_) {
     silent_ = true;
@@ -128,13 +148,13 @@
         .With("peer", entry_.daemon)
         .With("in_progress", pending_.size());
   }
-  std::vector<kernel::call_id> abandoned;
+  std::vector<std::pair<kernel::call_id, bool>> abandoned;
   for (const auto& [id, call] : pending_) {
-    if (call.idempotent) abandoned.push_back(id);
+    if (call.idempotent || call.body_unsent) abandoned.emplace_back(id, call.body_unsent);
   }
-  for (const kernel::call_id& id : abandoned) {
+  for (const auto& [id, body_unsent] : abandoned) {
     SendData(*link_, protocol::cancel_request{id});
-    Finish(id, run_result{});
+    Finish(id, internal::LostResult(body_unsent));
   }
 }
 
@@ -153,6 +173,10 @@
   } else if (const auto* piece = std::get_if<protocol::body_piece>(&frame->message)) {
     SendData(*link_, protocol::body_piece_ack{piece->id});
     OnBodyPiece(*piece, frame->payload);
+  } else if (const auto* credit = std::get_if<protocol::body_credit>(&frame->message)) {
+    bulk_.AddCredit(link_.get(), credit->id, credit->bytes);
+  } else if (std::holds_alternative<protocol::body_piece_ack>(frame->message)) {
+    bulk_.OnPieceAcknowledged(link_.get());
   } else if (const auto* failed = std::get_if<protocol::run_failed>(&frame->message)) {
     UpdateLoad(failed->load);
     run_result result;
@@ -170,13 +194,19 @@
     failure_rate_ = 0;
   }
   report_ = report;
-  sent_since_report_ = 0;
+  OnNewLoad();
 }
 
 void peer::UpdateLoad(const protocol::upstream_load& load) {
   if (!report_) return;
   report_->load = load;
+  OnNewLoad();
+}
+
+void peer::OnNewLoad() {
+  load_reported_at_ = Now();
   sent_since_report_ = 0;
+  body_bytes_since_report_ = 0;
 }
 
 void peer::OnResponse(const protocol::run_response& message, std::string_view payload) {
@@ -213,6 +243,7 @@
   const pending ended = std::move(found->second);
   pending_.erase(found);
   response_bytes_ -= ended.response.body.size();
+  DropBody(id, ended);
   RecordResult(result, Now() - ended.sent_at);
   ended.done(std::move(result));
 }
@@ -242,7 +273,7 @@
          report_->service == service;
 }
 
-routing::peer_candidate peer::Candidate() const {
+routing::peer_candidate peer::Candidate(std::size_t body_bytes) const {
   const protocol::upstream_load load = dispatcher_ != nullptr ? dispatcher_->Load() : report_->load;
   routing::peer_candidate candidate;
   candidate.slots = load.slots;
@@ -254,10 +285,17 @@
   candidate.response_time =
       decay < 0.1 ? kernel::microseconds::zero()
                   : kernel::microseconds(static_cast<std::int64_t>(response_time_us_));
+  // A request for the upstream on this host moves no bytes over a link.
+  if (dispatcher_ == nullptr && bulk_sender::IsLarge(body_bytes)) {
+    candidate.transfer_time =
+        routing::ExpectedTransferTime({load.missing_body_bytes, load.body_bytes_per_second,
+                                       Now() - load_reported_at_, body_bytes_since_report_},
+                                      body_bytes);
+  }
   return candidate;
 }
 
-kernel::call_id peer::Run(protocol::run_request request, const std::string& body,
+kernel::call_id peer::Run(protocol::run_request request, std::shared_ptr<const std::string> body,
                           run_callback done) {
   const kernel::call_id id(next_call_++);
   pending& added = pending_[id];
@@ -265,8 +303,9 @@
   added.sent_at = Now();
   added.idempotent = policy::IsIdempotent(request.retry_safety);
   if (dispatcher_ != nullptr) {
-    const auto ticket = dispatcher_->Run(
-        std::move(request), body, [this, id](run_result result) { Finish(id, std::move(result)); });
+    const auto ticket = dispatcher_->Run(std::move(request), *body, [this, id](run_result result) {
+      Finish(id, std::move(result));
+    });
     pending_.at(id).ticket = ticket;
     return id;
   }
@@ -277,14 +316,29 @@
   }
   ++sent_since_report_;
   request.id = id;
-  SendWithBody(*link_, std::move(request), body);
+  if (!bulk_sender::IsLarge(body->size())) {
+    SendData(*link_, std::move(request), *body);
+    return id;
+  }
+  added.body_unsent = true;
+  body_bytes_since_report_ += static_cast<std::int64_t>(body->size());
+  request.body_bytes = body->size();
+  SendData(*link_, std::move(request));
+  bulk_.SendOnCredit(link_, id, std::move(body), [this, id] { OnBodySent(id); });
   return id;
 }
 
+void peer::OnBodySent(kernel::call_id id) {
+  pending& sent = pending_.at(id);
+  sent.body_unsent = false;
+  sent.sent_at = Now();
+}
+
 void peer::Cancel(kernel::call_id id) {
   const auto found = pending_.find(id);
   if (found == pending_.end()) return;
   const admission::ticket ticket = found->second.ticket;
+  DropBody(id, found->second);
   response_bytes_ -= found->second.response.body.size();
   pending_.erase(found);
   if (dispatcher_ != nullptr) {
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -17,6 +17,7 @@
 #include "cornelweir/routing.h"
 #include "cornelweir/transport.h"
 #include "plugins/daemon_context.h"
+#include "plugins/sidecar/bulk_sender.h"
 #include "plugins/sidecar/run_result.h"
 #include "plugins/sidecar/upstream_dispatcher.h"
 
@@ -26,7 +27,8 @@
 class peer {
  public:
   // dispatcher is that of this process if the entry is its own, and null for remote daemons.
-  peer(daemon_context& context, membership::roster_entry entry, upstream_dispatcher* dispatcher);
+  peer(daemon_context& context, membership::roster_entry entry, upstream_dispatcher* dispatcher,
+       bulk_sender& bulk);
   ~peer();
   peer(const peer&) = delete;
   peer& operator=(const peer&) = delete;
@@ -44,10 +46,11 @@
 
   // Whether requests for the service can be sent to this peer now.
   bool Serves(const kernel::service_name& service) const;
-  // Requires Serves().
-  routing::peer_candidate Candidate() const;
+  // The candidate for a request with a body of this size. Requires Serves().
+  routing::peer_candidate Candidate(std::size_t body_bytes) const;
   // Requires Serves(). done is called once, unless the request is cancelled.
-  kernel::call_id Run(protocol::run_request request, const std::string& body, run_callback done);
+  kernel::call_id Run(protocol::run_request request, std::shared_ptr<const std::string> body,
+                      run_callback done);
   // Drops the request without calling done.
   void Cancel(kernel::call_id id);
 
@@ -57,6 +60,9 @@
   struct pending {
     run_callback done;
     bool idempotent = false;
+    // A part of the body has not been sent, so the request has not run.
+    bool body_unsent = false;
+    // When the last part was sent.
     kernel::time_point sent_at;
     admission::ticket ticket;
     http::whole_response response;
@@ -70,14 +76,20 @@
   void OnSilent();
   void OnReport(const protocol::upstream_report& report);
   void OnResponse(const protocol::run_response& message, std::string_view payload);
+  void OnBodySent(kernel::call_id id);
+  // Drops what has not been sent of the body of a request.
+  void DropBody(kernel::call_id id, const pending& call);
+  void DropAllBodies();
   void OnBodyPiece(const protocol::body_piece& message, std::string_view payload);
   void Finish(kernel::call_id id, run_result result);
   void RecordResult(const run_result& result, kernel::microseconds elapsed);
+  void OnNewLoad();
   void UpdateLoad(const protocol::upstream_load& load);
 
   daemon_context& context_;
   membership::roster_entry entry_;
   upstream_dispatcher* dispatcher_;
+  bulk_sender& bulk_;
   std::shared_ptr<transport::link> link_;
   // False for callbacks of an earlier link or of a destroyed peer, which must do nothing.
   std::shared_ptr<bool> alive_;
@@ -94,7 +106,10 @@
   // Size of the incomplete responses.
   std::size_t response_bytes_ = 0;
   kernel::microseconds backoff_{};
+  // When the load of report_ arrived, and what was sent to the daemon since then.
+  kernel::time_point load_reported_at_;
   std::int64_t sent_since_report_ = 0;
+  std::int64_t body_bytes_since_report_ = 0;
   double response_time_us_ = 0;
   double failure_rate_ = 0;
   kernel::time_point last_result_at_;
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -10,6 +10,15 @@
 
 namespace cornelweir::plugins::sidecar {
 
+peer_server::peer_server(daemon_context& context, upstream_dispatcher& dispatcher,
+                         bulk_sender& bulk)
+    : context_(context),
+      dispatcher_(dispatcher),
+      bulk_(bulk),
+      bodies_(context, [this](const transport::link* link, kernel::call_id id) {
+        OnBodyGivenUp(link, id);
+      }) {}
+
 boost::leaf::result<void> peer_server::Listen() {
   transport::link_handlers handlers;
   handlers.message = [this](const std::shared_ptr<transport::link>& link,
@@ -38,7 +47,7 @@
     }
     sender.greeting_received = true;
     sender.link = link;
-    SendData(*link, dispatcher_.Report());
+    SendData(*link, Report());
     return;
   }
   const auto frame = ReadData(payload);
@@ -53,25 +62,12 @@
 void peer_server::OnData(session& sender, const protocol::data_message& message,
                          std::string_view payload) {
   if (const auto* run = std::get_if<protocol::run_request>(&message)) {
-    inbound_request& added = sender.requests[run->id];
-    added.request = *run;
-    added.arrived_at = context_.pauses.InputArrival(context_.clock.Now());
-    AppendBody(sender, run->id, payload, run->last);
+    OnRequest(sender, *run, payload);
   } else if (const auto* piece = std::get_if<protocol::body_piece>(&message)) {
-    const auto found = sender.requests.find(piece->id);
-    if (found == sender.requests.end() || found->second.complete) return;
-    AppendBody(sender, piece->id, payload, piece->last);
+    SendData(*sender.link, protocol::body_piece_ack{piece->id});
+    OnBodyPiece(sender, piece->id, payload);
   } else if (const auto* cancel = std::get_if<protocol::cancel_request>(&message)) {
-    bulk_.Cancel(sender.link.get(), cancel->id);
-    const auto found = sender.requests.find(cancel->id);
-    if (found == sender.requests.end()) return;
-    const inbound_request ended = std::move(found->second);
-    sender.requests.erase(found);
-    if (ended.complete) {
-      dispatcher_.Cancel(ended.ticket);
-    } else {
-      sender.body_bytes -= ended.body.size();
-    }
+    OnCancel(sender, cancel->id);
   } else if (const auto* probe = std::get_if<protocol::link_probe>(&message)) {
     SendData(*sender.link, *probe);
   } else if (std::holds_alternative<protocol::body_piece_ack>(message)) {
@@ -79,19 +75,84 @@
   }
 }
 
-void peer_server::AppendBody(session& sender, kernel::call_id id, std::string_view bytes,
-                             bool last) {
-  sender.body_bytes += bytes.size();
-  if (sender.body_bytes > protocol::kMaxLinkBodyBytes) {
-    logging::event(logging::event_id::kMessageRefused).With("reason", "request bodies too large");
-    sender.link->Close("request bodies too large");
+void peer_server::OnRequest(session& sender, const protocol::run_request& message,
+                            std::string_view payload) {
+  const auto [added, is_new] = sender.requests.try_emplace(message.id);
+  if (!is_new || message.body_bytes > protocol::kMaxLinkBodyBytes) {
+    logging::event(logging::event_id::kMessageRefused)
+        .With("reason", is_new ? "request body too large" : "request id used twice");
+    sender.link->Close("bad request");
+    return;
+  }
+  added->second.request = message;
+  added->second.arrived_at = context_.pauses.InputArrival(context_.clock.Now());
+  if (message.body_bytes > 0) {
+    AnnounceBody(sender, message.id);
+    return;
+  }
+  added->second.body = payload;
+  StartRun(sender, message.id);
+}
+
+void peer_server::AnnounceBody(session& sender, kernel::call_id id) {
+  const inbound_request& inbound = sender.requests.at(id);
+  const protocol::run_request& request = inbound.request;
+  admission::transfer_request transfer;
+  transfer.bytes = request.body_bytes;
+  transfer.priority = request.priority;
+  transfer.objective = inbound.arrived_at + request.objective_left;
+  transfer.deadline = inbound.arrived_at + request.time_left;
+  transfer.run_time = dispatcher_.MeanRunTime(request.route);
+  transfer.slot_wait = dispatcher_.ExpectedSlotWait();
+  const bool accepted =
+      dispatcher_.Serves(request.service) && bodies_.Announce(sender.link, id, transfer);
+  if (!accepted) RefuseBody(sender, id);
+}
+
+void peer_server::RefuseBody(session& sender, kernel::call_id id) {
+  const auto refused = sender.requests.find(id);
+  const bool serves = dispatcher_.Serves(refused->second.request.service);
+  sender.requests.erase(refused);
+  protocol::run_failed message;
+  message.id = id;
+  message.failure =
+      serves ? protocol::run_failure::kNoCapacity : protocol::run_failure::kNoUpstream;
+  if (serves) message.retry_after = bodies_.DrainTime();
+  message.load = Load();
+  SendData(*sender.link, message);
+  context_.metrics
+      .Counter("cornelweir_bodies_refused_total",
+               "Large request bodies refused before they arrived", {})
+      .Increment();
+}
+
+void peer_server::OnBodyGivenUp(const transport::link* link, kernel::call_id id) {
+  const auto found = sessions_.find(link);
+  if (found != sessions_.end()) RefuseBody(found->second, id);
+}
+
+void peer_server::OnBodyPiece(session& sender, kernel::call_id id, std::string_view bytes) {
+  using progress = admission::transfer_progress;
+  const progress state = bodies_.OnPiece(sender.link.get(), id, bytes.size());
+  // Pieces that were sent before the sender learned that the body was refused.
+  if (state == progress::kUnknown) return;
+  if (state == progress::kBeyondCredit) {
+    logging::event(logging::event_id::kMessageRefused).With("reason", "body exceeds its credit");
+    sender.link->Close("body exceeds its credit");
     return;
   }
-  std::string& body = sender.requests.at(id).body;
-  body.append(bytes);
-  if (!last) return;
-  sender.body_bytes -= body.size();
-  StartRun(sender, id);
+  sender.requests.at(id).body.append(bytes);
+  if (state == progress::kComplete) StartRun(sender, id);
+}
+
+void peer_server::OnCancel(session& sender, kernel::call_id id) {
+  bulk_.Cancel(sender.link.get(), id);
+  bodies_.Cancel(sender.link.get(), id);
+  const auto found = sender.requests.find(id);
+  if (found == sender.requests.end()) return;
+  const inbound_request ended = std::move(found->second);
+  sender.requests.erase(found);
+  if (ended.complete) dispatcher_.Cancel(ended.ticket);
 }
 
 // The sender stated the time that was left when it sent the request. The time that has passed since
@@ -116,15 +177,15 @@
   const auto found = sessions_.find(link.get());
   if (found == sessions_.end() || found->second.requests.erase(id) == 0) return;
   if (!result.response) {
-    SendData(*link, protocol::run_failed{id, result.failure, result.retry_after, dispatcher_.Load(),
-                                         result.nested});
+    SendData(*link,
+             protocol::run_failed{id, result.failure, result.retry_after, Load(), result.nested});
     return;
   }
   protocol::run_response response;
   response.id = id;
   response.status = result.response->status;
   response.headers = std::move(result.response->headers);
-  response.load = dispatcher_.Load();
+  response.load = Load();
   response.nested = result.nested;
   if (!bulk_sender::IsLarge(result.response->body.size())) {
     SendWithBody(*link, std::move(response), result.response->body);
@@ -140,6 +201,7 @@
   const auto found = sessions_.find(link);
   if (found == sessions_.end()) return;
   bulk_.OnClosed(link);
+  bodies_.OnClosed(link);
   const auto requests = std::move(found->second.requests);
   sessions_.erase(found);
   for (const auto& [id, ended] : requests) {
@@ -147,8 +209,23 @@
   }
 }
 
+protocol::upstream_load peer_server::Load() const {
+  protocol::upstream_load load = dispatcher_.Load();
+  load.missing_body_bytes = static_cast<std::int64_t>(bodies_.missing_bytes());
+  load.body_bytes_per_second = bodies_.bytes_per_second();
+  return load;
+}
+
+protocol::upstream_report peer_server::Report() const {
+  protocol::upstream_report report = dispatcher_.Report();
+  report.load = Load();
+  return report;
+}
+
 void peer_server::ReportUpstream() {
-  const protocol::upstream_report report = dispatcher_.Report();
+  const protocol::upstream_report report = Report();
+  // A body that arrived now would be refused.
+  if (!report.accepting) bodies_.GiveUpAll();
   for (auto& [key, session] : sessions_) {
     if (session.greeting_received) SendData(*session.link, report);
   }
--- a/plugins/sidecar/peer_server.h
+++ b/plugins/sidecar/peer_server.h
@@ -14,6 +14,7 @@
 #include "cornelweir/transport.h"
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/bulk_sender.h"
+#include "plugins/sidecar/inbound_bodies.h"
 #include "plugins/sidecar/upstream_dispatcher.h"
 
 namespace cornelweir::plugins::sidecar {
@@ -21,14 +22,17 @@
 // Accepts requests from other daemons for the upstream on this host.
 class peer_server {
  public:
-  peer_server(daemon_context& context, upstream_dispatcher& dispatcher, bulk_sender& bulk)
-      : context_(context), dispatcher_(dispatcher), bulk_(bulk) {}
+  peer_server(daemon_context& context, upstream_dispatcher& dispatcher, bulk_sender& bulk);
 
   boost::leaf::result<void> Listen();
+  // Requires Listen().
+  kernel::endpoint local_endpoint() const { return listener_->local_endpoint(); }
   // Closes the links after the results queued on them were sent, then calls done.
   void CloseAfterDrain(std::function<void()> done);
   // Sends the upstream's current state to all connected daemons.
   void ReportUpstream();
+  // The load of the upstream and of the link on which request bodies arrive.
+  protocol::upstream_load Load() const;
 
  private:
   struct inbound_request {
@@ -44,14 +48,20 @@
     std::shared_ptr<transport::link> link;
     bool greeting_received = false;
     std::map<kernel::call_id, inbound_request> requests;
-    // Size of the incomplete bodies of the requests.
-    std::size_t body_bytes = 0;
   };
 
+  protocol::upstream_report Report() const;
   void OnMessage(const std::shared_ptr<transport::link>& link, std::string_view payload);
   void OnClosed(const transport::link* link);
   void OnData(session& sender, const protocol::data_message& message, std::string_view payload);
-  void AppendBody(session& sender, kernel::call_id id, std::string_view bytes, bool last);
+  void OnRequest(session& sender, const protocol::run_request& message, std::string_view payload);
+  void OnBodyPiece(session& sender, kernel::call_id id, std::string_view bytes);
+  void OnCancel(session& sender, kernel::call_id id);
+  // Accepts or refuses a request whose body is still to be sent.
+  void AnnounceBody(session& sender, kernel::call_id id);
+  void OnBodyGivenUp(const transport::link* link, kernel::call_id id);
+  // Sends the result of a request whose body has not arrived.
+  void RefuseBody(session& sender, kernel::call_id id);
   void StartRun(session& sender, kernel::call_id id);
   void SendResult(const std::weak_ptr<transport::link>& weak_link, kernel::call_id id,
                   run_result result);
@@ -59,6 +69,7 @@
   daemon_context& context_;
   upstream_dispatcher& dispatcher_;
   bulk_sender& bulk_;
+  inbound_bodies bodies_;
   std::shared_ptr<transport::listener> listener_;
   std::map<const transport::link*, session> sessions_;
 };
--- a/plugins/sidecar/peer_set.cc
+++ b/plugins/sidecar/peer_set.cc
@@ -14,13 +14,13 @@
 
 }  // namespace internal
 
-peer_set::peer_set(daemon_context& context, upstream_dispatcher& dispatcher)
-    : context_(context), dispatcher_(dispatcher), timer_(context.loop) {
+peer_set::peer_set(daemon_context& context, upstream_dispatcher& dispatcher, bulk_sender& bulk)
+    : context_(context), dispatcher_(dispatcher), bulk_(bulk), timer_(context.loop) {
   membership::roster_entry self;
   self.daemon = context.settings.sidecar->peers_listen;
   self.failure_domain = context.settings.failure_domain;
   self.service = context.settings.sidecar->service;
-  peers_.emplace(self.daemon, std::make_shared<peer>(context, self, &dispatcher));
+  peers_.emplace(self.daemon, std::make_shared<peer>(context, self, &dispatcher, bulk));
 }
 
 void peer_set::Start() {
@@ -52,7 +52,8 @@
       found->second->Update(entry);
       continue;
     }
-    const auto added = peers_.emplace(endpoint, std::make_shared<peer>(context_, entry, nullptr));
+    const auto added =
+        peers_.emplace(endpoint, std::make_shared<peer>(context_, entry, nullptr, bulk_));
     added.first->second->Maintain(IdleProbePeriod());
   }
   for (auto next = peers_.begin(); next != peers_.end();) {
@@ -69,7 +70,7 @@
 
 std::shared_ptr<peer> peer_set::Choose(const kernel::service_name& service,
                                        const std::vector<std::shared_ptr<peer>>& excluded,
-                                       bool large_response) {
+                                       bool large_response, std::size_t body_bytes) {
   usable_peers_.clear();
   candidates_.clear();
   for (const auto& [endpoint, daemon] : peers_) {
@@ -77,7 +78,7 @@
     if (std::find(excluded.begin(), excluded.end(), daemon) != excluded.end()) continue;
     usable_peers_.push_back(daemon);
     const bool own_domain = daemon->entry().failure_domain == context_.settings.failure_domain;
-    candidates_.push_back(daemon->Candidate());
+    candidates_.push_back(daemon->Candidate(body_bytes));
     candidates_.back().network_cost = own_domain       ? routing::kOwnDomainCost
                                       : large_response ? routing::kOtherDomainLargeResponseCost
                                                        : routing::kOtherDomainCost;
--- a/plugins/sidecar/peer_set.h
+++ b/plugins/sidecar/peer_set.h
@@ -10,6 +10,7 @@
 #include "cornelweir/loop.h"
 #include "cornelweir/membership.h"
 #include "plugins/daemon_context.h"
+#include "plugins/sidecar/bulk_sender.h"
 #include "plugins/sidecar/peer.h"
 #include "plugins/sidecar/upstream_dispatcher.h"
 
@@ -18,17 +19,17 @@
 // The daemons to which requests can be sent, including this one.
 class peer_set {
  public:
-  peer_set(daemon_context& context, upstream_dispatcher& dispatcher);
+  peer_set(daemon_context& context, upstream_dispatcher& dispatcher, bulk_sender& bulk);
 
   void Start();
   void Stop();
   // Adds, updates and retires peers so that they match the roster.
   void Update(const std::map<kernel::endpoint, membership::roster_entry>& roster);
 
-  // Returns the best peer for a request that is not excluded, or null.
+  // Returns the best peer for a request with a body of this size that is not excluded, or null.
   std::shared_ptr<peer> Choose(const kernel::service_name& service,
                                const std::vector<std::shared_ptr<peer>>& excluded,
-                               bool large_response);
+                               bool large_response, std::size_t body_bytes);
   // Whether a peer that is not excluded serves the service.
   bool HasOther(const kernel::service_name& service,
                 const std::vector<std::shared_ptr<peer>>& excluded) const;
@@ -39,6 +40,7 @@
 
   daemon_context& context_;
   upstream_dispatcher& dispatcher_;
+  bulk_sender& bulk_;
   loop::timer timer_;
   std::map<kernel::endpoint, std::shared_ptr<peer>> peers_;
   // Peers that left the roster, until their pending requests end.
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -43,7 +43,7 @@
                               [this](const membership::announced_upstream& upstream) {
                                 dispatcher_.Restore(upstream);
                               }}),
-      peers_(context, dispatcher_),
+      peers_(context, dispatcher_, bulk_),
       peer_server_(context, dispatcher_, bulk_),
       router_(context, dialect_, peers_, dispatcher_),
       callers_(
@@ -106,7 +106,7 @@
 
 void sidecar_node::ReportMetrics() {
   metrics::metrics_registry& metrics = context_.metrics;
-  const protocol::upstream_load load = dispatcher_.Load();
+  const protocol::upstream_load load = peer_server_.Load();
   const auto set = [&](const char* name, const char* help, double value) {
     metrics.Gauge(name, help, {}).Set(value);
   };
@@ -122,6 +122,11 @@
   set("cornelweir_upstream_rate_limit",
       "Requests a second that the upstream takes, 0 if it states no limit",
       dispatcher_.RequestsPerSecond());
+  set("cornelweir_inbound_body_bytes", "Bytes of announced request bodies that have not arrived",
+      static_cast<double>(load.missing_body_bytes));
+  set("cornelweir_inbound_body_rate",
+      "Bytes a second at which large request bodies arrive, 0 if unknown",
+      static_cast<double>(load.body_bytes_per_second));
   set("cornelweir_peers", "Known daemons", static_cast<double>(peers_.size()));
   set("cornelweir_caller_connections", "Open connections of callers",
       static_cast<double>(callers_.connections()));
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -396,6 +396,11 @@
   return bulk_.EstimatedTransferTime(expected_bytes_ + route.response_bytes) - route.run_time;
 }
 
+kernel::microseconds upstream_dispatcher::MeanRunTime(const kernel::route_name& route) const {
+  const auto found = history_.find(route);
+  return found == history_.end() ? kernel::microseconds::zero() : found->second.run_time;
+}
+
 void upstream_dispatcher::RecordRun(const kernel::route_name& route, kernel::microseconds run_time,
                                     std::size_t bytes) {
   route_history& known = history_[route];
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -58,6 +58,10 @@
   }
   protocol::upstream_report Report() const;
   protocol::upstream_load Load() const;
+  // Mean run time of the requests of a route; zero if unknown.
+  kernel::microseconds MeanRunTime(const kernel::route_name& route) const;
+  // Expected time that a further request would wait for a slot.
+  kernel::microseconds ExpectedSlotWait() const { return queue_.ExpectedWait(Now()); }
   // The service from the latest announcement, or else from the settings.
   const kernel::service_name& service() const;
   bool busy() const { return !runs_.empty(); }
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -56,7 +56,7 @@
   dialect_functions dialect_ = Dialect();
   bulk_sender bulk_{daemon_.context};
   upstream_dispatcher dispatcher_{daemon_.context, dialect_, bulk_, [] {}};
-  peer_set peers_{daemon_.context, dispatcher_};
+  peer_set peers_{daemon_.context, dispatcher_, bulk_};
   call_router router_{daemon_.context, dialect_, peers_, dispatcher_};
 };
 
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -1,4 +1,5 @@
-// Tests requests to another daemon that is silent for a while or sends endless bodies.
+// Tests requests to another daemon that is silent for a while or sends endless bodies, and large
+// request bodies, which are sent on credit.
 
 #include "plugins/sidecar/peer.h"
 
@@ -36,7 +37,7 @@
     listener_ = opened.value();
     membership::roster_entry entry;
     entry.daemon = listener_->local_endpoint();
-    peer_ = std::make_unique<peer>(daemon_.context, entry, nullptr);
+    peer_ = std::make_unique<peer>(daemon_.context, entry, nullptr, bulk_);
     maintenance_.StartPeriodic(std::chrono::milliseconds(20), [this] {
       daemon_.pauses.Tick(daemon_.clock.Now());
       peer_->Maintain(kIdleProbePeriod);
@@ -59,6 +60,12 @@
     ASSERT_TRUE(frame);
     if (const auto* run = std::get_if<protocol::run_request>(&frame->message)) {
       received_.push_back(run->id);
+      body_bytes_ = run->body_bytes;
+      body_received_ += frame->payload.size();
+    } else if (const auto* piece = std::get_if<protocol::body_piece>(&frame->message)) {
+      body_received_ += frame->payload.size();
+      body_ended_ = piece->last;
+      SendData(*link, protocol::body_piece_ack{piece->id});
     } else if (const auto* cancel = std::get_if<protocol::cancel_request>(&frame->message)) {
       cancelled_.push_back(cancel->id);
     } else if (const auto* probe = std::get_if<protocol::link_probe>(&frame->message)) {
@@ -66,21 +73,27 @@
     }
   }
 
-  kernel::call_id Run(policy::retry_safety safety, std::optional<run_result>& result) {
+  kernel::call_id Run(policy::retry_safety safety, std::optional<run_result>& result,
+                      std::string body = "") {
     protocol::run_request run;
     run.service = kernel::service_name("forms");
     run.retry_safety = safety;
     run.time_left = std::chrono::seconds(20);
-    return peer_->Run(run, "", [&result](run_result ended) { result = std::move(ended); });
+    return peer_->Run(run, std::make_shared<const std::string>(std::move(body)),
+                      [&result](run_result ended) { result = std::move(ended); });
   }
 
   sidecar_test_context daemon_;
+  bulk_sender bulk_{daemon_.context};
   loop::timer maintenance_;
   std::shared_ptr<transport::listener> listener_;
   std::shared_ptr<transport::link> link_;
   std::unique_ptr<peer> peer_;
   std::vector<kernel::call_id> received_;
   std::vector<kernel::call_id> cancelled_;
+  std::uint64_t body_bytes_ = 0;
+  std::size_t body_received_ = 0;
+  bool body_ended_ = false;
   bool answers_probes_ = true;
   bool link_closed_ = false;
 };
@@ -136,5 +149,57 @@
   http::RunUntil(daemon_.loop, [&] { return link_closed_; });
 }
 
+// Guards against bodies that are sent without credit, and against giving up a request as possibly
+// run although its body was never sent in full.
+TEST_F(PeerTest, SendsALargeBodyOnCredit) {
+  std::optional<run_result> incomplete;
+  std::optional<run_result> complete;
+  const kernel::call_id first =
+      Run(policy::retry_safety::kUpload, incomplete, std::string(100'000, 'x'));
+  http::RunUntil(daemon_.loop, [this] { return received_.size() == 1; });
+  EXPECT_EQ(body_bytes_, 100'000U);
+  SendData(*link_, protocol::body_credit{first, 20'000});
+  http::RunUntil(daemon_.loop, [this] { return body_received_ >= 20'000; });
+
+  const kernel::call_id second =
+      Run(policy::retry_safety::kUpload, complete, std::string(50'000, 'y'));
+  SendData(*link_, protocol::body_credit{second, 1'000'000});
+  http::RunUntil(daemon_.loop, [this] { return body_ended_; });
+  EXPECT_EQ(body_received_, 70'000U) << "more of the first body was sent than granted";
+
+  link_->Close("test");
+  http::RunUntil(daemon_.loop, [&] { return incomplete && complete; });
+  EXPECT_EQ(incomplete->failure, protocol::run_failure::kNoUpstream);
+  EXPECT_EQ(complete->failure, protocol::run_failure::kUpstreamError) << "it may have run";
+  EXPECT_TRUE(bulk_.idle());
+}
+
+// Guards against sending the rest of a body after the request was refused or cancelled, and against
+// waiting for a silent daemon with a request that it cannot have run.
+TEST_F(PeerTest, EndsTheTransferWithTheRequest) {
+  const std::string body(100'000, 'x');
+  std::optional<run_result> refused;
+  std::optional<run_result> cancelled;
+  std::optional<run_result> silent;
+  const kernel::call_id id = Run(policy::retry_safety::kUpload, refused, body);
+  SendData(*link_,
+           protocol::run_failed{id, protocol::run_failure::kNoCapacity, kernel::milliseconds(70)});
+  http::RunUntil(daemon_.loop, [&] { return refused.has_value(); });
+  EXPECT_EQ(refused->retry_after, kernel::milliseconds(70));
+  EXPECT_TRUE(bulk_.idle());
+
+  peer_->Cancel(Run(policy::retry_safety::kUpload, cancelled, body));
+  EXPECT_TRUE(bulk_.idle());
+  http::RunUntil(daemon_.loop, [this] { return cancelled_.size() == 1; });
+
+  Run(policy::retry_safety::kUpload, silent, body);
+  answers_probes_ = false;
+  http::RunUntil(daemon_.loop, [&] { return silent.has_value(); });
+  EXPECT_EQ(silent->failure, protocol::run_failure::kNoUpstream);
+  EXPECT_TRUE(bulk_.idle());
+  EXPECT_FALSE(cancelled);
+  EXPECT_EQ(body_received_, 0U);
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
