--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -2,6 +2,7 @@
 #define CORNELWEIR_SRC_PROTOCOL_DATA_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -36,6 +37,21 @@
   friend bool operator==(const upstream_load&, const upstream_load&) = default;
 };
 
+// The rank of the requests that run at an upstream, which its own calls inherit.
+struct parent_rank {
+  std::int32_t priority = 0;
+  // Time until their latency objective and until the latest of their deadlines.
+  kernel::microseconds objective_left{};
+  kernel::microseconds time_left{};
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"p", &parent_rank::priority},
+                      kernel::field{"o", &parent_rank::objective_left},
+                      kernel::field{"l", &parent_rank::time_left}};
+  }
+  friend bool operator==(const parent_rank&, const parent_rank&) = default;
+};
+
 // A request for the upstream on the host of the receiving daemon. A small body follows the encoded
 // message. Of a large one only the size is stated: body_piece messages carry it, as far as the
 // receiver has granted credit by body_credit messages. It runs only when the body is complete.
@@ -62,6 +78,8 @@
   bool repeated = false;
   // Size of the body that follows in pieces; 0 if the message contains the whole body.
   std::uint64_t body_bytes = 0;
+  // Set if the request may be a call of the upstream on the sender's host.
+  std::optional<parent_rank> parent;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"i", &run_request::id},
@@ -77,7 +95,8 @@
                       kernel::field{"l", &run_request::time_left},
                       kernel::field{"o", &run_request::objective_left},
                       kernel::field{"x", &run_request::repeated},
-                      kernel::field{"b", &run_request::body_bytes}};
+                      kernel::field{"b", &run_request::body_bytes},
+                      kernel::field{"u", &run_request::parent}};
   }
 };
 
