Issue quota tokens from one owner to the stores of daemons

A limit that holds over all daemons can't be divided: a workspace with less than one request a second has no share at 76 daemons. A single owner issues tokens from a bucket for each workspace; tokens expire counted from the time at which the daemon sent its request, and an owner issues only while its last confirmed heartbeat round is recent.

A new owner's buckets fill from the end of the time in which its predecessor may still issue.

--- /dev/null
+++ b/cornelweir/src/quota/messages.h
@@ -0,0 +1,73 @@
+#ifndef CORNELWEIR_SRC_QUOTA_MESSAGES_H_
+#define CORNELWEIR_SRC_QUOTA_MESSAGES_H_
+
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "cornelweir/src/kernel/field.h"
+#include "cornelweir/src/kernel/ids.h"
+#include "cornelweir/src/kernel/quantity.h"
+
+namespace cornelweir::quota {
+
+// The tokens of one workspace that a daemon asks for.
+struct token_request {
+  kernel::workspace_id workspace;
+  kernel::request_count wanted;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"w", &token_request::workspace},
+                      kernel::field{"n", &token_request::wanted}};
+  }
+  friend bool operator==(const token_request&, const token_request&) = default;
+};
+
+// A daemon's request for tokens. The grant repeats the nonce.
+struct quota_request {
+  static constexpr std::string_view kType = "quota_request";
+
+  kernel::nonce nonce;
+  std::vector<token_request> entries;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"id", &quota_request::nonce},
+                      kernel::field{"e", &quota_request::entries}};
+  }
+  friend bool operator==(const quota_request&, const quota_request&) = default;
+};
+
+// The tokens of one workspace that the owner issues.
+struct token_grant {
+  kernel::workspace_id workspace;
+  kernel::request_count granted;
+  // How long the tokens may be used, from the time at which the daemon sent its request.
+  kernel::microseconds lifetime{};
+  // Time until the next token, if fewer were granted than requested.
+  kernel::microseconds next_in{};
+
+  static constexpr auto Fields() {
+    return std::tuple{
+        kernel::field{"w", &token_grant::workspace}, kernel::field{"n", &token_grant::granted},
+        kernel::field{"l", &token_grant::lifetime}, kernel::field{"x", &token_grant::next_in}};
+  }
+  friend bool operator==(const token_grant&, const token_grant&) = default;
+};
+
+// The owner's answer to a quota_request.
+struct quota_grant {
+  static constexpr std::string_view kType = "quota_grant";
+
+  kernel::nonce nonce;
+  std::vector<token_grant> entries;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"id", &quota_grant::nonce},
+                      kernel::field{"e", &quota_grant::entries}};
+  }
+  friend bool operator==(const quota_grant&, const quota_grant&) = default;
+};
+
+}  // namespace cornelweir::quota
+
+#endif  // CORNELWEIR_SRC_QUOTA_MESSAGES_H_
--- /dev/null
+++ b/tests/quota_properties_test.cc
@@ -0,0 +1,299 @@
+// Runs a fleet of daemons and changing owners under random schedules of faults on a manual clock,
+// and checks the promises of the quotas. Every choice is determined by the generated seed.
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cornelweir/kernel.h"
+#include "cornelweir/quota.h"
+
+namespace cornelweir::quota {
+namespace {
+
+using kernel::milliseconds;
+using kernel::time_point;
+using seconds = std::chrono::duration<double>;
+
+constexpr std::size_t kDaemons = 1'000;
+constexpr milliseconds kStep{10};
+constexpr milliseconds kMaxWait{400};
+// Tighter than those of a deployment, so that a fault shows.
+constexpr quota_limits kLimits{milliseconds(5'000), 0.02, 5};
+
+struct workload {
+  workspace_limit limit;
+  // Requests a second of all daemons together, sent to the daemons from first on.
+  double demand = 0;
+  std::size_t first_daemon = 0;
+  std::size_t daemons = kDaemons;
+};
+
+// A control host that believes that it is the leader.
+struct owner_process {
+  quota_owner tokens{kLimits};
+  // When another host took over. No round that was sent later is confirmed.
+  std::optional<time_point> deposed_at;
+  time_point paused_until;
+};
+
+struct daemon_process {
+  quota_store store;
+  std::map<kernel::workspace_id, std::deque<time_point>> waiters;
+  bool cut_off = false;
+  time_point paused_until;
+};
+
+struct message {
+  std::size_t daemon;
+  quota_request request;
+  std::optional<quota_grant> grant;
+};
+
+class fleet {
+ public:
+  fleet(std::uint64_t seed, std::map<kernel::workspace_id, workload> workloads)
+      : workloads(std::move(workloads)), random_(seed) {
+    clock_.Advance(std::chrono::seconds(100));
+    for (std::size_t i = 0; i < kDaemons; ++i) StartDaemon(i);
+    ElectOwner();
+  }
+
+  // Runs with faults as often as the percentage says.
+  void RunFor(milliseconds duration, std::uint64_t fault_percent) {
+    for (milliseconds passed{0}; passed < duration; passed += kStep) {
+      clock_.Advance(kStep);
+      if (Percent(fault_percent)) InjectFault();
+      loss_percent_ = fault_percent;
+      Arrive();
+      for (std::size_t i = 0; i < daemons_.size(); ++i) Exchange(i);
+      Deliver();
+    }
+  }
+
+  // The largest number of requests that ran in a window, less what the limit allows.
+  double WorstExcess(const kernel::workspace_id& workspace) const {
+    const workspace_limit& limit = workloads.at(workspace).limit;
+    const double bound = (kernel::RequestsPerSecond(limit.rate) * seconds(kLimits.window).count() +
+                          kernel::Requests(limit.burst)) *
+                             (1 + kLimits.overshoot) +
+                         kLimits.slack;
+    const auto found = runs_.find(workspace);
+    if (found == runs_.end()) return -bound;
+    const std::vector<time_point>& runs = found->second;
+    std::size_t most = 0;
+    for (std::size_t begin = 0, end = 0; end < runs.size(); ++end) {
+      while (runs[end] - runs[begin] > kLimits.window) ++begin;
+      most = std::max(most, end - begin + 1);
+    }
+    return static_cast<double>(most) - bound;
+  }
+  void ForgetRuns() { runs_.clear(); }
+  std::size_t Runs(const kernel::workspace_id& workspace) { return runs_[workspace].size(); }
+
+  std::map<kernel::workspace_id, workload> workloads;
+  std::map<kernel::workspace_id, std::size_t> refused;
+  std::map<kernel::workspace_id, std::size_t> unanswered;
+
+ private:
+  std::uint64_t Below(std::uint64_t bound) { return kernel::UniformBelow(random_, bound); }
+  bool Percent(std::uint64_t percent) { return Below(100) < percent; }
+
+  void StartDaemon(std::size_t position) {
+    daemon_process started{quota_store(kernel::nonce(Below(1U << 30U) << 20U)), {}, false, {}};
+    if (position < daemons_.size()) {
+      daemons_[position] = std::move(started);
+    } else {
+      daemons_.push_back(std::move(started));
+    }
+  }
+
+  void ElectOwner() {
+    if (!owners_.empty()) owners_.back().deposed_at = clock_.Now();
+    owners_.emplace_back();
+    owners_.back().tokens.Restart(clock_.Now());
+    if (owners_.size() > 3) owners_.pop_front();
+  }
+
+  void InjectFault() {
+    daemon_process& daemon = daemons_[Below(kDaemons)];
+    const milliseconds length(Below(6'000));
+    switch (Below(12)) {
+      case 0:
+        return ElectOwner();
+      case 1:
+        owners_.back().paused_until = clock_.Now() + length;
+        return;
+      case 2:
+        daemon.cut_off = !daemon.cut_off;
+        return;
+      case 3:
+        return StartDaemon(Below(kDaemons));
+      default:
+        daemon.paused_until = clock_.Now() + length;
+    }
+  }
+
+  void Arrive() {
+    for (const auto& [workspace, load] : workloads) {
+      const auto per_step = static_cast<std::uint64_t>(load.demand * 1e6 * seconds(kStep).count());
+      for (std::uint64_t left = per_step; left > 0;) {
+        const std::uint64_t part = std::min<std::uint64_t>(left, 1'000'000);
+        left -= part;
+        if (Below(1'000'000) >= part) continue;
+        daemon_process& daemon = daemons_[(load.first_daemon + Below(load.daemons)) % kDaemons];
+        if (daemon.paused_until > clock_.Now()) continue;
+        const auto decided = daemon.store.Take(workspace, clock_.Now());
+        if (decided.outcome == quota_store::verdict::kWaiting) {
+          daemon.waiters[workspace].push_back(clock_.Now());
+        } else {
+          Count(workspace, decided);
+          // Some requests find no upstream and give their token back.
+          if (decided.outcome == quota_store::verdict::kAdmitted && Percent(5)) {
+            runs_[workspace].pop_back();
+            daemon.store.Return(workspace, decided.expires_at, clock_.Now());
+          }
+        }
+      }
+    }
+  }
+
+  void Count(const kernel::workspace_id& workspace, const quota_store::decision& decided) {
+    if (decided.outcome == quota_store::verdict::kAdmitted) {
+      runs_[workspace].push_back(clock_.Now());
+    } else {
+      ++refused[workspace];
+    }
+  }
+
+  void Exchange(std::size_t position) {
+    daemon_process& daemon = daemons_[position];
+    if (!daemon.store.HasRequestLater() || daemon.paused_until > clock_.Now()) return;
+    daemon.store.Tick(clock_.Now());
+    for (auto& [workspace, queue] : daemon.waiters) {
+      while (!queue.empty() && clock_.Now() - queue.front() >= kMaxWait) {
+        queue.pop_front();
+        daemon.store.Abandon(workspace);
+        ++unanswered[workspace];
+      }
+    }
+    const auto request = daemon.store.NextRequest(clock_.Now());
+    if (request) Send({position, *request, {}});
+  }
+
+  void Send(message sent) {
+    if (daemons_[sent.daemon].cut_off || Percent(loss_percent_ / 2)) return;
+    const milliseconds delay = Percent(loss_percent_) ? milliseconds(Below(4'000)) : kStep;
+    in_transit_.emplace(clock_.Now() + delay, std::move(sent));
+  }
+
+  void Deliver() {
+    while (!in_transit_.empty() && in_transit_.begin()->first <= clock_.Now()) {
+      message arrived = std::move(in_transit_.begin()->second);
+      in_transit_.erase(in_transit_.begin());
+      if (!arrived.grant) {
+        Answer(std::move(arrived));
+        continue;
+      }
+      daemon_process& daemon = daemons_[arrived.daemon];
+      if (daemon.paused_until > clock_.Now()) {
+        in_transit_.emplace(daemon.paused_until, std::move(arrived));
+        continue;
+      }
+      daemon.store.OnGrant(*arrived.grant, clock_.Now());
+      for (const token_grant& entry : arrived.grant->entries) Admit(daemon, entry.workspace);
+    }
+  }
+
+  void Admit(daemon_process& daemon, const kernel::workspace_id& workspace) {
+    std::deque<time_point>& queue = daemon.waiters[workspace];
+    while (!queue.empty()) {
+      const auto decided = daemon.store.Retry(workspace, clock_.Now());
+      if (decided.outcome == quota_store::verdict::kWaiting) return;
+      queue.pop_front();
+      Count(workspace, decided);
+    }
+  }
+
+  // Requests reach any of the hosts that may still believe that they lead. A majority confirms the
+  // rounds of the last one only.
+  void Answer(message request) {
+    owner_process& owner = Percent(loss_percent_) ? owners_[Below(owners_.size())] : owners_.back();
+    if (owner.paused_until > clock_.Now()) return;
+    const time_point last_round =
+        std::min(owner.deposed_at.value_or(clock_.Now()), clock_.Now() - milliseconds(Below(60)));
+    if (!owner.tokens.MayIssue(last_round, clock_.Now())) return;
+    request.grant.emplace(quota_grant{request.request.nonce, {}});
+    for (const token_request& entry : request.request.entries) {
+      request.grant->entries.push_back(
+          owner.tokens.Issue(entry, workloads.at(entry.workspace).limit, clock_.Now()));
+    }
+    if (Percent(1)) owner.tokens.DropFullBuckets(clock_.Now());
+    Send(std::move(request));
+  }
+
+  kernel::manual_clock clock_;
+  kernel::seeded_random random_;
+  std::uint64_t loss_percent_ = 0;
+  std::vector<daemon_process> daemons_;
+  std::deque<owner_process> owners_;
+  std::multimap<time_point, message> in_transit_;
+  std::map<kernel::workspace_id, std::vector<time_point>> runs_;
+};
+
+const kernel::workspace_id kLarge("large");
+const kernel::workspace_id kSmall("small");
+
+workspace_limit Limit(std::int64_t rate, std::int64_t burst) {
+  return {kernel::request_rate(rate * 1'000), kernel::request_amount(burst * 1'000)};
+}
+
+// Guards against any schedule of lost, late and repeated messages, pauses, restarts, cut-off
+// daemons and changes of the owner in which more requests run than the limit allows.
+RC_GTEST_PROP(QuotaProperties, NoScheduleExceedsTheLimit, (std::uint64_t seed)) {
+  const auto faults = *rc::gen::inRange<std::uint64_t>(0, 30);
+  fleet tested(seed, {{kLarge, {Limit(300, 200), 1'500}}, {kSmall, {Limit(2, 9), 30, 0, 76}}});
+  tested.RunFor(std::chrono::seconds(12), faults);
+  RC_ASSERT(tested.WorstExcess(kLarge) <= 0);
+  RC_ASSERT(tested.WorstExcess(kSmall) <= 0);
+  RC_ASSERT(tested.Runs(kLarge) > 0U);
+  tested.workloads[kLarge].limit = Limit(60, 10);
+  tested.RunFor(kLimits.window, faults);
+  tested.ForgetRuns();
+  tested.RunFor(std::chrono::seconds(8), faults);
+  RC_ASSERT(tested.WorstExcess(kLarge) <= 0);
+}
+
+// Guards against refusals of a workspace that stays below its limit, however small, and against
+// tokens that stay with daemons from which the demand has moved away.
+RC_GTEST_PROP(QuotaProperties, NoWorkspaceBelowItsLimitIsRefused, (std::uint64_t seed)) {
+  fleet tested(seed, {{kLarge, {Limit(300, 60), 260, 0, 20}}, {kSmall, {Limit(1, 8), 0.3}}});
+  tested.RunFor(std::chrono::seconds(10), 0);
+  tested.refused.clear();
+  tested.RunFor(std::chrono::seconds(10), 0);
+  tested.workloads[kLarge].first_daemon = 500;
+  tested.RunFor(std::chrono::seconds(10), 0);
+  RC_ASSERT(tested.refused[kSmall] == 0U);
+  RC_ASSERT(tested.refused[kLarge] == 0U);
+  RC_ASSERT(tested.unanswered.empty());
+  RC_ASSERT(tested.Runs(kLarge) > 7'000U);
+}
+
+// Guards against an owner that issues less than the limit to a workspace that wants more.
+TEST(QuotaProperties, AWorkspaceAboveItsLimitGetsWhatItAllows) {
+  fleet tested(1, {{kLarge, {Limit(300, 60), 1'500}}});
+  tested.RunFor(std::chrono::seconds(10), 0);
+  EXPECT_GT(tested.Runs(kLarge), 2'700U);
+  EXPECT_GT(tested.refused[kLarge], 10'000U);
+}
+
+}  // namespace
+}  // namespace cornelweir::quota
--- /dev/null
+++ b/tests/quota_test.cc
@@ -0,0 +1,157 @@
+// Tests the owner and the store of quota tokens at the edges at which a limit could be exceeded.
+
+#include "cornelweir/quota.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace cornelweir::quota {
+namespace {
+
+using kernel::milliseconds;
+using kernel::request_count;
+using verdict = quota_store::verdict;
+
+const kernel::workspace_id kOrion("orion");
+// 10 requests a second, 5 at once.
+constexpr workspace_limit kTenPerSecond{kernel::request_rate(10'000),
+                                        kernel::request_amount(5'000)};
+
+// An owner and the store of one daemon on a manual clock.
+// NOLINTNEXTLINE(readability-identifier-naming)
+class QuotaTest : public ::testing::Test {
+ protected:
+  QuotaTest() {
+    clock_.Advance(std::chrono::seconds(100));
+    owner_.Restart(clock_.Now());
+    clock_.Advance(std::chrono::seconds(10));
+  }
+
+  quota_grant Answer(const quota_request& request) {
+    quota_grant grant{request.nonce, {}};
+    for (const token_request& entry : request.entries) {
+      grant.entries.push_back(owner_.Issue(entry, limit_, clock_.Now()));
+    }
+    return grant;
+  }
+  std::int64_t Issue(quota_owner& owner, std::int64_t wanted) {
+    return owner.Issue({kOrion, request_count(wanted)}, limit_, clock_.Now()).granted.value();
+  }
+  // Decides about a request that asks the owner if it has to wait, and gets the answer at once.
+  verdict Run() {
+    const auto decided = store_.Take(kOrion, clock_.Now());
+    if (decided.outcome != verdict::kWaiting) return decided.outcome;
+    const auto request = store_.NextRequest(clock_.Now());
+    if (request) store_.OnGrant(Answer(*request), clock_.Now());
+    return store_.Retry(kOrion, clock_.Now()).outcome;
+  }
+
+  kernel::manual_clock clock_;
+  workspace_limit limit_ = kTenPerSecond;
+  quota_owner owner_{quota_limits{}};
+  quota_store store_{kernel::nonce(1)};
+};
+
+// Guards against a daemon that was paused and then runs requests with tokens of the time before,
+// and against a grant that was delayed for longer than its lifetime.
+TEST_F(QuotaTest, TokensExpireCountedFromTheSendingOfTheRequest) {
+  ASSERT_EQ(store_.Take(kOrion, clock_.Now()).outcome, verdict::kWaiting);
+  const auto request = store_.NextRequest(clock_.Now());
+  ASSERT_TRUE(request);
+  const quota_grant grant = Answer(*request);
+  ASSERT_EQ(grant.entries.at(0).granted, request_count(1));
+  clock_.Advance(grant.entries[0].lifetime);
+  store_.OnGrant(grant, clock_.Now());
+  EXPECT_EQ(store_.Retry(kOrion, clock_.Now()).outcome, verdict::kWaiting);
+  store_.Return(kOrion, clock_.Now(), clock_.Now());
+  EXPECT_EQ(store_.Retry(kOrion, clock_.Now()).outcome, verdict::kWaiting);
+}
+
+// Guards against a paused owner that goes on issuing after its successor has started, and against a
+// successor that starts before the last confirmed round of its predecessor has aged.
+TEST_F(QuotaTest, OwnersNeverIssueAtTheSameTime) {
+  const kernel::time_point last_round = clock_.Now();
+  const kernel::time_point elected = last_round + milliseconds(1);
+  quota_owner successor{quota_limits{}};
+  successor.Restart(elected);
+  for (int step = 0; step < 400; ++step) {
+    clock_.Advance(milliseconds(1));
+    const bool old_issues = owner_.MayIssue(last_round, clock_.Now());
+    const bool new_issues = successor.MayIssue(clock_.Now(), clock_.Now());
+    EXPECT_FALSE(old_issues && new_issues) << step;
+  }
+  EXPECT_FALSE(owner_.MayIssue(last_round, clock_.Now()));
+  EXPECT_TRUE(successor.MayIssue(clock_.Now(), clock_.Now()));
+  EXPECT_FALSE(successor.MayIssue(std::nullopt, clock_.Now())) << "no round of its own term";
+}
+
+// Guards against a successor with full buckets: the burst would be spent twice in one window.
+TEST_F(QuotaTest, ASuccessorStartsWithEmptyBuckets) {
+  EXPECT_EQ(Issue(owner_, 100), 5);
+  quota_owner successor{quota_limits{}};
+  successor.Restart(clock_.Now());
+  clock_.Advance(kIssueFence);
+  EXPECT_EQ(Issue(successor, 100), 0);
+  clock_.Advance(milliseconds(200));
+  EXPECT_EQ(Issue(successor, 100), 2);
+  clock_.Advance(std::chrono::seconds(10));
+  successor.DropFullBuckets(clock_.Now());
+  EXPECT_EQ(successor.buckets(), 0U);
+  EXPECT_EQ(Issue(successor, 100), 5);
+}
+
+// Guards against a restart that brings a daemon more tokens, and against grants for requests of the
+// process before it.
+TEST_F(QuotaTest, ARestartedDaemonHasNoTokens) {
+  ASSERT_EQ(store_.Take(kOrion, clock_.Now()).outcome, verdict::kWaiting);
+  const auto request = store_.NextRequest(clock_.Now());
+  const quota_grant grant = Answer(*request);
+  quota_store restarted(kernel::nonce(1'000));
+  EXPECT_EQ(restarted.Take(kOrion, clock_.Now()).outcome, verdict::kWaiting);
+  restarted.OnGrant(grant, clock_.Now());
+  EXPECT_EQ(restarted.Retry(kOrion, clock_.Now()).outcome, verdict::kWaiting);
+}
+
+// Guards against a bucket that keeps the rate and the burst of a limit that was lowered.
+TEST_F(QuotaTest, ALoweredLimitHoldsForTheNextToken) {
+  EXPECT_EQ(Issue(owner_, 1), 1);
+  clock_.Advance(milliseconds(50));
+  limit_ = {kernel::request_rate(1'000), kernel::request_amount(0)};
+  EXPECT_EQ(Issue(owner_, 100), 1);
+  clock_.Advance(milliseconds(900));
+  EXPECT_EQ(Issue(owner_, 100), 0);
+  clock_.Advance(milliseconds(100));
+  EXPECT_EQ(Issue(owner_, 100), 1);
+}
+
+// Guards against a workspace whose refusals cost the owner one message each, and against one that
+// stays refused when it has tokens again.
+TEST_F(QuotaTest, RefusesLocallyUntilTheNextToken) {
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(Run(), verdict::kAdmitted);
+  EXPECT_EQ(Run(), verdict::kRefused);
+  const auto refused = store_.Take(kOrion, clock_.Now());
+  EXPECT_EQ(refused.outcome, verdict::kRefused);
+  EXPECT_EQ(refused.retry_after, milliseconds(100));
+  EXPECT_FALSE(store_.NextRequest(clock_.Now()));
+  clock_.Advance(milliseconds(100));
+  EXPECT_EQ(Run(), verdict::kAdmitted);
+}
+
+// Guards against requests that wait forever because the message with theirs was lost.
+TEST_F(QuotaTest, AsksAgainWhenNoGrantArrives) {
+  ASSERT_EQ(store_.Take(kOrion, clock_.Now()).outcome, verdict::kWaiting);
+  ASSERT_TRUE(store_.NextRequest(clock_.Now()));
+  EXPECT_FALSE(store_.NextRequest(clock_.Now()));
+  clock_.Advance(kGrantTimeout);
+  store_.Tick(clock_.Now());
+  ASSERT_TRUE(store_.NextRequest(clock_.Now()));
+  store_.OnDisconnected();
+  const auto request = store_.NextRequest(clock_.Now());
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->entries, std::vector({token_request{kOrion, request_count(1)}}));
+}
+
+}  // namespace
+}  // namespace cornelweir::quota
