Tell when the confirmed heartbeat round of a leader was sent

The owner of the quotas may issue tokens only while it is certain that no other host leads. What a majority confirmed is a round; its age counts from the time at which it was started, before its first message, and not from the arrival of the confirmation.

--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -78,6 +79,14 @@
   // and a counter in the lower 32 bits. This node knows all entries that were committed before that
   // round. Never decreases while the process runs.
   kernel::heartbeat_round confirmed_round() const { return confirmed_round_; }
+  // When the latest heartbeat round that a majority confirmed in this leader's term was sent, or a
+  // little earlier. Empty if there is none or this host isn't the leader. No other host was the
+  // leader of a later term at that time.
+  std::optional<kernel::time_point> confirmed_round_sent_at() const {
+    return IsLeader() ? confirmed_sent_at_ : std::nullopt;
+  }
+  // When this host last became the leader.
+  kernel::time_point leadership_start() const { return leadership_start_; }
   // The latest configuration in the log, committed or not.
   const group_configuration& configuration() const { return configurations_.rbegin()->second; }
 
@@ -199,6 +208,10 @@
   std::size_t backlog_bytes_ = 0;
   std::uint64_t round_counter_ = 0;
   kernel::heartbeat_round confirmed_round_;
+  // The rounds of this leader's term that no majority has confirmed yet, and when each was started,
+  // before its first message.
+  std::deque<std::pair<kernel::heartbeat_round, kernel::time_point>> unconfirmed_rounds_;
+  std::optional<kernel::time_point> confirmed_sent_at_;
   std::optional<partial_snapshot> partial_snapshot_;
 
   std::vector<pending_read> pending_reads_;
--- a/cornelweir/src/replication/node_election.cc
+++ b/cornelweir/src/replication/node_election.cc
@@ -80,6 +80,8 @@
   leader_ = self_;
   leadership_start_ = now_;
   round_counter_ = 0;
+  unconfirmed_rounds_.clear();
+  confirmed_sent_at_.reset();
   votes_.clear();
   progress_.clear();
   UpdateTrackedPeers();
--- a/cornelweir/src/replication/node_leader.cc
+++ b/cornelweir/src/replication/node_leader.cc
@@ -184,6 +184,7 @@
     return;
   }
   ++round_counter_;
+  unconfirmed_rounds_.emplace_back(MakeRound(state_.term, round_counter_), now_);
   for (pending_read& read : pending_reads_) {
     if (read.round != kernel::heartbeat_round() || !HasCommittedInCurrentTerm()) continue;
     read.index = commit_index_;
@@ -210,6 +211,10 @@
   if (rounds.size() < Quorum()) return;
   std::sort(rounds.begin(), rounds.end(), std::greater<>());
   confirmed_round_ = std::max(confirmed_round_, rounds[Quorum() - 1]);
+  while (!unconfirmed_rounds_.empty() && unconfirmed_rounds_.front().first <= confirmed_round_) {
+    confirmed_sent_at_ = unconfirmed_rounds_.front().second;
+    unconfirmed_rounds_.pop_front();
+  }
   const auto is_confirmed = [&](const pending_read& read) {
     return read.round != kernel::heartbeat_round() && read.round <= confirmed_round_;
   };
--- a/tests/replication_test.cc
+++ b/tests/replication_test.cc
@@ -305,6 +305,25 @@
   EXPECT_EQ(leader.confirmed_round(), round);
 }
 
+// Guards against a leader that acts on a confirmation of its rounds after it was cut off: it must
+// know that the confirmation ages, also while it still believes that it leads.
+TEST(Replication, TellsWhenTheConfirmedRoundWasSent) {
+  test_group group(kThreeVoters);
+  group.RunFor(milliseconds(1000));
+  node& leader = *group.Leader();
+  const auto age = [&] { return group.Now() - leader.confirmed_round_sent_at().value(); };
+  EXPECT_LE(age(), kHeartbeatInterval);
+  group.disconnected_.insert(*leader.leader());
+  group.RunFor(milliseconds(200));
+  ASSERT_TRUE(leader.IsLeader());
+  EXPECT_GE(age(), milliseconds(200));
+  for (const host_id& host : kThreeVoters.voters) {
+    if (!group.nodes_.at(host).IsLeader()) {
+      EXPECT_FALSE(group.nodes_.at(host).confirmed_round_sent_at()) << host.value();
+    }
+  }
+}
+
 // Guards against an isolated leader that keeps confirming heartbeat rounds or accepting proposals.
 TEST(Replication, StepsDownWithoutAMajority) {
   test_group group(kThreeVoters);
