Issue quota tokens on the leader of the control group

Control hosts forward the requests of their daemons to the leader, those of 5 ms in one message, and the leader answers each batch with one message. The leader issues by the policy that it has applied, only with all committed entries applied and while its confirmed round is recent enough. What can't be forwarded or answered yet waits for at most 700 ms, so that a change of the leader costs no further message of the daemons.

The settings quota_window_ms, quota_overshoot and quota_slack state how far a workspace may exceed its limit.

--- a/cornelweir/protocol.h
+++ b/cornelweir/protocol.h
@@ -7,5 +7,6 @@
 #include "cornelweir/src/protocol/fleet_messages.h"
 #include "cornelweir/src/protocol/limits.h"
 #include "cornelweir/src/protocol/messages.h"
+#include "cornelweir/src/protocol/quota_messages.h"
 
 #endif  // CORNELWEIR_PROTOCOL_H_
--- a/cornelweir/settings.h
+++ b/cornelweir/settings.h
@@ -10,6 +10,7 @@
 #include "cornelweir/src/settings/limits.h"
 #include "cornelweir/src/settings/load_settings.h"
 #include "cornelweir/src/settings/proxy_settings.h"
+#include "cornelweir/src/settings/quota_settings.h"
 #include "cornelweir/src/settings/settings_error.h"
 #include "cornelweir/src/settings/sidecar_settings.h"
 #include "cornelweir/src/settings/tls_settings.h"
--- a/cornelweir/src/protocol/messages.h
+++ b/cornelweir/src/protocol/messages.h
@@ -13,8 +13,10 @@
 #include "cornelweir/distribution.h"
 #include "cornelweir/kernel.h"
 #include "cornelweir/quarantine.h"
+#include "cornelweir/quota.h"
 #include "cornelweir/replication.h"
 #include "cornelweir/src/protocol/fleet_messages.h"
+#include "cornelweir/src/protocol/quota_messages.h"
 
 namespace cornelweir::protocol {
 
@@ -123,8 +125,8 @@
 };
 
 // A message between control hosts.
-using control_message =
-    std::variant<hello, replicate, submit, submit_reply, renew, roster_share, join_request>;
+using control_message = std::variant<hello, replicate, submit, submit_reply, renew, roster_share,
+                                     join_request, quota_batch, quota_grant_batch>;
 // A message from a daemon to its publisher.
 using daemon_message = std::variant<hello, distribution::subscribe, distribution::applied,
                                     distribution::proof_query, submit, renew, proxy_status>;
@@ -135,8 +137,8 @@
                  distribution::redirect, submit_reply, quarantine_update>;
 
 // Messages from a sidecar to its control host and from the control host to the sidecar.
-using report_message = std::variant<hello, daemon_report>;
-using fleet_message = std::variant<hello, fleet_update>;
+using report_message = std::variant<hello, daemon_report, quota::quota_request>;
+using fleet_message = std::variant<hello, fleet_update, quota::quota_grant>;
 
 }  // namespace cornelweir::protocol
 
--- a/cornelweir/src/settings/control_settings.h
+++ b/cornelweir/src/settings/control_settings.h
@@ -6,6 +6,7 @@
 
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/settings/control_peer.h"
+#include "cornelweir/src/settings/quota_settings.h"
 
 namespace cornelweir::settings {
 
@@ -28,6 +29,7 @@
   // Whether the file system keeps the inodes and birth times of files, by which a copied data
   // folder is recognized.
   bool stable_inodes = true;
+  quota_settings quota;
 };
 
 }  // namespace cornelweir::settings
--- a/cornelweir/src/settings/limits.h
+++ b/cornelweir/src/settings/limits.h
@@ -23,6 +23,9 @@
 inline constexpr std::int64_t kMaxPort = 65'535;
 inline constexpr std::int64_t kMaxRetryWindowMs = 600'000;
 inline constexpr std::int64_t kMaxRetrySlack = 100'000;
+inline constexpr std::int64_t kMaxQuotaWindowMs = 600'000;
+inline constexpr std::int64_t kMaxQuotaOvershoot = 10;
+inline constexpr std::int64_t kMaxQuotaSlack = 100'000;
 
 }  // namespace cornelweir::settings
 
--- a/cornelweir/src/settings/load_settings.cc
+++ b/cornelweir/src/settings/load_settings.cc
@@ -47,10 +47,17 @@
   }
 }
 
+void ReadQuota(section_reader& reader, quota_settings& quota) {
+  reader.OptionalNumber("quota_window_ms", 1, kMaxQuotaWindowMs, quota.window_ms);
+  reader.OptionalReal("quota_overshoot", kMaxQuotaOvershoot, quota.overshoot);
+  reader.OptionalReal("quota_slack", kMaxQuotaSlack, quota.slack);
+}
+
 void ReadControl(section_reader& reader, const kernel::host_id& own, control_settings& control) {
   reader.AbsolutePath("data_folder", control.data_folder);
   reader.Endpoint("mesh_listen", port_rule::kMayBeZero, control.mesh_listen);
   reader.OptionalFlag("bootstrap", control.bootstrap);
+  ReadQuota(reader, control.quota);
   if (reader.Has("seeds")) {
     reader.Endpoints("seeds", kMaxControlHosts, control.seeds);
     reader.OptionalNumber("tolerated_losses", 0, kMaxControlHosts / 2, control.tolerated_losses);
@@ -77,6 +84,7 @@
   reader.OptionalReal("retry_ratio", 1, sidecar.retry_ratio);
   reader.OptionalNumber("retry_window_ms", 1, kMaxRetryWindowMs, sidecar.retry_window_ms);
   reader.OptionalReal("retry_slack", kMaxRetrySlack, sidecar.retry_slack);
+  ReadQuota(reader, sidecar.quota);
   reader.OptionalNumber("shutdown_ms", 0, kMaxDrainMs, sidecar.shutdown_ms);
 }
 
--- a/cornelweir/src/settings/sidecar_settings.h
+++ b/cornelweir/src/settings/sidecar_settings.h
@@ -6,6 +6,7 @@
 
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/kernel/quantity.h"
+#include "cornelweir/src/settings/quota_settings.h"
 
 namespace cornelweir::settings {
 
@@ -31,6 +32,7 @@
   double retry_ratio = 0.1;
   std::int64_t retry_window_ms = 10'000;
   double retry_slack = 10;
+  quota_settings quota;
   // How long a graceful shutdown may take.
   std::int64_t shutdown_ms = 6'000;
 };
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -142,6 +142,7 @@
       mesh_(context.loop, context.settings, context.tls, context.random.NextU64()),
       gateway_(*this, context.loop, context.random),
       feed_(*this, context.loop, context.pauses),
+      quota_(*this, context),
       policy_(*this),
       api_(*this),
       renewal_timer_(context.loop),
@@ -190,6 +191,7 @@
   const kernel::time_point limit = context_.clock.Now() + internal::kMaxShutdownTime;
   gateway_.Stop();
   feed_.Stop();
+  quota_.Stop();
   group_timer_.Cancel();
   renewal_timer_.Cancel();
   lease_timer_.Cancel();
@@ -279,6 +281,10 @@
     feed_.Receive(*share);
   } else if (const auto* join = std::get_if<protocol::join_request>(&message)) {
     OnJoin(*join);
+  } else if (const auto* requests = std::get_if<protocol::quota_batch>(&message)) {
+    quota_.Receive(sender, *requests);
+  } else if (const auto* grants = std::get_if<protocol::quota_grant_batch>(&message)) {
+    quota_.Receive(*grants);
   }
 }
 
--- a/plugins/control/control_plugin.h
+++ b/plugins/control/control_plugin.h
@@ -18,6 +18,7 @@
 #include "plugins/control/fleet_feed.h"
 #include "plugins/control/operator_api.h"
 #include "plugins/control/policy_service.h"
+#include "plugins/control/quota_service.h"
 #include "plugins/control/replica.h"
 #include "plugins/daemon_context.h"
 
@@ -51,7 +52,13 @@
   // Sends the entries of daemons that are connected here to the other control hosts.
   void ShareRoster(const protocol::roster_share& share) { mesh_.Broadcast(share); }
 
+  // Returns false if the message can't be sent.
+  bool SendToHost(const kernel::host_id& host, const protocol::control_message& message) {
+    return mesh_.Send(host, message);
+  }
+
   replica& local_replica() { return replica_; }
+  quota_service& quota() { return quota_; }
   // The bound address at which daemons and other control hosts connect.
   kernel::endpoint mesh_endpoint() const { return listener_->local_endpoint(); }
   codec::json StatusReport() const;
@@ -77,6 +84,7 @@
   control_mesh mesh_;
   daemon_gateway gateway_;
   fleet_feed feed_;
+  quota_service quota_;
   policy_service policy_;
   operator_api api_;
   membership::lease_tracker leases_;
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -47,6 +47,10 @@
   if (found == daemons_.end()) return;
   session& sender = found->second;
   const auto message = codec::Decode<protocol::report_message>(payload);
+  if (message && std::holds_alternative<quota::quota_request>(message.value())) {
+    owner_.quota().Receive(sender.link, std::get<quota::quota_request>(message.value()));
+    return;
+  }
   const auto* report = message ? std::get_if<protocol::daemon_report>(&message.value()) : nullptr;
   if (report == nullptr) {
     logging::event(logging::event_id::kMessageRefused).With("reason", "malformed");
--- /dev/null
+++ b/plugins/control/quota_service.cc
@@ -0,0 +1,193 @@
+#include "plugins/control/quota_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cornelweir/codec.h"
+#include "cornelweir/logging.h"
+#include "plugins/control/control_plugin.h"
+
+namespace cornelweir::plugins::control {
+namespace internal {
+
+// Requests that arrive within this period are forwarded to the leader in one message.
+constexpr kernel::milliseconds kQuotaFlushPeriod{5};
+// A request that can't be forwarded or answered for this long is dropped. Callers wait for no
+// longer than this, and the daemon asks again.
+constexpr kernel::milliseconds kMaxQuotaQueueTime{700};
+// Requests in the queue above which further ones are dropped.
+constexpr std::size_t kMaxQuotaQueue = 20'000;
+constexpr kernel::milliseconds kBucketSweepPeriod{1'000};
+
+quota::quota_limits ToQuotaLimits(const settings::quota_settings& settings) {
+  return {kernel::milliseconds(settings.window_ms), settings.overshoot, settings.slack};
+}
+
+}  // namespace internal
+
+quota_service::quota_service(control_plugin& owner, daemon_context& context)
+    : owner_(owner),
+      context_(context),
+      tokens_(internal::ToQuotaLimits(context.settings.control->quota)),
+      flush_timer_(context.loop),
+      next_id_(context.random.NextU64() >> 1U),
+      requests_(context.metrics.Counter("cornelweir_quota_requests_total",
+                                        "Requests for tokens that this host answered as leader")),
+      tokens_requested_(context.metrics.Counter("cornelweir_quota_tokens_requested_total",
+                                                "Tokens that daemons requested from this leader")),
+      tokens_issued_(context.metrics.Counter("cornelweir_quota_tokens_issued_total",
+                                             "Tokens that this host issued as leader")) {}
+
+void quota_service::Stop() {
+  flush_timer_.Cancel();
+  queue_.clear();
+}
+
+void quota_service::Receive(const std::shared_ptr<transport::link>& daemon,
+                            const quota::quota_request& request) {
+  if (queue_.size() >= internal::kMaxQuotaQueue) return;
+  const std::uint64_t id = next_id_++;
+  waiting_.emplace(id, waiting_daemon{daemon, Now()});
+  queue_.push_back({std::nullopt, {id, request}, Now()});
+  if (owner_.local_replica().node().IsLeader()) {
+    Flush();
+  } else if (!flush_timer_.running()) {
+    flush_timer_.Start(internal::kQuotaFlushPeriod, [this] { Flush(); });
+  }
+}
+
+void quota_service::Receive(const kernel::host_id& sender, const protocol::quota_batch& batch) {
+  if (queue_.size() + batch.requests.size() > internal::kMaxQuotaQueue) return;
+  const kernel::time_point now = Now();
+  for (const protocol::forwarded_quota_request& forwarded : batch.requests) {
+    queue_.push_back({sender, forwarded, now});
+  }
+  Flush();
+}
+
+void quota_service::Receive(const protocol::quota_grant_batch& batch) {
+  for (const protocol::forwarded_quota_grant& forwarded : batch.grants) SendToDaemon(forwarded);
+}
+
+// Answers or forwards what is queued. What is left, because this host may not issue yet or knows no
+// leader, is tried again shortly after.
+void quota_service::Flush() {
+  DropExpired();
+  const replication::node& node = owner_.local_replica().node();
+  if (node.IsLeader()) {
+    // The fence and the buckets use the same time, so that a pause in between can't move tokens to
+    // the time of a later leader.
+    const kernel::time_point now = Now();
+    if (MayIssue(now)) AnswerQueue(now);
+  } else if (node.leader()) {
+    ForwardQueue(*node.leader());
+  }
+  if (queue_.empty()) {
+    flush_timer_.Cancel();
+  } else if (!flush_timer_.running()) {
+    flush_timer_.Start(internal::kQuotaFlushPeriod, [this] { Flush(); });
+  }
+}
+
+void quota_service::DropExpired() {
+  const kernel::time_point oldest = Now() - internal::kMaxQuotaQueueTime;
+  std::erase_if(queue_, [&](const queued_request& queued) { return queued.received_at < oldest; });
+  while (!waiting_.empty() && waiting_.begin()->second.received_at < oldest) {
+    waiting_.erase(waiting_.begin());
+  }
+}
+
+// Whether this host, as the leader, may issue tokens now by the policy that it has applied.
+bool quota_service::MayIssue(kernel::time_point now) {
+  const replica& local = owner_.local_replica();
+  const replication::node& node = local.node();
+  if (owned_term_ != node.current_term()) {
+    owned_term_ = node.current_term();
+    tokens_.Restart(node.leadership_start());
+  }
+  return tokens_.MayIssue(node.confirmed_round_sent_at(), now) &&
+         local.applied_index() >= node.commit_index();
+}
+
+void quota_service::AnswerQueue(kernel::time_point now) {
+  UpdateLimits();
+  std::map<kernel::host_id, protocol::quota_grant_batch> answers;
+  for (const queued_request& queued : std::exchange(queue_, {})) {
+    protocol::forwarded_quota_grant answer{queued.forwarded.id,
+                                           Answer(queued.forwarded.request, now)};
+    if (queued.sender) {
+      answers[*queued.sender].grants.push_back(std::move(answer));
+    } else {
+      SendToDaemon(answer);
+    }
+  }
+  for (const auto& [host, batch] : answers) owner_.SendToHost(host, batch);
+  if (now - last_sweep_at_ < internal::kBucketSweepPeriod) return;
+  last_sweep_at_ = now;
+  tokens_.DropFullBuckets(now);
+}
+
+void quota_service::ForwardQueue(const kernel::host_id& leader) {
+  protocol::quota_batch batch;
+  for (const queued_request& queued : queue_) {
+    if (!queued.sender) batch.requests.push_back(queued.forwarded);
+  }
+  if (!batch.requests.empty() && !owner_.SendToHost(leader, batch)) return;
+  // A host that forwarded a request to this one will learn of the leader, too.
+  queue_.clear();
+}
+
+quota::quota_grant quota_service::Answer(const quota::quota_request& request,
+                                         kernel::time_point now) {
+  quota::quota_grant grant{request.nonce, {}};
+  grant.entries.reserve(request.entries.size());
+  for (const quota::token_request& entry : request.entries) {
+    grant.entries.push_back(Answer(entry, now));
+    tokens_requested_.Increment(static_cast<std::uint64_t>(
+        std::clamp(entry.wanted, kernel::request_count(0), quota::kMaxTokensPerEntry).value()));
+    tokens_issued_.Increment(static_cast<std::uint64_t>(grant.entries.back().granted.value()));
+  }
+  requests_.Increment();
+  return grant;
+}
+
+quota::token_grant quota_service::Answer(const quota::token_request& request,
+                                         kernel::time_point now) {
+  const auto limit = limits_.find(request.workspace);
+  if (limit != limits_.end()) return tokens_.Issue(request, limit->second, now);
+  // The policy of the daemon is outdated: the workspace has no limit any more, or is gone.
+  const auto& workspaces = policy_->workspaces;
+  const bool exists = std::any_of(
+      workspaces.begin(), workspaces.end(),
+      [&](const policy::workspace& existing) { return existing.name == request.workspace; });
+  quota::token_grant grant;
+  grant.workspace = request.workspace;
+  if (exists) {
+    grant.granted = std::clamp(request.wanted, kernel::request_count(0), quota::kMaxTokensPerEntry);
+    grant.lifetime = quota::kMaxTokenLifetime;
+  } else {
+    grant.next_in = quota::kUnknownWorkspaceDelay;
+  }
+  return grant;
+}
+
+void quota_service::UpdateLimits() {
+  const auto& current = owner_.local_replica().machine().policy().current();
+  if (policy_ == current) return;
+  policy_ = current;
+  limits_.clear();
+  for (const policy::workspace& limited : policy_->workspaces) {
+    if (!limited.HasQuota()) continue;
+    limits_[limited.name] = {*limited.rate, limited.burst.value_or(kernel::request_amount())};
+  }
+}
+
+void quota_service::SendToDaemon(const protocol::forwarded_quota_grant& forwarded) {
+  const auto found = waiting_.find(forwarded.id);
+  if (found == waiting_.end()) return;
+  const std::shared_ptr<transport::link> link = found->second.link.lock();
+  waiting_.erase(found);
+  if (link) link->Send(codec::Encode(protocol::fleet_message{forwarded.grant}));
+}
+
+}  // namespace cornelweir::plugins::control
--- a/tests/control_plugin_test.cc
+++ b/tests/control_plugin_test.cc
@@ -51,6 +51,11 @@
   void Replace(std::uint64_t version) {
     policy::policy_table table;
     table.version = kernel::policy_version(version);
+    policy::workspace orion;
+    orion.name = kernel::workspace_id("orion");
+    // So high that the bucket holds a token as soon as the leader may issue.
+    orion.rate = kernel::request_rate(10'000'000);
+    table.workspaces.push_back(orion);
     answer_.reset();
     context_.policy.replace(kernel::policy_version(), table,
                             [this](policy_answer answer) { answer_ = answer; });
@@ -72,6 +77,10 @@
     handlers.message = [this](const std::shared_ptr<transport::link>&, std::string_view payload) {
       const auto message = codec::Decode<protocol::fleet_message>(payload);
       ASSERT_TRUE(message);
+      if (const auto* grant = std::get_if<quota::quota_grant>(&message.value())) {
+        grant_ = *grant;
+        return;
+      }
       const auto* update = std::get_if<protocol::fleet_update>(&message.value());
       ASSERT_NE(update, nullptr);
       ++(update->leader_confirmed ? confirmed_updates_ : unconfirmed_updates_);
@@ -94,6 +103,7 @@
   std::shared_ptr<control_plugin> plugin_;
   std::shared_ptr<transport::link> link_;
   std::optional<policy_answer> answer_;
+  std::optional<quota::quota_grant> grant_;
   int confirmed_updates_ = 0;
   int unconfirmed_updates_ = 0;
 };
@@ -117,6 +127,26 @@
   http::RunUntil(loop_, [this] { return confirmed_updates_ > 0; });
 }
 
+// Guards against daemons that get no tokens from the leader, or tokens for a workspace that the
+// policy does not contain.
+TEST_F(ControlPluginTest, IssuesTokensByThePolicy) {
+  Replace(5);
+  http::RunUntil(loop_, [this] { return answer_.has_value(); });
+  ConnectDaemon();
+  http::RunUntil(loop_, [this] { return confirmed_updates_ > 0; });
+  const quota::quota_request request{kernel::nonce(9),
+                                     {{kernel::workspace_id("orion"), kernel::request_count(1)},
+                                      {kernel::workspace_id("gone"), kernel::request_count(1)}}};
+  link_->Send(codec::Encode(protocol::report_message{request}));
+  http::RunUntil(loop_, [this] { return grant_.has_value(); });
+  EXPECT_EQ(grant_->nonce, request.nonce);
+  ASSERT_EQ(grant_->entries.size(), 2U);
+  EXPECT_EQ(grant_->entries[0].granted, kernel::request_count(1));
+  EXPECT_GT(grant_->entries[0].lifetime, kernel::milliseconds(0));
+  EXPECT_EQ(grant_->entries[1].granted, kernel::request_count(0));
+  EXPECT_GT(grant_->entries[1].next_in, kernel::milliseconds(0));
+}
+
 // Guards against an operator who gets no answer to a change that was accepted just before the stop,
 // and against a process that waits for that answer until it is killed.
 TEST_F(ControlPluginTest, AnswersAChangeInProgressBeforeItStops) {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -57,12 +57,13 @@
       "service": "forms", "upstream": "127.0.0.1:9000", "callers_listen": "127.0.0.1:9001",
       "peers_listen": "127.0.0.1:9002", "readiness_listen": "127.0.0.1:9003",
       "announce_listen": "127.0.0.1:9004", "seeds": ["127.0.0.1:9005"], "control_port": 9006,
-      "retry_ratio": 0.2, "retry_slack": 64.5
+      "retry_ratio": 0.2, "retry_slack": 64.5, "quota_slack": 25
     }
   })",
                                       {});
   ASSERT_TRUE(settings);
   EXPECT_DOUBLE_EQ(settings->sidecar->retry_slack, 64.5);
+  EXPECT_DOUBLE_EQ(settings->sidecar->quota.slack, 25);
   EXPECT_DOUBLE_EQ(settings->sidecar->retry_ratio, 0.2);
 }
 
