Admit requests of workspaces by their quotas

A request of a workspace with a limit needs a token before it is sent to an upstream. Requests of one loop iteration share one message to the owner. A request waits for its token for at most half of the latency objective of its route and 700 ms; beyond the quota it gets 429 with Retry-After, and 503 if the owner does not answer. The token of a request that did not run goes to another request. Requests that the quota refuses no longer add to the retry budget of their service.

Workspaces without a limit, and policies without workspaces, skip all of it.

--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -51,7 +51,9 @@
   X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress") \
   X(kRequestEnded, 4002, kInfo, "request ended")                                             \
   X(kRequestSentAgain, 4003, kInfo, "request sent again")                                    \
-  X(kAnnouncementRefused, 4004, kWarning, "announcement refused")
+  X(kAnnouncementRefused, 4004, kWarning, "announcement refused")                            \
+  X(kQuotaExceeded, 4010, kWarning, "quota of a workspace used up")                          \
+  X(kQuotaMet, 4011, kInfo, "workspace within its quota again")
 
 enum class event_id : std::uint16_t {
 // An enumerator can't stand in parentheses.
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -30,6 +30,13 @@
 constexpr kernel::milliseconds kDeferredCheckPeriod{10};
 // Assumed for callers that state no timeout.
 constexpr kernel::milliseconds kDefaultCallerTimeout{1'000};
+// A request waits for a token of its workspace's quota for at most this time and this fraction of
+// its latency objective.
+constexpr kernel::milliseconds kMaxTokenWait{700};
+constexpr std::int64_t kTokenWaitDivisor = 2;
+// The least retry delay sent to callers whose quota is used up. The next token may be due sooner,
+// but others wait for it, too.
+constexpr kernel::milliseconds kMinQuotaRetryAfter{100};
 
 }  // namespace internal
 
@@ -43,6 +50,9 @@
   std::shared_ptr<const policy::policy_table> policy;
   const policy::route* route = nullptr;
   kernel::workspace_id workspace;
+  // Whether the workspace has a quota, and when the token of this request expires, if it has one.
+  bool limited = false;
+  std::optional<kernel::time_point> token_expires_at;
   std::int32_t priority = 0;
   kernel::service_name service;
   kernel::time_point started_at;
@@ -69,11 +79,12 @@
 };
 
 call_router::call_router(daemon_context& context, const dialect_functions& dialect, peer_set& peers,
-                         const upstream_dispatcher& dispatcher)
+                         const upstream_dispatcher& dispatcher, quota_client& quota)
     : context_(context),
       dialect_(dialect),
       peers_(peers),
       dispatcher_(dispatcher),
+      quota_(quota),
       key_hash_seed_(context.random.NextU64()),
       deferred_timer_(context.loop),
       started_at_(context.clock.Now()) {}
@@ -167,7 +178,10 @@
   }
   state->route = resolved.route;
   state->priority = resolved.priority();
-  if (resolved.workspace != nullptr) state->workspace = resolved.workspace->name;
+  if (resolved.workspace != nullptr) {
+    state->workspace = resolved.workspace->name;
+    state->limited = resolved.workspace->HasQuota();
+  }
   return true;
 }
 
@@ -183,13 +197,52 @@
       state->started_at + std::min(state->decoded.time_left.value_or(route.timeout), route.timeout);
   state->objective_deadline = ComputeObjective(*state);
   state->service = SelectService(route);
-  RetryBudget(state->service).OnRequest(state->started_at);
   std::weak_ptr<request_state> weak = state;
   state->deadline_timer.Start(std::max(state->deadline - Now(), kernel::microseconds(1)),
                               [this, weak] {
                                 if (const auto late = weak.lock()) OnDeadline(late);
                               });
-  SendToPeer(state);
+  AcquireToken(state);
+}
+
+// Sends the request on once the quota of its workspace admits it.
+void call_router::AcquireToken(const request_state_ptr& state) {
+  if (!state->limited) {
+    OnQuotaDecision(state, {quota_client::outcome::kAdmitted, {}, {}});
+    return;
+  }
+  const kernel::microseconds max_wait = std::min<kernel::microseconds>(
+      state->route->latency_objective / internal::kTokenWaitDivisor, internal::kMaxTokenWait);
+  quota_.Admit(state->workspace, max_wait, [this, state](const quota_client::admission& decided) {
+    OnQuotaDecision(state, decided);
+  });
+}
+
+void call_router::OnQuotaDecision(const request_state_ptr& state,
+                                  const quota_client::admission& decided) {
+  switch (decided.result) {
+    case quota_client::outcome::kAdmitted:
+      if (state->limited) state->token_expires_at = decided.expires_at;
+      if (state->finished) return ReturnToken(state);
+      RetryBudget(state->service).OnRequest(state->started_at);
+      SendToPeer(state);
+      return;
+    case quota_client::outcome::kQuotaExceeded:
+      Reply(state, reply_kind::kQuotaExceeded,
+            std::max(std::chrono::ceil<kernel::milliseconds>(decided.retry_after),
+                     internal::kMinQuotaRetryAfter),
+            "quota exceeded");
+      return;
+    case quota_client::outcome::kNoAnswer:
+      Refuse(state, kernel::microseconds::zero(), "no token in time");
+      return;
+  }
+}
+
+// Gives the token of a request that did not run to another request.
+void call_router::ReturnToken(const request_state_ptr& state) {
+  if (!state->token_expires_at) return;
+  quota_.Return(state->workspace, *std::exchange(state->token_expires_at, std::nullopt));
 }
 
 // Queues a request shortly after the daemon's start, when the missing policy or upstream is
@@ -351,7 +404,11 @@
   state->finished = true;
   --in_progress_;
   state->deadline_timer.Cancel();
-  if (state->current_peer != nullptr) state->current_peer->Cancel(state->run_id);
+  if (state->current_peer != nullptr) {
+    state->current_peer->Cancel(state->run_id);
+  } else if (!state->may_have_run) {
+    ReturnToken(state);
+  }
   logging::event(logging::event_id::kRequestEnded)
       .With("request", state->decoded.request_id)
       .With("outcome", "caller-gone")
@@ -376,6 +433,7 @@
 
 void call_router::Reply(const request_state_ptr& state, reply_kind kind,
                         kernel::milliseconds retry_after, std::string_view reason) {
+  if (kind == reply_kind::kNotRun) ReturnToken(state);
   Respond(state, dialect_.reply(state->decoded, kind, retry_after, reason), reason);
 }
 
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -18,6 +18,7 @@
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/call.h"
 #include "plugins/sidecar/peer_set.h"
+#include "plugins/sidecar/quota_client.h"
 #include "plugins/sidecar/request_dialect.h"
 
 namespace cornelweir::plugins::sidecar {
@@ -27,7 +28,7 @@
 class call_router {
  public:
   call_router(daemon_context& context, const dialect_functions& dialect, peer_set& peers,
-              const upstream_dispatcher& dispatcher);
+              const upstream_dispatcher& dispatcher, quota_client& quota);
 
   // Replaces the policy. Requests in progress keep the one they were routed by.
   void SetPolicy(std::shared_ptr<const policy::policy_table> table);
@@ -47,6 +48,9 @@
   outcome::shared_retry_budget& RetryBudget(const kernel::service_name& service);
   bool ResolveRequest(const request_state_ptr& state);
   void RouteRequest(const request_state_ptr& state);
+  void AcquireToken(const request_state_ptr& state);
+  void OnQuotaDecision(const request_state_ptr& state, const quota_client::admission& decided);
+  void ReturnToken(const request_state_ptr& state);
   bool Defer(const request_state_ptr& state);
   void RetryDeferred();
   void SendToPeer(const request_state_ptr& state);
@@ -69,6 +73,7 @@
   const dialect_functions& dialect_;
   peer_set& peers_;
   const upstream_dispatcher& dispatcher_;
+  quota_client& quota_;
   const std::uint64_t key_hash_seed_;
   std::optional<policy::request_resolver> resolver_;
   std::map<policy::route_key, routing::weighted_round_robin> split_selectors_;
--- a/plugins/sidecar/control_client.cc
+++ b/plugins/sidecar/control_client.cc
@@ -90,6 +90,7 @@
         Greeting(protocol::process_role::kSidecar, context_.settings.host);
     link->Send(codec::Encode(greeting));
     Report();
+    handlers_.link_changed(true);
   };
   callbacks.message = [this, alive = alive_](const std::shared_ptr<transport::link>&,
                                              std::string_view payload) {
@@ -106,7 +107,7 @@
       ++failed_attempts_;
     }
     link_.reset();
-    connected_ = false;
+    if (std::exchange(connected_, false)) handlers_.link_changed(false);
     retry_at_ =
         Now() + internal::kRetryPeriod +
         kernel::microseconds(kernel::UniformBelow(
@@ -166,6 +167,10 @@
   link_->Send(codec::Encode(protocol::report_message{report}));
 }
 
+bool control_client::RequestQuota(const quota::quota_request& request) {
+  return connected_ && link_ && link_->Send(codec::Encode(protocol::report_message{request}));
+}
+
 void control_client::OnMessage(std::string_view payload) {
   const auto message = codec::Decode<protocol::fleet_message>(payload);
   if (!message) {
@@ -174,6 +179,8 @@
   }
   if (const auto* update = std::get_if<protocol::fleet_update>(&message.value())) {
     OnUpdate(*update);
+  } else if (const auto* grant = std::get_if<quota::quota_grant>(&message.value())) {
+    handlers_.quota_granted(*grant);
   }
 }
 
--- a/plugins/sidecar/control_client.h
+++ b/plugins/sidecar/control_client.h
@@ -33,6 +33,9 @@
     std::function<std::optional<membership::announced_upstream>()> last_upstream;
     // Called with the upstream that this daemon last reported, possibly before a restart.
     std::function<void(const membership::announced_upstream&)> upstream_restored;
+    // The link to a control host has opened, or was lost.
+    std::function<void(bool connected)> link_changed = [](bool) {};
+    std::function<void(const quota::quota_grant&)> quota_granted = [](const auto&) {};
   };
 
   control_client(daemon_context& context, handlers callbacks);
@@ -41,6 +44,8 @@
   void Stop();
   // Sends the current state of this daemon to the control host, if connected.
   void Report();
+  // Returns false if there is no link to a control host.
+  bool RequestQuota(const quota::quota_request& request);
   // Reports that this daemon is leaving.
   void BeginShutdown();
 
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -33,19 +33,24 @@
       dialect_(dialect),
       bulk_(context),
       dispatcher_(context, dialect_, bulk_, [this] { OnUpstreamChanged(); }),
-      control_client_(context,
-                      control_client::handlers{
-                          .policy_changed = [this] { OnPolicyChanged(); },
-                          .roster_changed = [this] { peers_.Update(control_client_.roster()); },
-                          .service = [this] { return dispatcher_.service(); },
-                          .last_upstream = [this] { return dispatcher_.LastAnnounced(); },
-                          .upstream_restored =
-                              [this](const membership::announced_upstream& upstream) {
-                                dispatcher_.Restore(upstream);
-                              }}),
+      control_client_(
+          context,
+          control_client::handlers{
+              .policy_changed = [this] { OnPolicyChanged(); },
+              .roster_changed = [this] { peers_.Update(control_client_.roster()); },
+              .service = [this] { return dispatcher_.service(); },
+              .last_upstream = [this] { return dispatcher_.LastAnnounced(); },
+              .upstream_restored =
+                  [this](const membership::announced_upstream& upstream) {
+                    dispatcher_.Restore(upstream);
+                  },
+              .link_changed = [this](bool open) { quota_.OnLinkChanged(open); },
+              .quota_granted = [this](const quota::quota_grant& grant) { quota_.OnGrant(grant); }}),
+      quota_(context,
+             [this](const auto& request) { return control_client_.RequestQuota(request); }),
       peers_(context, dispatcher_),
       peer_server_(context, dispatcher_, bulk_),
-      router_(context, dialect_, peers_, dispatcher_),
+      router_(context, dialect_, peers_, dispatcher_, quota_),
       callers_(
           context.loop, [this](const auto& request) { router_.Handle(request); },
           dialect.reject_unreadable),
--- a/plugins/sidecar/sidecar_node.h
+++ b/plugins/sidecar/sidecar_node.h
@@ -12,6 +12,7 @@
 #include "plugins/sidecar/control_client.h"
 #include "plugins/sidecar/peer_server.h"
 #include "plugins/sidecar/peer_set.h"
+#include "plugins/sidecar/quota_client.h"
 #include "plugins/sidecar/request_dialect.h"
 #include "plugins/sidecar/upstream_dispatcher.h"
 
@@ -44,6 +45,7 @@
   bulk_sender bulk_;
   upstream_dispatcher dispatcher_;
   control_client control_client_;
+  quota_client quota_;
   peer_set peers_;
   peer_server peer_server_;
   call_router router_;
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -1,4 +1,5 @@
-// Tests of requests that arrive before the daemon has received its policy.
+// Tests of requests that arrive before the daemon has received its policy, and of requests of
+// workspaces with a quota.
 
 #include "plugins/sidecar/call_router.h"
 
@@ -25,6 +26,7 @@
   call decoded;
   decoded.target = std::move(request.target);
   decoded.host = "forms.example";
+  decoded.key = kernel::api_key("key-of-orion");
   decoded.time_left = kCallerTimeout;
   return decoded;
 }
@@ -57,7 +59,38 @@
   bulk_sender bulk_{daemon_.context};
   upstream_dispatcher dispatcher_{daemon_.context, dialect_, bulk_, [] {}};
   peer_set peers_{daemon_.context, dispatcher_};
-  call_router router_{daemon_.context, dialect_, peers_, dispatcher_};
+  // A policy with one route, and a workspace with a quota.
+  static std::shared_ptr<policy::policy_table> PolicyWithQuota() {
+    auto table = std::make_shared<policy::policy_table>();
+    policy::route route;
+    route.host = "forms.example";
+    route.path_prefix = "/x/";
+    route.service = kernel::service_name("forms");
+    route.timeout = route.latency_objective = kernel::milliseconds(200);
+    table->routes.push_back(route);
+    policy::workspace orion;
+    orion.name = kernel::workspace_id("orion");
+    orion.keys = {kernel::api_key("key-of-orion")};
+    orion.rate = kernel::request_rate(1'000);
+    table->workspaces.push_back(orion);
+    return table;
+  }
+
+  // Answers the latest request for tokens.
+  void Grant(std::int64_t tokens) {
+    const quota::quota_request request = quota_requests_.back();
+    ASSERT_EQ(request.entries.size(), 1U);
+    quota_.OnGrant({request.nonce,
+                    {{request.entries[0].workspace, kernel::request_count(tokens),
+                      kernel::milliseconds(3'000), kernel::milliseconds(1'500)}}});
+  }
+
+  std::vector<quota::quota_request> quota_requests_;
+  quota_client quota_{daemon_.context, [this](const quota::quota_request& request) {
+                        quota_requests_.push_back(request);
+                        return true;
+                      }};
+  call_router router_{daemon_.context, dialect_, peers_, dispatcher_, quota_};
 };
 
 // Guards against refusing requests, up to twice each, in the short time until many daemons that
@@ -107,5 +140,51 @@
   EXPECT_EQ(dispatcher_.Load().in_progress, 0);
 }
 
+// Guards against running requests beyond the quota, and against asking the owner about each.
+TEST_F(CallRouterStartupTest, RefusesRequestsBeyondTheQuota) {
+  router_.SetPolicy(PolicyWithQuota());
+  quota_.OnLinkChanged(true);
+  const auto first = HandleRequest();
+  const auto second = HandleRequest();
+  http::RunUntil(daemon_.loop, [&] { return !quota_requests_.empty(); });
+  EXPECT_EQ(quota_requests_[0].entries.at(0).wanted, kernel::request_count(2));
+  EXPECT_FALSE(first->answered());
+  Grant(0);
+  EXPECT_TRUE(first->answered() && second->answered());
+  EXPECT_EQ(last_reply.kind, reply_kind::kQuotaExceeded);
+  EXPECT_GT(last_reply.retry_after, kernel::milliseconds(1'400));
+  EXPECT_TRUE(HandleRequest()->answered());
+  EXPECT_EQ(last_reply.kind, reply_kind::kQuotaExceeded);
+  EXPECT_EQ(quota_requests_.size(), 1U);
+}
+
+// Guards against requests that wait for an owner that does not answer until their callers give up,
+// or that run without a token.
+TEST_F(CallRouterStartupTest, RefusesRequestsAsNotRunIfTheOwnerIsSilent) {
+  router_.SetPolicy(PolicyWithQuota());
+  const kernel::time_point sent_at = daemon_.clock.Now();
+  const auto request = HandleRequest();
+  http::RunUntil(daemon_.loop, [&] { return request->answered(); });
+  EXPECT_EQ(last_reply.kind, reply_kind::kNotRun);
+  EXPECT_GT(last_reply.retry_after, kernel::milliseconds(0));
+  EXPECT_LT(daemon_.clock.Now() - sent_at, kernel::milliseconds(190)) << "half of the objective";
+}
+
+// Guards against a quota that shrinks by requests that found no upstream.
+TEST_F(CallRouterStartupTest, ReusesTheTokenOfARequestThatDidNotRun) {
+  router_.SetPolicy(PolicyWithQuota());
+  quota_.OnLinkChanged(true);
+  for (int i = 0; i < 2; ++i) {
+    const auto request = HandleRequest();
+    if (i == 0) {
+      http::RunUntil(daemon_.loop, [&] { return !quota_requests_.empty(); });
+      Grant(1);
+    }
+    http::RunUntil(daemon_.loop, [&] { return request->answered(); });
+    EXPECT_EQ(last_reply.kind, reply_kind::kNotRun) << "no upstream";
+  }
+  EXPECT_EQ(quota_requests_.size(), 1U);
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
