Drop queued requests for tokens once daemons ask again

A request that waited longer than the time after which the daemon repeats it was still answered when a leader was found, so that a take-over spent up to three tokens on one request.

--- a/plugins/control/quota_service.cc
+++ b/plugins/control/quota_service.cc
@@ -12,9 +12,11 @@
 
 // Requests that arrive within this period are forwarded to the leader in one message.
 constexpr kernel::milliseconds kQuotaFlushPeriod{5};
-// A request that can't be forwarded or answered for this long is dropped. Callers wait for no
-// longer than this, and the daemon asks again.
-constexpr kernel::milliseconds kMaxQuotaQueueTime{700};
+// A request that can't be forwarded or answered for this long is dropped: the daemon asks again,
+// and tokens that are issued twice would be missing at other daemons.
+constexpr kernel::milliseconds kMaxQuotaQueueTime = quota::kGrantTimeout;
+// No caller waits longer than this for an answer of the leader.
+constexpr kernel::milliseconds kMaxAnswerTime{700};
 // Requests in the queue above which further ones are dropped.
 constexpr std::size_t kMaxQuotaQueue = 20'000;
 constexpr kernel::milliseconds kBucketSweepPeriod{1'000};
@@ -90,9 +92,12 @@
 }
 
 void quota_service::DropExpired() {
-  const kernel::time_point oldest = Now() - internal::kMaxQuotaQueueTime;
-  std::erase_if(queue_, [&](const queued_request& queued) { return queued.received_at < oldest; });
-  while (!waiting_.empty() && waiting_.begin()->second.received_at < oldest) {
+  const kernel::time_point now = Now();
+  std::erase_if(queue_, [&](const queued_request& queued) {
+    return now - queued.received_at > internal::kMaxQuotaQueueTime;
+  });
+  while (!waiting_.empty() &&
+         now - waiting_.begin()->second.received_at > internal::kMaxAnswerTime) {
     waiting_.erase(waiting_.begin());
   }
 }
