--- a/cornelweir/protocol.h
+++ b/cornelweir/protocol.h
@@ -10,5 +10,6 @@
 #include "cornelweir/src/protocol/messages.h"
 #include "cornelweir/src/protocol/part_assembler.h"
 #include "cornelweir/src/protocol/split_into_parts.h"
+#include "cornelweir/src/protocol/quota_messages.h"
 
 #endif  // CORNELWEIR_PROTOCOL_H_
--- a/cornelweir/src/settings/sidecar_settings.h
+++ b/cornelweir/src/settings/sidecar_settings.h
@@ -6,6 +6,7 @@
 
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/kernel/quantity.h"
+#include "cornelweir/src/settings/quota_settings.h"
 
 namespace cornelweir::settings {
 
@@ -35,6 +36,7 @@
   // which no control host has confirmed it for max_policy_age refuses requests that need a key.
   bool strict_key_revocation = false;
   kernel::milliseconds max_policy_age{5'000};
+  quota_settings quota;
   // How long a graceful shutdown may take.
   std::int64_t shutdown_ms = 6'000;
 };
