--- a/cornelweir/src/kernel/ids.h
+++ b/cornelweir/src/kernel/ids.h
@@ -34,6 +34,10 @@
 using row_version = strong_id<struct row_version_tag, std::uint64_t>;
 // The revision of the announced membership: the log index of the latest change to it.
 using membership_revision = strong_id<struct membership_revision_tag, std::uint64_t>;
+// A digest of a rollout order's content, which distinguishes two orders for a service.
+using order_digest = strong_id<struct order_digest_tag, std::uint64_t>;
+// The revision of the rollout records: the log index of the latest change to them.
+using rollout_revision = strong_id<struct rollout_revision_tag, std::uint64_t>;
 // Identifies one process start of an upstream. A larger value supersedes a smaller one.
 using incarnation = strong_id<struct incarnation_tag, std::uint64_t>;
 // A leader's term in the replicated log.
--- a/cornelweir/src/kernel/quantity.h
+++ b/cornelweir/src/kernel/quantity.h
@@ -24,6 +24,10 @@
 inline constexpr double kRateUnitsPerRequest = 1'000;
 // A share of a service's traffic relative to the other weights of the same service.
 using weight = strong_id<struct weight_tag, std::int64_t>;
+// A fraction of a service's traffic, in thousandths.
+using traffic_share = strong_id<struct traffic_share_tag, std::int64_t>;
+inline constexpr traffic_share kNoTraffic{0};
+inline constexpr traffic_share kAllTraffic{1'000};
 // A number of bytes.
 using byte_count = strong_id<struct byte_count_tag, std::int64_t>;
 
