Replicate the rollouts of services

An order must survive the loss of the leader, and every control host must answer a resend alike. start_rollout_command and advance_rollout_command change one record per service in the state machine. The versions in use before the first rollout come with the command, as the proposer knows them from the announcements; later ones follow from the records.

--- a/cornelweir/control.h
+++ b/cornelweir/control.h
@@ -1,8 +1,8 @@
 #ifndef CORNELWEIR_CONTROL_H_
 #define CORNELWEIR_CONTROL_H_
 
-// The replicated state machine: the draft, accepted versions, members, claims, quarantine and
-// policy.
+// The replicated state machine: the draft, accepted versions, members, claims, quarantine, policy
+// and rollouts.
 
 #include "cornelweir/src/control/change_outcomes.h"
 #include "cornelweir/src/control/commands.h"
@@ -10,6 +10,7 @@
 #include "cornelweir/src/control/limits.h"
 #include "cornelweir/src/control/outcomes.h"
 #include "cornelweir/src/control/policy_store.h"
+#include "cornelweir/src/control/rollout_store.h"
 #include "cornelweir/src/control/state_machine.h"
 #include "cornelweir/src/control/version_history.h"
 
--- a/cornelweir/src/control/commands.h
+++ b/cornelweir/src/control/commands.h
@@ -13,6 +13,7 @@
 #include "cornelweir/kernel.h"
 #include "cornelweir/membership.h"
 #include "cornelweir/policy.h"
+#include "cornelweir/rollout.h"
 #include "cornelweir/table.h"
 
 namespace cornelweir::control {
@@ -184,9 +185,49 @@
   }
 };
 
+// Starts the rollout of a version of a service's software.
+struct start_rollout_command {
+  static constexpr std::string_view kType = "start_rollout";
+
+  kernel::service_name service;
+  kernel::software_version version;
+  kernel::milliseconds duration{};
+  kernel::order_digest order;
+  // The versions of the service's upstreams that the proposer knows. Used for the first rollout of
+  // the service.
+  std::vector<kernel::software_version> released;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"service", &start_rollout_command::service},
+                      kernel::field{"version", &start_rollout_command::version},
+                      kernel::field{"duration", &start_rollout_command::duration},
+                      kernel::field{"order", &start_rollout_command::order},
+                      kernel::field{"released", &start_rollout_command::released}};
+  }
+};
+
+// Sets the share and the state of a running rollout.
+struct advance_rollout_command {
+  static constexpr std::string_view kType = "advance_rollout";
+
+  kernel::service_name service;
+  // The revision at which the rollout started.
+  kernel::rollout_revision started;
+  kernel::traffic_share share;
+  rollout::rollout_state state = rollout::rollout_state::kRunning;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"service", &advance_rollout_command::service},
+                      kernel::field{"started", &advance_rollout_command::started},
+                      kernel::field{"share", &advance_rollout_command::share},
+                      kernel::field{"state", &advance_rollout_command::state}};
+  }
+};
+
 using command = std::variant<edit_command, accept_command, restore_command, announce_command,
                              leave_command, claim_command, complete_command, release_command,
-                             crash_command, release_quarantine_command, replace_policy_command>;
+                             crash_command, release_quarantine_command, replace_policy_command,
+                             start_rollout_command, advance_rollout_command>;
 
 // A command as stored in the log, with the leader's wall clock at the time of the proposal.
 struct log_record {
--- a/cornelweir/src/control/outcomes.h
+++ b/cornelweir/src/control/outcomes.h
@@ -138,9 +138,23 @@
   }
 };
 
-using outcome =
-    std::variant<edited_outcome, conflict_outcome, invalid_outcome, accepted_outcome,
-                 announced_outcome, claimed_outcome, done_outcome, refused_outcome, policy_outcome>;
+// The outcome of starting or advancing a rollout.
+struct rollout_outcome {
+  static constexpr std::string_view kType = "rollout";
+
+  bool accepted = false;
+  // Whether this command changed the record; false if an earlier order with the same content did.
+  bool changed = false;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"accepted", &rollout_outcome::accepted},
+                      kernel::field{"changed", &rollout_outcome::changed}};
+  }
+};
+
+using outcome = std::variant<edited_outcome, conflict_outcome, invalid_outcome, accepted_outcome,
+                             announced_outcome, claimed_outcome, done_outcome, refused_outcome,
+                             policy_outcome, rollout_outcome>;
 
 }  // namespace cornelweir::control
 
--- a/cornelweir/src/control/state_machine.cc
+++ b/cornelweir/src/control/state_machine.cc
@@ -151,6 +151,20 @@
   return result;
 }
 
+outcome state_machine::Run(const start_rollout_command& command, apply_context& context) {
+  const rollout_outcome result =
+      rollouts_.Start(command, now_ms_, kernel::rollout_revision(context.index.value()));
+  context.effects.rollouts_changed = result.changed;
+  return result;
+}
+
+outcome state_machine::Run(const advance_rollout_command& command, apply_context& context) {
+  const rollout_outcome result =
+      rollouts_.Advance(command, kernel::rollout_revision(context.index.value()));
+  context.effects.rollouts_changed = result.changed;
+  return result;
+}
+
 state_snapshot state_machine::Snapshot() const {
   state_snapshot snapshot;
   snapshot.now_ms = now_ms_;
@@ -161,6 +175,7 @@
   snapshot.claims = claims_.Snapshot();
   snapshot.crashes = crashes_.Snapshot();
   snapshot.policy = policy_.Snapshot();
+  snapshot.rollouts = rollouts_.records();
   return snapshot;
 }
 
@@ -173,6 +188,7 @@
   claims_.Restore(snapshot.claims);
   crashes_.Restore(snapshot.crashes);
   policy_.Restore(snapshot.policy);
+  rollouts_.Restore(snapshot.rollouts);
 }
 
 }  // namespace cornelweir::control
--- a/cornelweir/src/control/state_machine.h
+++ b/cornelweir/src/control/state_machine.h
@@ -15,6 +15,7 @@
 #include "cornelweir/src/control/draft.h"
 #include "cornelweir/src/control/outcomes.h"
 #include "cornelweir/src/control/policy_store.h"
+#include "cornelweir/src/control/rollout_store.h"
 #include "cornelweir/src/control/version_history.h"
 
 namespace cornelweir::control {
@@ -25,6 +26,7 @@
   bool members_changed = false;
   bool quarantine_changed = false;
   bool policy_changed = false;
+  bool rollouts_changed = false;
   // The upstream that joined or changed, and the upstream that left, if any.
   std::optional<membership::upstream_record> announced = std::nullopt;
   std::optional<kernel::upstream_id> left = std::nullopt;
@@ -40,6 +42,7 @@
   claims::claim_table_state claims;
   quarantine::crash_tracker_state crashes;
   policy_store_state policy;
+  rollout_records rollouts;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"now_ms", &state_snapshot::now_ms},
@@ -49,7 +52,8 @@
                       kernel::field{"members", &state_snapshot::members},
                       kernel::field{"claims", &state_snapshot::claims},
                       kernel::field{"crashes", &state_snapshot::crashes},
-                      kernel::field{"policy", &state_snapshot::policy}};
+                      kernel::field{"policy", &state_snapshot::policy},
+                      kernel::field{"rollouts", &state_snapshot::rollouts}};
   }
 };
 
@@ -66,6 +70,7 @@
   const quarantine::crash_tracker& crashes() const { return crashes_; }
   const claims::claim_table& claims() const { return claims_; }
   const policy_store& policy() const { return policy_; }
+  const rollout_store& rollouts() const { return rollouts_; }
   kernel::time_point now() const;
 
   state_snapshot Snapshot() const;
@@ -85,6 +90,8 @@
   outcome Run(const crash_command& command, apply_context& context);
   outcome Run(const release_quarantine_command& command, apply_context& context);
   outcome Run(const replace_policy_command& command, apply_context& context);
+  outcome Run(const start_rollout_command& command, apply_context& context);
+  outcome Run(const advance_rollout_command& command, apply_context& context);
 
   // Runs an operator's change once; a resend gets the outcome of the first run.
   template <class Command>
@@ -103,6 +110,7 @@
   claims::claim_table claims_;
   quarantine::crash_tracker crashes_;
   policy_store policy_;
+  rollout_store rollouts_;
 };
 
 }  // namespace cornelweir::control
