Roll out versions over the fleet

Control hosts accept and answer orders by POST and GET /rollouts with a proof that their state is current. Records reach the daemons over fleet_update, only those that changed, and before the policy. Each daemon divides its requests between the versions, resends to released versions only, and closes its own upstream if the record excludes the version, if the version is unknown, or if the rollout may have ended without a cut-off daemon. The daemons beside the upstreams report cumulative evidence to their control host, which forwards it to the leader; the leader proposes each step. The announced version goes with the upstream's state to peers and control hosts, so that it is known after a restart of the daemon.

--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -31,6 +31,12 @@
   X(kStorageOpened, 2010, kInfo, "data folder opened")                                       \
   X(kCurrentStateChanged, 2011, kInfo, "knowledge of the newest policy changed")             \
   X(kPolicyRead, 2012, kInfo, "policy read by an operator")                                  \
+  X(kRolloutDecided, 2020, kInfo, "rollout order decided")                                   \
+  X(kRolloutRead, 2021, kInfo, "rollout read by an operator")                                \
+  X(kRolloutChanged, 2022, kInfo, "rollout started or advanced")                             \
+  X(kRolloutStepProposed, 2023, kInfo, "step of a rollout proposed")                         \
+  X(kRolloutJudgedBad, 2024, kWarning, "version judged bad")                                 \
+  X(kRolloutInvalid, 2025, kWarning, "rollout order refused as invalid")                     \
   X(kPublisherConnected, 3001, kInfo, "connected to publisher")                              \
   X(kPublisherLost, 3002, kWarning, "publisher lost")                                        \
   X(kVersionApplied, 3003, kInfo, "version applied")                                         \
@@ -48,6 +54,8 @@
   X(kPeerLost, 3015, kWarning, "link to peer lost")                                          \
   X(kReadinessChanged, 3016, kInfo, "readiness changed")                                     \
   X(kPeerSilent, 3017, kWarning, "peer does not answer probes")                              \
+  X(kRolloutApplied, 3020, kInfo, "rollout in force")                                        \
+  X(kRolloutUnconfirmed, 3021, kWarning, "upstream closed, rollout not confirmed")           \
   X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress") \
   X(kRequestEnded, 4002, kInfo, "request ended")                                             \
   X(kRequestSentAgain, 4003, kInfo, "request sent again")                                    \
--- a/cornelweir/src/membership/announced_upstream.h
+++ b/cornelweir/src/membership/announced_upstream.h
@@ -24,6 +24,8 @@
   bool draining = false;
   // The limit that its responses state, if any.
   std::optional<kernel::request_rate> rate_limit;
+  // Of its software; empty if unknown.
+  kernel::software_version version;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"id", &announced_upstream::id},
@@ -31,7 +33,8 @@
                       kernel::field{"sequence", &announced_upstream::sequence},
                       kernel::field{"slots", &announced_upstream::slots},
                       kernel::field{"draining", &announced_upstream::draining},
-                      kernel::field{"rate_limit", &announced_upstream::rate_limit}};
+                      kernel::field{"rate_limit", &announced_upstream::rate_limit},
+                      kernel::field{"version", &announced_upstream::version}};
   }
   friend bool operator==(const announced_upstream&, const announced_upstream&) = default;
 };
--- a/cornelweir/src/membership/roster.cc
+++ b/cornelweir/src/membership/roster.cc
@@ -60,6 +60,14 @@
   return found == records_.end() || found->second.gone ? nullptr : &found->second.entry;
 }
 
+std::vector<const roster_entry*> roster::EntriesOf(const kernel::service_name& service) const {
+  std::vector<const roster_entry*> entries;
+  for (const auto& [daemon, stored] : records_) {
+    if (!stored.gone && stored.entry.service == service) entries.push_back(&stored.entry);
+  }
+  return entries;
+}
+
 std::size_t roster::size() const {
   return static_cast<std::size_t>(std::count_if(
       records_.begin(), records_.end(), [](const auto& stored) { return !stored.second.gone; }));
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -165,6 +165,8 @@
   kernel::upstream_id upstream;
   // Whether the upstream accepts new requests.
   bool accepting = false;
+  // The version of its software; empty if unknown.
+  kernel::software_version version;
   // Remaining warm-up time of the upstream after its start.
   kernel::microseconds warm_up_left{};
   upstream_load load;
@@ -173,6 +175,7 @@
     return std::tuple{kernel::field{"s", &upstream_report::service},
                       kernel::field{"u", &upstream_report::upstream},
                       kernel::field{"o", &upstream_report::accepting},
+                      kernel::field{"v", &upstream_report::version},
                       kernel::field{"c", &upstream_report::warm_up_left},
                       kernel::field{"w", &upstream_report::load}};
   }
--- a/cornelweir/src/protocol/fleet_messages.h
+++ b/cornelweir/src/protocol/fleet_messages.h
@@ -11,6 +11,7 @@
 #include "cornelweir/kernel.h"
 #include "cornelweir/membership.h"
 #include "cornelweir/policy.h"
+#include "cornelweir/rollout.h"
 
 namespace cornelweir::protocol {
 
@@ -22,10 +23,13 @@
   membership::roster_entry self;
   // The policy that the daemon enforces.
   kernel::policy_version enforced_policy;
+  // The revision of the rollout records that it enforces.
+  kernel::rollout_revision enforced_rollouts;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"self", &daemon_report::self},
-                      kernel::field{"held", &daemon_report::enforced_policy}};
+                      kernel::field{"held", &daemon_report::enforced_policy},
+                      kernel::field{"rollouts", &daemon_report::enforced_rollouts}};
   }
 };
 
@@ -48,6 +52,8 @@
   std::optional<membership::announced_upstream> last_upstream;
   // If not 0, the daemon must use a greater incarnation, as its reports are ignored otherwise.
   kernel::incarnation superseded_incarnation;
+  // The rollout records that changed since the revision that the daemon enforces.
+  std::vector<rollout::rollout_record> rollouts;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"current", &fleet_update::leader_confirmed},
@@ -57,7 +63,8 @@
                       kernel::field{"gone", &fleet_update::gone},
                       kernel::field{"control_hosts", &fleet_update::control_hosts},
                       kernel::field{"upstream", &fleet_update::last_upstream},
-                      kernel::field{"needed", &fleet_update::superseded_incarnation}};
+                      kernel::field{"needed", &fleet_update::superseded_incarnation},
+                      kernel::field{"rollouts", &fleet_update::rollouts}};
   }
 };
 
@@ -72,6 +79,17 @@
   }
 };
 
+// Reports of the daemons that are connected to the sender, for the leader.
+struct rollout_samples {
+  static constexpr std::string_view kType = "rollout_samples";
+
+  std::vector<rollout::rollout_sample> samples;
+
+  static constexpr auto Fields() {
+    return std::tuple{kernel::field{"samples", &rollout_samples::samples}};
+  }
+};
+
 // A request of a control host that receives no log entries from a leader to be added to the group.
 // Sent to other control hosts.
 struct join_request {
--- a/cornelweir/src/protocol/messages.h
+++ b/cornelweir/src/protocol/messages.h
@@ -123,8 +123,8 @@
 };
 
 // A message between control hosts.
-using control_message =
-    std::variant<hello, replicate, submit, submit_reply, renew, roster_share, join_request>;
+using control_message = std::variant<hello, replicate, submit, submit_reply, renew, roster_share,
+                                     join_request, rollout_samples>;
 // A message from a daemon to its publisher.
 using daemon_message = std::variant<hello, distribution::subscribe, distribution::applied,
                                     distribution::proof_query, submit, renew, proxy_status>;
@@ -135,7 +135,7 @@
                  distribution::redirect, submit_reply, quarantine_update>;
 
 // Messages from a sidecar to its control host and from the control host to the sidecar.
-using report_message = std::variant<hello, daemon_report>;
+using report_message = std::variant<hello, daemon_report, rollout::rollout_sample>;
 using fleet_message = std::variant<hello, fleet_update>;
 
 }  // namespace cornelweir::protocol
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -143,6 +143,8 @@
       gateway_(*this, context.loop, context.random),
       feed_(*this, context.loop, context.pauses),
       policy_(*this),
+      rollouts_(*this),
+      rollout_controller_(*this, context.loop),
       api_(*this),
       renewal_timer_(context.loop),
       lease_timer_(context.loop),
@@ -152,6 +154,7 @@
       started_at_(context.clock.Now()) {
   api_.Register(context.admin);
   context.policy = policy_.MakePort();
+  context.rollouts = rollouts_.MakePort();
 }
 
 boost::leaf::result<void> control_plugin::Listen() {
@@ -174,6 +177,7 @@
   replica_.Start();
   gateway_.Start();
   feed_.Start();
+  rollout_controller_.Start();
   if (!context_.settings.control->seeds.empty()) {
     MaintainGroup();
     group_timer_.StartPeriodic(internal::kGroupMaintenancePeriod, [this] { MaintainGroup(); });
@@ -190,6 +194,7 @@
   const kernel::time_point limit = context_.clock.Now() + internal::kMaxShutdownTime;
   gateway_.Stop();
   feed_.Stop();
+  rollout_controller_.Stop();
   group_timer_.Cancel();
   renewal_timer_.Cancel();
   lease_timer_.Cancel();
@@ -277,6 +282,8 @@
     if (replica_.node().IsLeader()) Renew(*renewals);
   } else if (const auto* share = std::get_if<protocol::roster_share>(&message)) {
     feed_.Receive(*share);
+  } else if (const auto* samples = std::get_if<protocol::rollout_samples>(&message)) {
+    rollout_controller_.Receive(*samples);
   } else if (const auto* join = std::get_if<protocol::join_request>(&message)) {
     OnJoin(*join);
   }
@@ -378,6 +385,11 @@
   pending.insert(pending.end(), renewals.renewals.begin(), renewals.renewals.end());
 }
 
+void control_plugin::SendToLeader(const protocol::control_message& message) {
+  const auto leader = replica_.node().leader();
+  if (leader && !replica_.node().IsLeader()) mesh_.Send(*leader, message);
+}
+
 void control_plugin::FlushRenewals() {
   if (pending_renewals_.renewals.empty()) return;
   const protocol::renew batch = std::exchange(pending_renewals_, {});
@@ -394,6 +406,7 @@
 }
 
 void control_plugin::OnLeadershipChanged(bool is_leader) {
+  rollout_controller_.OnLeadershipChanged(is_leader);
   if (is_leader) {
     leases_.Restart(replica_.machine().members(), context_.clock.Now());
   } else {
@@ -412,6 +425,10 @@
     logging::event(logging::event_id::kPolicyInForce)
         .With("version", replica_.machine().policy().current()->version);
   }
+  if (effects.rollouts_changed) {
+    rollout_controller_.OnRecordsChanged();
+    feed_.PublishRollouts();
+  }
   if (effects.members_changed) gateway_.PublishMembers();
   if (effects.quarantine_changed) gateway_.PublishQuarantine();
   if (!replica_.node().IsLeader()) return;
--- a/plugins/control/control_plugin.h
+++ b/plugins/control/control_plugin.h
@@ -19,6 +19,8 @@
 #include "plugins/control/operator_api.h"
 #include "plugins/control/policy_service.h"
 #include "plugins/control/replica.h"
+#include "plugins/control/rollout_controller.h"
+#include "plugins/control/rollout_service.h"
 #include "plugins/daemon_context.h"
 
 namespace cornelweir::plugins::control {
@@ -51,7 +53,14 @@
   // Sends the entries of daemons that are connected here to the other control hosts.
   void ShareRoster(const protocol::roster_share& share) { mesh_.Broadcast(share); }
 
+  // Sends a message to the leader, if it is another host and reachable.
+  void SendToLeader(const protocol::control_message& message);
+  rollout_controller& rollouts() { return rollout_controller_; }
+
   replica& local_replica() { return replica_; }
+  const replica& local_replica() const { return replica_; }
+  const membership::roster& roster() const { return feed_.roster(); }
+  metrics::metrics_registry& metrics() const { return context_.metrics; }
   // The bound address at which daemons and other control hosts connect.
   kernel::endpoint mesh_endpoint() const { return listener_->local_endpoint(); }
   codec::json StatusReport() const;
@@ -78,6 +87,8 @@
   daemon_gateway gateway_;
   fleet_feed feed_;
   policy_service policy_;
+  rollout_service rollouts_;
+  rollout_controller rollout_controller_;
   operator_api api_;
   membership::lease_tracker leases_;
   std::shared_ptr<transport::listener> listener_;
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -1,5 +1,6 @@
 #include "plugins/control/fleet_feed.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -16,8 +17,10 @@
 // Number of policies kept as bases of deltas. A daemon with an older policy gets the whole policy.
 constexpr std::size_t kRecentPolicies = 8;
 
-bool IsDraining(const membership::roster_entry& entry) {
-  return entry.upstream && entry.upstream->draining;
+// What other control hosts must learn of an upstream without delay.
+std::pair<bool, kernel::software_version> UrgentState(const membership::roster_entry& entry) {
+  if (!entry.upstream) return {};
+  return {entry.upstream->draining, entry.upstream->version};
 }
 
 }  // namespace internal
@@ -47,6 +50,10 @@
   if (found == daemons_.end()) return;
   session& sender = found->second;
   const auto message = codec::Decode<protocol::report_message>(payload);
+  if (message && std::holds_alternative<rollout::rollout_sample>(message.value())) {
+    owner_.rollouts().Receive(std::get<rollout::rollout_sample>(message.value()));
+    return;
+  }
   const auto* report = message ? std::get_if<protocol::daemon_report>(&message.value()) : nullptr;
   if (report == nullptr) {
     logging::event(logging::event_id::kMessageRefused).With("reason", "malformed");
@@ -58,9 +65,10 @@
   if (first_report || report->enforced_policy > *sender.known_policy) {
     sender.known_policy = report->enforced_policy;
   }
+  sender.known_rollouts = std::max(sender.known_rollouts, report->enforced_rollouts);
   sender.superseded_incarnation = roster_.RecordReport(report->self, clock_.Now());
   const bool changed = !sender.entry || !sender.entry->HasSameContentAs(report->self) ||
-                       internal::IsDraining(*sender.entry) != internal::IsDraining(report->self);
+                       internal::UrgentState(*sender.entry) != internal::UrgentState(report->self);
   sender.entry = report->self;
   if (changed) {
     logging::event(logging::event_id::kDaemonReported)
@@ -103,6 +111,10 @@
   for (auto& [key, session] : daemons_) SendUpdate(session, false);
 }
 
+void fleet_feed::PublishRollouts() {
+  for (auto& [key, session] : daemons_) SendUpdate(session, false);
+}
+
 void fleet_feed::UpdateConfirmation() {
   const kernel::heartbeat_round confirmed = owner_.local_replica().node().confirmed_round();
   if (confirmed == confirmed_round_) return;
@@ -196,6 +208,18 @@
   recipient.link->Send(codec::Encode(protocol::fleet_message{std::move(update)}));
 }
 
+// Sent before the policy, since a daemon that has a policy starts to route.
+void fleet_feed::SendRollouts(session& recipient) {
+  const auto& rollouts = owner_.local_replica().machine().rollouts();
+  if (recipient.known_rollouts >= rollouts.revision()) return;
+  protocol::fleet_update update;
+  update.leader_confirmed = true;
+  update.newest_policy = owner_.local_replica().machine().policy().current()->version;
+  update.rollouts = rollouts.ChangedSince(recipient.known_rollouts);
+  recipient.known_rollouts = rollouts.revision();
+  recipient.link->Send(codec::Encode(protocol::fleet_message{std::move(update)}));
+}
+
 // A host that is not current sends no policy, roster or control hosts, as they may be outdated.
 void fleet_feed::SendUpdate(session& recipient, bool heartbeat) {
   if (!recipient.known_policy || !recipient.link->is_open()) return;
@@ -208,6 +232,7 @@
   bool has_changes = update.superseded_incarnation != kernel::incarnation();
   if (is_current) {
     SendLastUpstream(recipient);
+    SendRollouts(recipient);
     if (*recipient.known_policy < update.newest_policy) {
       recipient.link->Send(PolicyMessageFor(*recipient.known_policy));
       recipient.known_policy = update.newest_policy;
--- a/plugins/control/fleet_feed.h
+++ b/plugins/control/fleet_feed.h
@@ -42,6 +42,10 @@
   // Sends the newest accepted policy to the daemons. To be called when it changes.
   void PublishPolicy();
 
+  // Sends the rollout records that changed to the daemons. To be called when they change.
+  void PublishRollouts();
+
+  const membership::roster& roster() const { return roster_; }
   std::size_t size() const { return daemons_.size(); }
 
  private:
@@ -50,6 +54,8 @@
     std::optional<membership::roster_entry> entry;
     // The newest policy that the daemon reported or was sent. Empty before its first report.
     std::optional<kernel::policy_version> known_policy;
+    // The newest revision of the rollout records that it reported or was sent.
+    kernel::rollout_revision known_rollouts;
     // Whether this host has proved, since the daemon's first report, that it had applied all
     // committed entries. A daemon that restarts must not begin with an older policy than others
     // enforce, and what this host has heard may be outdated if it or a link was paused.
@@ -74,6 +80,7 @@
   void ShareEntries();
   void SendUpdate(session& recipient, bool heartbeat);
   void SendLastUpstream(session& recipient);
+  void SendRollouts(session& recipient);
   const std::string& PolicyMessageFor(kernel::policy_version base_version);
   std::vector<kernel::endpoint> ControlHosts() const;
 
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -122,7 +122,8 @@
       handlers_.applied({.table_changed = true,
                          .members_changed = true,
                          .quarantine_changed = true,
-                         .policy_changed = true});
+                         .policy_changed = true,
+                         .rollouts_changed = true});
     }
     for (const replication::log_entry& entry : ready.committed) ApplyEntry(entry);
     HandleReadResults(ready.reads);
--- a/plugins/daemon_context.h
+++ b/plugins/daemon_context.h
@@ -8,6 +8,7 @@
 #include "cornelweir/settings.h"
 #include "cornelweir/transport.h"
 #include "plugins/policy_port.h"
+#include "plugins/rollout_port.h"
 
 namespace cornelweir::plugins {
 
@@ -24,6 +25,7 @@
   transport::tls_context tls;
   // Set by the control plug-in, for the plug-ins that follow it in the settings.
   policy_port policy = {};
+  rollout_port rollouts = {};
 };
 
 // The error of a plug-in that can't be created.
--- a/plugins/sidecar/control_client.cc
+++ b/plugins/sidecar/control_client.cc
@@ -163,9 +163,14 @@
   report.self.leaving = shutting_down_;
   report.self.upstream = handlers_.last_upstream();
   if (policy_) report.enforced_policy = policy_->version;
+  report.enforced_rollouts = handlers_.rollouts_revision();
   link_->Send(codec::Encode(protocol::report_message{report}));
 }
 
+void control_client::Report(const rollout::rollout_sample& sample) {
+  if (link_ && connected_) link_->Send(codec::Encode(protocol::report_message{sample}));
+}
+
 void control_client::OnMessage(std::string_view payload) {
   const auto message = codec::Decode<protocol::fleet_message>(payload);
   if (!message) {
@@ -184,6 +189,11 @@
   }
   if (!update.leader_confirmed) return;
   last_progress_at_ = last_update_at_ = Now();
+  if (!update.rollouts.empty()) {
+    handlers_.rollouts_received(update.rollouts);
+    Report();
+  }
+  handlers_.confirmed();
   if (update.last_upstream) handlers_.upstream_restored(*update.last_upstream);
   if (!update.control_hosts.empty()) {
     candidate_hosts_ = update.control_hosts;
--- a/plugins/sidecar/control_client.h
+++ b/plugins/sidecar/control_client.h
@@ -15,6 +15,7 @@
 #include "cornelweir/membership.h"
 #include "cornelweir/policy.h"
 #include "cornelweir/protocol.h"
+#include "cornelweir/rollout.h"
 #include "cornelweir/transport.h"
 #include "plugins/daemon_context.h"
 
@@ -33,6 +34,12 @@
     std::function<std::optional<membership::announced_upstream>()> last_upstream;
     // Called with the upstream that this daemon last reported, possibly before a restart.
     std::function<void(const membership::announced_upstream&)> upstream_restored;
+    // Called with the rollout records that changed, before a policy of the same update.
+    std::function<void(const std::vector<rollout::rollout_record>&)> rollouts_received;
+    // Returns the revision of the rollout records in force.
+    std::function<kernel::rollout_revision()> rollouts_revision;
+    // Called when a control host has confirmed that its state is the newest.
+    std::function<void()> confirmed;
   };
 
   control_client(daemon_context& context, handlers callbacks);
@@ -41,6 +48,8 @@
   void Stop();
   // Sends the current state of this daemon to the control host, if connected.
   void Report();
+  // Sends the evidence on a rollout to the control host, if connected.
+  void Report(const rollout::rollout_sample& sample);
   // Reports that this daemon is leaving.
   void BeginShutdown();
 
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -242,6 +242,11 @@
          report_->service == service;
 }
 
+kernel::software_version peer::version() const {
+  if (dispatcher_ != nullptr) return dispatcher_->version();
+  return report_ ? report_->version : kernel::software_version();
+}
+
 routing::peer_candidate peer::Candidate() const {
   const protocol::upstream_load load = dispatcher_ != nullptr ? dispatcher_->Load() : report_->load;
   routing::peer_candidate candidate;
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -44,6 +44,8 @@
 
   // Whether requests for the service can be sent to this peer now.
   bool Serves(const kernel::service_name& service) const;
+  // The version of the upstream; empty if unknown.
+  kernel::software_version version() const;
   // Requires Serves().
   routing::peer_candidate Candidate() const;
   // Requires Serves(). done is called once, unless the request is cancelled.
--- a/plugins/sidecar/peer_set.cc
+++ b/plugins/sidecar/peer_set.cc
@@ -12,6 +12,10 @@
 constexpr std::int64_t kProbesPerSecond = 15;
 constexpr kernel::microseconds kMinProbePeriod = std::chrono::seconds(1);
 
+bool HasFreeSlot(const routing::peer_candidate& candidate) {
+  return candidate.reported_requests + candidate.sent_since_report < candidate.slots;
+}
+
 }  // namespace internal
 
 peer_set::peer_set(daemon_context& context, upstream_dispatcher& dispatcher)
@@ -67,13 +71,14 @@
   }
 }
 
-std::shared_ptr<peer> peer_set::Choose(const kernel::service_name& service,
-                                       const std::vector<std::shared_ptr<peer>>& excluded,
-                                       bool large_response) {
+template <class Predicate>
+void peer_set::Collect(const kernel::service_name& service,
+                       const std::vector<std::shared_ptr<peer>>& excluded, bool large_response,
+                       Predicate is_allowed) {
   usable_peers_.clear();
   candidates_.clear();
   for (const auto& [endpoint, daemon] : peers_) {
-    if (!daemon->Serves(service)) continue;
+    if (!daemon->Serves(service) || !is_allowed(*daemon)) continue;
     if (std::find(excluded.begin(), excluded.end(), daemon) != excluded.end()) continue;
     usable_peers_.push_back(daemon);
     const bool own_domain = daemon->entry().failure_domain == context_.settings.failure_domain;
@@ -82,14 +87,67 @@
                                       : large_response ? routing::kOtherDomainLargeResponseCost
                                                        : routing::kOtherDomainCost;
   }
+}
+
+std::shared_ptr<peer> peer_set::ChooseCollected() {
   const auto chosen = routing::ChoosePeer(candidates_, context_.random);
   return chosen ? usable_peers_[*chosen] : nullptr;
 }
 
+std::shared_ptr<peer> peer_set::Choose(const kernel::service_name& service,
+                                       const std::vector<std::shared_ptr<peer>>& excluded,
+                                       bool large_response) {
+  if (const rollout::rollout_record* const record = FindRecord(service)) {
+    return ChooseByRecord(*record, excluded, large_response);
+  }
+  Collect(service, excluded, large_response, [](const peer&) { return true; });
+  return ChooseCollected();
+}
+
+// A request that is sent again goes to a released version if possible, so that the failures of a
+// bad version do not raise its share.
+std::shared_ptr<peer> peer_set::ChooseByRecord(const rollout::rollout_record& record,
+                                               const std::vector<std::shared_ptr<peer>>& excluded,
+                                               bool large_response) {
+  using rollout::version_group;
+  const version_group selected = excluded.empty() ? rollouts_->Select(record.service)
+                                 : rollout::Admits(record, version_group::kReleased)
+                                     ? version_group::kReleased
+                                     : version_group::kTarget;
+  const rollout::group_preference preference = rollout::PreferenceOf(record, selected);
+  version_group group = preference.first;
+  const auto collect = [&] {
+    Collect(record.service, excluded, large_response, [&](const peer& daemon) {
+      return rollout::BelongsTo(record, group, daemon.version());
+    });
+  };
+  collect();
+  const bool has_free_slot =
+      std::any_of(candidates_.begin(), candidates_.end(), &internal::HasFreeSlot);
+  // The share of the target is limited by the free slots of its upstreams.
+  const bool too_busy = group == version_group::kTarget && !has_free_slot;
+  if (preference.second && (candidates_.empty() || too_busy)) {
+    group = *preference.second;
+    collect();
+  }
+  std::shared_ptr<peer> chosen = ChooseCollected();
+  if (chosen != nullptr && rollout::IsRunning(record)) {
+    context_.metrics
+        .Counter("cornelweir_rollout_requests_total",
+                 "Requests sent during rollouts by the group of their version",
+                 {{"service", record.service.value()},
+                  {"group", group == version_group::kTarget ? "target" : "released"}})
+        .Increment();
+  }
+  return chosen;
+}
+
 bool peer_set::HasOther(const kernel::service_name& service,
                         const std::vector<std::shared_ptr<peer>>& excluded) const {
+  const rollout::rollout_record* const record = FindRecord(service);
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& known) {
     return known.second->Serves(service) &&
+           (record == nullptr || rollout::Admits(*record, known.second->version())) &&
            std::find(excluded.begin(), excluded.end(), known.second) == excluded.end();
   });
 }
--- a/plugins/sidecar/peer_set.h
+++ b/plugins/sidecar/peer_set.h
@@ -9,6 +9,7 @@
 #include "cornelweir/kernel.h"
 #include "cornelweir/loop.h"
 #include "cornelweir/membership.h"
+#include "cornelweir/rollout.h"
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/peer.h"
 #include "plugins/sidecar/upstream_dispatcher.h"
@@ -20,6 +21,9 @@
  public:
   peer_set(daemon_context& context, upstream_dispatcher& dispatcher);
 
+  // Sets the records by which the version for each request is chosen. They must outlive this
+  // object.
+  void UseRollouts(rollout::rollout_table& rollouts) { rollouts_ = &rollouts; }
   void Start();
   void Stop();
   // Adds, updates and retires peers so that they match the roster.
@@ -35,10 +39,23 @@
   std::size_t size() const { return peers_.size(); }
 
  private:
+  const rollout::rollout_record* FindRecord(const kernel::service_name& service) const {
+    return rollouts_ == nullptr ? nullptr : rollouts_->Find(service);
+  }
+  std::shared_ptr<peer> ChooseByRecord(const rollout::rollout_record& record,
+                                       const std::vector<std::shared_ptr<peer>>& excluded,
+                                       bool large_response);
+  // Fills usable_peers_ and candidates_ with the peers for which the predicate returns true.
+  template <class Predicate>
+  void Collect(const kernel::service_name& service,
+               const std::vector<std::shared_ptr<peer>>& excluded, bool large_response,
+               Predicate is_allowed);
+  std::shared_ptr<peer> ChooseCollected();
   kernel::microseconds IdleProbePeriod() const;
 
   daemon_context& context_;
   upstream_dispatcher& dispatcher_;
+  rollout::rollout_table* rollouts_ = nullptr;
   loop::timer timer_;
   std::map<kernel::endpoint, std::shared_ptr<peer>> peers_;
   // Peers that left the roster, until their pending requests end.
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -33,6 +33,8 @@
       dialect_(dialect),
       bulk_(context),
       dispatcher_(context, dialect_, bulk_, [this] { OnUpstreamChanged(); }),
+      rollouts_(context, dispatcher_,
+                [this](const rollout::rollout_sample& sample) { control_client_.Report(sample); }),
       control_client_(context,
                       control_client::handlers{
                           .policy_changed = [this] { OnPolicyChanged(); },
@@ -42,7 +44,13 @@
                           .upstream_restored =
                               [this](const membership::announced_upstream& upstream) {
                                 dispatcher_.Restore(upstream);
-                              }}),
+                              },
+                          .rollouts_received =
+                              [this](const std::vector<rollout::rollout_record>& records) {
+                                rollouts_.Apply(records);
+                              },
+                          .rollouts_revision = [this] { return rollouts_.table().revision(); },
+                          .confirmed = [this] { rollouts_.OnConfirmed(); }}),
       peers_(context, dispatcher_),
       peer_server_(context, dispatcher_, bulk_),
       router_(context, dialect_, peers_, dispatcher_),
@@ -53,6 +61,7 @@
       announcements_(context.loop),
       shutdown_timer_(context.loop),
       metrics_timer_(context.loop) {
+  peers_.UseRollouts(rollouts_.table());
   readiness_.Handle(http::method::get, dialect_.readiness_path,
                     [this](const http::admin_request&, http::admin_reply reply) {
                       http::admin_response response;
@@ -94,6 +103,7 @@
 }
 
 void sidecar_node::OnUpstreamChanged() {
+  rollouts_.OnUpstreamChanged();
   peer_server_.ReportUpstream();
   control_client_.Report();
 }
@@ -160,6 +170,7 @@
   shutdown_timer_.Cancel();
   metrics_timer_.Cancel();
   control_client_.Stop();
+  rollouts_.Stop();
   peers_.Stop();
   peer_server_.CloseAfterDrain(std::move(done_));
 }
--- a/plugins/sidecar/sidecar_node.h
+++ b/plugins/sidecar/sidecar_node.h
@@ -13,6 +13,7 @@
 #include "plugins/sidecar/peer_server.h"
 #include "plugins/sidecar/peer_set.h"
 #include "plugins/sidecar/request_dialect.h"
+#include "plugins/sidecar/rollout_agent.h"
 #include "plugins/sidecar/upstream_dispatcher.h"
 
 namespace cornelweir::plugins::sidecar {
@@ -43,6 +44,7 @@
   dialect_functions dialect_;
   bulk_sender bulk_;
   upstream_dispatcher dispatcher_;
+  rollout_agent rollouts_;
   control_client control_client_;
   peer_set peers_;
   peer_server peer_server_;
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -20,6 +20,9 @@
 // upstream may reset the connection of a request, whose outcome is then unknown.
 constexpr std::int64_t kAssumedSlots = 1;
 
+// A request that is cancelled this shortly before its deadline has timed out.
+constexpr kernel::milliseconds kDeadlineTolerance{50};
+
 // Consecutive refused connections after which the upstream is unavailable. A single one may result
 // from a limit on its connections.
 constexpr int kMaxConnectFailures = 2;
@@ -44,7 +47,9 @@
 }
 
 bool upstream_dispatcher::IsOpen() const {
-  return announced_ && !announced_->draining && !unavailable_ && !shutting_down_;
+  return announced_ && !announced_->draining && !unavailable_ && !shutting_down_ &&
+         (guard_ == nullptr || !guard_->HasRecord(announced_->service) ||
+          guard_->Admits(announced_->service, announced_->version, Now()));
 }
 
 protocol::upstream_load upstream_dispatcher::Load() const {
@@ -54,7 +59,8 @@
 protocol::upstream_report upstream_dispatcher::Report() const {
   protocol::upstream_report report;
   report.service = service();
-  if (announced_) report.upstream = announced_->id;
+  report.upstream = upstream();
+  report.version = version();
   report.accepting = IsOpen();
   report.warm_up_left = std::max(warmed_up_at_ - Now(), kernel::microseconds::zero());
   report.load = Load();
@@ -117,6 +123,7 @@
   announced_->started_at = upstream.started_at;
   announced_->slots = upstream.slots;
   announced_->draining = upstream.draining;
+  announced_->version = upstream.version;
   OnStateChanged("restored");
 }
 
@@ -131,11 +138,13 @@
   const bool same_process = IsSameProcess(announcement);
   const bool changed = replaced || unavailable_ || announced_->draining != announcement.draining ||
                        announced_->slots != announcement.slots ||
+                       announced_->version != announcement.version ||
                        announced_->service != announcement.service;
   if (replaced) client_.CloseIdleConnections();
   announced_ = announcement;
-  last_announced_ = {announcement.id,    announcement.started_at, announcement.sequence,
-                     announcement.slots, announcement.draining,   queue_.rate_limit()};
+  last_announced_ = {announcement.id,     announcement.started_at, announcement.sequence,
+                     announcement.slots,  announcement.draining,   queue_.rate_limit(),
+                     announcement.version};
   warmed_up_at_ = Now() + announcement.warm_up;
   unavailable_ = false;
   connect_failures_ = 0;
@@ -180,6 +189,7 @@
       announced_->started_at = last_announced_->started_at;
       announced_->slots = last_announced_->slots;
       announced_->draining = last_announced_->draining;
+      announced_->version = last_announced_->version;
     } else {
       SetRateLimit(std::nullopt);
     }
@@ -324,6 +334,7 @@
   }
   run_result ended = TranslateResult(found->second, std::move(result));
   if (!ended.response) run_time.reset();
+  RecordEvidence(found->second, ended);
   if (run_time) RecordRun(found->second.request.route, *run_time, ended.response->body.size());
   const std::vector<admission::ticket> next = queue_.Release(id, run_time, Now());
   Finish(id, std::move(ended));
@@ -331,6 +342,25 @@
   if (!connected) OnConnectFailure();
 }
 
+// Runs that did not reach the upstream, or that an earlier upstream ended, are no evidence.
+void upstream_dispatcher::RecordEvidence(const run& ended, const run_result& result) {
+  if (guard_ == nullptr || !announced_ || announced_->id != ended.upstream) return;
+  constexpr int kFirstServerError = 500;
+  rollout::run_end end = rollout::run_end::kSuccess;
+  if (result.response) {
+    if (result.response->status >= kFirstServerError) end = rollout::run_end::kServerError;
+  } else if (result.failure == protocol::run_failure::kUpstreamError) {
+    end = rollout::run_end::kBroken;
+  } else if (result.failure == protocol::run_failure::kTimeout) {
+    end = rollout::run_end::kTimeout;
+  } else {
+    return;
+  }
+  const kernel::time_point now = Now();
+  guard_->Record(service(), ended.request.route, end, now - ended.started_at,
+                 ended.started_at < warmed_up_at_, now);
+}
+
 // A limit ends with the first response that states none to a request that was sent after the last
 // response that stated one: earlier requests may have run before the limit.
 void upstream_dispatcher::OnNotice(const run& ended, const upstream_notice& notice) {
@@ -425,6 +455,12 @@
     return;
   }
   if (!found->second.exchange || !policy::IsIdempotent(found->second.request.retry_safety)) return;
+  // The sender cancels at the deadline, just before the exchange here would time out.
+  if (found->second.deadline - Now() < internal::kDeadlineTolerance) {
+    run_result timeout;
+    timeout.failure = protocol::run_failure::kTimeout;
+    RecordEvidence(found->second, timeout);
+  }
   found->second.exchange->Cancel();
   expected_bytes_ -= found->second.expected_bytes;
   runs_.erase(found);
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -15,6 +15,7 @@
 #include "cornelweir/loop.h"
 #include "cornelweir/membership.h"
 #include "cornelweir/protocol.h"
+#include "cornelweir/rollout.h"
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/bulk_sender.h"
 #include "plugins/sidecar/request_dialect.h"
@@ -51,6 +52,11 @@
   void ProbeUntilAnnounced(const std::string& health_path);
   // Refuses queued and all further requests.
   void BeginShutdown();
+  // Sets the object that decides which versions take requests and counts the evidence of rollouts.
+  // It must outlive this object's last use.
+  void UseGuard(rollout::upstream_guard& guard) { guard_ = &guard; }
+  // To be called when the guard admits or excludes the upstream.
+  void OnAdmissionChanged() { OnStateChanged("rollout"); }
 
   // Whether requests for the service are accepted now.
   bool Serves(const kernel::service_name& service_name) const {
@@ -60,6 +66,13 @@
   protocol::upstream_load Load() const;
   // The service from the latest announcement, or else from the settings.
   const kernel::service_name& service() const;
+  // The upstream in use and the version of its software; empty if unknown.
+  kernel::upstream_id upstream() const {
+    return announced_ ? announced_->id : kernel::upstream_id();
+  }
+  kernel::software_version version() const {
+    return announced_ ? announced_->version : kernel::software_version();
+  }
   bool busy() const { return !runs_.empty(); }
   // The fraction of the requests at the upstream that another upstream may have received before.
   double RepeatedShare() const;
@@ -98,6 +111,7 @@
   void Start(admission::ticket id);
   void StartAll(const std::vector<admission::ticket>& ids);
   void OnExchangeEnded(admission::ticket id, http::upstream_result result);
+  void RecordEvidence(const run& ended, const run_result& result);
   void OnNotice(const run& ended, const upstream_notice& notice);
   void SetRateLimit(std::optional<kernel::request_rate> rate);
   run_result TranslateResult(const run& ended, http::upstream_result result);
@@ -114,6 +128,7 @@
   daemon_context& context_;
   const dialect_functions& dialect_;
   const bulk_sender& bulk_;
+  rollout::upstream_guard* guard_ = nullptr;
   std::function<void()> on_change_;
   http::upstream_client client_;
   admission::slot_queue queue_;
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -78,6 +78,16 @@
   EXPECT_EQ(daemons.Find(before.daemon)->upstream, replaced.upstream);
 }
 
+// Guards against a rollout that is completed while a daemon of its service is not asked.
+TEST(Roster, ListsTheDaemonsOfAService) {
+  roster daemons;
+  daemons.RecordReport(Entry(5, 1, "a"), kStart);
+  EXPECT_EQ(daemons.EntriesOf(kernel::service_name("a")).size(), 1U);
+  EXPECT_TRUE(daemons.EntriesOf(kernel::service_name("b")).empty());
+  daemons.Expire(kStart + kDaemonLease + kernel::milliseconds(1));
+  EXPECT_TRUE(daemons.EntriesOf(kernel::service_name("a")).empty());
+}
+
 // Guards against sending the state of every upstream to every daemon.
 TEST(Roster, ChangesOmitTheUpstream) {
   roster daemons;
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -305,5 +305,62 @@
   EXPECT_TRUE(dispatcher_->Serves(kernel::service_name("forms")));
 }
 
+rollout::rollout_record RunningRollout() {
+  rollout::rollout_record record;
+  record.service = kernel::service_name("forms");
+  record.target = kernel::software_version("v2");
+  record.released = {kernel::software_version("v1")};
+  record.share = rollout::kCanaryShare;
+  record.duration = kernel::milliseconds(10'000);
+  record.started = record.revision = kernel::rollout_revision(1);
+  return record;
+}
+
+// Guards against an upstream that stays closed during a rollout because its version was forgotten
+// when only the daemon restarted.
+TEST_F(UpstreamDispatcherTest, KnowsTheVersionAfterARestartOfTheDaemon) {
+  rollout::rollout_table table(1);
+  rollout::upstream_guard guard(table);
+  dispatcher_->UseGuard(guard);
+  table.Apply({RunningRollout()});
+  guard.OnConfirmed(daemon_.clock.Now());
+  Probe();
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms"))) << "the version is unknown";
+  membership::announced_upstream known = Known(9, false);
+  known.version = kernel::software_version("v1");
+  dispatcher_->Restore(known);
+  EXPECT_TRUE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// Guards against a bad version that shows as server errors or as requests without a response, which
+// their senders cancel at the deadline.
+TEST_F(UpstreamDispatcherTest, CountsTheEndsOfRunsDuringARollout) {
+  rollout::rollout_table table(1);
+  rollout::upstream_guard guard(table);
+  dispatcher_->UseGuard(guard);
+  membership::upstream_announcement announcement = Announcement(1);
+  announcement.version = kernel::software_version("v2");
+  dispatcher_->Announce(announcement);
+  RunToEnd({kNoHeader});
+  EXPECT_TRUE(guard.counters().routes().empty()) << "no rollout runs";
+  table.Apply({RunningRollout()});
+  guard.OnConfirmed(daemon_.clock.Now());
+  run_responses_.push_back("HTTP/1.1 500 Error\r\nId: /run\r\nContent-Length: 0\r\n\r\n");
+  Run(1);
+  http::RunUntil(daemon_.loop, [this] { return !dispatcher_->busy(); });
+  RunToEnd({kNoHeader});
+  protocol::run_request unanswered;
+  unanswered.service = kernel::service_name("forms");
+  unanswered.method = "GET";
+  unanswered.target = "/run";
+  unanswered.retry_safety = policy::retry_safety::kIdempotent;
+  unanswered.time_left = unanswered.objective_left = kernel::milliseconds(40);
+  dispatcher_->Cancel(dispatcher_->Run(unanswered, "", [](const run_result&) {}));
+  const rollout::route_evidence counted = guard.counters().routes().at(kernel::route_name());
+  EXPECT_EQ(counted.responses, 3);
+  EXPECT_EQ(counted.failures, 2);
+  EXPECT_EQ(counted.run_times.total(), 2) << "an error may be fast";
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
