--- a/cornelweir/src/protocol/messages.h
+++ b/cornelweir/src/protocol/messages.h
@@ -141,7 +141,7 @@
 // A message between control hosts.
 using control_message =
     std::variant<hello, replicate, submit, submit_part, submit_reply, renew, roster_share,
-                 join_request, quota_batch, quota_grant_batch>;
+                 join_request, quota_batch, quota_grant_batch, rollout_samples>;
 // A message from a daemon to its publisher.
 using daemon_message = std::variant<hello, distribution::subscribe, distribution::applied,
                                     distribution::proof_query, submit, renew, proxy_status>;
@@ -152,7 +152,8 @@
                  distribution::redirect, submit_reply, quarantine_update>;
 
 // Messages from a sidecar to its control host and from the control host to the sidecar.
-using report_message = std::variant<hello, daemon_report, quota::quota_request>;
+using report_message =
+    std::variant<hello, daemon_report, quota::quota_request, rollout::rollout_sample>;
 using fleet_message = std::variant<hello, fleet_update, quota::quota_grant>;
 
 }  // namespace cornelweir::protocol
--- a/plugins/control/control_plugin.h
+++ b/plugins/control/control_plugin.h
@@ -20,6 +20,8 @@
 #include "plugins/control/policy_service.h"
 #include "plugins/control/quota_service.h"
 #include "plugins/control/replica.h"
+#include "plugins/control/rollout_controller.h"
+#include "plugins/control/rollout_service.h"
 #include "plugins/daemon_context.h"
 
 namespace cornelweir::plugins::control {
@@ -57,8 +59,15 @@
     return mesh_.Send(host, message);
   }
 
-  replica& local_replica() { return replica_; }
   quota_service& quota() { return quota_; }
+  // Sends a message to the leader, if it is another host and reachable.
+  void SendToLeader(const protocol::control_message& message);
+  rollout_controller& rollouts() { return rollout_controller_; }
+
+  replica& local_replica() { return replica_; }
+  const replica& local_replica() const { return replica_; }
+  const membership::roster& roster() const { return feed_.roster(); }
+  metrics::metrics_registry& metrics() const { return context_.metrics; }
   // The bound address at which daemons and other control hosts connect.
   kernel::endpoint mesh_endpoint() const { return listener_->local_endpoint(); }
   codec::json StatusReport() const;
@@ -87,6 +96,8 @@
   fleet_feed feed_;
   quota_service quota_;
   policy_service policy_;
+  rollout_service rollouts_;
+  rollout_controller rollout_controller_;
   operator_api api_;
   membership::lease_tracker leases_;
   std::shared_ptr<transport::listener> listener_;
--- a/plugins/sidecar/control_client.h
+++ b/plugins/sidecar/control_client.h
@@ -15,6 +15,7 @@
 #include "cornelweir/membership.h"
 #include "cornelweir/policy.h"
 #include "cornelweir/protocol.h"
+#include "cornelweir/rollout.h"
 #include "cornelweir/transport.h"
 #include "plugins/daemon_context.h"
 
@@ -38,6 +39,12 @@
     // The link to a control host has opened, or was lost.
     std::function<void(bool connected)> link_changed = [](bool) {};
     std::function<void(const quota::quota_grant&)> quota_granted = [](const auto&) {};
+    // Called with the rollout records that changed, before a policy of the same update.
+    std::function<void(const std::vector<rollout::rollout_record>&)> rollouts_received;
+    // Returns the revision of the rollout records in force.
+    std::function<kernel::rollout_revision()> rollouts_revision;
+    // Called when a control host has confirmed that its state is the newest.
+    std::function<void()> confirmed;
   };
 
   control_client(daemon_context& context, handlers callbacks);
@@ -48,6 +55,8 @@
   void Report();
   // Returns false if there is no link to a control host.
   bool RequestQuota(const quota::quota_request& request);
+  // Sends the evidence on a rollout to the control host, if connected.
+  void Report(const rollout::rollout_sample& sample);
   // Reports that this daemon is leaving.
   void BeginShutdown();
 
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -46,6 +46,8 @@
 
   // Whether requests for the service can be sent to this peer now.
   bool Serves(const kernel::service_name& service) const;
+  // The version of the upstream; empty if unknown.
+  kernel::software_version version() const;
   // The candidate for a request with a body of this size. Requires Serves().
   routing::peer_candidate Candidate(std::size_t body_bytes) const;
   // Requires Serves(). done is called once, unless the request is cancelled.
--- a/plugins/sidecar/peer_set.h
+++ b/plugins/sidecar/peer_set.h
@@ -9,6 +9,7 @@
 #include "cornelweir/kernel.h"
 #include "cornelweir/loop.h"
 #include "cornelweir/membership.h"
+#include "cornelweir/rollout.h"
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/bulk_sender.h"
 #include "plugins/sidecar/peer.h"
@@ -16,31 +17,51 @@
 
 namespace cornelweir::plugins::sidecar {
 
+// A request for which a peer is sought.
+struct peer_query {
+  const kernel::service_name& service;
+  // The peers that have had the request.
+  const std::vector<std::shared_ptr<peer>>& excluded;
+  bool large_response = false;
+  std::size_t body_bytes = 0;
+};
+
 // The daemons to which requests can be sent, including this one.
 class peer_set {
  public:
   peer_set(daemon_context& context, upstream_dispatcher& dispatcher, bulk_sender& bulk);
 
+  // Sets the records by which the version for each request is chosen. They must outlive this
+  // object.
+  void UseRollouts(rollout::rollout_table& rollouts) { rollouts_ = &rollouts; }
   void Start();
   void Stop();
   // Adds, updates and retires peers so that they match the roster.
   void Update(const std::map<kernel::endpoint, membership::roster_entry>& roster);
 
-  // Returns the best peer for a request with a body of this size that is not excluded, or null.
-  std::shared_ptr<peer> Choose(const kernel::service_name& service,
-                               const std::vector<std::shared_ptr<peer>>& excluded,
-                               bool large_response, std::size_t body_bytes);
+  // Returns the best peer for a request, or null.
+  std::shared_ptr<peer> Choose(const peer_query& query);
   // Whether a peer that is not excluded serves the service.
   bool HasOther(const kernel::service_name& service,
                 const std::vector<std::shared_ptr<peer>>& excluded) const;
   std::size_t size() const { return peers_.size(); }
 
  private:
+  const rollout::rollout_record* FindRecord(const kernel::service_name& service) const {
+    return rollouts_ == nullptr ? nullptr : rollouts_->Find(service);
+  }
+  std::shared_ptr<peer> ChooseByRecord(const rollout::rollout_record& record,
+                                       const peer_query& query);
+  // Fills usable_peers_ and candidates_ with the peers for which the predicate returns true.
+  template <class Predicate>
+  void Collect(const peer_query& query, Predicate is_allowed);
+  std::shared_ptr<peer> ChooseCollected();
   kernel::microseconds IdleProbePeriod() const;
 
   daemon_context& context_;
   upstream_dispatcher& dispatcher_;
   bulk_sender& bulk_;
+  rollout::rollout_table* rollouts_ = nullptr;
   loop::timer timer_;
   std::map<kernel::endpoint, std::shared_ptr<peer>> peers_;
   // Peers that left the roster, until their pending requests end.
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -33,10 +33,16 @@
       dialect_(dialect),
       bulk_(context),
       dispatcher_(context, dialect_, bulk_, [this] { OnUpstreamChanged(); }),
+      rollouts_(context, dispatcher_,
+                [this](const rollout::rollout_sample& sample) { control_client_.Report(sample); }),
       control_client_(
           context,
           control_client::handlers{
               .policy_changed = [this] { OnPolicyChanged(); },
+              .policy_confirmed =
+                  [this](kernel::time_point confirmed_at) {
+                    router_.OnPolicyConfirmed(confirmed_at);
+                  },
               .roster_changed = [this] { peers_.Update(control_client_.roster()); },
               .service = [this] { return dispatcher_.service(); },
               .last_upstream = [this] { return dispatcher_.LastAnnounced(); },
@@ -45,7 +51,13 @@
                     dispatcher_.Restore(upstream);
                   },
               .link_changed = [this](bool open) { quota_.OnLinkChanged(open); },
-              .quota_granted = [this](const quota::quota_grant& grant) { quota_.OnGrant(grant); }}),
+              .quota_granted = [this](const quota::quota_grant& grant) { quota_.OnGrant(grant); },
+              .rollouts_received =
+                  [this](const std::vector<rollout::rollout_record>& records) {
+                    rollouts_.Apply(records);
+                  },
+              .rollouts_revision = [this] { return rollouts_.table().revision(); },
+              .confirmed = [this] { rollouts_.OnConfirmed(); }}),
       quota_(context,
              [this](const auto& request) { return control_client_.RequestQuota(request); }),
       peers_(context, dispatcher_, bulk_),
@@ -58,6 +70,7 @@
       announcements_(context.loop),
       shutdown_timer_(context.loop),
       metrics_timer_(context.loop) {
+  peers_.UseRollouts(rollouts_.table());
   readiness_.Handle(http::method::get, dialect_.readiness_path,
                     [this](const http::admin_request&, http::admin_reply reply) {
                       http::admin_response response;
@@ -99,6 +112,7 @@
 }
 
 void sidecar_node::OnUpstreamChanged() {
+  rollouts_.OnUpstreamChanged();
   peer_server_.ReportUpstream();
   control_client_.Report();
 }
@@ -170,6 +184,7 @@
   shutdown_timer_.Cancel();
   metrics_timer_.Cancel();
   control_client_.Stop();
+  rollouts_.Stop();
   peers_.Stop();
   peer_server_.CloseAfterDrain(std::move(done_));
 }
--- a/plugins/sidecar/sidecar_node.h
+++ b/plugins/sidecar/sidecar_node.h
@@ -14,6 +14,7 @@
 #include "plugins/sidecar/peer_set.h"
 #include "plugins/sidecar/quota_client.h"
 #include "plugins/sidecar/request_dialect.h"
+#include "plugins/sidecar/rollout_agent.h"
 #include "plugins/sidecar/upstream_dispatcher.h"
 
 namespace cornelweir::plugins::sidecar {
@@ -44,6 +45,7 @@
   dialect_functions dialect_;
   bulk_sender bulk_;
   upstream_dispatcher dispatcher_;
+  rollout_agent rollouts_;
   control_client control_client_;
   quota_client quota_;
   peer_set peers_;
