--- a/tests/rollout_agent_test.cc
+++ b/tests/rollout_agent_test.cc
@@ -112,7 +112,7 @@
   rollout_agent agent_{daemon_.context, dispatcher_, [this](const rollout::rollout_sample& sample) {
                          samples_.push_back(sample);
                        }};
-  peer_set peers_{daemon_.context, dispatcher_};
+  peer_set peers_{daemon_.context, dispatcher_, bulk_};
   std::vector<std::shared_ptr<transport::listener>> listeners_;
   std::uint64_t sequence_ = 0;
 };
