Keep the link busy if senders of large bodies answer slowly

A model of one host's link (0.75 MB/s, Poisson arrivals of 60 KB bodies) showed that a credit of 30 ms of the measured rate is too small if senders or the network delay the pieces: the rate falls, and the credit with it.

admission::credit_window lets the 30 ms grow up to 90 ms while grants do not wait on the link, judged by the lowest delay in 100 ms.

A body that would miss its objective is refused while its sender has another daemon to try, since reports of load are too old to spread uploads by. A rate without a sample for 2 s is forgotten: one that was measured too low could refuse all bodies for ever. A body that can't meet its objective even alone no longer displaces one that can.

--- a/cornelweir/admission.h
+++ b/cornelweir/admission.h
@@ -8,6 +8,7 @@
 #include "cornelweir/src/admission/admission_limits.h"
 #include "cornelweir/src/admission/admission_result.h"
 #include "cornelweir/src/admission/arrival_rate.h"
+#include "cornelweir/src/admission/credit_window.h"
 #include "cornelweir/src/admission/inbound_transfers.h"
 #include "cornelweir/src/admission/limit_share.h"
 #include "cornelweir/src/admission/limits.h"
--- a/cornelweir/src/admission/arrival_rate.cc
+++ b/cornelweir/src/admission/arrival_rate.cc
@@ -28,12 +28,16 @@
     const double weight = sample > bytes_per_second_ ? kHigherRateWeight : kLowerRateWeight;
     bytes_per_second_ =
         known() ? bytes_per_second_ + weight * (sample - bytes_per_second_) : sample;
-    sample_start_ = now;
+    sample_start_ = sampled_at_ = now;
     sample_bytes_ = 0;
   }
   if (!more_to_come) sample_start_.reset();
 }
 
+void arrival_rate::ForgetIfOld(kernel::time_point now) {
+  if (now - sampled_at_ > kMaxRateAge) bytes_per_second_ = 0;
+}
+
 kernel::microseconds arrival_rate::TimeFor(std::size_t bytes) const {
   if (!known()) return {};
   return kernel::microseconds(static_cast<std::int64_t>(
--- a/cornelweir/src/admission/arrival_rate.h
+++ b/cornelweir/src/admission/arrival_rate.h
@@ -17,6 +17,8 @@
   void OnArrived(std::size_t bytes, bool more_to_come, kernel::time_point now);
   // Ends the current sample, because nothing is expected from now on.
   void OnIdle() { sample_start_.reset(); }
+  // Forgets the rate if the last sample is older than kMaxRateAge.
+  void ForgetIfOld(kernel::time_point now);
 
   bool known() const { return bytes_per_second_ > 0; }
   // 0 if unknown.
@@ -32,6 +34,7 @@
   // Bytes that arrived after sample_start_.
   std::size_t sample_bytes_ = 0;
   double bytes_per_second_ = 0;
+  kernel::time_point sampled_at_;
 };
 
 }  // namespace cornelweir::admission
--- a/cornelweir/src/admission/inbound_transfers.cc
+++ b/cornelweir/src/admission/inbound_transfers.cc
@@ -14,32 +14,36 @@
   if (transfers_.size() >= kMaxInboundTransfers || request.bytes == 0) return false;
   const auto [added, is_new] = transfers_.try_emplace(request.id);
   if (!is_new) return false;
+  rate_.ForgetIfOld(now);
   added->second.request = request;
   added->second.arrival = next_arrival_++;
   missing_bytes_ += request.bytes;
   for (const planned_transfer& next : Plan(now)) {
-    if (next.planned != &added->second || MeetsDeadline(*next.planned, next.complete_at)) continue;
-    Erase(added);
-    return false;
+    if (next.planned != &added->second) continue;
+    if (MeetsDeadline(*next.planned, next.complete_at) && !(next.late && request.has_alternative)) {
+      return true;
+    }
   }
-  return true;
+  Erase(added);
+  return false;
 }
 
-bool inbound_transfers::MeetsObjective(const transfer& body, kernel::time_point complete_at,
-                                       kernel::time_point now) const {
-  const kernel::time_point start = std::max(complete_at, now + body.request.slot_wait);
-  return start + body.request.run_time * kPlannedRunTimePercent / 100 <= body.request.objective;
+bool inbound_transfers::MeetsObjective(const transfer& body, kernel::time_point complete_at) {
+  return std::max(complete_at, body.request.slot_at) +
+             body.request.run_time * kPlannedRunTimePercent / 100 <=
+         body.request.objective;
 }
 
-bool inbound_transfers::MeetsDeadline(const transfer& body, kernel::time_point complete_at) const {
-  return complete_at + body.request.run_time * kMinRemainingRunTimePercent / 100 <=
+bool inbound_transfers::MeetsDeadline(const transfer& body, kernel::time_point complete_at) {
+  return std::max(complete_at, body.request.slot_at) +
+             body.request.run_time * kMinRemainingRunTimePercent / 100 <=
          body.request.deadline;
 }
 
 // Returns all transfers in the order in which they are served. Within one priority, the largest
-// number of bodies that can meet their objectives is found by adding them in the order of the
-// objectives and, whenever one would miss its objective, moving the one with the most missing bytes
-// behind the others (Moore and Hodgson).
+// number of bodies that can meet their objectives is found by adding those that could alone in the
+// order of the objectives and, whenever one would miss its objective, moving the one with the most
+// missing bytes behind the others (Moore and Hodgson).
 std::vector<inbound_transfers::planned_transfer> inbound_transfers::Plan(kernel::time_point now) {
   std::vector<transfer*> ordered;
   ordered.reserve(transfers_.size());
@@ -51,10 +55,6 @@
   std::vector<planned_transfer> plan;
   plan.reserve(ordered.size());
   std::size_t bytes_ahead = 0;
-  const auto append = [&](transfer* next) {
-    bytes_ahead += next->missing();
-    plan.push_back({next, now + rate_.TimeFor(bytes_ahead)});
-  };
   for (auto group = ordered.begin(); group != ordered.end();) {
     const auto end = std::find_if(group, ordered.end(), [&](const transfer* body) {
       return body->request.priority != (*group)->request.priority;
@@ -63,9 +63,13 @@
     std::set<std::uint64_t> late;
     std::size_t bytes = bytes_ahead;
     for (auto next = group; next != end; ++next) {
+      if (!MeetsObjective(**next, now + rate_.TimeFor(bytes_ahead + (*next)->missing()))) {
+        late.insert((*next)->arrival);
+        continue;
+      }
       bytes += (*next)->missing();
       on_time.emplace((*next)->missing(), (*next)->arrival);
-      if (MeetsObjective(**next, now + rate_.TimeFor(bytes), now)) continue;
+      if (MeetsObjective(**next, now + rate_.TimeFor(bytes))) continue;
       const auto largest = std::prev(on_time.end());
       bytes -= largest->first;
       late.insert(largest->second);
@@ -77,7 +81,10 @@
       return std::tuple(a->request.deadline, a->arrival) <
              std::tuple(b->request.deadline, b->arrival);
     });
-    std::for_each(group, end, append);
+    for (auto next = group; next != end; ++next) {
+      bytes_ahead += (*next)->missing();
+      plan.push_back({*next, now + rate_.TimeFor(bytes_ahead), next >= first_late});
+    }
     group = end;
   }
   return plan;
@@ -85,7 +92,7 @@
 
 std::size_t inbound_transfers::CreditWindow() const {
   if (!rate_.known()) return kInitialCreditBytes;
-  return std::clamp(rate_.BytesIn(kCreditTime), kMinCreditBytes, kMaxCreditBytes);
+  return std::clamp(rate_.BytesIn(window_.time()), kMinCreditBytes, kMaxCreditBytes);
 }
 
 bool inbound_transfers::MayGrant(std::size_t bytes) const {
@@ -94,27 +101,30 @@
   return outstanding_bytes() + bytes <= window * kMaxCreditFactor;
 }
 
-std::size_t inbound_transfers::GrantTo(transfer& body, kernel::time_point now) {
-  std::size_t granted = 0;
+void inbound_transfers::GrantTo(transfer& body, kernel::time_point now,
+                                std::vector<transfer_credit>& credits) {
   while (body.ungranted() > 0) {
-    const std::size_t bytes =
-        std::min(body.ungranted(),
-                 std::clamp(CreditWindow() / kGrantsPerCredit, kMinGrantBytes, kMaxGrantBytes));
-    if (!MayGrant(bytes)) break;
+    const std::size_t window = CreditWindow();
+    const std::size_t bytes = std::min(
+        body.ungranted(), std::clamp(window / kGrantsPerCredit, kMinGrantBytes, kMaxGrantBytes));
+    if (!MayGrant(bytes)) return;
     if (body.granted == 0) started_bytes_ += body.request.bytes;
     if (body.outstanding() == 0) body.waiting_since = now;
     body.granted += bytes;
+    body.grants.push_back({body.granted, bytes, now, outstanding_ >= window / kGrantsPerCredit});
     outstanding_ += bytes;
-    granted += bytes;
+    credits.push_back({body.request.id, bytes});
   }
-  return granted;
 }
 
 std::vector<transfer_credit> inbound_transfers::Grant(kernel::time_point now) {
   DetectStalledSenders(now);
   std::vector<transfer_credit> credits;
   if (MayGrant(1)) credits = GrantInOrder(now);
-  if (outstanding_ == 0) rate_.OnIdle();
+  if (outstanding_ == 0) {
+    rate_.OnIdle();
+    window_.OnIdle();
+  }
   return credits;
 }
 
@@ -126,8 +136,7 @@
     const bool exceeds_memory = body.granted == 0 && started_bytes_ > 0 &&
                                 started_bytes_ + body.request.bytes > kMaxStartedBodyBytes;
     if (exceeds_memory) continue;
-    const std::size_t granted = GrantTo(body, now);
-    if (granted > 0) credits.push_back({body.request.id, granted});
+    GrantTo(body, now, credits);
     // What is left of the window is kept for this body, so that larger grants are not starved.
     if (body.ungranted() > 0) break;
   }
@@ -135,9 +144,10 @@
 }
 
 void inbound_transfers::DetectStalledSenders(kernel::time_point now) {
+  const kernel::microseconds stall_time = window_.base_delay() + kStallFactor * window_.time();
   for (auto& [id, body] : transfers_) {
     if (body.stalled || body.outstanding() == 0) continue;
-    if (now - body.waiting_since < kCreditStallTime) continue;
+    if (now - body.waiting_since < stall_time) continue;
     body.stalled = true;
     outstanding_ -= body.outstanding();
     stalled_outstanding_ += body.outstanding();
@@ -157,6 +167,11 @@
   }
   body.waiting_since = now;
   body.arrived += bytes;
+  for (; !body.grants.empty() && body.grants.front().end <= body.arrived; body.grants.pop_front()) {
+    const grant& arrived = body.grants.front();
+    if (arrived.bytes < kMinGrantBytes) continue;
+    window_.OnArrived(now - arrived.at, arrived.link_was_busy, now);
+  }
   outstanding_ -= bytes;
   missing_bytes_ -= bytes;
   rate_.OnArrived(bytes, missing_bytes_ > 0, now);
--- a/cornelweir/src/admission/inbound_transfers.h
+++ b/cornelweir/src/admission/inbound_transfers.h
@@ -3,10 +3,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <vector>
 
 #include "cornelweir/src/admission/arrival_rate.h"
+#include "cornelweir/src/admission/credit_window.h"
 #include "cornelweir/src/admission/transfer_id.h"
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/kernel/quantity.h"
@@ -24,8 +26,10 @@
   kernel::time_point deadline;
   // Mean run time of the requests of its route; zero if unknown.
   kernel::microseconds run_time{};
-  // Expected wait for a slot if the body were complete now.
-  kernel::microseconds slot_wait{};
+  // When a slot is expected to be free for it.
+  kernel::time_point slot_at;
+  // Another host can be tried, so the body is refused here if it would miss its objective.
+  bool has_alternative = false;
 };
 
 // The number of further bytes of a body that its sender may send.
@@ -54,10 +58,12 @@
 class inbound_transfers {
  public:
   // Accepts or refuses a body. Refuses it if it can't arrive and run before its deadline behind the
-  // bodies that go first. Expire() then returns those that it displaces.
+  // bodies that go first, or before its objective if it has an alternative. Expire() then returns
+  // those that it displaces.
   bool Announce(const transfer_request& request, kernel::time_point now);
-  // Returns the credit to send to the senders now. Called after any other change, and periodically
-  // while there are transfers, since credit of stalled senders is granted to others.
+  // Returns the credit to send to the senders now, each part in a message of its own. Called after
+  // any other change, and periodically while there are transfers, since credit of stalled senders
+  // is granted to others.
   std::vector<transfer_credit> Grant(kernel::time_point now);
   // Records that a part of a body has arrived.
   transfer_progress OnArrived(transfer_id id, std::size_t bytes, kernel::time_point now);
@@ -81,6 +87,14 @@
   std::size_t outstanding_bytes() const { return outstanding_ + stalled_outstanding_; }
 
  private:
+  struct grant {
+    // The value of arrived when it has arrived in full.
+    std::size_t end = 0;
+    std::size_t bytes = 0;
+    kernel::time_point at;
+    // See credit_window::OnArrived().
+    bool link_was_busy = false;
+  };
   struct transfer {
     transfer_request request;
     std::uint64_t arrival = 0;
@@ -88,6 +102,8 @@
     std::size_t arrived = 0;
     // Since when the sender has had unused credit without a further arrival.
     kernel::time_point waiting_since;
+    // The grants that have not arrived in full, oldest first.
+    std::deque<grant> grants;
     bool stalled = false;
 
     std::size_t missing() const { return request.bytes - arrived; }
@@ -98,15 +114,16 @@
   struct planned_transfer {
     transfer* planned = nullptr;
     kernel::time_point complete_at;
+    // It is not expected to meet its objective.
+    bool late = false;
   };
 
   std::vector<planned_transfer> Plan(kernel::time_point now);
-  bool MeetsObjective(const transfer& body, kernel::time_point complete_at,
-                      kernel::time_point now) const;
-  bool MeetsDeadline(const transfer& body, kernel::time_point complete_at) const;
+  static bool MeetsObjective(const transfer& body, kernel::time_point complete_at);
+  static bool MeetsDeadline(const transfer& body, kernel::time_point complete_at);
   bool MayGrant(std::size_t bytes) const;
   std::vector<transfer_credit> GrantInOrder(kernel::time_point now);
-  std::size_t GrantTo(transfer& body, kernel::time_point now);
+  void GrantTo(transfer& body, kernel::time_point now, std::vector<transfer_credit>& credits);
   void DetectStalledSenders(kernel::time_point now);
   void Erase(std::map<transfer_id, transfer>::iterator ended);
 
@@ -119,6 +136,7 @@
   std::size_t outstanding_ = 0;
   std::size_t stalled_outstanding_ = 0;
   arrival_rate rate_;
+  credit_window window_;
 };
 
 }  // namespace cornelweir::admission
--- a/cornelweir/src/admission/transfer_id.h
+++ b/cornelweir/src/admission/transfer_id.h
@@ -8,7 +8,7 @@
 namespace cornelweir::admission {
 
 // Identifies a large request body at the daemon that receives it.
-using transfer_id = kernel::strong_id<struct transfer_id_tag, std::uint64_t>;
+using transfer_id = kernel::strong_id<struct inbound_transfer_tag, std::uint64_t>;
 
 }  // namespace cornelweir::admission
 
--- a/cornelweir/src/admission/transfer_limits.h
+++ b/cornelweir/src/admission/transfer_limits.h
@@ -21,17 +21,29 @@
 inline constexpr std::size_t kMinGrantBytes = std::size_t{8} << 10;
 inline constexpr std::size_t kMaxGrantBytes = std::size_t{64} << 10;
 inline constexpr std::size_t kGrantsPerCredit = 3;
-// A sender of which nothing has arrived for this long although it has credit is paused, gone or
-// behind a slow link of its own. Its credit no longer keeps others from using the link.
-inline constexpr kernel::microseconds kCreditStallTime = 2 * kCreditTime;
-// Bound of all credit on the way, including that of stalled senders, in multiples of the usual one.
-inline constexpr std::size_t kMaxCreditFactor = 3;
+// A sender is stalled if nothing of its credit arrives for the delay of the network and this many
+// times the credit time: it is paused, gone or behind a slow link of its own. Its credit no longer
+// keeps others from using the link.
+inline constexpr int kStallFactor = 2;
+// Bound of all credit on the way, in multiples of kCreditTime, and of that including stalled
+// senders, in multiples of what others may have.
+inline constexpr int kMaxCreditFactor = 3;
 
 // Bodies that are announced and not complete, and the total size of those of which a part has been
 // granted. Further ones wait, or are refused beyond the first bound.
 inline constexpr std::size_t kMaxInboundTransfers = 512;
 inline constexpr std::size_t kMaxStartedBodyBytes = std::size_t{24} << 20;
 
+// The credit time is adjusted at this interval. It grows if a grant waited for less than the first
+// time behind others on the link, and shrinks if all waited for longer than the second. With two
+// grants of the minimum on the way at 6 Mbit/s, each waits for about 8 ms.
+inline constexpr kernel::microseconds kCreditAdjustInterval = std::chrono::milliseconds(100);
+inline constexpr kernel::microseconds kMinLinkQueueTime = std::chrono::milliseconds(4);
+inline constexpr kernel::microseconds kMaxLinkQueueTime = std::chrono::milliseconds(25);
+// The part of the time in the queue by which the estimate of the delay without a queue rises, so
+// that it follows a change of the network within minutes.
+inline constexpr int kBaseDelayRiseDivisor = 512;
+
 // A sample of the arrival rate covers at least this time, or at least these bytes if the link is
 // idle before.
 inline constexpr kernel::microseconds kArrivalSampleInterval = std::chrono::milliseconds(100);
@@ -40,6 +52,9 @@
 // although the link is as fast as before; nothing but a faster link makes them high.
 inline constexpr double kHigherRateWeight = 0.5;
 inline constexpr double kLowerRateWeight = 0.1;
+// An older rate is not used. A rate that was measured too low could otherwise refuse every body,
+// and so would never be measured again.
+inline constexpr kernel::microseconds kMaxRateAge = std::chrono::seconds(2);
 
 }  // namespace cornelweir::admission
 
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -62,6 +62,9 @@
   bool repeated = false;
   // Size of the body that follows in pieces; 0 if the message contains the whole body.
   std::uint64_t body_bytes = 0;
+  // The sender can try another daemon if this one can't meet the objective. Stated for a large body
+  // only.
+  bool has_alternative = false;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"i", &run_request::id},
@@ -77,7 +80,8 @@
                       kernel::field{"l", &run_request::time_left},
                       kernel::field{"o", &run_request::objective_left},
                       kernel::field{"x", &run_request::repeated},
-                      kernel::field{"b", &run_request::body_bytes}};
+                      kernel::field{"b", &run_request::body_bytes},
+                      kernel::field{"a", &run_request::has_alternative}};
   }
 };
 
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -252,6 +252,9 @@
   run.route = route.name;
   run.objective_left = state->objective_deadline - now;
   run.repeated = state->sent_count > 0;
+  run.has_alternative = bulk_sender::IsLarge(state->body->size()) &&
+                        state->refusals + 1 < internal::kMaxRefusals &&
+                        peers_.HasOther(state->service, state->tried_peers);
   state->run_id = chosen->Run(std::move(run), state->body, [this, state](run_result result) {
     OnResult(state, std::move(result));
   });
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -1,5 +1,6 @@
 #include "plugins/sidecar/peer_server.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -103,7 +104,8 @@
   transfer.objective = inbound.arrived_at + request.objective_left;
   transfer.deadline = inbound.arrived_at + request.time_left;
   transfer.run_time = dispatcher_.MeanRunTime(request.route);
-  transfer.slot_wait = dispatcher_.ExpectedSlotWait();
+  transfer.slot_at = context_.clock.Now() + dispatcher_.ExpectedSlotWait();
+  transfer.has_alternative = request.has_alternative;
   const bool accepted =
       dispatcher_.Serves(request.service) && bodies_.Announce(sender.link, id, transfer);
   if (!accepted) RefuseBody(sender, id);
@@ -117,7 +119,9 @@
   message.id = id;
   message.failure =
       serves ? protocol::run_failure::kNoCapacity : protocol::run_failure::kNoUpstream;
-  if (serves) message.retry_after = bodies_.DrainTime();
+  if (serves) {
+    message.retry_after = std::max(bodies_.DrainTime(), dispatcher_.ExpectedSlotWait());
+  }
   message.load = Load();
   SendData(*sender.link, message);
   context_.metrics
--- a/tests/inbound_transfers_test.cc
+++ b/tests/inbound_transfers_test.cc
@@ -23,7 +23,8 @@
 // A host whose link has a fixed rate, and the senders of the bodies that it receives.
 class link_model {
  public:
-  explicit link_model(double bytes_per_second) : bytes_per_second_(bytes_per_second) {}
+  explicit link_model(double bytes_per_second, milliseconds round_trip = milliseconds(2))
+      : bytes_per_second_(bytes_per_second), round_trip_(round_trip) {}
 
   bool Announce(int id, milliseconds objective, milliseconds deadline, std::int32_t priority = 0) {
     transfer_request request;
@@ -41,7 +42,7 @@
       if (stalled == credit.id) continue;
       const auto transmission_time = kernel::microseconds(
           static_cast<std::int64_t>(1e6 * static_cast<double>(credit.bytes) / bytes_per_second_));
-      const kernel::time_point sent_at = now + kRoundTrip;
+      const kernel::time_point sent_at = now + round_trip_;
       free_at_ = std::max(free_at_, sent_at) + transmission_time;
       longest_delay = std::max(longest_delay, kernel::microseconds(free_at_ - sent_at));
       pieces_.push_back({credit, free_at_});
@@ -91,9 +92,9 @@
     transfer_credit credit;
     kernel::time_point arrives_at;
   };
-  static constexpr milliseconds kRoundTrip{2};
 
   double bytes_per_second_;
+  milliseconds round_trip_;
   kernel::time_point free_at_{};
   std::deque<piece> pieces_;
 };
@@ -109,6 +110,17 @@
   EXPECT_NEAR(link.transfers.bytes_per_second(), kSlowLink, 0.05 * kSlowLink);
 }
 
+// Guards against a link that idles because the credit does not cover slow answers of the senders.
+TEST(InboundTransfers, KeepsTheLinkBusyIfSendersAnswerSlowly) {
+  link_model link(kSlowLink, milliseconds(20));
+  for (int id = 1; id <= 100; ++id) link.Announce(id, seconds(100), seconds(100));
+  link.Run(seconds(2));
+  link.arrived_bytes = 0;
+  link.Run(seconds(2));
+  EXPECT_GE(static_cast<double>(link.arrived_bytes), 0.9 * 2 * kSlowLink);
+  EXPECT_LE(link.longest_delay, milliseconds(100));
+}
+
 // Guards against a fast link that is limited by the credit for a slow one.
 TEST(InboundTransfers, UsesAFastLink) {
   link_model link(125e6);
@@ -127,9 +139,10 @@
   EXPECT_TRUE(link.Announce(2, milliseconds(900), seconds(5)));
   EXPECT_TRUE(link.Announce(3, milliseconds(300), seconds(5)));
   EXPECT_TRUE(link.Announce(4, milliseconds(200), seconds(5), 1));
+  EXPECT_TRUE(link.Announce(6, milliseconds(-10), seconds(6)));
   EXPECT_TRUE(link.Announce(5, milliseconds(800), seconds(5)));
   link.Run(seconds(5));
-  EXPECT_EQ(link.completed, (std::vector<int>{3, 5, 2, 1, 4}));
+  EXPECT_EQ(link.completed, (std::vector<int>{3, 5, 2, 1, 6, 4}));
 }
 
 // Guards against sending bodies that arrive too late. 20 bodies of 80 ms each arrive within 1.6 s.
@@ -152,6 +165,27 @@
   EXPECT_EQ(std::count(expired.begin(), expired.end(), transfer_id(1)), 0);
 }
 
+// Guards against uploads that wait behind others although another host has time for them, and
+// against a rate that was measured too low and refuses every body from then on.
+TEST(InboundTransfers, RefusesALateBodyThatHasAnAlternative) {
+  link_model link(kSlowLink);
+  link.Warm();
+  transfer_request late;
+  late.id = transfer_id(1);
+  late.bytes = kBodyBytes;
+  late.objective = link.now + milliseconds(50);
+  late.deadline = link.now + milliseconds(75);
+  late.has_alternative = true;
+  EXPECT_FALSE(link.transfers.Announce(late, link.now));
+  late.deadline += seconds(1);
+  EXPECT_FALSE(link.transfers.Announce(late, link.now));
+  late.has_alternative = false;
+  EXPECT_TRUE(link.transfers.Announce(late, link.now));
+  link.transfers.Remove(late.id);
+  link.now += kMaxRateAge + milliseconds(1);
+  EXPECT_TRUE(link.Announce(2, milliseconds(10), milliseconds(20))) << "by an outdated rate";
+}
+
 // Guards against a paused sender that keeps the link idle for the others, and against unbounded
 // credit for many such senders.
 TEST(InboundTransfers, GrantsTheCreditOfAStalledSenderToOthers) {
