Bound the bodies of callers' requests until they are answered

A body is held until its request is answered, which takes longer now that large ones wait for credit. Beyond the bound a request with a body gets 503.

--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -167,6 +167,7 @@
 }
 
 void pipeline_connection::SetBufferedBytes(std::size_t bytes) {
+  bytes += unanswered_bytes_;
   core_->buffered_bytes += bytes - buffered_bytes_;
   buffered_bytes_ = bytes;
 }
@@ -187,6 +188,7 @@
     request.headers.emplace_back(std::string(header.name_string()), std::string(header.value()));
   }
   request.body = std::move(message.body());
+  unanswered_bytes_ += request.body.size();
   request_received_ = true;
   SetBufferedBytes(0);
   no_more_requests_ = !parser_->keep_alive();
@@ -211,6 +213,8 @@
   if (writing_ || closed_ || pending_.empty() || !pending_.front()->answered_) return;
   const std::shared_ptr<pipeline_request> answered = pending_.front();
   pending_.pop_front();
+  unanswered_bytes_ -= answered->body_bytes_;
+  SetBufferedBytes(parser_ ? input_.size() + parser_->get().body().size() : 0);
   // Requests after a response that closes the connection count as unread by the server, so none may
   // have been dispatched: only the response to the last request in progress closes the connection.
   const bool last =
@@ -288,6 +292,7 @@
   if (closed_) return;
   const auto self = shared_from_this();
   closed_ = true;
+  unanswered_bytes_ = 0;
   SetBufferedBytes(0);
   error_code ignored;
   socket_.close(ignored);
--- a/cornelweir/src/http/pipeline_connection.h
+++ b/cornelweir/src/http/pipeline_connection.h
@@ -43,6 +43,7 @@
   bool ParseHead();
   // Returns false after it has refused a request that exceeds the limits of buffered bytes.
   bool CheckBufferLimit();
+  // Sets the bytes of the request that is being read.
   void SetBufferedBytes(std::size_t bytes);
   void Dispatch();
   void SendContinue();
@@ -58,6 +59,8 @@
   std::unique_ptr<parser> parser_;
   // Share of the core's buffered_bytes.
   std::size_t buffered_bytes_ = 0;
+  // Bytes of the bodies of the requests that are not answered.
+  std::size_t unanswered_bytes_ = 0;
   std::deque<std::shared_ptr<pipeline_request>> pending_;
   std::string output_head_;
   std::string output_body_;
--- a/cornelweir/src/http/pipeline_core.h
+++ b/cornelweir/src/http/pipeline_core.h
@@ -34,7 +34,8 @@
   pipeline_limits limits;
   pipeline_server::handler handle_request;
   pipeline_server::refusal_builder build_refusal;
-  // Bytes of requests that are being read, over all connections.
+  // Bytes of requests that are being read and of the bodies of those that are not answered, over
+  // all connections.
   std::size_t buffered_bytes = 0;
   // Shared buffer for reads; each connection copies what it has read.
   std::array<char, std::size_t{64} << 10> read_buffer;
--- a/cornelweir/src/http/pipeline_server.h
+++ b/cornelweir/src/http/pipeline_server.h
@@ -24,7 +24,8 @@
 struct pipeline_limits {
   std::size_t connections = 3'000;
   std::size_t header_bytes = kMaxHeaderBytes;
-  // Largest body of a request, and of all requests that are being read together.
+  // Largest body of a request, and of all requests together that are being read or not answered
+  // yet.
   std::uint64_t body_bytes = kMaxBufferedBodyBytes;
   std::size_t total_body_bytes = kMaxTotalBufferedBodyBytes;
   kernel::milliseconds header_timeout{10'000};
@@ -39,7 +40,8 @@
   pipeline_request(std::weak_ptr<internal::pipeline_connection> connection, whole_request message)
       : message(std::move(message)),
         connection_(std::move(connection)),
-        is_head_request_(this->message.method == "HEAD") {}
+        is_head_request_(this->message.method == "HEAD"),
+        body_bytes_(this->message.body.size()) {}
 
   // The handler may move from it.
   whole_request message;
@@ -57,6 +59,8 @@
   std::function<void()> on_caller_gone_;
   // Stored separately, since the handler may move from the message; a response to HEAD has no body.
   bool is_head_request_;
+  // The handler may hold the body until it has answered.
+  std::size_t body_bytes_;
   bool answered_ = false;
   whole_response response_;
 };
--- a/tests/http_pipeline_test.cc
+++ b/tests/http_pipeline_test.cc
@@ -182,5 +182,24 @@
   EXPECT_TRUE(requests_.empty());
 }
 
+// Guards against unbounded memory for the bodies of requests that wait for their responses.
+TEST_F(pipeline, CountsTheBodiesOfUnansweredRequests) {
+  pipeline_limits limits;
+  limits.total_body_bytes = 150'000;
+  server_.SetLimits(limits);
+  const std::string post =
+      "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + std::string(100'000, 'x');
+  Send(post);
+  AwaitRequests(1);
+  const auto other = raw_peer::Connect(loop_, server_.local_endpoint());
+  other->Send(post);
+  RunUntil(loop_, [&] { return other->received.find("HTTP/1.1 503") != std::string::npos; });
+  EXPECT_EQ(requests_.size(), 1U);
+  requests_[0]->Respond({200, {}, ""});
+  AwaitText("HTTP/1.1 200");
+  Send(post);
+  AwaitRequests(2);
+}
+
 }  // namespace
 }  // namespace cornelweir::http
