--- a/tests/bulk_sender_test.cc
+++ b/tests/bulk_sender_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <variant>
@@ -88,5 +89,28 @@
   EXPECT_TRUE(sender_.idle());
 }
 
+// Guards against granted request bodies that wait behind responses, and against bytes beyond the
+// credit.
+TEST_F(BulkSenderTest, SendsGrantedRequestBodiesFirst) {
+  acknowledges_ = false;
+  bool sent = false;
+  const kernel::call_id request(8);
+  sender_.SendOnCredit(link_, request, std::make_shared<const std::string>(20'000, 'r'),
+                       [&] { sent = true; });
+  sender_.AddCredit(link_.get(), request, 9'000);
+  sender_.Send(link_, kCall, std::string(kBodyBytes, 'x'));
+  http::RunUntil(daemon_.loop, [this] { return received_.find('x') != std::string::npos; });
+  EXPECT_EQ(received_.find('x'), 9'000U);
+  EXPECT_FALSE(sent);
+  sender_.AddCredit(link_.get(), request, 1'000'000);
+  EXPECT_FALSE(sent) << "sent beyond the window";
+  received_.clear();
+  acknowledges_ = true;
+  for (int i = 0; i < 6; ++i) sender_.OnPieceAcknowledged(link_.get());
+  EXPECT_TRUE(sent);
+  http::RunUntil(daemon_.loop, [this] { return sender_.idle(); });
+  EXPECT_EQ(std::count(received_.begin(), received_.end(), 'r'), 11'000);
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
--- a/tests/weighted_round_robin_test.cc
+++ b/tests/weighted_round_robin_test.cc
@@ -65,5 +65,22 @@
   EXPECT_EQ(ChoosePeer(std::vector{Candidate(8, 50), Candidate(8, 60), unknown}, random), 2U);
 }
 
+// Guards against large bodies for hosts whose links are busy, and against a host that is avoided
+// for ever because of a backlog that it had once.
+TEST(PeerChoice, CountsTheTimeOfALargeBodyOnTheLink) {
+  const link_load idle{0, 750'000, {}, 0};
+  link_load busy{600'000, 750'000, {}, 150'000};
+  EXPECT_EQ(ExpectedTransferTime({}, 75'000), kernel::microseconds::zero()) << "rate unknown";
+  EXPECT_EQ(ExpectedTransferTime(idle, 75'000), std::chrono::milliseconds(100));
+  EXPECT_EQ(ExpectedTransferTime(busy, 75'000), std::chrono::milliseconds(1'100));
+  std::vector<peer_candidate> candidates{Candidate(3, 50), Candidate(3, 50)};
+  candidates[0].transfer_time = ExpectedTransferTime(busy, 75'000);
+  candidates[1].transfer_time = ExpectedTransferTime(idle, 75'000);
+  kernel::seeded_random random(1);
+  EXPECT_EQ(ChoosePeer(candidates, random), 1U);
+  busy.report_age = std::chrono::seconds(10);
+  EXPECT_LT(ExpectedTransferTime(busy, 75'000), std::chrono::milliseconds(310));
+}
+
 }  // namespace
 }  // namespace cornelweir::routing
