--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -80,6 +80,9 @@
   std::uint64_t body_bytes = 0;
   // Set if the request may be a call of the upstream on the sender's host.
   std::optional<parent_rank> parent;
+  // The sender can try another daemon if this one can't meet the objective. Stated for a large body
+  // only.
+  bool has_alternative = false;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"i", &run_request::id},
@@ -96,7 +99,8 @@
                       kernel::field{"o", &run_request::objective_left},
                       kernel::field{"x", &run_request::repeated},
                       kernel::field{"b", &run_request::body_bytes},
-                      kernel::field{"u", &run_request::parent}};
+                      kernel::field{"u", &run_request::parent},
+                      kernel::field{"a", &run_request::has_alternative}};
   }
 };
 
