--- a/plugins/control/rollout_controller.cc
+++ b/plugins/control/rollout_controller.cc
@@ -100,13 +100,15 @@
   }
 }
 
-// The reports that this host received as the leader before are outdated.
+// The reports that this host received as the leader before are outdated. Their evidence would be
+// counted twice, as the counters of the daemons are cumulative.
 void rollout_controller::OnLeadershipChanged(bool is_leader) {
   if (!is_leader) return;
   leader_since_ = Now();
   for (auto& [service, active] : active_) {
     active.daemons.clear();
     active.proposing = false;
+    active.evidence = {};
     active.evidence.StartStep(active.record);
   }
 }
