--- a/plugins/sidecar/peer_set.h
+++ b/plugins/sidecar/peer_set.h
@@ -55,6 +55,8 @@
   // Fills usable_peers_ and candidates_ with the peers for which the predicate returns true.
   template <class Predicate>
   void Collect(const peer_query& query, Predicate is_allowed);
+  // Reduces usable_peers_ and candidates_ to those that get the requests for the target now.
+  void KeepActiveSubset(const rollout::rollout_record& record);
   std::shared_ptr<peer> ChooseCollected();
   kernel::microseconds IdleProbePeriod() const;
 
