--- a/cornelweir/admission.h
+++ b/cornelweir/admission.h
@@ -14,12 +14,14 @@
 #include "cornelweir/src/admission/rate_limiter.h"
 #include "cornelweir/src/admission/refused_ticket.h"
 #include "cornelweir/src/admission/request_rank.h"
+#include "cornelweir/src/admission/route_calls.h"
 #include "cornelweir/src/admission/run_time_estimate.h"
 #include "cornelweir/src/admission/share_member.h"
 #include "cornelweir/src/admission/slot_queue.h"
 #include "cornelweir/src/admission/slot_request.h"
 #include "cornelweir/src/admission/ticket.h"
 #include "cornelweir/src/admission/transfer_window.h"
+#include "cornelweir/src/admission/upstream_speed.h"
 #include "cornelweir/src/admission/work_shares.h"
 
 #endif  // CORNELWEIR_ADMISSION_H_
--- a/cornelweir/routing.h
+++ b/cornelweir/routing.h
@@ -7,6 +7,7 @@
 #include "cornelweir/src/routing/finish_kind.h"
 #include "cornelweir/src/routing/limits.h"
 #include "cornelweir/src/routing/peer_choice.h"
+#include "cornelweir/src/routing/recent_wait.h"
 #include "cornelweir/src/routing/route_index.h"
 #include "cornelweir/src/routing/route_match.h"
 #include "cornelweir/src/routing/upstream_candidate.h"
--- a/cornelweir/src/admission/limits.h
+++ b/cornelweir/src/admission/limits.h
@@ -53,9 +53,14 @@
 // Upper bound of the run time with which deadlines are checked, in percent of the route's timeout.
 inline constexpr std::int64_t kMaxSafeRunTimePercent = 60;
 
-// A route or workspace gets at least a quarter of the mean work per route or workspace. Its requests
-// are protected below a higher fraction: with 0.25 it got 0.23, since requests that arrive between
-// two decisions are not protected.
+// Number of runs over which the usual run time is averaged. Over fewer, the mix of routes varies.
+inline constexpr std::int64_t kUsualRunTimeDivisor = 64;
+// A run has a weight of 1/kSlowdownDivisor in the present slowdown: a stall shows after three runs.
+inline constexpr std::int64_t kSlowdownDivisor = 4;
+
+// A route or workspace gets at least a quarter of the mean work per route or workspace. Its
+// requests are protected below a higher fraction: with 0.25 it got 0.23, since requests that arrive
+// between two decisions are not protected.
 inline constexpr double kMinShareOfMean = 0.3;
 // Decay times of the recent and the usual work of a route or workspace. The recent work covers a
 // few requests a second; the usual work outlasts bursts of 20 s.
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -68,12 +68,24 @@
 }
 
 // Whether the request would most likely miss its deadline even if it ran now.
-bool slot_queue::WouldMissDeadline(const slot_request& request, kernel::time_point now) const {
+bool slot_queue::WouldMissDeadline(const slot_request& request, kernel::time_point now) {
   const kernel::microseconds run =
       std::max(request.run_time * kMinRemainingRunTimePercent / 100, request.safe_run_time);
   return request.deadline - now < run + request.transfer_time;
 }
 
+// Whether the calls of the request would wait so long that it would miss its deadline.
+bool slot_queue::IsHeldBack(const slot_request& request, kernel::time_point now) {
+  return request.call_wait.count() > 0 &&
+         request.deadline - now < request.run_time + request.call_wait + request.transfer_time;
+}
+
+void slot_queue::SetCallWait(const kernel::route_name& route, kernel::microseconds wait) {
+  for (queued_request& queued : queue_) {
+    if (queued.request.route == route) queued.request.call_wait = wait;
+  }
+}
+
 // Whether a request that waits this long would end so late that an early refusal serves its caller
 // better. The parent of a nested request already holds a slot while it waits, so a nested request
 // may take until its deadline.
@@ -124,7 +136,13 @@
 slot_decision slot_queue::Submit(const slot_request& request, kernel::time_point now) {
   using kind = slot_decision::kind;
   if (WouldMissDeadline(request, now)) return {};
-  if (queue_.empty() && MayStart(now)) {
+  const auto may_start = [now](const slot_request& waiting) {
+    return !WouldMissDeadline(waiting, now) && !IsHeldBack(waiting, now);
+  };
+  const bool is_next = std::none_of(queue_.begin(), queue_.end(), [&](const queued_request& other) {
+    return may_start(other.request);
+  });
+  if (MayStart(now) && is_next && may_start(request)) {
     if (request.transfer_time.count() > 0 && IsHopeless(request, kPlannedRunTimePercent, now)) {
       return {};
     }
@@ -219,11 +237,12 @@
   return removed;
 }
 
-// Skips requests that are overdue, which Expire() has not removed yet if the process was paused.
+// Skips requests that are held back, and overdue ones, which Expire() has not removed yet if the
+// process was paused.
 std::vector<ticket> slot_queue::AdmitQueued(kernel::time_point now) {
   std::vector<ticket> admitted;
   for (auto next = queue_.begin(); MayStart(now) && next != queue_.end();) {
-    if (WouldMissDeadline(next->request, now)) {
+    if (WouldMissDeadline(next->request, now) || IsHeldBack(next->request, now)) {
       ++next;
       continue;
     }
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -38,8 +38,10 @@
 // their callers still have time to use another upstream: of those with the lowest priority first
 // the ones of workspaces that are above their usual rate, then the ones with the longest run times,
 // which lets the most requests meet their objectives. Routes and workspaces that get less than a
-// minimum share are served before all others instead. A late request gets a slot only if no other
-// request needs it, and the network only if no other response does.
+// minimum share are served before all others instead. A request whose calls would wait so long that
+// it could not end before its deadline is held back until they are expected to be faster. A late
+// request gets a slot only if no other request needs it, and the network only if no other response
+// does.
 class slot_queue {
  public:
   // Sets the number of slots. Returns the queued requests that run now.
@@ -56,7 +58,10 @@
   // that run now.
   std::vector<ticket> Release(ticket id, std::optional<kernel::microseconds> run_time,
                               kernel::time_point now);
-  // Returns the queued requests that run now because the rate limit allows it again.
+  // Sets the time that the calls of a route's requests can expect to wait for slots elsewhere.
+  void SetCallWait(const kernel::route_name& route, kernel::microseconds wait);
+  // Returns the queued requests that run now because the rate limit allows it again, or because
+  // their calls would wait for a shorter time.
   std::vector<ticket> AdmitQueued(kernel::time_point now);
   // Removes a queued request. Returns false if it is not queued.
   bool Cancel(ticket id);
@@ -94,7 +99,8 @@
   kernel::microseconds ExpectedWaitAt(std::int64_t position, kernel::microseconds work_ahead,
                                       kernel::time_point now) const;
   kernel::microseconds WorkOf(const slot_request& request) const;
-  bool WouldMissDeadline(const slot_request& request, kernel::time_point now) const;
+  static bool IsHeldBack(const slot_request& request, kernel::time_point now);
+  static bool WouldMissDeadline(const slot_request& request, kernel::time_point now);
   bool WouldEndTooLate(const slot_request& request, kernel::microseconds wait,
                        std::int64_t run_time_percent, kernel::time_point now) const;
   bool IsHopeless(const slot_request& request, std::int64_t run_time_percent,
--- a/cornelweir/src/admission/slot_request.h
+++ b/cornelweir/src/admission/slot_request.h
@@ -28,6 +28,8 @@
   kernel::microseconds transfer_time{};
   // Run time that most requests of its route do not exceed at present; zero if unknown.
   kernel::microseconds safe_run_time{};
+  // Time that its own calls can expect to wait for slots elsewhere; zero if it makes none.
+  kernel::microseconds call_wait{};
   kernel::route_name route;
   // Empty if the request belongs to none.
   kernel::workspace_id workspace;
--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -51,7 +51,8 @@
   X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress") \
   X(kRequestEnded, 4002, kInfo, "request ended")                                             \
   X(kRequestSentAgain, 4003, kInfo, "request sent again")                                    \
-  X(kAnnouncementRefused, 4004, kWarning, "announcement refused")
+  X(kAnnouncementRefused, 4004, kWarning, "announcement refused")                            \
+  X(kRequestRefused, 4009, kInfo, "request refused at its upstream")
 
 enum class event_id : std::uint16_t {
 // An enumerator can't stand in parentheses.
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -22,11 +22,20 @@
   std::int64_t slots = 0;
   std::int64_t in_progress = 0;
   std::int64_t queued = 0;
+  // Usual run time over all routes; 0 if unknown.
+  kernel::microseconds run_time{};
+  // The present run time in percent of the usual one.
+  std::int64_t slowdown_percent = 100;
+  // Time that a new request would wait for a slot.
+  kernel::microseconds wait{};
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"s", &upstream_load::slots},
                       kernel::field{"p", &upstream_load::in_progress},
-                      kernel::field{"q", &upstream_load::queued}};
+                      kernel::field{"q", &upstream_load::queued},
+                      kernel::field{"r", &upstream_load::run_time},
+                      kernel::field{"f", &upstream_load::slowdown_percent},
+                      kernel::field{"a", &upstream_load::wait}};
   }
   friend bool operator==(const upstream_load&, const upstream_load&) = default;
 };
--- a/cornelweir/src/routing/limits.h
+++ b/cornelweir/src/routing/limits.h
@@ -64,17 +64,24 @@
 
 // The response time assumed while no upstream of the service has answered yet.
 inline constexpr kernel::microseconds kDefaultResponseTime = std::chrono::milliseconds(50);
-// How much the expected response time grows, as a fraction of that of an idle upstream, when all
-// slots are in use.
-inline constexpr double kPeerUtilizationCost = 1.0;
 // How much the expected response time grows, as a fraction of that of a healthy upstream, when
 // every request fails.
 inline constexpr double kPeerFailureCost = 10.0;
-// Factors on the cost of an upstream for the network path to it: its latency, and the bytes that
-// cross from one failure domain to another.
-inline constexpr double kOwnDomainCost = 1.0;
-inline constexpr double kOtherDomainCost = 2.0;
-inline constexpr double kOtherDomainLargeResponseCost = 5.0;
+// Reports of the queue and of stalls lose validity with this time constant. Stalls change every
+// 600 ms, and queues with the run times.
+inline constexpr kernel::microseconds kPeerReportLifetime = std::chrono::milliseconds(300);
+// Reports of the wait at a service as a whole lose validity with this time constant. Below the
+// minimum sum of their weights the wait is unknown.
+inline constexpr kernel::microseconds kServiceWaitLifetime = std::chrono::seconds(1);
+inline constexpr double kMinServiceWaitWeight = 0.3;
+// An upstream is passed over if requests wait there longer than at the best one, by more than this
+// percentage of the mean run time.
+inline constexpr std::int64_t kPeerWaitTolerancePercent = 25;
+// Bound of the requests by which an upstream can be behind or ahead of its share, so that one that
+// was passed over for a while is not flooded afterwards.
+inline constexpr double kMaxPeerCredit = 2;
+// Factor on the requests with large responses that stay in the own failure domain.
+inline constexpr double kLargeResponseDomainFactor = 2.5;
 
 }  // namespace cornelweir::routing
 
--- a/cornelweir/src/routing/peer_choice.cc
+++ b/cornelweir/src/routing/peer_choice.cc
@@ -1,19 +1,25 @@
 #include "cornelweir/src/routing/peer_choice.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "cornelweir/src/routing/limits.h"
 
 namespace cornelweir::routing {
-
 namespace internal {
 
-kernel::microseconds MeanResponseTime(const std::vector<peer_candidate>& candidates) {
+// How much of a report still holds, 1 for a new one.
+double Freshness(kernel::microseconds age) {
+  return std::exp(-std::chrono::duration<double>(age) /
+                  std::chrono::duration<double>(kPeerReportLifetime));
+}
+
+kernel::microseconds MeanRunTime(const std::vector<peer_candidate>& candidates) {
   kernel::microseconds sum{};
   std::int64_t known_times = 0;
   for (const peer_candidate& candidate : candidates) {
-    if (candidate.response_time.count() == 0) continue;
-    sum += candidate.response_time;
+    if (candidate.run_time.count() == 0) continue;
+    sum += candidate.run_time;
     ++known_times;
   }
   return known_times == 0 ? kDefaultResponseTime : sum / known_times;
@@ -21,20 +27,70 @@
 
 }  // namespace internal
 
-double ExpectedCost(const peer_candidate& candidate, kernel::microseconds mean_response_time) {
-  const auto slots = static_cast<double>(std::max<std::int64_t>(candidate.slots, 1));
-  const auto requests =
-      static_cast<double>(candidate.reported_requests + candidate.sent_since_report);
-  const kernel::microseconds response_time =
-      candidate.response_time.count() > 0 ? candidate.response_time : mean_response_time;
-  const double utilization = (requests + 1) / slots;
-  // Up to its slots an upstream runs requests in parallel, and slows down with the number of slots
-  // in use. Requests beyond that are queued.
-  double cost = static_cast<double>(response_time.count()) *
-                (utilization <= 1 ? 1 + kPeerUtilizationCost * utilization
-                                  : 1 + kPeerUtilizationCost + (utilization - 1));
-  cost *= 1 + kPeerFailureCost * candidate.failure_rate;
-  return cost * candidate.network_cost;
+kernel::microseconds ExpectedRunTime(const peer_candidate& candidate,
+                                     kernel::microseconds mean_run_time) {
+  const kernel::microseconds usual =
+      candidate.run_time.count() > 0 ? candidate.run_time : mean_run_time;
+  const double slowdown = static_cast<double>(candidate.slowdown_percent) / 100 - 1;
+  return kernel::microseconds(
+      std::llround(static_cast<double>(usual.count()) *
+                   (1 + slowdown * internal::Freshness(candidate.report_age))));
+}
+
+kernel::microseconds ExpectedPeerWait(const peer_candidate& candidate,
+                                      kernel::microseconds run_time) {
+  const std::int64_t slots = std::max<std::int64_t>(candidate.slots, 1);
+  const std::int64_t excess = candidate.reported_requests + candidate.sent_since_report + 1 - slots;
+  if (excess <= 0) return {};
+  return kernel::microseconds(
+      std::llround(static_cast<double>((run_time * excess / slots).count()) *
+                   internal::Freshness(candidate.report_age)));
+}
+
+double OwnDomainShare(double capacity_share, double daemon_share) {
+  return daemon_share <= 0 ? 1 : std::min(capacity_share / daemon_share, 1.0);
+}
+
+std::optional<std::size_t> ChoosePeer(std::vector<peer_candidate>& candidates,
+                                      const domain_preference& preference) {
+  if (candidates.empty()) return std::nullopt;
+  const kernel::microseconds mean_run_time = internal::MeanRunTime(candidates);
+  const auto run_time = [&](const peer_candidate& candidate) {
+    return std::max(ExpectedRunTime(candidate, mean_run_time), kernel::microseconds(1));
+  };
+  const auto capacity = [&](const peer_candidate& candidate) {
+    return static_cast<double>(std::max<std::int64_t>(candidate.slots, 1)) /
+           static_cast<double>(run_time(candidate).count()) /
+           (1 + kPeerFailureCost * candidate.failure_rate);
+  };
+  double own_capacity = 0;
+  double other_capacity = 0;
+  kernel::microseconds shortest_wait = kernel::microseconds::max();
+  for (const peer_candidate& candidate : candidates) {
+    (candidate.own_domain ? own_capacity : other_capacity) += capacity(candidate);
+    shortest_wait = std::min(shortest_wait, ExpectedPeerWait(candidate, run_time(candidate)));
+  }
+  double own_share = own_capacity > 0 ? 1 : 0;
+  if (own_capacity > 0 && other_capacity > 0) {
+    own_share = std::min(
+        OwnDomainShare(own_capacity / (own_capacity + other_capacity), preference.daemon_share) *
+            preference.factor,
+        1.0);
+  }
+  const kernel::microseconds longest_wait =
+      shortest_wait + mean_run_time * kPeerWaitTolerancePercent / 100;
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    peer_candidate& candidate = candidates[i];
+    const double share = candidate.own_domain
+                             ? own_share * capacity(candidate) / own_capacity
+                             : (1 - own_share) * capacity(candidate) / other_capacity;
+    candidate.credit = std::min(candidate.credit + share, kMaxPeerCredit);
+    if (ExpectedPeerWait(candidate, run_time(candidate)) > longest_wait) continue;
+    if (!best || candidate.credit > candidates[*best].credit) best = i;
+  }
+  candidates[*best].credit = std::max(candidates[*best].credit - 1, -kMaxPeerCredit);
+  return best;
 }
 
 }  // namespace cornelweir::routing
--- a/cornelweir/src/routing/peer_choice.h
+++ b/cornelweir/src/routing/peer_choice.h
@@ -6,9 +6,7 @@
 #include <optional>
 #include <vector>
 
-#include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/kernel/quantity.h"
-#include "cornelweir/src/kernel/random_source.h"
 
 namespace cornelweir::routing {
 
@@ -20,50 +18,53 @@
   std::int64_t reported_requests = 0;
   // Requests that this daemon has sent to the upstream since that report.
   std::int64_t sent_since_report = 0;
-  // Mean response time; zero if unknown.
-  kernel::microseconds response_time{};
+  // The age of the report.
+  kernel::microseconds report_age{};
+  // Usual run time; zero if unknown.
+  kernel::microseconds run_time{};
+  // The present run time in percent of the usual one, as last reported.
+  std::int64_t slowdown_percent = 100;
   // Fraction of the recent requests that failed, 0 to 1.
   double failure_rate = 0;
-  // Factor on the cost for the network path to the upstream.
-  double network_cost = 1;
+  bool own_domain = true;
+  // The part of a request by which the upstream is behind its share of this daemon's requests.
+  // ChoosePeer() updates it; it is kept from one choice to the next. A random start in 0 to 1 makes
+  // different daemons begin with different upstreams.
+  double credit = 0;
 };
 
-// The expected cost of a request at a candidate, in microseconds. The mean response time of all
-// candidates stands in for that of a candidate whose own is unknown.
-double ExpectedCost(const peer_candidate& candidate, kernel::microseconds mean_response_time);
-
-// Returns the index of the candidate with the lowest expected cost, a random one of those with
-// equal costs. Failures and the network path add to the cost, so that the own failure domain is
-// preferred as long as it has free slots. Empty if there are no candidates.
-template <kernel::random_source Random>
-std::optional<std::size_t> ChoosePeer(const std::vector<peer_candidate>& candidates,
-                                      Random& random);
+// How strongly a daemon prefers the upstreams of its own failure domain.
+struct domain_preference {
+  // The part of all daemons that is in the domain.
+  double daemon_share = 1;
+  // Factor on the requests that stay in the domain, above 1 if crossing to another is expensive.
+  double factor = 1;
+};
 
-namespace internal {
+// The run time that a request can expect at a candidate: the reported slowdown counts less as the
+// report gets older. mean_run_time stands in for an unknown run time.
+kernel::microseconds ExpectedRunTime(const peer_candidate& candidate,
+                                     kernel::microseconds mean_run_time);
 
-// The mean of the known response times; kDefaultResponseTime if none is known.
-kernel::microseconds MeanResponseTime(const std::vector<peer_candidate>& candidates);
+// The time that a request can expect to wait for a slot, as far as a recent report tells.
+kernel::microseconds ExpectedPeerWait(const peer_candidate& candidate,
+                                      kernel::microseconds run_time);
 
-}  // namespace internal
+// Chooses an upstream for a request, and returns its index; empty if there are no candidates.
+//
+// A daemon sends few requests to each upstream, so what it knows of their queues is mostly old, and
+// choosing the shortest queue would send the requests of many daemons to the same upstream.
+// Instead, each upstream gets requests in proportion to its measured speed, by smooth weighted
+// round robin. Upstreams at which requests would wait, by a recent report, are passed over.
+//
+// The requests of a failure domain stay in it as far as the capacity of its own upstreams allows.
+std::optional<std::size_t> ChoosePeer(std::vector<peer_candidate>& candidates,
+                                      const domain_preference& preference);
 
-template <kernel::random_source Random>
-std::optional<std::size_t> ChoosePeer(const std::vector<peer_candidate>& candidates,
-                                      Random& random) {
-  const kernel::microseconds mean_response_time = internal::MeanResponseTime(candidates);
-  std::optional<std::size_t> best;
-  double best_cost = 0;
-  std::uint64_t equal_candidates = 0;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const double cost = ExpectedCost(candidates[i], mean_response_time);
-    if (best && cost > best_cost) continue;
-    equal_candidates = best && cost == best_cost ? equal_candidates + 1 : 1;
-    // Reservoir sampling: each of the candidates with equal costs is chosen with equal probability.
-    if (equal_candidates > 1 && kernel::UniformBelow(random, equal_candidates) != 0) continue;
-    best = i;
-    best_cost = cost;
-  }
-  return best;
-}
+// The fraction of a daemon's requests that stay in its own failure domain, so that its upstreams
+// get no more than in proportion to their capacity if all daemons send equally many requests.
+// capacity_share is the domain's part of the capacity, and daemon_share its part of the daemons.
+double OwnDomainShare(double capacity_share, double daemon_share);
 
 }  // namespace cornelweir::routing
 
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -69,7 +69,7 @@
 };
 
 call_router::call_router(daemon_context& context, const dialect_functions& dialect, peer_set& peers,
-                         const upstream_dispatcher& dispatcher)
+                         upstream_dispatcher& dispatcher)
     : context_(context),
       dialect_(dialect),
       peers_(peers),
@@ -248,7 +248,10 @@
   run.route = route.name;
   run.objective_left = state->objective_deadline - now;
   run.repeated = state->sent_count > 0;
-  if (nested_routes_.contains(route.name)) run.parent = dispatcher_.RankOfCalls();
+  if (nested_routes_.contains(route.name)) {
+    run.parent = dispatcher_.RankOfCalls();
+    if (state->tried_peers.size() == 1) dispatcher_.OnCallOfUpstream(state->service);
+  }
   state->run_id =
       chosen->Run(std::move(run), state->decoded.body,
                   [this, state](run_result result) { OnResult(state, std::move(result)); });
@@ -378,9 +381,13 @@
   kernel::milliseconds delay =
       std::max(kernel::ToMilliseconds(retry_after), internal::kMinRetryAfter);
   if (retry_after == kernel::microseconds::zero()) delay = internal::kDefaultRetryAfter;
-  delay = std::min(delay, internal::kMaxRetryAfter);
   const kernel::milliseconds left = kernel::ToMilliseconds(state->deadline - Now());
-  delay = std::min(delay, std::max(left * 3 / 10, internal::kMinRetryAfter));
+  const kernel::milliseconds longest =
+      std::min(internal::kMaxRetryAfter, std::max(left * 3 / 10, internal::kMinRetryAfter));
+  delay = std::min(delay, longest * 2 / 3);
+  // Callers that were refused together would be refused together again.
+  delay += kernel::milliseconds(
+      kernel::UniformBelow(context_.random, static_cast<std::uint64_t>(delay.count() / 2 + 1)));
   Reply(state, state->may_have_run ? reply_kind::kUpstreamFailed : reply_kind::kNotRun, delay,
         reason);
 }
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -28,7 +28,7 @@
 class call_router {
  public:
   call_router(daemon_context& context, const dialect_functions& dialect, peer_set& peers,
-              const upstream_dispatcher& dispatcher);
+              upstream_dispatcher& dispatcher);
 
   // Replaces the policy. Requests in progress keep the one they were routed by.
   void SetPolicy(std::shared_ptr<const policy::policy_table> table);
@@ -70,7 +70,7 @@
   daemon_context& context_;
   const dialect_functions& dialect_;
   peer_set& peers_;
-  const upstream_dispatcher& dispatcher_;
+  upstream_dispatcher& dispatcher_;
   const std::uint64_t key_hash_seed_;
   std::optional<policy::request_resolver> resolver_;
   std::map<policy::route_key, routing::weighted_round_robin> split_selectors_;
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -16,16 +16,22 @@
 
 constexpr kernel::microseconds kMinBackoff = std::chrono::milliseconds(50);
 constexpr kernel::microseconds kMaxBackoff = std::chrono::seconds(1);
-// Weight of one sample in the moving averages of response time and failure rate.
+// Number of different random credits with which a peer starts.
+constexpr std::uint64_t kCreditSteps = 1'000;
+// Weight of one sample in the moving average of the failure rate.
 constexpr double kSampleWeight = 0.1;
-// Time constant of the exponential decay of these averages without new samples (to about a third),
-// so that an upstream that was slow or failing is tried again.
+// Time constant of its exponential decay without new samples (to about a third), so that an
+// upstream that was failing is tried again.
 constexpr double kDecaySeconds = 3.0;
 
 }  // namespace internal
 
 peer::peer(daemon_context& context, membership::roster_entry entry, upstream_dispatcher* dispatcher)
-    : context_(context), entry_(std::move(entry)), dispatcher_(dispatcher) {}
+    : context_(context),
+      entry_(std::move(entry)),
+      dispatcher_(dispatcher),
+      credit_(static_cast<double>(kernel::UniformBelow(context.random, internal::kCreditSteps)) /
+              static_cast<double>(internal::kCreditSteps)) {}
 
 peer::~peer() {
   if (alive_) *alive_ = false;
@@ -164,18 +170,17 @@
 }
 
 void peer::OnReport(const protocol::upstream_report& report) {
-  // The averages of an earlier upstream process do not apply to a new one.
-  if (!report_ || report_->upstream != report.upstream) {
-    response_time_us_ = 0;
-    failure_rate_ = 0;
-  }
+  // The failures of an earlier upstream process do not apply to a new one.
+  if (!report_ || report_->upstream != report.upstream) failure_rate_ = 0;
   report_ = report;
+  reported_at_ = Now();
   sent_since_report_ = 0;
 }
 
 void peer::UpdateLoad(const protocol::upstream_load& load) {
   if (!report_) return;
   report_->load = load;
+  reported_at_ = Now();
   sent_since_report_ = 0;
 }
 
@@ -213,11 +218,11 @@
   const pending ended = std::move(found->second);
   pending_.erase(found);
   response_bytes_ -= ended.response.body.size();
-  RecordResult(result, Now() - ended.sent_at);
+  RecordResult(result);
   ended.done(std::move(result));
 }
 
-void peer::RecordResult(const run_result& result, kernel::microseconds elapsed) {
+void peer::RecordResult(const run_result& result) {
   const kernel::time_point now = Now();
   const double idle_seconds = std::chrono::duration<double>(now - last_result_at_).count();
   failure_rate_ *= std::exp(-idle_seconds / internal::kDecaySeconds);
@@ -228,12 +233,6 @@
   constexpr int kServerError = 500;
   const bool failed = !result.response || result.response->status >= kServerError;
   failure_rate_ += internal::kSampleWeight * ((failed ? 1.0 : 0.0) - failure_rate_);
-  // A fast failure is no sample of the response time; a timeout is.
-  if (failed && !(result.failure == protocol::run_failure::kTimeout && !result.response)) return;
-  const auto sample = static_cast<double>(elapsed.count());
-  response_time_us_ = response_time_us_ == 0 ? sample
-                                             : response_time_us_ + internal::kSampleWeight *
-                                                                       (sample - response_time_us_);
 }
 
 bool peer::Serves(const kernel::service_name& service) const {
@@ -242,6 +241,14 @@
          report_->service == service;
 }
 
+kernel::microseconds peer::ReportedWait() const {
+  return dispatcher_ != nullptr ? dispatcher_->Load().wait : report_->load.wait;
+}
+
+kernel::microseconds peer::ReportAge() const {
+  return dispatcher_ != nullptr ? kernel::microseconds::zero() : Now() - reported_at_;
+}
+
 routing::peer_candidate peer::Candidate() const {
   const protocol::upstream_load load = dispatcher_ != nullptr ? dispatcher_->Load() : report_->load;
   routing::peer_candidate candidate;
@@ -251,9 +258,10 @@
   const double idle_seconds = std::chrono::duration<double>(Now() - last_result_at_).count();
   const double decay = std::exp(-idle_seconds / internal::kDecaySeconds);
   candidate.failure_rate = failure_rate_ * decay;
-  candidate.response_time =
-      decay < 0.1 ? kernel::microseconds::zero()
-                  : kernel::microseconds(static_cast<std::int64_t>(response_time_us_));
+  candidate.report_age = ReportAge();
+  candidate.run_time = load.run_time;
+  candidate.slowdown_percent = load.slowdown_percent;
+  candidate.credit = credit_;
   return candidate;
 }
 
@@ -262,7 +270,6 @@
   const kernel::call_id id(next_call_++);
   pending& added = pending_[id];
   added.done = std::move(done);
-  added.sent_at = Now();
   added.idempotent = policy::IsIdempotent(request.retry_safety);
   if (dispatcher_ != nullptr) {
     const auto ticket = dispatcher_->Run(
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -46,6 +46,11 @@
   bool Serves(const kernel::service_name& service) const;
   // Requires Serves().
   routing::peer_candidate Candidate() const;
+  // The wait for a slot, as last reported, and the age of that report. Require Serves().
+  kernel::microseconds ReportedWait() const;
+  kernel::microseconds ReportAge() const;
+  // Stores what ChoosePeer() changed of the candidate.
+  void SetCredit(double credit) { credit_ = credit; }
   // Requires Serves(). done is called once, unless the request is cancelled.
   kernel::call_id Run(protocol::run_request request, const std::string& body, run_callback done);
   // Drops the request without calling done.
@@ -57,7 +62,6 @@
   struct pending {
     run_callback done;
     bool idempotent = false;
-    kernel::time_point sent_at;
     admission::ticket ticket;
     http::whole_response response;
     bool nested = false;
@@ -72,7 +76,7 @@
   void OnResponse(const protocol::run_response& message, std::string_view payload);
   void OnBodyPiece(const protocol::body_piece& message, std::string_view payload);
   void Finish(kernel::call_id id, run_result result);
-  void RecordResult(const run_result& result, kernel::microseconds elapsed);
+  void RecordResult(const run_result& result);
   void UpdateLoad(const protocol::upstream_load& load);
 
   daemon_context& context_;
@@ -95,7 +99,9 @@
   std::size_t response_bytes_ = 0;
   kernel::microseconds backoff_{};
   std::int64_t sent_since_report_ = 0;
-  double response_time_us_ = 0;
+  kernel::time_point reported_at_;
+  // See routing::peer_candidate.
+  double credit_ = 0;
   double failure_rate_ = 0;
   kernel::time_point last_result_at_;
 };
--- a/plugins/sidecar/peer_set.cc
+++ b/plugins/sidecar/peer_set.cc
@@ -11,6 +11,8 @@
 // all links; each link is probed at most once per kMinProbePeriod.
 constexpr std::int64_t kProbesPerSecond = 15;
 constexpr kernel::microseconds kMinProbePeriod = std::chrono::seconds(1);
+// The wait at a service is computed at most once per this period.
+constexpr kernel::microseconds kServiceWaitPeriod = std::chrono::milliseconds(50);
 
 }  // namespace internal
 
@@ -65,6 +67,10 @@
     retired_.push_back(std::move(next->second));
     next = peers_.erase(next);
   }
+  const auto in_own_domain = std::count_if(peers_.begin(), peers_.end(), [&](const auto& known) {
+    return IsInOwnDomain(*known.second);
+  });
+  own_domain_share_ = static_cast<double>(in_own_domain) / static_cast<double>(peers_.size());
 }
 
 std::shared_ptr<peer> peer_set::Choose(const kernel::service_name& service,
@@ -76,16 +82,36 @@
     if (!daemon->Serves(service)) continue;
     if (std::find(excluded.begin(), excluded.end(), daemon) != excluded.end()) continue;
     usable_peers_.push_back(daemon);
-    const bool own_domain = daemon->entry().failure_domain == context_.settings.failure_domain;
     candidates_.push_back(daemon->Candidate());
-    candidates_.back().network_cost = own_domain       ? routing::kOwnDomainCost
-                                      : large_response ? routing::kOtherDomainLargeResponseCost
-                                                       : routing::kOtherDomainCost;
+    candidates_.back().own_domain = IsInOwnDomain(*daemon);
+  }
+  routing::domain_preference preference;
+  preference.daemon_share = own_domain_share_;
+  if (large_response) preference.factor = routing::kLargeResponseDomainFactor;
+  const auto chosen = routing::ChoosePeer(candidates_, preference);
+  for (std::size_t i = 0; i < candidates_.size(); ++i) {
+    usable_peers_[i]->SetCredit(candidates_[i].credit);
   }
-  const auto chosen = routing::ChoosePeer(candidates_, context_.random);
   return chosen ? usable_peers_[*chosen] : nullptr;
 }
 
+kernel::microseconds peer_set::ServiceWait(const kernel::service_name& service) {
+  const kernel::time_point now = context_.clock.Now();
+  service_wait& known = service_waits_[service];
+  if (now - known.computed_at < internal::kServiceWaitPeriod) return known.wait;
+  routing::recent_wait recent;
+  for (const auto& [endpoint, daemon] : peers_) {
+    if (!daemon->Serves(service)) continue;
+    recent.Add(daemon->ReportedWait(), daemon->ReportAge());
+  }
+  known = {recent.Mean(), now};
+  return known.wait;
+}
+
+bool peer_set::IsInOwnDomain(const peer& daemon) const {
+  return daemon.entry().failure_domain == context_.settings.failure_domain;
+}
+
 bool peer_set::HasOther(const kernel::service_name& service,
                         const std::vector<std::shared_ptr<peer>>& excluded) const {
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& known) {
--- a/plugins/sidecar/peer_set.h
+++ b/plugins/sidecar/peer_set.h
@@ -32,10 +32,13 @@
   // Whether a peer that is not excluded serves the service.
   bool HasOther(const kernel::service_name& service,
                 const std::vector<std::shared_ptr<peer>>& excluded) const;
+  // Expected wait for a slot at the upstreams of the service, by recent reports.
+  kernel::microseconds ServiceWait(const kernel::service_name& service);
   std::size_t size() const { return peers_.size(); }
 
  private:
   kernel::microseconds IdleProbePeriod() const;
+  bool IsInOwnDomain(const peer& daemon) const;
 
   daemon_context& context_;
   upstream_dispatcher& dispatcher_;
@@ -43,6 +46,13 @@
   std::map<kernel::endpoint, std::shared_ptr<peer>> peers_;
   // Peers that left the roster, until their pending requests end.
   std::vector<std::shared_ptr<peer>> retired_;
+  struct service_wait {
+    kernel::microseconds wait{};
+    kernel::time_point computed_at;
+  };
+  std::map<kernel::service_name, service_wait> service_waits_;
+  // The part of all daemons that is in the own failure domain.
+  double own_domain_share_ = 1;
   // Buffers of Choose(), kept to avoid allocations.
   std::vector<std::shared_ptr<peer>> usable_peers_;
   std::vector<routing::peer_candidate> candidates_;
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -59,6 +59,8 @@
                       response.status = IsReady() ? 200 : 503;
                       reply(std::move(response));
                     });
+  dispatcher_.SetServiceWaitSource(
+      [this](const kernel::service_name& service) { return peers_.ServiceWait(service); });
   dialect_.serve_announcements(
       announcements_,
       [this](const membership::upstream_announcement& announcement) {
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "cornelweir/logging.h"
+#include "plugins/sidecar/queue_telemetry.h"
 
 namespace cornelweir::plugins::sidecar {
 namespace internal {
@@ -20,6 +21,8 @@
 // upstream may reset the connection of a request, whose outcome is then unknown.
 constexpr std::int64_t kAssumedSlots = 1;
 
+constexpr kernel::microseconds kMaxReportedWait = std::chrono::seconds(60);
+
 // Consecutive refused connections after which the upstream is unavailable. A single one may result
 // from a limit on its connections.
 constexpr int kMaxConnectFailures = 2;
@@ -48,7 +51,11 @@
 }
 
 protocol::upstream_load upstream_dispatcher::Load() const {
-  return {queue_.UsableSlots(), queue_.running(), queue_.queued()};
+  // The wait is bounded, since it is unlimited while there are no slots.
+  return {
+      queue_.UsableSlots(),      queue_.running(),
+      queue_.queued(),           speed_.usual_run_time(),
+      speed_.slowdown_percent(), std::min(queue_.ExpectedWait(Now()), internal::kMaxReportedWait)};
 }
 
 protocol::upstream_report upstream_dispatcher::Report() const {
@@ -133,6 +140,7 @@
                        announced_->slots != announcement.slots ||
                        announced_->service != announcement.service;
   if (replaced) client_.CloseIdleConnections();
+  if (replaced && !same_process) speed_.Reset();
   announced_ = announcement;
   last_announced_ = {announcement.id,    announcement.started_at, announcement.sequence,
                      announcement.slots, announcement.draining,   queue_.rate_limit()};
@@ -212,6 +220,7 @@
   const kernel::time_point now = Now();
   const admission::ticket id(next_ticket_++);
   run& added = runs_[id];
+  added.arrived_at = now;
   added.deadline = now + request.time_left;
   added.rank = {request.priority, now + request.objective_left, added.deadline};
   added.request = std::move(request);
@@ -263,6 +272,7 @@
   described.run_time = history.run_time.mean();
   described.safe_run_time = history.run_time.Safe(history.time_limit, now);
   described.transfer_time = EstimateTransferTime(history);
+  if (service_wait_) described.call_wait = calls_.ExpectedWait(described.route, service_wait_);
   return described;
 }
 
@@ -292,6 +302,7 @@
   if (queue_timer_.running() || queue_.queued() == 0) return;
   queue_timer_.Start(internal::kQueueCheckPeriod, [this] {
     RefuseAll(queue_.Expire(Now()), protocol::run_failure::kNoCapacity);
+    UpdateCallWaits();
     StartAll(queue_.AdmitQueued(Now()));
     StartQueueTimer();
   });
@@ -304,11 +315,34 @@
   for (const admission::ticket& id : ids) {
     run_result result;
     result.failure = failure;
-    if (failure == protocol::run_failure::kNoCapacity) result.retry_after = wait;
+    if (failure == protocol::run_failure::kNoCapacity) {
+      const run& refused = runs_.at(id);
+      result.retry_after =
+          service_wait_ ? wait + calls_.ExpectedWait(refused.request.route, service_wait_) : wait;
+      LogRefusal({refused.request, refused.rank, refused.deadline, refused.nested,
+                  Now() - refused.arrived_at, result.retry_after,
+                  history_[refused.request.route].run_time.mean()},
+                 Now());
+    }
     context_.loop.Post([this, id, result] { Finish(id, result); });
   }
 }
 
+void upstream_dispatcher::OnCallOfUpstream(const kernel::service_name& called) {
+  std::vector<kernel::route_name> running;
+  for (const auto& [id, run] : runs_) {
+    if (run.exchange && !run.nested) running.push_back(run.request.route);
+  }
+  calls_.OnCall(called, running);
+}
+
+void upstream_dispatcher::UpdateCallWaits() {
+  if (!service_wait_) return;
+  calls_.ForEachCallingRoute([this](const kernel::route_name& route) {
+    queue_.SetCallWait(route, calls_.ExpectedWait(route, service_wait_));
+  });
+}
+
 void upstream_dispatcher::StartAll(const std::vector<admission::ticket>& ids) {
   for (const admission::ticket& id : ids) Start(id);
 }
@@ -317,6 +351,8 @@
   run& started = runs_.at(id);
   started.started_at = Now();
   started.upstream = announced_->id;
+  ObserveQueueWait(context_.metrics, started.request, started.rank.priority,
+                   started.started_at - started.arrived_at);
   const std::size_t mean_bytes = history_[started.request.route].response_bytes;
   if (bulk_sender::IsLarge(mean_bytes)) started.expected_bytes = mean_bytes;
   expected_bytes_ += started.expected_bytes;
@@ -354,6 +390,7 @@
   if (result.status == http::upstream_status::kTimeout) RecordTimeout(found->second);
   run_result ended = TranslateResult(found->second, std::move(result));
   if (!ended.response) run_time.reset();
+  if (connected && !found->second.nested) calls_.OnRunEnded(found->second.request.route);
   if (run_time) RecordRun(found->second.request.route, *run_time, ended.response->body.size());
   const std::vector<admission::ticket> next = queue_.Release(id, run_time, Now());
   Finish(id, std::move(ended));
@@ -431,6 +468,7 @@
                                     std::size_t bytes) {
   route_history& known = history_[route];
   known.run_time.OnCompleted(run_time, Now());
+  speed_.OnRun(route, run_time);
   const auto mean = static_cast<std::int64_t>(known.response_bytes);
   const auto sample = static_cast<std::int64_t>(bytes);
   known.response_bytes = static_cast<std::size_t>(
@@ -438,7 +476,10 @@
 }
 
 void upstream_dispatcher::RecordTimeout(const run& ended) {
-  history_[ended.request.route].run_time.OnTimeout(Now() - ended.started_at, Now());
+  const kernel::microseconds elapsed = Now() - ended.started_at;
+  admission::run_time_estimate& known = history_[ended.request.route].run_time;
+  if (elapsed > known.mean()) speed_.OnRun(ended.request.route, elapsed);
+  known.OnTimeout(elapsed, Now());
 }
 
 void upstream_dispatcher::Finish(admission::ticket id, run_result result) {
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -27,6 +27,8 @@
 // upstream drains, was replaced or is full.
 class upstream_dispatcher {
  public:
+  using service_wait_source = std::function<kernel::microseconds(const kernel::service_name&)>;
+
   upstream_dispatcher(daemon_context& context, const dialect_functions& dialect,
                       const bulk_sender& bulk, std::function<void()> on_change);
 
@@ -63,6 +65,10 @@
   bool busy() const { return !runs_.empty(); }
   // The fraction of the requests at the upstream that another upstream may have received before.
   double RepeatedShare() const;
+  // Sets the source of the time that requests wait for a slot at the upstreams of a service.
+  void SetServiceWaitSource(service_wait_source source) { service_wait_ = std::move(source); }
+  // Records a call of the upstream to a service.
+  void OnCallOfUpstream(const kernel::service_name& called);
   // The rank that calls of the upstream inherit; empty if it runs nothing.
   std::optional<protocol::parent_rank> RankOfCalls() const;
   // The limit that the upstream's responses state; 0 if they state none.
@@ -74,6 +80,7 @@
     protocol::run_request request;
     std::string body;
     run_callback done;
+    kernel::time_point arrived_at;
     kernel::time_point deadline;
     // That of the parent if the request is nested.
     admission::request_rank rank;
@@ -101,6 +108,7 @@
   bool IsSameProcess(const membership::upstream_announcement& announcement) const;
   bool IsOpen() const;
   admission::slot_request SlotRequest(admission::ticket id, run& added);
+  void UpdateCallWaits();
   void Start(admission::ticket id);
   void StartAll(const std::vector<admission::ticket>& ids);
   void OnExchangeEnded(admission::ticket id, http::upstream_result result);
@@ -125,6 +133,9 @@
   http::upstream_client client_;
   admission::slot_queue queue_;
   admission::nested_route_detector nested_routes_;
+  admission::upstream_speed speed_;
+  admission::route_calls calls_;
+  service_wait_source service_wait_;
   std::map<admission::ticket, run> runs_;
   std::uint64_t next_ticket_ = 1;
   // The upstream in use: the one that announced itself last, or that a probe found.
--- /dev/null
+++ b/tests/peer_choice_test.cc
@@ -0,0 +1,220 @@
+// Tests the choice of an upstream: single choices, and the shares that many daemons give to fake
+// upstreams of different speeds.
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "cornelweir/admission.h"
+#include "cornelweir/kernel.h"
+#include "cornelweir/routing.h"
+
+namespace cornelweir::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+peer_candidate Candidate(std::int64_t reported_requests, int run_ms) {
+  peer_candidate candidate;
+  candidate.slots = 10;
+  candidate.reported_requests = reported_requests;
+  candidate.run_time = milliseconds(run_ms);
+  return candidate;
+}
+
+std::size_t Choose(std::vector<peer_candidate> candidates,
+                   const domain_preference& preference = {}) {
+  return ChoosePeer(candidates, preference).value_or(candidates.size());
+}
+
+// Guards against requests queued at a full upstream while another one has free slots, even if the
+// full one is behind its share.
+TEST(PeerChoice, PrefersFreeSlotsThenSpeedThenTheOwnDomain) {
+  std::vector<peer_candidate> full_and_free{Candidate(25, 50), Candidate(5, 50)};
+  full_and_free[0].credit = 1;
+  EXPECT_EQ(Choose(full_and_free), 1U);
+  full_and_free[0].report_age = std::chrono::seconds(3);
+  EXPECT_EQ(Choose(full_and_free), 0U) << "the report is old";
+  EXPECT_EQ(Choose({Candidate(5, 90), Candidate(5, 50)}), 1U);
+  std::vector<peer_candidate> other_and_own_domain{Candidate(5, 40), Candidate(5, 50)};
+  other_and_own_domain[0].own_domain = false;
+  EXPECT_EQ(Choose(other_and_own_domain, {0.5, 1}), 1U);
+  EXPECT_EQ(Choose({}), 0U) << "there are no candidates";
+}
+
+// Guards against an upstream that fails fast and therefore attracts all requests.
+TEST(PeerChoice, AddsFailuresToTheCost) {
+  std::vector<peer_candidate> candidates{Candidate(0, 10), Candidate(5, 50)};
+  candidates[0].failure_rate = 0.9;
+  EXPECT_EQ(Choose(candidates), 1U);
+}
+
+// Guards against a new upstream that receives no requests because its run time is unknown.
+TEST(PeerChoice, AssumesTheMeanRunTimeForANewUpstream) {
+  EXPECT_EQ(Choose({Candidate(8, 60), Candidate(8, 90), Candidate(0, 0)}), 0U);
+  EXPECT_EQ(Choose({Candidate(8, 80), Candidate(8, 50), Candidate(0, 0)}), 1U);
+  EXPECT_EQ(Choose({Candidate(8, 90), Candidate(25, 50), Candidate(0, 0)}), 2U);
+}
+
+// Guards against a stall that is known and ignored, and one that is long over and avoided.
+TEST(PeerChoice, ForgetsAStallAsItsReportAges) {
+  std::vector<peer_candidate> candidates{Candidate(0, 50), Candidate(0, 60)};
+  candidates[0].slowdown_percent = 250;
+  EXPECT_EQ(Choose(candidates), 1U);
+  candidates[0].report_age = std::chrono::seconds(2);
+  EXPECT_EQ(Choose(candidates), 0U);
+}
+
+// Guards against upstreams of a domain with few of them that get all requests of its daemons.
+TEST(PeerChoice, LeavesTheOwnDomainIfItsCapacityIsShort) {
+  std::vector<peer_candidate> candidates(11, Candidate(0, 50));
+  for (std::size_t i = 2; i < candidates.size(); ++i) candidates[i].own_domain = false;
+  int in_own_domain = 0;
+  for (int i = 0; i < 1'100; ++i) in_own_domain += *ChoosePeer(candidates, {0.25, 1}) < 2 ? 1 : 0;
+  EXPECT_NEAR(in_own_domain, 1'100 * (2.0 / 11) / 0.25, 10);
+  EXPECT_EQ(OwnDomainShare(0.3, 0.25), 1);
+}
+
+// Upstreams with six slots of different speeds, some of which stall, and daemons that learn of them
+// only from the responses to their own requests.
+class fleet_simulation {
+ public:
+  static constexpr std::size_t kUpstreams = 12;
+  static constexpr std::size_t kDaemons = 40;
+
+  fleet_simulation() : credits_(kDaemons, std::vector<double>(kUpstreams)) {
+    for (auto& of_daemon : credits_) {
+      for (double& credit : of_daemon) credit = Uniform();
+    }
+    known_.assign(kDaemons, std::vector<report>(kUpstreams));
+    for (std::size_t i = 0; i < kUpstreams; ++i) {
+      upstreams_[i].speed = 0.55 + (1.6 - 0.55) * static_cast<double>(i) / (kUpstreams - 1);
+    }
+  }
+
+  void Run(milliseconds duration, double requests_per_second) {
+    const kernel::time_point end = clock_.Now() + duration;
+    for (; clock_.Now() < end; clock_.Advance(milliseconds(1))) {
+      if (clock_.Now() >= stalls_change_at_) ChangeStalls();
+      for (std::size_t i = 0; i < kUpstreams; ++i) EndRuns(i);
+      if (Uniform() < requests_per_second / 1'000) Send(UniformBelow(random_, kDaemons));
+    }
+  }
+
+  void ResetCounts() {
+    for (auto& [index, upstream] : upstreams_) upstream.received = upstream.speed_time = 0;
+  }
+
+  // For each upstream, its requests relative to its measured speed; 1 is the mean.
+  std::vector<double> RelativeShares() {
+    double received = 0;
+    double speed = 0;
+    for (const auto& [index, upstream] : upstreams_) {
+      received += upstream.received;
+      speed += upstream.speed_time;
+    }
+    std::vector<double> shares;
+    for (const auto& [index, upstream] : upstreams_) {
+      shares.push_back(upstream.received / received / (upstream.speed_time / speed));
+    }
+    return shares;
+  }
+
+ private:
+  static constexpr std::int64_t kSlots = 6;
+
+  struct queued_run {
+    std::size_t daemon = 0;
+    kernel::microseconds run_time{};
+  };
+  struct upstream {
+    double speed = 1;
+    bool stalled = false;
+    admission::upstream_speed measured;
+    std::multimap<kernel::time_point, queued_run> running;
+    std::deque<std::size_t> queue;
+    double received = 0;
+    // Integral of the present speed over time.
+    double speed_time = 0;
+  };
+  struct report {
+    peer_candidate candidate;
+    kernel::time_point at;
+  };
+
+  double Uniform() { return static_cast<double>(random_.NextU64() >> 11U) * 0x1p-53; }
+  static double SpeedNow(const upstream& of) { return of.stalled ? of.speed / 2.5 : of.speed; }
+
+  void ChangeStalls() {
+    stalls_change_at_ = clock_.Now() + milliseconds(600);
+    for (auto& [index, upstream] : upstreams_) upstream.stalled = Uniform() < 0.15;
+  }
+
+  void Send(std::size_t daemon) {
+    std::vector<peer_candidate> candidates;
+    for (std::size_t i = 0; i < kUpstreams; ++i) {
+      candidates.push_back(known_[daemon][i].candidate);
+      candidates.back().report_age = clock_.Now() - known_[daemon][i].at;
+      candidates.back().slots = kSlots;
+      candidates.back().credit = credits_[daemon][i];
+    }
+    const std::size_t chosen = *ChoosePeer(candidates, {});
+    for (std::size_t i = 0; i < kUpstreams; ++i) credits_[daemon][i] = candidates[i].credit;
+    ++known_[daemon][chosen].candidate.sent_since_report;
+    ++upstreams_[chosen].received;
+    upstreams_[chosen].queue.push_back(daemon);
+    StartRuns(upstreams_[chosen]);
+  }
+
+  void StartRuns(upstream& at) {
+    while (!at.queue.empty() && at.running.size() < kSlots) {
+      const auto run_time =
+          kernel::microseconds(std::llround(110'000 * (0.5 + Uniform()) / SpeedNow(at)));
+      at.running.emplace(clock_.Now() + run_time, queued_run{at.queue.front(), run_time});
+      at.queue.pop_front();
+    }
+  }
+
+  void EndRuns(std::size_t index) {
+    upstream& at = upstreams_[index];
+    at.speed_time += SpeedNow(at);
+    while (!at.running.empty() && at.running.begin()->first <= clock_.Now()) {
+      const queued_run ended = at.running.begin()->second;
+      at.running.erase(at.running.begin());
+      at.measured.OnRun(kernel::route_name("r"), ended.run_time);
+      StartRuns(at);
+      report& learnt = known_[ended.daemon][index];
+      learnt.at = clock_.Now();
+      learnt.candidate = {};
+      learnt.candidate.reported_requests =
+          static_cast<std::int64_t>(at.running.size() + at.queue.size());
+      learnt.candidate.run_time = at.measured.usual_run_time();
+      learnt.candidate.slowdown_percent = at.measured.slowdown_percent();
+    }
+  }
+
+  kernel::manual_clock clock_;
+  kernel::seeded_random random_{5};
+  std::map<std::size_t, upstream> upstreams_;
+  std::vector<std::vector<double>> credits_;
+  std::vector<std::vector<report>> known_;
+  kernel::time_point stalls_change_at_;
+};
+
+// Guards against an upstream that gets more than its share: the busiest got 1.7 times the mean.
+TEST(PeerChoice, RequestsFollowTheSpeedOfTheUpstreams) {
+  fleet_simulation fleet;
+  fleet.Run(milliseconds(60'000), 400);
+  fleet.ResetCounts();
+  fleet.Run(milliseconds(120'000), 400);
+  for (const double share : fleet.RelativeShares()) {
+    EXPECT_LT(share, 1.1);
+    EXPECT_GT(share, 1 / 1.1);
+  }
+}
+
+}  // namespace
+}  // namespace cornelweir::routing
--- a/tests/service_order_test.cc
+++ b/tests/service_order_test.cc
@@ -204,6 +204,41 @@
             rank(1, 900, 2'000));
 }
 
+// Guards against holding back requests for the calls of others, and before enough is known.
+TEST(ServiceOrder, LearnsWhichServicesTheRunsOfARouteCall) {
+  const kernel::route_name calling("calling");
+  const kernel::route_name other("other");
+  const kernel::service_name called("called");
+  const auto wait_of = [](const kernel::service_name&) { return milliseconds(100); };
+  route_calls calls;
+  for (int i = 0; i < 1'000; ++i) {
+    EXPECT_TRUE(i >= 16 || calls.ExpectedWait(calling, wait_of) == milliseconds(0));
+    calls.OnRunEnded(calling);
+    calls.OnRunEnded(other);
+    if (i % 2 == 0) calls.OnCall(called, {calling});
+  }
+  EXPECT_NEAR(static_cast<double>(calls.ExpectedWait(calling, wait_of).count()), 50'000, 1'000);
+  EXPECT_EQ(calls.ExpectedWait(other, wait_of), milliseconds(0));
+}
+
+// Guards against a change in the mix of routes that looks like a stall, and stalls that show late.
+TEST(ServiceOrder, DetectsAStallWithinAFewRuns) {
+  upstream_speed speed;
+  const kernel::route_name fast("fast");
+  const kernel::route_name slow("slow");
+  for (int i = 0; i < 200; ++i) {
+    speed.OnRun(fast, milliseconds(50));
+    speed.OnRun(slow, milliseconds(250));
+  }
+  for (int i = 0; i < 10; ++i) speed.OnRun(slow, milliseconds(250));
+  EXPECT_EQ(speed.slowdown_percent(), 100);
+  EXPECT_NEAR(static_cast<double>(speed.usual_run_time().count()), 150'000, 20'000);
+  for (int i = 0; i < 4; ++i) speed.OnRun(fast, milliseconds(125));
+  EXPECT_GT(speed.slowdown_percent(), 180);
+  for (int i = 0; i < 6; ++i) speed.OnRun(fast, milliseconds(50));
+  EXPECT_LT(speed.slowdown_percent(), 125);
+}
+
 // Guards against an upstream that gets no requests any more because it was slow for a while, and
 // against timeouts that are forgotten because only complete runs are counted.
 TEST(ServiceOrder, SafeRunTimeFollowsTimeoutsAndRecovers) {
--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -184,6 +184,23 @@
   EXPECT_EQ(queue.Submit(slow, kStart).outcome, kind::kRun);
 }
 
+// Guards against requests that hold a slot while their calls wait elsewhere until they time out,
+// and against others that wait behind a request that is held back.
+TEST(SlotQueue, HoldsBackARequestWhoseCallsWouldWaitTooLong) {
+  slot_queue queue = Queue(2);
+  slot_request calling = Request(1, 500, 1, false, 600);
+  calling.route = kernel::route_name("calling");
+  calling.call_wait = milliseconds(550);
+  EXPECT_EQ(queue.Submit(calling, kStart).outcome, kind::kQueue);
+  EXPECT_EQ(queue.Submit(Request(2, 500), kStart).outcome, kind::kRun);
+  EXPECT_TRUE(queue.AdmitQueued(kStart).empty());
+  queue.SetCallWait(calling.route, milliseconds(100));
+  EXPECT_EQ(queue.AdmitQueued(kStart), std::vector{ticket(1)});
+  calling.id = ticket(3);
+  queue.Submit(calling, kStart);
+  EXPECT_EQ(queue.Expire(kStart + milliseconds(541)), std::vector{ticket(3)});
+}
+
 // Guards against a less urgent request that stays queued although it would end too late.
 TEST(SlotQueue, DisplacesRequestsThatAMoreUrgentOneDelaysTooLong) {
   slot_queue queue = Queue(1);
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -213,6 +213,18 @@
   EXPECT_EQ(runs_, 0);
 }
 
+// Guards against calls of the upstream that have no rank, or that of requests that only wait.
+TEST_F(UpstreamDispatcherTest, CallsInheritTheRankOfRunningRequests) {
+  dispatcher_->Announce(Announcement(1));
+  EXPECT_FALSE(dispatcher_->RankOfCalls());
+  Run(6, kLongTime);
+  Run(7, kLongTime * 2);
+  const auto rank = dispatcher_->RankOfCalls();
+  ASSERT_TRUE(rank);
+  EXPECT_GT(rank->time_left, kLongTime / 2);
+  EXPECT_LE(rank->time_left, kLongTime);
+}
+
 // Guards against an upstream that gets more requests than the limit that its responses state,
 // although it has free slots.
 TEST_F(UpstreamDispatcherTest, KeepsWithinTheRateLimitThatResponsesState) {
--- a/tests/weighted_round_robin_test.cc
+++ b/tests/weighted_round_robin_test.cc
@@ -1,4 +1,4 @@
-// Weighted round robin for traffic splits, and the choice of a peer by expected cost.
+// Weighted round robin for traffic splits.
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -6,7 +6,6 @@
 #include <cmath>
 #include <vector>
 
-#include "cornelweir/kernel.h"
 #include "cornelweir/routing.h"
 
 namespace cornelweir::routing {
@@ -31,39 +30,5 @@
   }));
 }
 
-peer_candidate Candidate(std::int64_t reported_requests, int response_ms) {
-  peer_candidate candidate;
-  candidate.slots = 10;
-  candidate.reported_requests = reported_requests;
-  candidate.response_time = std::chrono::milliseconds(response_ms);
-  return candidate;
-}
-
-// Guards against requests queued at a full upstream while another one has free slots.
-TEST(PeerChoice, PrefersFreeSlotsThenSpeedThenTheOwnDomain) {
-  kernel::seeded_random random(1);
-  EXPECT_EQ(ChoosePeer(std::vector{Candidate(25, 50), Candidate(5, 50)}, random), 1U);
-  EXPECT_EQ(ChoosePeer(std::vector{Candidate(5, 90), Candidate(5, 50)}, random), 1U);
-  std::vector<peer_candidate> other_and_own_domain{Candidate(5, 50), Candidate(5, 50)};
-  other_and_own_domain[0].network_cost = kOtherDomainCost;
-  EXPECT_EQ(ChoosePeer(other_and_own_domain, random), 1U);
-  EXPECT_FALSE(ChoosePeer({}, random));
-}
-
-// Guards against an upstream that fails fast and therefore attracts all requests.
-TEST(PeerChoice, AddsFailuresToTheCost) {
-  kernel::seeded_random random(1);
-  std::vector<peer_candidate> candidates{Candidate(0, 10), Candidate(5, 50)};
-  candidates[0].failure_rate = 0.9;
-  EXPECT_EQ(ChoosePeer(candidates, random), 1U);
-}
-
-// Guards against a new upstream that receives no requests because its response time is unknown.
-TEST(PeerChoice, AssumesTheMeanResponseTimeForANewUpstream) {
-  kernel::seeded_random random(1);
-  peer_candidate unknown = Candidate(0, 0);
-  EXPECT_EQ(ChoosePeer(std::vector{Candidate(8, 50), Candidate(8, 60), unknown}, random), 2U);
-}
-
 }  // namespace
 }  // namespace cornelweir::routing
