Keep the random part of Retry-After above the minimum

A refusal near the deadline of its caller stated 13 to 20 ms, below the minimum of 20 ms. Test that callers refused together get different delays.

--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -384,7 +384,7 @@
   const kernel::milliseconds left = kernel::ToMilliseconds(state->deadline - Now());
   const kernel::milliseconds longest =
       std::min(internal::kMaxRetryAfter, std::max(left * 3 / 10, internal::kMinRetryAfter));
-  delay = std::min(delay, longest * 2 / 3);
+  delay = std::max(std::min(delay, longest * 2 / 3), internal::kMinRetryAfter);
   // Callers that were refused together would be refused together again.
   delay += kernel::milliseconds(
       kernel::UniformBelow(context_.random, static_cast<std::uint64_t>(delay.count() / 2 + 1)));
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "tests/http_test_support.h"
@@ -82,6 +83,19 @@
   EXPECT_LT(last_reply.retry_after, kCallerTimeout / 3);
 }
 
+// Guards against callers that are refused together, return together and are refused again.
+TEST_F(CallRouterStartupTest, SpreadsTheRetriesOfRequestsRefusedTogether) {
+  daemon_.pauses = loop::pause_tracker(daemon_.clock.Now() - 2 * kCallerTimeout);
+  std::set<kernel::milliseconds> delays;
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_TRUE(HandleRequest()->answered());
+    delays.insert(last_reply.retry_after);
+  }
+  EXPECT_GE(delays.size(), 4U);
+  EXPECT_GE(*delays.begin(), kernel::milliseconds(20));
+  EXPECT_LE(*delays.rbegin(), kernel::milliseconds(30));
+}
+
 // Guards against running a request whose caller gave up while this process was paused: it is read
 // only afterwards, with the time limit that it had when it was sent.
 TEST_F(CallRouterStartupTest, RefusesARequestThatWaitedTooLongDuringAPause) {
