--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -225,6 +225,35 @@
   EXPECT_LE(rank->time_left, kLongTime);
 }
 
+// Guards against a nested request that waits or runs when its parent has already timed out.
+TEST_F(UpstreamDispatcherTest, ANestedRequestEndsWithItsParent) {
+  dispatcher_->Announce(Announcement(1));
+  protocol::run_request nested;
+  nested.service = kernel::service_name("forms");
+  nested.caller = kernel::service_name("planner");
+  nested.route = kernel::route_name("nested");
+  nested.target = "/run";
+  nested.time_left = nested.objective_left = kLongTime;
+  nested.parent = protocol::parent_rank{0, kernel::milliseconds(50), kernel::milliseconds(100)};
+  const auto run_nested = [&] {
+    dispatcher_->Run(nested, "", [this](run_result result) { latest_ = std::move(result); });
+  };
+  RunToEnd({kNoHeader});
+  for (std::uint64_t i = 0; i < admission::kMinRequestsToClassify; ++i) {
+    run_responses_.push_back(Response(kNoHeader));
+    run_nested();
+    http::RunUntil(daemon_.loop, [this] { return !dispatcher_->busy(); });
+  }
+  EXPECT_TRUE(latest_->nested);
+  Run(6, kLongTime);
+  latest_.reset();
+  run_nested();
+  EXPECT_EQ(dispatcher_->Load().queued, 1);
+  http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
+  EXPECT_EQ(latest_->failure, protocol::run_failure::kNoCapacity);
+  EXPECT_EQ(dispatcher_->Load().in_progress, 6);
+}
+
 // Guards against an upstream that gets more requests than the limit that its responses state,
 // although it has free slots.
 TEST_F(UpstreamDispatcherTest, KeepsWithinTheRateLimitThatResponsesState) {
