--- a/cornelweir/routing.h
+++ b/cornelweir/routing.h
@@ -8,6 +8,7 @@
 #include "cornelweir/src/routing/limits.h"
 #include "cornelweir/src/routing/link_load.h"
 #include "cornelweir/src/routing/peer_choice.h"
+#include "cornelweir/src/routing/recent_wait.h"
 #include "cornelweir/src/routing/route_index.h"
 #include "cornelweir/src/routing/route_match.h"
 #include "cornelweir/src/routing/upstream_candidate.h"
--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -60,6 +60,7 @@
   X(kRequestEnded, 4002, kInfo, "request ended")                                             \
   X(kRequestSentAgain, 4003, kInfo, "request sent again")                                    \
   X(kAnnouncementRefused, 4004, kWarning, "announcement refused")                            \
+  X(kRequestRefused, 4009, kInfo, "request refused at its upstream")                         \
   X(kQuotaExceeded, 4010, kWarning, "quota of a workspace used up")                          \
   X(kQuotaMet, 4011, kInfo, "workspace within its quota again")
 
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -26,13 +26,22 @@
   // arrive in bytes a second; 0 if unknown.
   std::int64_t missing_body_bytes = 0;
   std::int64_t body_bytes_per_second = 0;
+  // Usual run time over all routes; 0 if unknown.
+  kernel::microseconds run_time{};
+  // The present run time in percent of the usual one.
+  std::int64_t slowdown_percent = 100;
+  // Time that a new request would wait for a slot.
+  kernel::microseconds wait{};
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"s", &upstream_load::slots},
                       kernel::field{"p", &upstream_load::in_progress},
                       kernel::field{"q", &upstream_load::queued},
                       kernel::field{"b", &upstream_load::missing_body_bytes},
-                      kernel::field{"v", &upstream_load::body_bytes_per_second}};
+                      kernel::field{"v", &upstream_load::body_bytes_per_second},
+                      kernel::field{"r", &upstream_load::run_time},
+                      kernel::field{"f", &upstream_load::slowdown_percent},
+                      kernel::field{"a", &upstream_load::wait}};
   }
   friend bool operator==(const upstream_load&, const upstream_load&) = default;
 };
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -50,6 +50,11 @@
   kernel::software_version version() const;
   // The candidate for a request with a body of this size. Requires Serves().
   routing::peer_candidate Candidate(std::size_t body_bytes) const;
+  // The wait for a slot, as last reported, and the age of that report. Require Serves().
+  kernel::microseconds ReportedWait() const;
+  kernel::microseconds ReportAge() const;
+  // Stores what ChoosePeer() changed of the candidate.
+  void SetCredit(double credit) { credit_ = credit; }
   // Requires Serves(). done is called once, unless the request is cancelled.
   kernel::call_id Run(protocol::run_request request, std::shared_ptr<const std::string> body,
                       run_callback done);
@@ -84,7 +89,7 @@
   void DropAllBodies();
   void OnBodyPiece(const protocol::body_piece& message, std::string_view payload);
   void Finish(kernel::call_id id, run_result result);
-  void RecordResult(const run_result& result, kernel::microseconds elapsed);
+  void RecordResult(const run_result& result);
   void OnNewLoad();
   void UpdateLoad(const protocol::upstream_load& load);
 
@@ -109,10 +114,11 @@
   std::size_t response_bytes_ = 0;
   kernel::microseconds backoff_{};
   // When the load of report_ arrived, and what was sent to the daemon since then.
-  kernel::time_point load_reported_at_;
+  kernel::time_point reported_at_;
   std::int64_t sent_since_report_ = 0;
   std::int64_t body_bytes_since_report_ = 0;
-  double response_time_us_ = 0;
+  // See routing::peer_candidate.
+  double credit_ = 0;
   double failure_rate_ = 0;
   kernel::time_point last_result_at_;
 };
