--- a/plugins/sidecar/bulk_sender.cc
+++ b/plugins/sidecar/bulk_sender.cc
@@ -79,7 +79,8 @@
 
 void bulk_sender::SendPiece(transfer& next) {
   const std::size_t bytes = std::min(window_.PieceBytes(), next.allowed_bytes - next.sent_bytes);
-  const std::string_view piece = std::string_view(*next.body).substr(next.sent_bytes, bytes);
+  std::string_view piece = *next.body;
+  piece = piece.substr(next.sent_bytes, bytes);
   next.sent_bytes += bytes;
   if (!next.on_credit) unsent_bytes_ -= bytes;
   receivers_[next.link.get()].pieces.push_back({bytes, Now(), next.on_credit});
