Check a policy document before it is sent

Cause: a control host tells of a refused policy only status 400, and logs the first error. Operators mended one error after the other, and parts of a policy that have no effect were not reported at all.

Change: `cornelweirctl check FILE [--against FILE] [--output json] [--strict]` lists every malformed member with its place, every error, warnings about what can never match or contradicts itself, and what differs from another version. Keys are only counted. platform::ReadPolicy reads the whole document and collects errors; ParsePolicy, which control hosts use, calls it. policy::FindErrors is the only place of the checks; policy::Validate calls it. Findings are bounded at 1,000.

--- a/cornelweir/policy.h
+++ b/cornelweir/policy.h
@@ -2,13 +2,16 @@
 #define CORNELWEIR_POLICY_H_
 
 // The policy that daemons enforce: services, routes by host and path prefix, workspaces with their
-// keys and quotas, and limits on callers; with validation, deltas between versions, and the lookup
+// keys and quotas, and limits on callers; with checks, deltas between versions, and the lookup
 // of a request's route and workspace.
 
 #include "cornelweir/src/policy/caller_limits.h"     // IWYU pragma: export
+#include "cornelweir/src/policy/finding.h"           // IWYU pragma: export
 #include "cornelweir/src/policy/limits.h"            // IWYU pragma: export
 #include "cornelweir/src/policy/list_delta.h"        // IWYU pragma: export
+#include "cornelweir/src/policy/policy_change.h"     // IWYU pragma: export
 #include "cornelweir/src/policy/policy_delta.h"      // IWYU pragma: export
+#include "cornelweir/src/policy/policy_report.h"     // IWYU pragma: export
 #include "cornelweir/src/policy/policy_table.h"      // IWYU pragma: export
 #include "cornelweir/src/policy/request_resolver.h"  // IWYU pragma: export
 #include "cornelweir/src/policy/route.h"             // IWYU pragma: export
--- a/cornelweir/src/policy/limits.h
+++ b/cornelweir/src/policy/limits.h
@@ -13,6 +13,8 @@
 inline constexpr std::size_t kMaxWorkspaces = 20'000;
 inline constexpr std::size_t kMaxWorkspaceKeys = 64;
 inline constexpr std::size_t kMaxKeyBytes = 512;
+// Findings that a check of one policy reports at most: a malformed document may have millions.
+inline constexpr std::size_t kMaxFindings = 1'000;
 // Work that takes longer than this should run as an asynchronous job instead of keeping a caller
 // waiting.
 inline constexpr kernel::milliseconds kMaxTimeout{600'000};
--- a/cornelweir/src/policy/route_index.cc
+++ b/cornelweir/src/policy/route_index.cc
@@ -2,19 +2,9 @@
 
 #include <algorithm>
 
-namespace cornelweir::policy {
-namespace {
-
-// The host in lower case and without its port.
-std::string HostKey(std::string_view host) {
-  std::string key(host.substr(0, host.find(':')));
-  std::transform(key.begin(), key.end(), key.begin(), [](char letter) {
-    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-  });
-  return key;
-}
+#include "cornelweir/src/policy/host_key.h"
 
-}  // namespace
+namespace cornelweir::policy {
 
 route_index::route_index(const policy_table& table) {
   for (const route& entry : table.routes) hosts_[HostKey(entry.host)].push_back(&entry);
