Encode and decode large state without a document in between

Cause: encoding built a JSON document for every value, and decoding walked the bytes twice and built one.

Change: EncodeDirectly and DecodeDirectly follow the field lists of the types and write the same bytes.

--- a/plugins/control/control_mesh.cc
+++ b/plugins/control/control_mesh.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cornelweir/codec.h"
+#include "cornelweir/src/codec/direct_cbor.h"
 #include "plugins/control/log_payload.h"
 #include "plugins/greeting.h"
 
@@ -161,7 +162,7 @@
                           outcome_callback callback) {
   const std::uint64_t id = next_submission_++;
   const protocol::control_message message = protocol::submit{id, std::move(command)};
-  const std::string encoded = codec::Encode(message);
+  const std::string encoded = codec::EncodeDirectly(message);
   bool is_sent = false;
   if (encoded.size() <= protocol::kPartBytes) {
     is_sent = SendEncoded(leader, encoded);
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -5,6 +5,7 @@
 
 #include "cornelweir/codec.h"
 #include "cornelweir/logging.h"
+#include "cornelweir/src/codec/direct_cbor.h"
 #include "plugins/control/control_plugin.h"
 
 namespace cornelweir::plugins::control {
@@ -175,7 +176,7 @@
   const auto [messages, added] = policy_messages_.try_emplace(base.version);
   if (added) {
     const policy::policy_table& newest = *owner_.local_replica().machine().policy().current();
-    const std::string delta = codec::Deflate(codec::Encode(policy::Diff(base, newest)));
+    const std::string delta = codec::Deflate(codec::EncodeDirectly(policy::Diff(base, newest)));
     for (protocol::message_part& part : protocol::SplitIntoParts(delta)) {
       protocol::fleet_update update;
       update.leader_confirmed = true;
--- a/plugins/control/log_payload.cc
+++ b/plugins/control/log_payload.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "cornelweir/codec.h"
+#include "cornelweir/src/codec/direct_cbor.h"
 
 namespace cornelweir::plugins::control {
 namespace internal {
@@ -26,19 +27,19 @@
 
 boost::leaf::result<state::log_record> Unpack(std::string_view packed) {
   BOOST_LEAF_AUTO(bytes, codec::Inflate(packed, codec::kMaxStateBytes));
-  return codec::Decode<state::log_record>(bytes, codec::kMaxStateBytes);
+  return codec::DecodeDirectly<state::log_record>(bytes, codec::kMaxStateBytes);
 }
 
 }  // namespace internal
 
 std::optional<std::string> PackCommand(const state::command& body) {
-  std::string packed = codec::Deflate(codec::Encode(state::log_record{0, body}));
+  std::string packed = codec::Deflate(codec::EncodeDirectly(state::log_record{0, body}));
   if (packed.size() > protocol::kMaxPartedBytes) return std::nullopt;
   return packed;
 }
 
 std::vector<kernel::byte_string> EncodeLogRecord(const state::log_record& record) {
-  std::string encoded = codec::Encode(record);
+  std::string encoded = codec::EncodeDirectly(record);
   if (encoded.size() <= replication::kMaxPayloadBytes)
     return {kernel::byte_string{std::move(encoded)}};
   const std::string packed = codec::Deflate(encoded);
@@ -65,7 +66,7 @@
                       payload.front() == internal::kPackedTag;
   if (!follows || !packed) Clear();
   if (!packed) {
-    const auto record = codec::Decode<state::log_record>(payload);
+    const auto record = codec::DecodeDirectly<state::log_record>(payload, codec::kMaxMessageBytes);
     if (!record) return malformed{};
     return record.value();
   }
--- a/plugins/control/policy_service.cc
+++ b/plugins/control/policy_service.cc
@@ -9,6 +9,7 @@
 
 #include "cornelweir/codec.h"
 #include "cornelweir/logging.h"
+#include "cornelweir/src/codec/direct_cbor.h"
 #include "plugins/control/control_plugin.h"
 
 namespace cornelweir::plugins::control {
@@ -73,7 +74,7 @@
   const cornelweir::control::policy_store& store = owner_.local_replica().machine().policy();
   const policy::policy_table& current = *store.current();
   const kernel::policy_version version = table.version;
-  const std::string encoded = codec::Encode(table);
+  const std::string encoded = codec::EncodeDirectly(table);
   const kernel::policy_digest digest = internal::ComputeDigest(encoded);
   if (store.WasAccepted(version, digest)) {
     internal::LogOutcome(version, base, current.version, "accepted-before");
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -6,6 +6,7 @@
 #include "cornelweir/codec.h"
 #include "cornelweir/logging.h"
 #include "cornelweir/protocol.h"
+#include "cornelweir/src/codec/direct_cbor.h"
 #include "plugins/wall_clock.h"
 
 namespace cornelweir::plugins::control {
@@ -30,7 +31,7 @@
 void replica::Restore(const replication::snapshot& snapshot) {
   if (snapshot.index == kernel::log_index()) return;
   const auto decoded =
-      codec::Decode<state::state_snapshot>(snapshot.data.bytes, codec::kMaxStateBytes);
+      codec::DecodeDirectly<state::state_snapshot>(snapshot.data.bytes, codec::kMaxStateBytes);
   if (!decoded) {
     failed_ = true;
     logging::event(logging::event_id::kStorageFailed).With("what", "snapshot can't be decoded");
@@ -260,7 +261,7 @@
   if (failed_ || !is_due || reader_.HasIncomplete()) return;
   compacted_index_ = applied_index_;
   applied_bytes_ = 0;
-  std::string snapshot = codec::Encode(machine_.Snapshot());
+  std::string snapshot = codec::EncodeDirectly(machine_.Snapshot());
   if (snapshot.size() > codec::kMaxStateBytes) {
     // No host could read it back. The log keeps all entries instead.
     logging::event(logging::event_id::kStorageFailed)
--- a/plugins/sidecar/control_client.cc
+++ b/plugins/sidecar/control_client.cc
@@ -6,6 +6,7 @@
 
 #include "cornelweir/codec.h"
 #include "cornelweir/logging.h"
+#include "cornelweir/src/codec/direct_cbor.h"
 #include "plugins/greeting.h"
 #include "plugins/wall_clock.h"
 
@@ -28,7 +29,7 @@
 
 boost::leaf::result<policy::policy_delta> ReadDelta(std::string_view deflated) {
   BOOST_LEAF_AUTO(bytes, codec::Inflate(deflated, codec::kMaxStateBytes));
-  return codec::Decode<policy::policy_delta>(bytes, codec::kMaxStateBytes);
+  return codec::DecodeDirectly<policy::policy_delta>(bytes, codec::kMaxStateBytes);
 }
 
 }  // namespace internal
--- /dev/null
+++ b/tests/direct_cbor_test.cc
@@ -0,0 +1,104 @@
+// Tests that encoding without a document gives the same bytes and values as with one.
+
+#include "cornelweir/src/codec/direct_cbor.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <limits>
+#include <string>
+#include <vector>
+
+#include "cornelweir/control.h"
+
+namespace cornelweir::codec {
+namespace {
+
+std::string AnyText() { return *rc::gen::arbitrary<std::string>(); }
+
+policy::policy_table AnyTable() {
+  policy::policy_table table;
+  table.version = kernel::policy_version(*rc::gen::arbitrary<std::uint64_t>());
+  table.limits.max_body_bytes = *rc::gen::arbitrary<std::int64_t>();
+  const auto count = *rc::gen::inRange(0, 30);
+  for (int i = 0; i < count; ++i) {
+    policy::route route;
+    route.name = kernel::route_name(AnyText());
+    route.host = std::to_string(i);
+    route.path_prefix = std::string(*rc::gen::inRange<std::size_t>(0, 300), '/');
+    route.timeout = kernel::milliseconds(*rc::gen::arbitrary<std::int64_t>());
+    route.priority = *rc::gen::arbitrary<std::int32_t>();
+    route.retry_safety = policy::retry_safety::kUpload;
+    route.public_access = *rc::gen::arbitrary<bool>();
+    route.split = {{kernel::service_name(AnyText()), kernel::weight(i)}};
+    table.routes.push_back(route);
+    policy::workspace workspace;
+    workspace.name = kernel::workspace_id(std::to_string(i));
+    workspace.keys = {kernel::api_key(AnyText())};
+    if (*rc::gen::arbitrary<bool>()) {
+      workspace.priority = *rc::gen::element(0, -1, std::numeric_limits<std::int32_t>::min());
+    }
+    table.workspaces.push_back(workspace);
+  }
+  return table;
+}
+
+control::log_record AnyRecord() {
+  const policy::policy_table table = AnyTable();
+  control::log_record record{
+      *rc::gen::arbitrary<std::int64_t>(),
+      control::replace_policy_command{policy::Diff(policy::policy_table(), table), {}}};
+  if (*rc::gen::arbitrary<bool>()) {
+    control::complete_command complete;
+    complete.response.body.bytes = AnyText();
+    record.body = complete;
+  }
+  return record;
+}
+
+// Guards against bytes that other versions can't read, and against a digest of a policy that
+// changes, so that a resend is taken for a conflict.
+TEST(DirectCbor, WritesAndReadsTheSameBytesAsEncode) {
+  EXPECT_TRUE(rc::check([] {
+    const policy::policy_table table = AnyTable();
+    RC_ASSERT(EncodeDirectly(table) == Encode(table));
+    RC_ASSERT(DecodeDirectly<policy::policy_table>(Encode(table), kMaxStateBytes).value() == table);
+    const control::log_record record = AnyRecord();
+    const std::string bytes = Encode(record);
+    RC_ASSERT(EncodeDirectly(record) == bytes);
+    const auto read = DecodeDirectly<control::log_record>(bytes, kMaxStateBytes);
+    RC_ASSERT(read && Encode(read.value()) == bytes);
+    control::state_machine machine;
+    control::applied_effects effects;
+    machine.Apply(kernel::log_index(1), record, effects);
+    const std::string snapshot = Encode(machine.Snapshot());
+    RC_ASSERT(EncodeDirectly(machine.Snapshot()) == snapshot);
+    const auto restored = DecodeDirectly<control::state_snapshot>(snapshot, kMaxStateBytes);
+    RC_ASSERT(restored && Encode(restored.value()) == snapshot);
+  }));
+}
+
+// Guards against malformed bytes that crash a host, fill its memory or are read as another value.
+TEST(DirectCbor, ReadsAnyBytes) {
+  EXPECT_TRUE(rc::check([] {
+    std::string bytes = Encode(AnyRecord());
+    const auto changes = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < changes; ++i) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+      bytes.replace(at, *rc::gen::inRange<std::size_t>(0, 3),
+                    *rc::gen::oneOf(rc::gen::arbitrary<std::string>(),
+                                    rc::gen::element<std::string>("\x9b\xff\xff\xff\xff", "\xff",
+                                                                  "\x5f", "\xc0", "\xf6")));
+    }
+    const auto read = DecodeDirectly<control::log_record>(bytes, kMaxStateBytes);
+    const auto expected = Decode<control::log_record>(bytes);
+    if (read && expected) RC_ASSERT(Encode(read.value()) == Encode(expected.value()));
+  }));
+  EXPECT_FALSE(DecodeDirectly<policy::policy_table>("", kMaxStateBytes));
+  EXPECT_FALSE(DecodeDirectly<policy::policy_table>(
+      std::string("\xa1\x61x") + std::string(100'000, '\x81'), kMaxStateBytes));
+  EXPECT_FALSE(DecodeDirectly<policy::policy_table>(Encode(policy::policy_table()), 10));
+}
+
+}  // namespace
+}  // namespace cornelweir::codec
