--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -55,11 +55,15 @@
 }
 
 protocol::upstream_load upstream_dispatcher::Load() const {
-  // The wait is bounded, since it is unlimited while there are no slots.
-  return {
-      queue_.UsableSlots(),      queue_.running(),
-      queue_.queued(),           speed_.usual_run_time(),
-      speed_.slowdown_percent(), std::min(queue_.ExpectedWait(Now()), internal::kMaxReportedWait)};
+  protocol::upstream_load load;
+  load.slots = queue_.UsableSlots();
+  load.in_progress = queue_.running();
+  load.queued = queue_.queued();
+  load.run_time = speed_.usual_run_time();
+  load.slowdown_percent = speed_.slowdown_percent();
+  // Bounded, since the wait is unlimited while there are no slots.
+  load.wait = std::min(queue_.ExpectedWait(Now()), internal::kMaxReportedWait);
+  return load;
 }
 
 protocol::upstream_report upstream_dispatcher::Report() const {
@@ -495,7 +499,7 @@
 
 kernel::microseconds upstream_dispatcher::MeanRunTime(const kernel::route_name& route) const {
   const auto found = history_.find(route);
-  return found == history_.end() ? kernel::microseconds::zero() : found->second.run_time;
+  return found == history_.end() ? kernel::microseconds::zero() : found->second.run_time.mean();
 }
 
 void upstream_dispatcher::RecordRun(const kernel::route_name& route, kernel::microseconds run_time,
