--- a/cornelweir/src/admission/limits.h
+++ b/cornelweir/src/admission/limits.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 
 #include "cornelweir/src/kernel/quantity.h"
 
@@ -38,6 +39,9 @@
 // not lift its limit.
 inline constexpr kernel::request_rate kMinRate{250};
 
+// The priority of a request that goes before all others.
+inline constexpr std::int32_t kMostUrgent = std::numeric_limits<std::int32_t>::min();
+
 // The run time that is expected of a queued request, in percent of the mean. It is above the mean
 // because run times have a long tail.
 inline constexpr std::int64_t kPlannedRunTimePercent = 120;
--- /dev/null
+++ b/plugins/control/status_report.cc
@@ -0,0 +1,88 @@
+// The status of a control host, for operators.
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "plugins/control/control_plugin.h"
+
+namespace cornelweir::plugins::control {
+namespace internal {
+
+using codec::json;
+
+std::string_view StateName(membership::upstream_state state) {
+  switch (state) {
+    case membership::upstream_state::kStarting:
+      return "starting";
+    case membership::upstream_state::kReady:
+      return "ready";
+    case membership::upstream_state::kDraining:
+      return "draining";
+    case membership::upstream_state::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+}  // namespace internal
+
+codec::json control_plugin::StatusReport() const {
+  const replication::node& node = replica_.node();
+  const auto& machine = replica_.machine();
+  using internal::json;
+  json status{
+      {"host", context_.settings.host.value()},
+      {"role", node.IsLeader()                                                      ? "leader"
+               : replication::IsVoter(node.configuration(), context_.settings.host) ? "follower"
+                                                                                    : "learner"},
+      {"leader", node.leader() ? node.leader()->value() : std::string()},
+      {"failed", replica_.failed()},
+      {"term", node.current_term().value()},
+      {"commit_index", node.commit_index().value()},
+      {"applied_index", replica_.applied_index().value()},
+      {"version", machine.history().newest().value()},
+      {"revision", machine.members().revision().value()},
+      {"subscribers", gateway_.subscribers()},
+      {"claims", machine.claims().size()}};
+  json peers = json::array();
+  for (const settings::control_peer& peer : context_.settings.control->peers) {
+    if (peer.host == context_.settings.host) continue;
+    peers.push_back({{"host", peer.host.value()},
+                     {"voter", replication::IsVoter(node.configuration(), peer.host)},
+                     {"match_index", node.MatchIndex(peer.host).value()},
+                     {"reachable", mesh_.IsConnected(peer.host)}});
+  }
+  status["peers"] = std::move(peers);
+  json proxies = json::array();
+  for (const protocol::proxy_status& proxy : gateway_.Proxies()) {
+    proxies.push_back({{"host", proxy.host.value()},
+                       {"service", proxy.service.value()},
+                       {"version", proxy.version.value()},
+                       {"revision", proxy.revision.value()},
+                       {"ready", proxy.ready}});
+  }
+  status["proxies"] = std::move(proxies);
+  json upstreams = json::array();
+  for (const auto& [id, record] : machine.members().members()) {
+    upstreams.push_back({{"id", id.value()},
+                         {"service", record.service.value()},
+                         {"subset", record.subset.value()},
+                         {"domain", record.domain.value()},
+                         {"state", std::string(internal::StateName(record.state))},
+                         {"endpoint", record.daemon_data.value()},
+                         {"incarnation", record.incarnation.value()}});
+  }
+  status["upstreams"] = std::move(upstreams);
+  json quarantined = json::array();
+  for (const auto& entry : machine.crashes().Quarantined()) {
+    const auto remaining = kernel::FromLogTime(entry.until) - machine.now();
+    quarantined.push_back(
+        {{"fingerprint", entry.request.value()},
+         {"expires_in_ms", std::chrono::duration_cast<kernel::milliseconds>(remaining).count()}});
+  }
+  status["quarantined"] = std::move(quarantined);
+  return status;
+}
+
+}  // namespace cornelweir::plugins::control
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -1,7 +1,6 @@
 #include "plugins/sidecar/upstream_dispatcher.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "cornelweir/logging.h"
@@ -12,15 +11,6 @@
 
 // How often queued requests are checked against their deadlines.
 constexpr kernel::milliseconds kQueueCheckPeriod{10};
-// An upstream that has not announced itself is probed for this long after the daemon's start, at
-// this period.
-constexpr kernel::milliseconds kMaxProbeTime{1'600};
-constexpr kernel::milliseconds kProbePeriod{150};
-constexpr kernel::milliseconds kProbeTimeout{500};
-// Number of slots of an upstream that a probe found and whose number is not known yet. A full
-// upstream may reset the connection of a request, whose outcome is then unknown.
-constexpr std::int64_t kAssumedSlots = 1;
-
 // A request that is cancelled this shortly before its deadline has timed out.
 constexpr kernel::milliseconds kDeadlineTolerance{50};
 constexpr kernel::microseconds kMaxReportedWait = std::chrono::seconds(60);
@@ -98,125 +88,6 @@
   StartAll(queue_.SetSlots(IsOpen() ? announced_->slots : 0, Now()));
 }
 
-// Announcements may arrive late and in any order, also from an earlier process with the same id.
-bool upstream_dispatcher::IsOutdated(const membership::upstream_announcement& announcement) const {
-  if (!last_announced_) return false;
-  if (announcement.started_at != last_announced_->started_at) {
-    return announcement.started_at < last_announced_->started_at;
-  }
-  if (announcement.id != last_announced_->id) return false;
-  // An upstream process that drains or was withdrawn does not become available again.
-  return announcement.sequence < last_announced_->sequence ||
-         (last_announced_->draining && !announcement.draining);
-}
-
-// Whether the announcement is from the upstream process that is known already.
-bool upstream_dispatcher::IsSameProcess(
-    const membership::upstream_announcement& announcement) const {
-  if (last_announced_) {
-    return last_announced_->id == announcement.id &&
-           last_announced_->started_at == announcement.started_at;
-  }
-  return announced_ && announced_->id == announcement.id;
-}
-
-void upstream_dispatcher::Restore(const membership::announced_upstream& upstream) {
-  const auto order = [](const membership::announced_upstream& state) {
-    return std::tuple(state.started_at, state.sequence, state.draining);
-  };
-  if (last_announced_ && order(*last_announced_) >= order(upstream)) return;
-  last_announced_ = upstream;
-  if (announced_ && announced_->id != upstream.id) return;
-  // What a response has stated since the restart is newer.
-  SetRateLimit(queue_.rate_limit() ? queue_.rate_limit() : upstream.rate_limit);
-  if (!announced_) return;
-  announced_->started_at = upstream.started_at;
-  announced_->slots = upstream.slots;
-  announced_->draining = upstream.draining;
-  announced_->version = upstream.version;
-  OnStateChanged("restored");
-}
-
-announcement_result upstream_dispatcher::Announce(
-    const membership::upstream_announcement& announcement) {
-  if (announcement.address != context_.settings.sidecar->upstream || announcement.slots < 1) {
-    return announcement_result::kRefused;
-  }
-  if (IsOutdated(announcement)) return announcement_result::kOutdated;
-  const bool replaced = !announced_ || announced_->id != announcement.id ||
-                        announced_->started_at != announcement.started_at;
-  const bool same_process = IsSameProcess(announcement);
-  const bool changed = replaced || unavailable_ || announced_->draining != announcement.draining ||
-                       announced_->slots != announcement.slots ||
-                       announced_->version != announcement.version ||
-                       announced_->service != announcement.service;
-  if (replaced) client_.CloseIdleConnections();
-  if (replaced && !same_process) speed_.Reset();
-  announced_ = announcement;
-  last_announced_ = {announcement.id,     announcement.started_at, announcement.sequence,
-                     announcement.slots,  announcement.draining,   queue_.rate_limit(),
-                     announcement.version};
-  warmed_up_at_ = Now() + announcement.warm_up;
-  unavailable_ = false;
-  connect_failures_ = 0;
-  if (!same_process) SetRateLimit(std::nullopt);
-  if (changed) OnStateChanged(replaced ? "announced" : "state");
-  return announcement_result::kAccepted;
-}
-
-// When only the daemon restarts, its upstream keeps running and may not announce itself for a
-// while. The health response contains the upstream's id, so requests need not wait for the
-// announcement. The service from the settings is reliable only shortly after the start; later
-// another upstream may have the address.
-void upstream_dispatcher::ProbeUntilAnnounced(const std::string& health_path) {
-  if (announced_ || shutting_down_ || Now() - started_at_ > internal::kMaxProbeTime) return;
-  const http::whole_request probe{
-      "GET", health_path, {{"Host", context_.settings.sidecar->upstream.value()}}, ""};
-  client_.Send(
-      probe, internal::kProbeTimeout,
-      [this](const http::whole_response& response) {
-        // A late copy of the response to a request carries the id of that request.
-        return dialect_.has_request_id(response) ? http::response_match::kStale
-                                                 : http::response_match::kMatched;
-      },
-      [this, health_path](const http::upstream_result& result) {
-        OnProbeResponse(health_path, result);
-      });
-}
-
-void upstream_dispatcher::OnProbeResponse(const std::string& health_path,
-                                          const http::upstream_result& result) {
-  const kernel::upstream_id id = result.status == http::upstream_status::kResponse
-                                     ? dialect_.healthy_upstream(result.response)
-                                     : kernel::upstream_id();
-  if (!id.value().empty() && !announced_) {
-    announced_.emplace();
-    announced_->id = id;
-    announced_->address = context_.settings.sidecar->upstream;
-    announced_->service = context_.settings.sidecar->service;
-    announced_->slots = internal::kAssumedSlots;
-    // A health response does not tell whether the upstream has announced its end.
-    if (last_announced_ && last_announced_->id == id) {
-      announced_->started_at = last_announced_->started_at;
-      announced_->slots = last_announced_->slots;
-      announced_->draining = last_announced_->draining;
-      announced_->version = last_announced_->version;
-    } else {
-      SetRateLimit(std::nullopt);
-    }
-    OnStateChanged("healthy");
-  }
-  probe_timer_.Start(internal::kProbePeriod,
-                     [this, health_path] { ProbeUntilAnnounced(health_path); });
-}
-
-void upstream_dispatcher::Withdraw(const kernel::upstream_id& id, std::string_view reason) {
-  if (last_announced_ && last_announced_->id == id) last_announced_->draining = true;
-  if (!announced_ || announced_->id != id || announced_->draining) return;
-  announced_->draining = true;
-  OnStateChanged(reason);
-}
-
 void upstream_dispatcher::BeginShutdown() {
   shutting_down_ = true;
   OnStateChanged("shutdown");
@@ -259,7 +130,8 @@
 }
 
 // Describes a new request to the queue. A nested request gets the rank of its parent, and is of no
-// use after the deadline of its parent.
+// use after the deadline of its parent. Without a stated rank it goes before others, since refusing
+// it wastes the slot of its parent.
 admission::slot_request upstream_dispatcher::SlotRequest(admission::ticket id, run& added) {
   const kernel::time_point now = Now();
   admission::slot_request described;
@@ -279,6 +151,8 @@
       described.objective = std::min(described.objective, added.rank.objective);
     }
     described.deadline = std::min(described.deadline, added.rank.deadline);
+  } else if (added.nested) {
+    described.priority = admission::kMostUrgent;
   }
   route_history& history = history_[added.request.route];
   history.time_limit = std::max(history.time_limit, added.request.time_left);
