--- a/cornelweir/protocol.h
+++ b/cornelweir/protocol.h
@@ -9,7 +9,7 @@
 #include "cornelweir/src/protocol/message_part.h"
 #include "cornelweir/src/protocol/messages.h"
 #include "cornelweir/src/protocol/part_assembler.h"
-#include "cornelweir/src/protocol/split_into_parts.h"
 #include "cornelweir/src/protocol/quota_messages.h"
+#include "cornelweir/src/protocol/split_into_parts.h"
 
 #endif  // CORNELWEIR_PROTOCOL_H_
