Remove what the merge of the parts left unused or twice

Cause: a read of the whole change. pending::sent_at of a peer was set and never read; SendWithBody still split bodies, though larger ones than a piece go through bulk_sender; upstream_guard looked a record up before Admits(), which admits without one; ChoosePeer computed the run time, capacity and wait of each candidate twice per request; two tests set up the same control host.

Change: the dead member, SendWithBody, kBodyPieceBytes and HasRecord are gone, each candidate is estimated once per choice, and both tests derive from ControlHostTest. No behaviour, bound or assertion changes; peer_test builds its pieces of 64 KiB from admission::kMaxPieceBytes.

--- a/cornelweir/src/protocol/limits.h
+++ b/cornelweir/src/protocol/limits.h
@@ -30,8 +30,6 @@
 // Largest sum of the parts of deflated bytes, such as a policy. It stays below the send queue of a
 // link and below the backlog of the leader's log.
 inline constexpr std::size_t kMaxPartedBytes = std::size_t{6} << 20;
-// Bodies are sent between daemons in pieces of this size, so that other requests can interleave.
-inline constexpr std::size_t kBodyPieceBytes = std::size_t{64} << 10;
 // Largest body of a request that is sent on credit, and largest sum of the bodies of the responses
 // that are being received on one link.
 inline constexpr std::size_t kMaxLinkBodyBytes = std::size_t{32} << 20;
--- a/cornelweir/src/rollout/upstream_guard.h
+++ b/cornelweir/src/rollout/upstream_guard.h
@@ -11,7 +11,8 @@
 namespace cornelweir::rollout {
 
 // What the daemon beside an upstream enforces of the rollout of its service: which versions take
-// requests, and for how long after the last confirmation of the record. Also counts the evidence.
+// requests, and for how long since a control host last confirmed the record. Also counts the
+// evidence.
 class upstream_guard {
  public:
   // The table must outlive this object.
@@ -25,10 +26,7 @@
   // A control host has confirmed that the records are the newest.
   void OnConfirmed(kernel::time_point now) { confirmed_at_ = now; }
 
-  bool HasRecord(const kernel::service_name& service) const {
-    return table_.Find(service) != nullptr;
-  }
-  // Whether an upstream of the service may get requests.
+  // Whether an upstream of the service may get requests. Without a record, every upstream may.
   bool Admits(const kernel::service_name& service, const kernel::software_version& version,
               kernel::time_point now) const {
     const rollout_record* const record = table_.Find(service);
--- a/cornelweir/src/routing/peer_choice.cc
+++ b/cornelweir/src/routing/peer_choice.cc
@@ -47,6 +47,28 @@
                                        internal::Freshness(candidate.report_age)));
 }
 
+namespace internal {
+
+// What a request can expect at a candidate.
+struct estimate {
+  // Requests per microsecond, less those that fail.
+  double capacity = 0;
+  kernel::microseconds wait{};
+};
+
+estimate EstimateOf(const peer_candidate& candidate, kernel::microseconds mean_run_time) {
+  const kernel::microseconds run_time =
+      std::max(ExpectedRunTime(candidate, mean_run_time), kernel::microseconds(1));
+  estimate expected;
+  expected.capacity = static_cast<double>(std::max<std::int64_t>(candidate.slots, 1)) /
+                      static_cast<double>(run_time.count()) /
+                      (1 + kPeerFailureCost * candidate.failure_rate);
+  expected.wait = ExpectedPeerWait(candidate, run_time);
+  return expected;
+}
+
+}  // namespace internal
+
 double OwnDomainShare(double capacity_share, double daemon_share) {
   return daemon_share <= 0 ? 1 : std::min(capacity_share / daemon_share, 1.0);
 }
@@ -55,20 +77,16 @@
                                       const domain_preference& preference) {
   if (candidates.empty()) return std::nullopt;
   const kernel::microseconds mean_run_time = internal::MeanRunTime(candidates);
-  const auto run_time = [&](const peer_candidate& candidate) {
-    return std::max(ExpectedRunTime(candidate, mean_run_time), kernel::microseconds(1));
-  };
-  const auto capacity = [&](const peer_candidate& candidate) {
-    return static_cast<double>(std::max<std::int64_t>(candidate.slots, 1)) /
-           static_cast<double>(run_time(candidate).count()) /
-           (1 + kPeerFailureCost * candidate.failure_rate);
-  };
+  std::vector<internal::estimate> estimates;
+  estimates.reserve(candidates.size());
   double own_capacity = 0;
   double other_capacity = 0;
   kernel::microseconds shortest_wait = kernel::microseconds::max();
   for (const peer_candidate& candidate : candidates) {
-    (candidate.own_domain ? own_capacity : other_capacity) += capacity(candidate);
-    shortest_wait = std::min(shortest_wait, ExpectedPeerWait(candidate, run_time(candidate)));
+    const internal::estimate& added =
+        estimates.emplace_back(internal::EstimateOf(candidate, mean_run_time));
+    (candidate.own_domain ? own_capacity : other_capacity) += added.capacity;
+    shortest_wait = std::min(shortest_wait, added.wait);
   }
   double own_share = own_capacity > 0 ? 1 : 0;
   if (own_capacity > 0 && other_capacity > 0) {
@@ -83,10 +101,10 @@
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     peer_candidate& candidate = candidates[i];
     const double share = candidate.own_domain
-                             ? own_share * capacity(candidate) / own_capacity
-                             : (1 - own_share) * capacity(candidate) / other_capacity;
+                             ? own_share * estimates[i].capacity / own_capacity
+                             : (1 - own_share) * estimates[i].capacity / other_capacity;
     candidate.credit = std::min(candidate.credit + share, kMaxPeerCredit);
-    if (ExpectedPeerWait(candidate, run_time(candidate)) > longest_wait) continue;
+    if (estimates[i].wait > longest_wait) continue;
     if (!best || candidate.credit > candidates[*best].credit) best = i;
   }
   candidates[*best].credit = std::max(candidates[*best].credit - 1, -kMaxPeerCredit);
--- a/plugins/sidecar/data_frame.h
+++ b/plugins/sidecar/data_frame.h
@@ -34,23 +34,6 @@
   return data_frame{std::move(message), frame.payload};
 }
 
-// Sends a message and its body, split into pieces of at most protocol::kBodyPieceBytes. Returns
-// false as soon as a piece cannot be sent.
-template <class Message>
-bool SendWithBody(transport::link& link, Message message, std::string_view body) {
-  const kernel::call_id id = message.id;
-  std::string_view piece = body.substr(0, protocol::kBodyPieceBytes);
-  body.remove_prefix(piece.size());
-  message.last = body.empty();
-  if (!SendData(link, std::move(message), piece)) return false;
-  while (!body.empty()) {
-    piece = body.substr(0, protocol::kBodyPieceBytes);
-    body.remove_prefix(piece.size());
-    if (!SendData(link, protocol::body_piece{id, body.empty()}, piece)) return false;
-  }
-  return true;
-}
-
 }  // namespace cornelweir::plugins::sidecar
 
 #endif  // CORNELWEIR_PLUGINS_SIDECAR_DATA_FRAME_H_
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -339,11 +339,7 @@
   return id;
 }
 
-void peer::OnBodySent(kernel::call_id id) {
-  pending& sent = pending_.at(id);
-  sent.body_unsent = false;
-  sent.sent_at = Now();
-}
+void peer::OnBodySent(kernel::call_id id) { pending_.at(id).body_unsent = false; }
 
 void peer::Cancel(kernel::call_id id) {
   const auto found = pending_.find(id);
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -69,8 +69,6 @@
     bool idempotent = false;
     // A part of the body has not been sent, so the request has not run.
     bool body_unsent = false;
-    // When the last part was sent.
-    kernel::time_point sent_at;
     admission::ticket ticket;
     http::whole_response response;
     bool nested = false;
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -196,7 +196,7 @@
   response.load = Load();
   response.nested = result.nested;
   if (!bulk_sender::IsLarge(result.response->body.size())) {
-    SendWithBody(*link, std::move(response), result.response->body);
+    SendData(*link, std::move(response), result.response->body);
     return;
   }
   response.last = false;
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -40,8 +40,7 @@
 
 bool upstream_dispatcher::IsOpen() const {
   return announced_ && !announced_->draining && !unavailable_ && !shutting_down_ &&
-         (guard_ == nullptr || !guard_->HasRecord(announced_->service) ||
-          guard_->Admits(announced_->service, announced_->version, Now()));
+         (guard_ == nullptr || guard_->Admits(announced_->service, announced_->version, Now()));
 }
 
 protocol::upstream_load upstream_dispatcher::Load() const {
--- a/tests/control_plugin_test.cc
+++ b/tests/control_plugin_test.cc
@@ -4,8 +4,6 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <filesystem>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,44 +11,16 @@
 
 #include "cornelweir/codec.h"
 #include "plugins/greeting.h"
-#include "tests/http_test_support.h"
+#include "tests/control_host_test.h"
 
 namespace cornelweir::plugins::control {
 namespace {
 
-// A group of one control host.
+// A control host, and a link of a daemon to it.
 // NOLINTNEXTLINE(readability-identifier-naming)
-class ControlPluginTest : public ::testing::Test {
+class ControlPluginTest : public ControlHostTest {
  protected:
-  ControlPluginTest() {
-    std::string pattern = testing::TempDir() + "control-plugin-XXXXXX";
-    folder_ = ::mkdtemp(pattern.data());
-    settings_.host = kernel::host_id("a");
-    settings_.admin_listen = kernel::endpoint("127.0.0.1:0");
-    settings_.control.emplace();
-    settings_.control->data_folder = folder_;
-    settings_.control->mesh_listen = kernel::endpoint("127.0.0.1:0");
-    settings_.control->peers = {{settings_.host, {}, {}}};
-    settings_.control->bootstrap = true;
-    settings_.control->stable_inodes = false;
-    // Ticks from the beginning, as the process does.
-    pause_timer_.StartPeriodic(loop::pause_tracker::kTickPeriod, [this] {
-      if (ticking_) pauses_.Tick(clock_.Now());
-    });
-    Create();
-  }
-  ~ControlPluginTest() override {
-    plugin_.reset();
-    std::filesystem::remove_all(folder_);
-  }
-
-  void Create() {
-    auto created = control_plugin::Create(context_);
-    EXPECT_TRUE(created);
-    plugin_ = created.value();
-    plugin_->Start();
-    http::RunUntil(loop_, [this] { return plugin_->local_replica().node().IsLeader(); });
-  }
+  ~ControlPluginTest() override { plugin_.reset(); }
 
   void Replace(std::uint64_t version) {
     policy::policy_table table;
@@ -127,18 +97,6 @@
                                      std::move(handlers));
   }
 
-  std::string folder_;
-  loop::event_loop loop_;
-  loop::timer pause_timer_{loop_};
-  bool ticking_ = true;
-  settings::daemon_settings settings_;
-  http::admin_server admin_{loop_};
-  metrics::metrics_registry metrics_;
-  kernel::seeded_random random_{7};
-  kernel::steady_clock_source clock_;
-  loop::pause_tracker pauses_{clock_.Now()};
-  daemon_context context_{loop_, settings_, admin_, metrics_, random_, clock_, pauses_, nullptr};
-  std::shared_ptr<control_plugin> plugin_;
   std::shared_ptr<transport::link> link_;
   std::optional<policy_answer> answer_;
   protocol::part_assembler parts_;
@@ -232,7 +190,7 @@
   plugin_->BeginShutdown([&] { stopped = true; });
   http::RunUntil(loop_, [&] { return stopped; });
   plugin_.reset();
-  Create();
+  StartHost();
   http::RunUntil(loop_, [&] {
     return plugin_->local_replica().machine().policy().current()->version == newest.version;
   });
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -115,7 +115,7 @@
   protocol::run_response response;
   response.id = id;
   response.status = 200;
-  SendWithBody(*link_, response, "late");
+  SendData(*link_, response, "late");
   http::RunUntil(daemon_.loop, [&] { return once.has_value(); });
   ASSERT_TRUE(once->response);
   EXPECT_EQ(once->response->body, "late");
@@ -135,7 +135,7 @@
   response.status = 200;
   response.last = false;
   SendData(*link_, response);
-  const std::string piece(protocol::kBodyPieceBytes, 'x');
+  const std::string piece(admission::kMaxPieceBytes, 'x');
   std::size_t sent = 0;
   loop::timer flood(daemon_.loop);
   flood.StartPeriodic(std::chrono::microseconds(1), [&] {
--- a/tests/rollout_service_test.cc
+++ b/tests/rollout_service_test.cc
@@ -5,8 +5,6 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <filesystem>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,34 +12,20 @@
 #include <variant>
 
 #include "cornelweir/codec.h"
-#include "plugins/control/control_plugin.h"
 #include "plugins/greeting.h"
-#include "tests/http_test_support.h"
+#include "tests/control_host_test.h"
 
 namespace cornelweir::plugins::control {
 namespace {
 
 const kernel::service_name kService("forms");
 
-// A group of one control host, and one link that reports for two daemons of a service: one beside
+// A control host, and one link that reports for two daemons of a service: one beside
 // an upstream of version v1 and one beside an upstream of version v2.
 // NOLINTNEXTLINE(readability-identifier-naming)
-class RolloutServiceTest : public ::testing::Test {
+class RolloutServiceTest : public ControlHostTest {
  protected:
   RolloutServiceTest() {
-    std::string pattern = testing::TempDir() + "rollout-service-XXXXXX";
-    folder_ = ::mkdtemp(pattern.data());
-    settings_.host = kernel::host_id("a");
-    settings_.admin_listen = kernel::endpoint("127.0.0.1:0");
-    settings_.control.emplace();
-    settings_.control->data_folder = folder_;
-    settings_.control->mesh_listen = kernel::endpoint("127.0.0.1:0");
-    settings_.control->peers = {{settings_.host, {}, {}}};
-    settings_.control->bootstrap = true;
-    settings_.control->stable_inodes = false;
-    pause_timer_.StartPeriodic(loop::pause_tracker::kTickPeriod,
-                               [this] { pauses_.Tick(clock_.Now()); });
-    StartHost();
     policy::policy_table table;
     table.version = kernel::policy_version(1);
     table.services = {{kService, "/health", 1, "h1", false}};
@@ -53,15 +37,6 @@
   ~RolloutServiceTest() override {
     samples_.Cancel();
     plugin_.reset();
-    std::filesystem::remove_all(folder_);
-  }
-
-  void StartHost() {
-    auto created = control_plugin::Create(context_);
-    ASSERT_TRUE(created);
-    plugin_ = created.value();
-    plugin_->Start();
-    http::RunUntil(loop_, [this] { return plugin_->local_replica().node().IsLeader(); });
   }
 
   rollout_answer Order(const char* version, kernel::milliseconds duration,
@@ -141,18 +116,7 @@
     }
   }
 
-  std::string folder_;
-  loop::event_loop loop_;
-  loop::timer pause_timer_{loop_};
   loop::timer samples_{loop_};
-  settings::daemon_settings settings_;
-  http::admin_server admin_{loop_};
-  metrics::metrics_registry metrics_;
-  kernel::seeded_random random_{7};
-  kernel::steady_clock_source clock_;
-  loop::pause_tracker pauses_{clock_.Now()};
-  daemon_context context_{loop_, settings_, admin_, metrics_, random_, clock_, pauses_, nullptr};
-  std::shared_ptr<control_plugin> plugin_;
   std::shared_ptr<transport::link> link_;
   // All records that the daemons received.
   std::vector<rollout::rollout_record> records_;
