--- a/tests/inbound_transfers_test.cc
+++ b/tests/inbound_transfers_test.cc
@@ -44,7 +44,7 @@
           static_cast<std::int64_t>(1e6 * static_cast<double>(credit.bytes) / bytes_per_second_));
       const kernel::time_point sent_at = now + round_trip_;
       free_at_ = std::max(free_at_, sent_at) + transmission_time;
-      longest_delay = std::max(longest_delay, kernel::microseconds(free_at_ - sent_at));
+      longest_delay = std::max<kernel::microseconds>(longest_delay, free_at_ - sent_at);
       pieces_.push_back({credit, free_at_});
     }
   }
--- a/tests/log_payload_test.cc
+++ b/tests/log_payload_test.cc
@@ -31,6 +31,7 @@
 
 std::vector<replication::log_entry> EntriesOf(std::vector<kernel::byte_string> payloads) {
   std::vector<replication::log_entry> entries;
+  entries.reserve(payloads.size());
   for (kernel::byte_string& payload : payloads) {
     entries.push_back({kernel::term(1), kernel::log_index(entries.size() + 1),
                        replication::entry_kind::kCommand, std::move(payload)});
--- a/tests/rollout_agent_test.cc
+++ b/tests/rollout_agent_test.cc
@@ -85,7 +85,7 @@
 
   std::shared_ptr<peer> PeerOf(const char* version) {
     std::vector<std::shared_ptr<peer>> others;
-    while (const auto next = peers_.Choose({kService, others})) {
+    while (auto next = peers_.Choose({kService, others})) {
       if (next->version().value() == version) return next;
       others.push_back(next);
     }
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -309,6 +309,7 @@
 // that comes from the same few upstreams all the time.
 TEST(ActiveSubset, IsTheShareOfTheUpstreamsAndChanges) {
   std::vector<kernel::endpoint> daemons;
+  daemons.reserve(20);
   for (int i = 0; i < 20; ++i) daemons.emplace_back(std::to_string(i));
   std::set<std::size_t> seen;
   for (std::uint64_t period = 0; period < 5; ++period) {
