Choose upstreams by the time that a request has until its objective

Cause: each daemon gave every upstream requests in proportion to its speed, whatever the requests were. Where upstreams differ by a factor of 2.3, requests with an objective of 250 ms and a run time of 110 ms ran at slow upstreams (157 ms) while requests that could wait for 2 s took the fast ones. Large request bodies crossed between failure domains although the own one had room; only large responses preferred it.

Change: the daemon beside an upstream reports the usual run time of the route with each response. ChoosePeer() subtracts the probability that the request would be late from the credit by which it keeps the shares, so within these shares requests with little time get the fast upstreams. Large request bodies prefer the own failure domain as large responses do.

--- a/cornelweir/src/admission/upstream_speed.h
+++ b/cornelweir/src/admission/upstream_speed.h
@@ -20,6 +20,11 @@
 
   // Mean run time over many runs; zero before the first.
   kernel::microseconds usual_run_time() const { return usual_.mean; }
+  // The same over the runs of a route.
+  kernel::microseconds usual_run_time(const kernel::route_name& route) const {
+    const auto found = usual_by_route_.find(route);
+    return found == usual_by_route_.end() ? kernel::microseconds::zero() : found->second.mean;
+  }
   // The run time of the latest runs in percent of what is usual.
   std::int64_t slowdown_percent() const { return slowdown_percent_; }
 
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -159,12 +159,17 @@
   // The request is a call of a running upstream, as far as the daemon can tell.
   bool nested = false;
   bool last = true;
+  // Usual run time of the requests of its route at the upstream; 0 if unknown.
+  kernel::microseconds route_run_time{};
 
   static constexpr auto Fields() {
-    return std::tuple{
-        kernel::field{"i", &run_response::id},      kernel::field{"s", &run_response::status},
-        kernel::field{"h", &run_response::headers}, kernel::field{"w", &run_response::load},
-        kernel::field{"n", &run_response::nested},  kernel::field{"e", &run_response::last}};
+    return std::tuple{kernel::field{"i", &run_response::id},
+                      kernel::field{"s", &run_response::status},
+                      kernel::field{"h", &run_response::headers},
+                      kernel::field{"w", &run_response::load},
+                      kernel::field{"n", &run_response::nested},
+                      kernel::field{"e", &run_response::last},
+                      kernel::field{"t", &run_response::route_run_time}};
   }
 };
 
--- a/cornelweir/src/routing/limits.h
+++ b/cornelweir/src/routing/limits.h
@@ -77,11 +77,19 @@
 // An upstream is passed over if requests wait there longer than at the best one, by more than this
 // percentage of the mean run time.
 inline constexpr std::int64_t kPeerWaitTolerancePercent = 25;
+// The objective of requests that have none.
+inline constexpr kernel::microseconds kNoObjective = kernel::microseconds::max();
+// Standard deviation of the logarithms of the run times of a route at one upstream. Most routes
+// vary less; the rest covers the time on the network.
+inline constexpr double kRunTimeLogDeviation = 0.5;
+// An upstream at which a request would certainly miss its objective is chosen only if the others
+// are ahead of their shares by more than this number of requests.
+inline constexpr double kLatenessCost = 10;
 // Bound of the requests by which an upstream can be behind or ahead of its share, so that one that
 // was passed over for a while is not flooded afterwards.
 inline constexpr double kMaxPeerCredit = 2;
-// Factor on the requests with large responses that stay in the own failure domain.
-inline constexpr double kLargeResponseDomainFactor = 2.5;
+// Factor on the requests with large bodies or responses that stay in the own failure domain.
+inline constexpr double kLargeBodyDomainFactor = 2.5;
 
 }  // namespace cornelweir::routing
 
--- a/cornelweir/src/routing/peer_choice.cc
+++ b/cornelweir/src/routing/peer_choice.cc
@@ -14,15 +14,28 @@
                   std::chrono::duration<double>(kPeerReportLifetime));
 }
 
-kernel::microseconds MeanRunTime(const std::vector<peer_candidate>& candidates) {
+// The mean of the known run times; default_time if none is known.
+kernel::microseconds MeanRunTime(const std::vector<peer_candidate>& candidates,
+                                 kernel::microseconds peer_candidate::*run_time,
+                                 kernel::microseconds default_time) {
   kernel::microseconds sum{};
   std::int64_t known_times = 0;
   for (const peer_candidate& candidate : candidates) {
-    if (candidate.run_time.count() == 0) continue;
-    sum += candidate.run_time;
+    if ((candidate.*run_time).count() == 0) continue;
+    sum += candidate.*run_time;
     ++known_times;
   }
-  return known_times == 0 ? kDefaultResponseTime : sum / known_times;
+  return known_times == 0 ? default_time : sum / known_times;
+}
+
+// How much longer the runs of the candidate take at present than usual.
+double Slowdown(const peer_candidate& candidate) {
+  const double reported = static_cast<double>(candidate.slowdown_percent) / 100 - 1;
+  return 1 + reported * Freshness(candidate.report_age);
+}
+
+kernel::microseconds Scaled(kernel::microseconds time, double factor) {
+  return kernel::microseconds(std::llround(static_cast<double>(time.count()) * factor));
 }
 
 }  // namespace internal
@@ -31,10 +44,7 @@
                                      kernel::microseconds mean_run_time) {
   const kernel::microseconds usual =
       candidate.run_time.count() > 0 ? candidate.run_time : mean_run_time;
-  const double slowdown = static_cast<double>(candidate.slowdown_percent) / 100 - 1;
-  return kernel::microseconds(
-      std::llround(static_cast<double>(usual.count()) *
-                   (1 + slowdown * internal::Freshness(candidate.report_age))));
+  return internal::Scaled(usual, internal::Slowdown(candidate));
 }
 
 kernel::microseconds ExpectedPeerWait(const peer_candidate& candidate,
@@ -42,9 +52,17 @@
   const std::int64_t slots = std::max<std::int64_t>(candidate.slots, 1);
   const std::int64_t excess = candidate.reported_requests + candidate.sent_since_report + 1 - slots;
   if (excess <= 0) return candidate.transfer_time;
-  return candidate.transfer_time + kernel::microseconds(std::llround(
-                                       static_cast<double>((run_time * excess / slots).count()) *
-                                       internal::Freshness(candidate.report_age)));
+  return candidate.transfer_time +
+         internal::Scaled(run_time * excess / slots, internal::Freshness(candidate.report_age));
+}
+
+double LateProbability(kernel::microseconds run_time, kernel::microseconds time_left) {
+  if (run_time.count() <= 0 || time_left == kNoObjective) return 0;
+  if (time_left.count() <= 0) return 1;
+  const double deviations =
+      std::log(static_cast<double>(time_left.count()) / static_cast<double>(run_time.count())) /
+      kRunTimeLogDeviation;
+  return std::erfc(deviations / std::sqrt(2.0)) / 2;
 }
 
 namespace internal {
@@ -74,9 +92,13 @@
 }
 
 std::optional<std::size_t> ChoosePeer(std::vector<peer_candidate>& candidates,
-                                      const domain_preference& preference) {
+                                      const domain_preference& preference,
+                                      kernel::microseconds objective_left) {
   if (candidates.empty()) return std::nullopt;
-  const kernel::microseconds mean_run_time = internal::MeanRunTime(candidates);
+  const kernel::microseconds mean_run_time =
+      internal::MeanRunTime(candidates, &peer_candidate::run_time, kDefaultResponseTime);
+  const kernel::microseconds mean_route_time = internal::MeanRunTime(
+      candidates, &peer_candidate::route_run_time, kernel::microseconds::zero());
   std::vector<internal::estimate> estimates;
   estimates.reserve(candidates.size());
   double own_capacity = 0;
@@ -98,6 +120,7 @@
   const kernel::microseconds longest_wait =
       shortest_wait + mean_run_time * kPeerWaitTolerancePercent / 100;
   std::optional<std::size_t> best;
+  double best_score = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     peer_candidate& candidate = candidates[i];
     const double share = candidate.own_domain
@@ -105,7 +128,17 @@
                              : (1 - own_share) * estimates[i].capacity / other_capacity;
     candidate.credit = std::min(candidate.credit + share, kMaxPeerCredit);
     if (estimates[i].wait > longest_wait) continue;
-    if (!best || candidate.credit > candidates[*best].credit) best = i;
+    kernel::microseconds time_left = objective_left;
+    if (objective_left != kNoObjective) time_left -= estimates[i].wait;
+    const kernel::microseconds route_time =
+        candidate.route_run_time.count() > 0 ? candidate.route_run_time : mean_route_time;
+    const double score =
+        candidate.credit -
+        kLatenessCost *
+            LateProbability(internal::Scaled(route_time, internal::Slowdown(candidate)), time_left);
+    if (best && score <= best_score) continue;
+    best = i;
+    best_score = score;
   }
   candidates[*best].credit = std::max(candidates[*best].credit - 1, -kMaxPeerCredit);
   return best;
--- a/cornelweir/src/routing/peer_choice.h
+++ b/cornelweir/src/routing/peer_choice.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cornelweir/src/kernel/quantity.h"
+#include "cornelweir/src/routing/limits.h"
 
 namespace cornelweir::routing {
 
@@ -22,6 +23,8 @@
   kernel::microseconds report_age{};
   // Usual run time; zero if unknown.
   kernel::microseconds run_time{};
+  // Usual run time of the requests of the route; zero if unknown.
+  kernel::microseconds route_run_time{};
   // The present run time in percent of the usual one, as last reported.
   std::int64_t slowdown_percent = 100;
   // Fraction of the recent requests that failed, 0 to 1.
@@ -53,16 +56,25 @@
 kernel::microseconds ExpectedPeerWait(const peer_candidate& candidate,
                                       kernel::microseconds run_time);
 
+// The probability that a request misses its objective, if it runs for this time on average and
+// this time is left for it. Run times are taken to be distributed log-normally.
+double LateProbability(kernel::microseconds run_time, kernel::microseconds time_left);
+
 // Chooses an upstream for a request, and returns its index; empty if there are no candidates.
+// objective_left is the time until the latency objective of the request.
 //
 // A daemon sends few requests to each upstream, so what it knows of their queues is mostly old, and
 // choosing the shortest queue would send the requests of many daemons to the same upstream.
 // Instead, each upstream gets requests in proportion to its measured speed, by smooth weighted
 // round robin. Upstreams at which requests would wait, by a recent report, are passed over.
 //
+// Within these shares, requests whose objectives leave little time beyond their run time get the
+// fast upstreams, and the other requests get the slow ones.
+//
 // The requests of a failure domain stay in it as far as the capacity of its own upstreams allows.
 std::optional<std::size_t> ChoosePeer(std::vector<peer_candidate>& candidates,
-                                      const domain_preference& preference);
+                                      const domain_preference& preference,
+                                      kernel::microseconds objective_left = kNoObjective);
 
 // The fraction of a daemon's requests that stay in its own failure domain, so that its upstreams
 // get no more than in proportion to their capacity if all daemons send equally many requests.
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -254,7 +254,8 @@
   }
   const bool large = state->route->retry_safety == policy::retry_safety::kDownload;
   const std::shared_ptr<peer> chosen =
-      peers_.Choose({state->service, state->tried_peers, large, state->body->size()});
+      peers_.Choose({state->service, state->tried_peers, large, state->body->size(),
+                     state->route->name, state->objective_deadline - Now()});
   if (chosen == nullptr) {
     if (state->tried_peers.empty() && Defer(state)) return;
     Refuse(state, kernel::microseconds::zero(),
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -16,6 +16,8 @@
 
 constexpr kernel::microseconds kMinBackoff = std::chrono::milliseconds(50);
 constexpr kernel::microseconds kMaxBackoff = std::chrono::seconds(1);
+// Routes whose run times at an upstream are kept.
+constexpr std::size_t kMaxRouteRunTimes = 32;
 // Number of different random credits with which a peer starts.
 constexpr std::uint64_t kCreditSteps = 1'000;
 // Weight of one sample in the moving average of the failure rate.
@@ -196,7 +198,10 @@
 
 void peer::OnReport(const protocol::upstream_report& report) {
   // The failures of an earlier upstream process do not apply to a new one.
-  if (!report_ || report_->upstream != report.upstream) failure_rate_ = 0;
+  if (!report_ || report_->upstream != report.upstream) {
+    failure_rate_ = 0;
+    route_run_times_.clear();
+  }
   report_ = report;
   OnNewLoad();
 }
@@ -221,6 +226,7 @@
   response.status = message.status;
   response.headers = message.headers;
   found->second.nested = message.nested;
+  RecordRunTime(found->second.route, message.route_run_time);
   OnBodyPiece({message.id, message.last}, payload);
 }
 
@@ -252,6 +258,15 @@
   ended.done(std::move(result));
 }
 
+// Policies may have thousands of routes, but a daemon's callers use few of them.
+void peer::RecordRunTime(const kernel::route_name& route, kernel::microseconds run_time) {
+  if (run_time.count() == 0) return;
+  if (route_run_times_.size() >= internal::kMaxRouteRunTimes && !route_run_times_.contains(route)) {
+    route_run_times_.clear();
+  }
+  route_run_times_[route] = run_time;
+}
+
 void peer::RecordResult(const run_result& result) {
   const kernel::time_point now = Now();
   const double idle_seconds = std::chrono::duration<double>(now - last_result_at_).count();
@@ -284,7 +299,8 @@
   return dispatcher_ != nullptr ? kernel::microseconds::zero() : Now() - reported_at_;
 }
 
-routing::peer_candidate peer::Candidate(std::size_t body_bytes) const {
+routing::peer_candidate peer::Candidate(const kernel::route_name& route,
+                                        std::size_t body_bytes) const {
   const protocol::upstream_load load = dispatcher_ != nullptr ? dispatcher_->Load() : report_->load;
   routing::peer_candidate candidate;
   candidate.slots = load.slots;
@@ -295,6 +311,11 @@
   candidate.failure_rate = failure_rate_ * decay;
   candidate.report_age = ReportAge();
   candidate.run_time = load.run_time;
+  if (dispatcher_ != nullptr) {
+    candidate.route_run_time = dispatcher_->UsualRunTime(route);
+  } else if (const auto known = route_run_times_.find(route); known != route_run_times_.end()) {
+    candidate.route_run_time = known->second;
+  }
   candidate.slowdown_percent = load.slowdown_percent;
   candidate.credit = credit_;
   // A request for the upstream on this host moves no bytes over a link.
@@ -312,6 +333,7 @@
   const kernel::call_id id(next_call_++);
   pending& added = pending_[id];
   added.done = std::move(done);
+  added.route = request.route;
   added.idempotent = policy::IsIdempotent(request.retry_safety);
   if (dispatcher_ != nullptr) {
     const auto ticket = dispatcher_->Run(std::move(request), *body, [this, id](run_result result) {
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -48,8 +48,8 @@
   bool Serves(const kernel::service_name& service) const;
   // The version of the upstream; empty if unknown.
   kernel::software_version version() const;
-  // The candidate for a request with a body of this size. Requires Serves().
-  routing::peer_candidate Candidate(std::size_t body_bytes) const;
+  // The candidate for a request of the route with a body of this size. Requires Serves().
+  routing::peer_candidate Candidate(const kernel::route_name& route, std::size_t body_bytes) const;
   // The wait for a slot, as last reported, and the age of that report. Require Serves().
   kernel::microseconds ReportedWait() const;
   kernel::microseconds ReportAge() const;
@@ -66,6 +66,7 @@
  private:
   struct pending {
     run_callback done;
+    kernel::route_name route;
     bool idempotent = false;
     // A part of the body has not been sent, so the request has not run.
     bool body_unsent = false;
@@ -88,6 +89,7 @@
   void OnBodyPiece(const protocol::body_piece& message, std::string_view payload);
   void Finish(kernel::call_id id, run_result result);
   void RecordResult(const run_result& result);
+  void RecordRunTime(const kernel::route_name& route, kernel::microseconds run_time);
   void OnNewLoad();
   void UpdateLoad(const protocol::upstream_load& load);
 
@@ -115,6 +117,8 @@
   kernel::time_point reported_at_;
   std::int64_t sent_since_report_ = 0;
   std::int64_t body_bytes_since_report_ = 0;
+  // Usual run times at the upstream by route, as last reported.
+  std::map<kernel::route_name, kernel::microseconds> route_run_times_;
   // See routing::peer_candidate.
   double credit_ = 0;
   double failure_rate_ = 0;
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -195,6 +195,7 @@
   response.headers = std::move(result.response->headers);
   response.load = Load();
   response.nested = result.nested;
+  response.route_run_time = result.route_run_time;
   if (!bulk_sender::IsLarge(result.response->body.size())) {
     SendData(*link, std::move(response), result.response->body);
     return;
--- a/plugins/sidecar/peer_set.cc
+++ b/plugins/sidecar/peer_set.cc
@@ -91,16 +91,18 @@
     if (!daemon->Serves(query.service) || !is_allowed(*daemon)) continue;
     if (internal::Contains(query.excluded, daemon)) continue;
     usable_peers_.push_back(daemon);
-    candidates_.push_back(daemon->Candidate(query.body_bytes));
+    candidates_.push_back(daemon->Candidate(query.route, query.body_bytes));
     candidates_.back().own_domain = IsInOwnDomain(*daemon);
   }
 }
 
-std::shared_ptr<peer> peer_set::ChooseCollected(bool large_response) {
+std::shared_ptr<peer> peer_set::ChooseCollected(const peer_query& query) {
   routing::domain_preference preference;
   preference.daemon_share = own_domain_share_;
-  if (large_response) preference.factor = routing::kLargeResponseDomainFactor;
-  const auto chosen = routing::ChoosePeer(candidates_, preference);
+  if (query.large_response || bulk_sender::IsLarge(query.body_bytes)) {
+    preference.factor = routing::kLargeBodyDomainFactor;
+  }
+  const auto chosen = routing::ChoosePeer(candidates_, preference, query.objective_left);
   for (std::size_t i = 0; i < candidates_.size(); ++i) {
     usable_peers_[i]->SetCredit(candidates_[i].credit);
   }
@@ -112,7 +114,7 @@
     return ChooseByRecord(*record, query);
   }
   Collect(query, [](const peer&) { return true; });
-  return ChooseCollected(query.large_response);
+  return ChooseCollected(query);
 }
 
 void peer_set::KeepActiveSubset(const rollout::rollout_record& record) {
@@ -156,7 +158,7 @@
     group = *preference.second;
     collect();
   }
-  std::shared_ptr<peer> chosen = ChooseCollected(query.large_response);
+  std::shared_ptr<peer> chosen = ChooseCollected(query);
   if (chosen != nullptr && rollout::IsRunning(record)) {
     context_.metrics
         .Counter("cornelweir_rollout_requests_total",
--- a/plugins/sidecar/peer_set.h
+++ b/plugins/sidecar/peer_set.h
@@ -24,6 +24,9 @@
   const std::vector<std::shared_ptr<peer>>& excluded;
   bool large_response = false;
   std::size_t body_bytes = 0;
+  kernel::route_name route;
+  // Time until its latency objective.
+  kernel::microseconds objective_left = routing::kNoObjective;
 };
 
 // The daemons to which requests can be sent, including this one.
@@ -59,7 +62,7 @@
   void Collect(const peer_query& query, Predicate is_allowed);
   // Reduces usable_peers_ and candidates_ to those that get the requests for the target now.
   void KeepActiveSubset(const rollout::rollout_record& record);
-  std::shared_ptr<peer> ChooseCollected(bool large_response);
+  std::shared_ptr<peer> ChooseCollected(const peer_query& query);
   kernel::microseconds IdleProbePeriod() const;
   bool IsInOwnDomain(const peer& daemon) const;
 
--- a/plugins/sidecar/run_result.h
+++ b/plugins/sidecar/run_result.h
@@ -19,6 +19,8 @@
   kernel::microseconds retry_after{};
   // The request is a call of a running upstream, as far as the daemon can tell.
   bool nested = false;
+  // Usual run time of the route's requests at the upstream; zero if unknown.
+  kernel::microseconds route_run_time{};
 };
 
 using run_callback = std::function<void(run_result)>;
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -400,6 +400,7 @@
   run ended = std::move(found->second);
   runs_.erase(found);
   result.nested = ended.nested;
+  result.route_run_time = UsualRunTime(ended.request.route);
   if (ended.result_wanted) ended.done(std::move(result));
 }
 
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -66,7 +66,11 @@
   }
   protocol::upstream_report Report() const;
   protocol::upstream_load Load() const;
-  // Mean run time of the requests of a route; zero if unknown.
+  // Usual run time of the requests of a route; zero if unknown.
+  kernel::microseconds UsualRunTime(const kernel::route_name& route) const {
+    return speed_.usual_run_time(route);
+  }
+  // Mean run time of the latest requests of a route; zero if unknown.
   kernel::microseconds MeanRunTime(const kernel::route_name& route) const;
   // Expected time that a further request would wait for a slot.
   kernel::microseconds ExpectedSlotWait() const { return queue_.ExpectedWait(Now()); }
--- a/tests/peer_choice_test.cc
+++ b/tests/peer_choice_test.cc
@@ -232,5 +232,71 @@
   }
 }
 
+// A service whose upstreams are 2.2 times as fast as the others in four of eleven cases, at one
+// daemon.
+class uneven_service {
+ public:
+  static constexpr std::size_t kFast = 4;
+  // The part of the capacity that the fast upstreams have.
+  static constexpr double kFastCapacity = 0.562;
+
+  uneven_service() : candidates_(kFast, Candidate(0, 70)) {
+    candidates_.resize(11, Candidate(0, 157));
+    for (peer_candidate& candidate : candidates_) candidate.route_run_time = candidate.run_time;
+  }
+
+  bool SendToFast(kernel::microseconds objective_left) {
+    return *ChoosePeer(candidates_, {}, objective_left) < kFast;
+  }
+
+ private:
+  std::vector<peer_candidate> candidates_;
+};
+
+// Guards against requests that miss their objectives at slow upstreams, while requests that could
+// wait take the fast ones.
+TEST(PeerChoice, GivesFastUpstreamsToRequestsWithLittleTime) {
+  uneven_service service;
+  constexpr int kRequestsOfEach = 2'000;
+  int urgent_at_fast = 0;
+  int others_at_fast = 0;
+  for (int i = 0; i < kRequestsOfEach; ++i) {
+    urgent_at_fast += service.SendToFast(milliseconds(250)) ? 1 : 0;
+    others_at_fast += service.SendToFast(milliseconds(2'000)) ? 1 : 0;
+  }
+  EXPECT_GT(urgent_at_fast, kRequestsOfEach * 0.97);
+  EXPECT_NEAR(urgent_at_fast + others_at_fast, 2 * kRequestsOfEach * uneven_service::kFastCapacity,
+              2 * kRequestsOfEach * 0.02);
+}
+
+// Guards against fast upstreams that are flooded because no request can wait.
+TEST(PeerChoice, KeepsTheSharesIfAllRequestsHaveLittleTime) {
+  uneven_service service;
+  constexpr int kRequests = 4'000;
+  int at_fast = 0;
+  for (int i = 0; i < kRequests; ++i) at_fast += service.SendToFast(milliseconds(250)) ? 1 : 0;
+  EXPECT_NEAR(at_fast, kRequests * uneven_service::kFastCapacity, kRequests * 0.02);
+}
+
+// Guards against a request that is sent to an upstream that stalls, though others end it in time.
+TEST(PeerChoice, AvoidsStallsThatWouldMissTheObjective) {
+  std::vector<peer_candidate> candidates{Candidate(0, 110), Candidate(0, 110)};
+  for (peer_candidate& candidate : candidates) candidate.route_run_time = milliseconds(110);
+  candidates[0].credit = 2;
+  candidates[0].slowdown_percent = 250;
+  EXPECT_EQ(ChoosePeer(candidates, {}, milliseconds(250)), 1U);
+  EXPECT_EQ(ChoosePeer(candidates, {}, milliseconds(2'000)), 0U);
+}
+
+// Guards against a probability that is not monotonic or leaves 0 to 1.
+TEST(PeerChoice, EstimatesHowLikelyARequestIsLate) {
+  EXPECT_EQ(LateProbability(milliseconds(100), kNoObjective), 0);
+  EXPECT_EQ(LateProbability({}, milliseconds(1)), 0) << "run time unknown";
+  EXPECT_EQ(LateProbability(milliseconds(100), milliseconds(-1)), 1);
+  EXPECT_NEAR(LateProbability(milliseconds(100), milliseconds(100)), 0.5, 1e-9);
+  EXPECT_LT(LateProbability(milliseconds(100), milliseconds(300)), 0.02);
+  EXPECT_GT(LateProbability(milliseconds(100), milliseconds(50)), 0.9);
+}
+
 }  // namespace
 }  // namespace cornelweir::routing
