Let nested requests wait only for short runs of the same priority

Cause: a queued request that would miss its objective deferred all nested requests before it that were not more urgent, up to their deadlines. With keys, all routes of a workspace have one priority.

Change: among requests of the same priority, a nested request waits only for runs that take at most three times as long as its own. Less urgent nested requests wait as before.

--- a/cornelweir/src/admission/limits.h
+++ b/cornelweir/src/admission/limits.h
@@ -47,6 +47,10 @@
 inline constexpr std::int64_t kPlannedRunTimePercent = 120;
 inline constexpr std::int64_t kMeanRunTimePercent = 100;
 
+// A nested request waits for another one of its priority only if the run of that takes at most this
+// many times as long as its own.
+inline constexpr std::int64_t kMaxDeferralWorkFactor = 3;
+
 // A new sample has a weight of 1/kRunTimeMeanDivisor in the mean run time of a route, and of
 // 1/kRunTimeDeviationDivisor in its mean deviation.
 inline constexpr std::int64_t kRunTimeMeanDivisor = 8;
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -108,6 +108,13 @@
          workspace_shares_.IsBelowMinimum(request.workspace, now);
 }
 
+// Whether a nested request may wait for the run of another one. That costs the slot of its parent
+// for as long, so among requests of the same priority it waits for short runs only.
+bool slot_queue::MayDefer(const slot_request& nested, const slot_request& other) const {
+  if (nested.priority != other.priority) return nested.priority > other.priority;
+  return WorkOf(other) <= WorkOf(nested) * kMaxDeferralWorkFactor;
+}
+
 void slot_queue::CountWork(const slot_request& request, kernel::microseconds work,
                            kernel::time_point now) {
   route_shares_.Add(request.route, work, now);
@@ -215,7 +222,7 @@
     }
     const auto may_wait = [&](const queued_request& queued) {
       return queued.request.nested && !queued.deferred && !queued.promoted &&
-             queued.request.priority >= late->request.priority;
+             MayDefer(queued.request, late->request);
     };
     const auto deferrable = std::find_if(queue_.begin(), late, may_wait);
     if (deferrable != late) {
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -33,15 +33,16 @@
 // has one. Queues the others in order of priority, then of the latest time at which they must start
 // to meet their objectives.
 //
-// If a queued request would miss its objective, nested requests before it that are not more urgent
-// wait longer, as late as their deadlines allow. If that is not enough, requests are refused while
-// their callers still have time to use another upstream: of those with the lowest priority first
-// the ones of workspaces that are above their usual rate, then the ones with the longest run times,
-// which lets the most requests meet their objectives. Routes and workspaces that get less than a
-// minimum share are served before all others instead. A request whose calls would wait so long that
-// it could not end before its deadline is held back until they are expected to be faster. A late
-// request gets a slot only if no other request needs it, and the network only if no other response
-// does.
+// If a queued request would miss its objective, nested requests before it wait longer, as late as
+// their deadlines allow, if they are less urgent, or as urgent and the request runs only briefly:
+// the parent of a nested request holds a slot meanwhile. If that is not enough, requests are
+// refused while their callers still have time to use another upstream: of those with the lowest
+// priority first the ones of workspaces that are above their usual rate, then the ones with the
+// longest run times, which lets the most requests meet their objectives. Routes and workspaces that
+// get less than a minimum share are served before all others instead. A request whose calls would
+// wait so long that it could not end before its deadline is held back until they are expected to be
+// faster. A late request gets a slot only if no other request needs it, and the network only if no
+// other response does.
 class slot_queue {
  public:
   // Sets the number of slots. Returns the queued requests that run now.
@@ -106,6 +107,7 @@
   bool IsHopeless(const slot_request& request, std::int64_t run_time_percent,
                   kernel::time_point now) const;
   bool IsBelowMinimumShare(const slot_request& request, kernel::time_point now) const;
+  bool MayDefer(const slot_request& nested, const slot_request& other) const;
   void CountWork(const slot_request& request, kernel::microseconds work, kernel::time_point now);
   static bool IsBefore(const queued_request& first, const queued_request& second);
   void Insert(queued_request added);
--- a/tests/service_order_test.cc
+++ b/tests/service_order_test.cc
@@ -159,6 +159,20 @@
   EXPECT_GE(Share(outcomes[2].ended_in_time, outcomes[2].sent), 0.9);
 }
 
+// Guards against long requests of an overloaded service that delay the short calls of another one:
+// every call that waits keeps a slot there from being used. The calls took 0.5 s at the median
+// then.
+TEST(ServiceOrder, NestedRequestsDoNotWaitForLongOnes) {
+  std::vector<flow> flows{
+      {"write", "", 45, milliseconds(340), milliseconds(2'000), milliseconds(2'500)},
+      {"nested", "", 33, milliseconds(66), milliseconds(250), milliseconds(800)}};
+  flows[1].nested = true;
+  const auto outcomes = slot_simulation(12).Run(flows, milliseconds(40'000));
+  EXPECT_GE(Share(outcomes[1].within_objective, outcomes[1].sent), 0.98);
+  // The nested requests leave 0.82 of the slots.
+  EXPECT_GE(outcomes[0].within_objective, 0.9 * 40 * 0.82 * 12 / 0.34);
+}
+
 // Guards against a workspace at seven times its usual rate that takes the slots of small ones.
 TEST(ServiceOrder, ASurgeOfOneWorkspaceDoesNotPushOutOthers) {
   std::vector<flow> flows{
