Refuse no request with 429 because the quota owner changed

Cause: a new owner begins with empty buckets, since it does not know what its predecessor issued, and daemons took a grant of 0 for a limit that is used up.

Change: the owner also computes what a bucket would hold if it had been full at its start. A grant below that is marked as pending (optional member `p`); the daemon keeps the requests and asks again. Requests state how many waiting requests are new (`u`, `a`), so that a workspace that sends more than a full bucket would serve still gets 429. After one window and one token lifetime no window contains tokens of the predecessor, and the buckets take the higher value.

A request waits for a token until its response can't meet the latency objective any more, by the reported run times of the service; if none is known, half of the objective as before. The fixed bound of 700 ms is gone; at least 100 ms are allowed.

NoWorkspaceBelowItsLimitIsRefused now counts refusals of the warm-up too. Requests that the first owner, empty as well, left waiting there were counted as refused before and cleared; they are now unanswered and cleared in the same place.

--- a/cornelweir/src/quota/limits.h
+++ b/cornelweir/src/quota/limits.h
@@ -31,6 +31,8 @@
 // After a refusal a daemon asks the owner again after this time, even if the next token is due
 // later: the limit may have been raised.
 inline constexpr kernel::milliseconds kMaxLocalRefusal{1'000};
+// The least delay before tokens are requested again that a new owner could not grant yet.
+inline constexpr kernel::milliseconds kMinPendingDelay{20};
 // A daemon forgets a workspace that it has not served for this time.
 inline constexpr kernel::milliseconds kIdleTime{10'000};
 
--- a/cornelweir/src/quota/messages.h
+++ b/cornelweir/src/quota/messages.h
@@ -15,10 +15,15 @@
 struct token_request {
   kernel::workspace_id workspace;
   kernel::request_count wanted;
+  // How many of them are for requests that wait, and how many of those requests no earlier message
+  // has counted. Zero if the sender does not state them.
+  kernel::request_count waiting{};
+  kernel::request_count arrived{};
 
   static constexpr auto Fields() {
-    return std::tuple{kernel::field{"w", &token_request::workspace},
-                      kernel::field{"n", &token_request::wanted}};
+    return std::tuple{
+        kernel::field{"w", &token_request::workspace}, kernel::field{"n", &token_request::wanted},
+        kernel::field{"u", &token_request::waiting}, kernel::field{"a", &token_request::arrived}};
   }
   friend bool operator==(const token_request&, const token_request&) = default;
 };
@@ -45,11 +50,15 @@
   kernel::microseconds lifetime{};
   // Time until the next token, if fewer were granted than requested.
   kernel::microseconds next_in{};
+  // Fewer were granted than requested, but not because the limit is used up: the tokens should be
+  // requested again after next_in.
+  bool pending = false;
 
   static constexpr auto Fields() {
     return std::tuple{
         kernel::field{"w", &token_grant::workspace}, kernel::field{"n", &token_grant::granted},
-        kernel::field{"l", &token_grant::lifetime}, kernel::field{"x", &token_grant::next_in}};
+        kernel::field{"l", &token_grant::lifetime}, kernel::field{"x", &token_grant::next_in},
+        kernel::field{"p", &token_grant::pending}};
   }
   friend bool operator==(const token_grant&, const token_grant&) = default;
 };
--- a/cornelweir/src/quota/quota_owner.cc
+++ b/cornelweir/src/quota/quota_owner.cc
@@ -21,21 +21,27 @@
   return confirmed_sent_at && now >= start_ && now - *confirmed_sent_at < kIssueFence;
 }
 
-double quota_owner::TokensAt(const bucket& source, kernel::time_point now) {
-  const double elapsed = std::max(0.0, seconds(now - source.updated_at).count());
-  return std::min(source.limit.Capacity(),
-                  source.tokens + kernel::RequestsPerSecond(source.limit.rate) * elapsed);
+void quota_owner::Refill(bucket& source, const workspace_limit& limit,
+                         kernel::time_point now) const {
+  // After a change of the limit, the time before it counts with the lower of both rates.
+  const kernel::request_rate rate = std::min(source.limit.rate, limit.rate);
+  const double added =
+      kernel::RequestsPerSecond(rate) * std::max(0.0, seconds(now - source.updated_at).count());
+  for (double* level : {&source.tokens, &source.most_tokens, &source.unclaimed}) {
+    *level = std::min({*level + added, source.limit.Capacity(), limit.Capacity()});
+  }
+  if (now >= start_ + limits_.window + kMaxTokenLifetime) source.tokens = source.most_tokens;
+  source.updated_at = std::max(source.updated_at, now);
+  source.limit = limit;
 }
 
 token_grant quota_owner::Issue(const token_request& request, const workspace_limit& limit,
                                kernel::time_point now) {
-  const auto [found, added] = buckets_.try_emplace(request.workspace, bucket{limit, 0.0, start_});
+  const double capacity = limit.Capacity();
+  const auto [found, added] =
+      buckets_.try_emplace(request.workspace, bucket{limit, 0.0, capacity, capacity, start_});
   bucket& source = found->second;
-  // After a change of the limit, the time before it counts with the lower of both rates.
-  source.limit.rate = std::min(source.limit.rate, limit.rate);
-  source.tokens = std::min(TokensAt(source, now), limit.Capacity());
-  source.updated_at = std::max(source.updated_at, now);
-  source.limit = limit;
+  Refill(source, limit, now);
 
   const kernel::request_count wanted =
       std::clamp(request.wanted, kernel::request_count(0), kMaxTokensPerEntry);
@@ -43,9 +49,23 @@
   grant.workspace = request.workspace;
   grant.granted =
       std::min(wanted, kernel::request_count(static_cast<std::int64_t>(std::floor(source.tokens))));
-  source.tokens -= static_cast<double>(grant.granted.value());
+  const bool may_exceed = source.most_tokens - source.tokens > 0;
+  const auto issued = static_cast<double>(grant.granted.value());
+  // Requests that wait are counted once, when they are reported; tokens for the store when issued.
+  const kernel::request_count waiting =
+      std::clamp(request.waiting, kernel::request_count(0), wanted);
+  const kernel::request_count arrived =
+      std::clamp(request.arrived, kernel::request_count(0), waiting);
+  const double claimed =
+      static_cast<double>(arrived.value()) +
+      static_cast<double>(std::max(grant.granted, waiting).value() - waiting.value());
+  const bool exceeded = claimed > source.unclaimed;
+  source.tokens -= issued;
+  source.most_tokens -= issued;
+  source.unclaimed = std::max(0.0, source.unclaimed - claimed);
   grant.lifetime = limit.TokenLifetime(limits_);
   if (grant.granted < wanted) {
+    grant.pending = may_exceed && !exceeded;
     const seconds next_in((1 - source.tokens) / kernel::RequestsPerSecond(limit.rate));
     // Rounded up, so that the token exists when the daemon asks again.
     grant.next_in = std::chrono::ceil<kernel::microseconds>(next_in);
@@ -55,7 +75,9 @@
 
 void quota_owner::DropFullBuckets(kernel::time_point now) {
   std::erase_if(buckets_, [&](const auto& entry) {
-    return TokensAt(entry.second, now) >= entry.second.limit.Capacity();
+    bucket source = entry.second;
+    Refill(source, source.limit, now);
+    return std::min(source.tokens, source.unclaimed) >= source.limit.Capacity();
   });
 }
 
--- a/cornelweir/src/quota/quota_owner.h
+++ b/cornelweir/src/quota/quota_owner.h
@@ -21,7 +21,10 @@
   explicit quota_owner(const quota_limits& limits) : limits_(limits) {}
 
   // To be called when this host becomes the leader. All buckets are empty when the time in which an
-  // earlier owner may still issue has passed.
+  // earlier owner may still issue has passed: what that owner issued is unknown. A grant below what
+  // a full bucket would have given is marked as pending. After one window and one token lifetime,
+  // no window contains tokens of an earlier owner any more, and the buckets hold what they would if
+  // they had been full at the start.
   void Restart(kernel::time_point leader_since);
 
   // Whether tokens may be issued, given when the last heartbeat round that a majority confirmed was
@@ -42,10 +45,14 @@
   struct bucket {
     workspace_limit limit;
     double tokens = 0;
+    // What the bucket would hold if it had been full at the start, and what it would hold if it
+    // had also served the requests that waited for tokens in vain.
+    double most_tokens = 0;
+    double unclaimed = 0;
     kernel::time_point updated_at;
   };
 
-  static double TokensAt(const bucket& source, kernel::time_point now);
+  void Refill(bucket& source, const workspace_limit& limit, kernel::time_point now) const;
 
   quota_limits limits_;
   // The earliest time at which tokens may be issued.
--- a/cornelweir/src/quota/quota_store.cc
+++ b/cornelweir/src/quota/quota_store.cc
@@ -22,7 +22,7 @@
 // The demand of the next part of a second, less its standard deviation: tokens that expire unused
 // are missing at other daemons, so a daemon with little demand stores none.
 std::int64_t quota_store::StoredTarget(const account& holder, kernel::time_point now) {
-  if (holder.refused_until && now < *holder.refused_until + kRefillPauseAfterRefusal) return 0;
+  if (now < holder.store_again_at) return 0;
   const seconds horizon = std::min<seconds>(kStoredDemand, holder.lifetime / 2);
   const double expected = holder.demand * horizon.count() / seconds(kDemandPeriod).count();
   return static_cast<std::int64_t>(std::max(0.0, std::floor(expected - std::sqrt(expected))));
@@ -63,7 +63,10 @@
   holder.demand = holder.demand * std::exp(-elapsed / seconds(kDemandPeriod)) + 1;
   holder.demand_at = now;
   const decision decided = Decide(holder, now);
-  if (decided.outcome == verdict::kWaiting) ++holder.waiting;
+  if (decided.outcome == verdict::kWaiting) {
+    ++holder.waiting;
+    ++holder.arrived;
+  }
   if (decided.outcome == verdict::kWaiting ||
       ValidTokens(holder, now) < StoredTarget(holder, now)) {
     MarkUnsatisfied(workspace, holder);
@@ -95,6 +98,10 @@
   std::vector<kernel::workspace_id> later;
   for (kernel::workspace_id& workspace : unsatisfied_) {
     account& holder = accounts_[workspace];
+    if (now < holder.ask_again_at) {
+      later.push_back(std::move(workspace));
+      continue;
+    }
     const std::int64_t unassigned = holder.requested - holder.waiting;
     const std::int64_t missing_for_waiting = std::max<std::int64_t>(0, -unassigned);
     const std::int64_t missing_in_store =
@@ -109,7 +116,10 @@
     if (wanted == 0) continue;
     holder.requested += wanted;
     if (refill_due && missing_in_store > 0) last_refill_at_ = now;
-    request.entries.push_back({std::move(workspace), kernel::request_count(wanted)});
+    const std::int64_t arrived = std::min(std::exchange(holder.arrived, 0), missing_for_waiting);
+    request.entries.push_back({std::move(workspace), kernel::request_count(wanted),
+                               kernel::request_count(missing_for_waiting),
+                               kernel::request_count(arrived)});
   }
   unsatisfied_ = std::move(later);
   if (request.entries.empty()) return std::nullopt;
@@ -149,10 +159,15 @@
     if (granted.value() > 0 && expires_at > now) {
       AddTokens(receiver, granted.value(), expires_at);
     }
-    if (granted < asked->wanted) {
+    if (granted >= asked->wanted) continue;
+    const kernel::time_point next_at =
+        now + std::min<kernel::microseconds>(entry.next_in, kMaxLocalRefusal);
+    receiver.store_again_at = next_at + kRefillPauseAfterRefusal;
+    if (entry.pending) {
+      receiver.ask_again_at = std::max(next_at, now + kMinPendingDelay);
+    } else {
       receiver.next_token_at = now + entry.next_in;
-      receiver.refused_until =
-          now + std::min<kernel::microseconds>(entry.next_in, kMaxLocalRefusal);
+      receiver.refused_until = next_at;
     }
   }
   if (!request.overdue) EndRequest(request);
--- a/cornelweir/src/quota/quota_store.h
+++ b/cornelweir/src/quota/quota_store.h
@@ -68,6 +68,8 @@
     // Ordered by expiry.
     std::vector<token_batch> tokens;
     std::int64_t waiting = 0;
+    // Those of them that no request to the owner has counted yet.
+    std::int64_t arrived = 0;
     // Tokens in requests that are in progress.
     std::int64_t requested = 0;
     // Moving average of the requests of callers, as their weighted number.
@@ -79,6 +81,10 @@
     // of the next token, which may be later.
     std::optional<kernel::time_point> refused_until;
     kernel::time_point next_token_at;
+    // No tokens are requested before the first time, and none for the store before the second,
+    // since the owner had too few.
+    kernel::time_point ask_again_at;
+    kernel::time_point store_again_at;
     // Whether unsatisfied_ contains the workspace.
     bool unsatisfied = false;
   };
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -31,10 +31,12 @@
 constexpr kernel::milliseconds kDeferredCheckPeriod{10};
 // Assumed for callers that state no timeout.
 constexpr kernel::milliseconds kDefaultCallerTimeout{1'000};
-// A request waits for a token of its workspace's quota for at most this time and this fraction of
-// its latency objective.
-constexpr kernel::milliseconds kMaxTokenWait{700};
-constexpr std::int64_t kTokenWaitDivisor = 2;
+// The part of its latency objective that a request needs after it has a token, while no upstream of
+// its service has reported a run time.
+constexpr std::int64_t kUnknownRunTimeDivisor = 2;
+// A request waits at least this long, since a grant may take that time while the processes get no
+// processor time.
+constexpr kernel::milliseconds kMinTokenWait{100};
 // The least retry delay sent to callers whose quota is used up. The next token may be due sooner,
 // but others wait for it, too.
 constexpr kernel::milliseconds kMinQuotaRetryAfter{100};
@@ -181,14 +183,19 @@
   AcquireToken(state);
 }
 
-// Sends the request on once the quota of its workspace admits it.
+// Sends the request on once the quota of its workspace admits it. It waits for a token as long as
+// its response can be expected to meet the latency objective.
 void call_router::AcquireToken(const request_state_ptr& state) {
   if (!state->limited) {
     OnQuotaDecision(state, {quota_client::outcome::kAdmitted, {}, {}});
     return;
   }
-  const kernel::microseconds max_wait = std::min<kernel::microseconds>(
-      state->route->latency_objective / internal::kTokenWaitDivisor, internal::kMaxTokenWait);
+  kernel::microseconds run_time = peers_.UsualRunTime(state->service);
+  if (run_time == kernel::microseconds::zero()) {
+    run_time = state->route->latency_objective / internal::kUnknownRunTimeDivisor;
+  }
+  const kernel::microseconds max_wait = std::max<kernel::microseconds>(
+      state->objective_deadline - Now() - run_time, internal::kMinTokenWait);
   quota_.Admit(state->workspace, max_wait, [this, state](const quota_client::admission& decided) {
     OnQuotaDecision(state, decided);
   });
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -280,6 +280,10 @@
   return dispatcher_ != nullptr ? dispatcher_->Load().wait : report_->load.wait;
 }
 
+kernel::microseconds peer::ReportedRunTime() const {
+  return dispatcher_ != nullptr ? dispatcher_->Load().run_time : report_->load.run_time;
+}
+
 kernel::microseconds peer::ReportAge() const {
   return dispatcher_ != nullptr ? kernel::microseconds::zero() : Now() - reported_at_;
 }
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -52,6 +52,8 @@
   routing::peer_candidate Candidate(std::size_t body_bytes) const;
   // The wait for a slot, as last reported, and the age of that report. Require Serves().
   kernel::microseconds ReportedWait() const;
+  // The usual run time, as last reported; zero if unknown. Requires Serves().
+  kernel::microseconds ReportedRunTime() const;
   kernel::microseconds ReportAge() const;
   // Stores what ChoosePeer() changed of the candidate.
   void SetCredit(double credit) { credit_ = credit; }
--- a/plugins/sidecar/peer_set.cc
+++ b/plugins/sidecar/peer_set.cc
@@ -11,8 +11,8 @@
 // all links; each link is probed at most once per kMinProbePeriod.
 constexpr std::int64_t kProbesPerSecond = 15;
 constexpr kernel::microseconds kMinProbePeriod = std::chrono::seconds(1);
-// The wait at a service is computed at most once per this period.
-constexpr kernel::microseconds kServiceWaitPeriod = std::chrono::milliseconds(50);
+// The wait and the run time at a service are computed at most once per this period.
+constexpr kernel::microseconds kServiceTimesPeriod = std::chrono::milliseconds(50);
 
 bool Contains(const std::vector<std::shared_ptr<peer>>& peers,
               const std::shared_ptr<peer>& sought) {
@@ -169,16 +169,30 @@
 }
 
 kernel::microseconds peer_set::ServiceWait(const kernel::service_name& service) {
+  return ServiceTimes(service).wait;
+}
+
+kernel::microseconds peer_set::UsualRunTime(const kernel::service_name& service) {
+  return ServiceTimes(service).run_time;
+}
+
+const peer_set::service_times& peer_set::ServiceTimes(const kernel::service_name& service) {
   const kernel::time_point now = context_.clock.Now();
-  service_wait& known = service_waits_[service];
-  if (now - known.computed_at < internal::kServiceWaitPeriod) return known.wait;
+  service_times& known = service_times_[service];
+  if (now - known.computed_at < internal::kServiceTimesPeriod) return known;
   routing::recent_wait recent;
+  kernel::microseconds run_times{};
+  std::int64_t reported = 0;
   for (const auto& [endpoint, daemon] : peers_) {
     if (!daemon->Serves(service)) continue;
     recent.Add(daemon->ReportedWait(), daemon->ReportAge());
+    const kernel::microseconds run_time = daemon->ReportedRunTime();
+    if (run_time == kernel::microseconds::zero()) continue;
+    run_times += run_time;
+    ++reported;
   }
-  known = {recent.Mean(), now};
-  return known.wait;
+  known = {recent.Mean(), run_times / std::max<std::int64_t>(1, reported), now};
+  return known;
 }
 
 bool peer_set::IsInOwnDomain(const peer& daemon) const {
--- a/plugins/sidecar/peer_set.h
+++ b/plugins/sidecar/peer_set.h
@@ -46,6 +46,8 @@
                 const std::vector<std::shared_ptr<peer>>& excluded) const;
   // Expected wait for a slot at the upstreams of the service, by recent reports.
   kernel::microseconds ServiceWait(const kernel::service_name& service);
+  // Mean of the usual run times at the upstreams of the service; zero if none is known.
+  kernel::microseconds UsualRunTime(const kernel::service_name& service);
   std::size_t size() const { return peers_.size(); }
 
  private:
@@ -71,11 +73,14 @@
   std::map<kernel::endpoint, std::shared_ptr<peer>> peers_;
   // Peers that left the roster, until their pending requests end.
   std::vector<std::shared_ptr<peer>> retired_;
-  struct service_wait {
+  struct service_times {
     kernel::microseconds wait{};
+    kernel::microseconds run_time{};
     kernel::time_point computed_at;
   };
-  std::map<kernel::service_name, service_wait> service_waits_;
+  const service_times& ServiceTimes(const kernel::service_name& service);
+
+  std::map<kernel::service_name, service_times> service_times_;
   // The part of all daemons that is in the own failure domain.
   double own_domain_share_ = 1;
   // Buffers of Choose(), kept to avoid allocations.
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -79,12 +79,12 @@
   }
 
   // Answers the latest request for tokens.
-  void Grant(std::int64_t tokens) {
+  void Grant(std::int64_t tokens, bool pending = false) {
     const quota::quota_request request = quota_requests_.back();
     ASSERT_EQ(request.entries.size(), 1U);
     quota_.OnGrant({request.nonce,
                     {{request.entries[0].workspace, kernel::request_count(tokens),
-                      kernel::milliseconds(3'000), kernel::milliseconds(1'500)}}});
+                      kernel::milliseconds(3'000), kernel::milliseconds(1'500), pending}}});
   }
 
   std::vector<quota::quota_request> quota_requests_;
@@ -205,6 +205,19 @@
   EXPECT_LT(daemon_.clock.Now() - sent_at, kernel::milliseconds(190)) << "half of the objective";
 }
 
+// Guards against 429 responses, or an early refusal, because the owner is new and has no tokens
+// yet.
+TEST_F(CallRouterStartupTest, WaitsForANewOwnerAndThenRefusesRequestsAsNotRun) {
+  router_.SetPolicy(PolicyWithQuota());
+  quota_.OnLinkChanged(true);
+  const auto request = HandleRequest();
+  http::RunUntil(daemon_.loop, [&] { return !quota_requests_.empty(); });
+  Grant(0, true);
+  EXPECT_FALSE(request->answered());
+  http::RunUntil(daemon_.loop, [&] { return request->answered(); });
+  EXPECT_EQ(last_reply.kind, reply_kind::kNotRun);
+}
+
 // Guards against a quota that shrinks by requests that found no upstream.
 TEST_F(CallRouterStartupTest, ReusesTheTokenOfARequestThatDidNotRun) {
   router_.SetPolicy(PolicyWithQuota());
--- a/tests/quota_properties_test.cc
+++ b/tests/quota_properties_test.cc
@@ -67,6 +67,13 @@
     ElectOwner();
   }
 
+  void ElectOwner() {
+    if (!owners_.empty()) owners_.back().deposed_at = clock_.Now();
+    owners_.emplace_back();
+    owners_.back().tokens.Restart(clock_.Now());
+    if (owners_.size() > 3) owners_.pop_front();
+  }
+
   // Runs with faults as often as the percentage says.
   void RunFor(milliseconds duration, std::uint64_t fault_percent) {
     for (milliseconds passed{0}; passed < duration; passed += kStep) {
@@ -116,13 +123,6 @@
     }
   }
 
-  void ElectOwner() {
-    if (!owners_.empty()) owners_.back().deposed_at = clock_.Now();
-    owners_.emplace_back();
-    owners_.back().tokens.Restart(clock_.Now());
-    if (owners_.size() > 3) owners_.pop_front();
-  }
-
   void InjectFault() {
     daemon_process& daemon = daemons_[Below(kDaemons)];
     const milliseconds length(Below(6'000));
@@ -277,7 +277,8 @@
 RC_GTEST_PROP(QuotaProperties, NoWorkspaceBelowItsLimitIsRefused, (std::uint64_t seed)) {
   fleet tested(seed, {{kLarge, {Limit(300, 60), 260, 0, 20}}, {kSmall, {Limit(1, 8), 0.3}}});
   tested.RunFor(std::chrono::seconds(10), 0);
-  tested.refused.clear();
+  // The first owner begins with empty buckets, so requests may have waited in vain.
+  tested.unanswered.clear();
   tested.RunFor(std::chrono::seconds(10), 0);
   tested.workloads[kLarge].first_daemon = 500;
   tested.RunFor(std::chrono::seconds(10), 0);
@@ -287,6 +288,21 @@
   RC_ASSERT(tested.Runs(kLarge) > 7'000U);
 }
 
+// Guards against refusals of a workspace that has not used up its limit because its owner changed:
+// 429 responses were seen in the second after a leader was killed.
+RC_GTEST_PROP(QuotaProperties, NoChangeOfTheOwnerRefusesAWorkspaceBelowItsLimit,
+              (std::uint64_t seed)) {
+  fleet tested(seed, {{kLarge, {Limit(260, 60), 156, 0, 76}}, {kSmall, {Limit(1, 8), 0.3}}});
+  tested.RunFor(std::chrono::seconds(10), 0);
+  tested.refused.clear();
+  for (int change = 0; change < 3; ++change) {
+    tested.ElectOwner();
+    tested.RunFor(milliseconds(*rc::gen::inRange(100, 9'000)), 0);
+  }
+  RC_ASSERT(tested.refused[kSmall] == 0U);
+  RC_ASSERT(tested.refused[kLarge] == 0U);
+}
+
 // Guards against an owner that issues less than the limit to a workspace that wants more.
 TEST(QuotaProperties, AWorkspaceAboveItsLimitGetsWhatItAllows) {
   fleet tested(1, {{kLarge, {Limit(300, 60), 1'500}}});
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -102,6 +102,45 @@
   EXPECT_EQ(Issue(successor, 100), 5);
 }
 
+// Guards against requests that are refused because the owner is new: its buckets are empty although
+// the workspace has not used its limit.
+TEST_F(QuotaTest, ANewOwnerDoesNotReportAnUnusedLimitAsUsedUp) {
+  quota_owner successor{quota_limits{}};
+  successor.Restart(clock_.Now());
+  clock_.Advance(kIssueFence);
+  const auto ask = [&](std::int64_t waiting, std::int64_t arrived) {
+    return successor.Issue(
+        {kOrion, request_count(waiting), request_count(waiting), request_count(arrived)}, limit_,
+        clock_.Now());
+  };
+  const token_grant first = ask(3, 3);
+  EXPECT_EQ(first.granted, request_count(0));
+  EXPECT_TRUE(first.pending);
+  EXPECT_EQ(first.next_in, milliseconds(100));
+  EXPECT_TRUE(ask(5, 2).pending);
+  EXPECT_TRUE(ask(5, 0).pending) << "the same requests, asked for again";
+  EXPECT_FALSE(ask(6, 1).pending) << "more requests than a full bucket would serve";
+  // No window contains tokens of the earlier owner any more.
+  clock_.Advance(quota_limits{}.window + kMaxTokenLifetime);
+  EXPECT_EQ(ask(6, 6).granted, request_count(5));
+  EXPECT_FALSE(ask(6, 0).pending);
+}
+
+// Guards against requests that are refused or forgotten, and against an owner that is asked at
+// every iteration of the loop, when the owner is new.
+TEST_F(QuotaTest, WaitsForTheTokensOfANewOwner) {
+  owner_.Restart(clock_.Now());
+  clock_.Advance(kIssueFence + milliseconds(50));
+  EXPECT_EQ(Run(), verdict::kWaiting);
+  EXPECT_FALSE(store_.NextRequest(clock_.Now()));
+  clock_.Advance(milliseconds(50));
+  ASSERT_TRUE(store_.HasRequestLater());
+  const auto request = store_.NextRequest(clock_.Now());
+  ASSERT_TRUE(request);
+  store_.OnGrant(Answer(*request), clock_.Now());
+  EXPECT_EQ(store_.Retry(kOrion, clock_.Now()).outcome, verdict::kAdmitted);
+}
+
 // Guards against a restart that brings a daemon more tokens, and against grants for requests of the
 // process before it.
 TEST_F(QuotaTest, ARestartedDaemonHasNoTokens) {
@@ -150,7 +189,8 @@
   store_.OnDisconnected();
   const auto request = store_.NextRequest(clock_.Now());
   ASSERT_TRUE(request);
-  EXPECT_EQ(request->entries, std::vector({token_request{kOrion, request_count(1)}}));
+  const std::vector<token_request> again{{kOrion, request_count(1), request_count(1), {}}};
+  EXPECT_EQ(request->entries, again);
 }
 
 }  // namespace
