Account for buffered bytes with one type that returns them

Cause: the upstream connection, the pipelining server's connection and the administration session each had a SetBufferedBytes and a member that had to be set to 0 on every path on which a connection ends.

Change: http::internal::buffered_bytes holds one connection's part of a buffered_total and returns it in its destructor. The pipelining connection holds two parts, for the request that it reads and for the bodies of unanswered requests, instead of one computed sum.

A new test closes three connections of an administration server in the middle of bodies that exceed the limit together.

--- a/cornelweir/src/http/admin_server.cc
+++ b/cornelweir/src/http/admin_server.cc
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "cornelweir/src/http/buffered_bytes.h"
 #include "cornelweir/src/http/listener.h"
 
 namespace cornelweir::http {
@@ -45,7 +46,7 @@
   std::unordered_set<std::shared_ptr<admin_session>> sessions_;
   std::function<void()> on_drained_;
   // Bytes of bodies that are being read.
-  std::size_t buffered_bytes_ = 0;
+  const std::shared_ptr<buffered_total> buffered_ = std::make_shared<buffered_total>();
   bool draining_ = false;
 };
 
@@ -53,7 +54,10 @@
 class admin_session : public std::enable_shared_from_this<admin_session> {
  public:
   admin_session(std::shared_ptr<admin_core> core, boost::asio::ip::tcp::socket socket)
-      : core_(std::move(core)), stream_(std::move(socket)), buffer_(core_->limits_.header_bytes) {}
+      : core_(std::move(core)),
+        stream_(std::move(socket)),
+        buffer_(core_->limits_.header_bytes),
+        buffered_(core_->buffered_) {}
 
   void Read() {
     busy_ = false;
@@ -122,9 +126,9 @@
     beast_http::async_read_some(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](const beast::error_code& error, std::size_t) {
-          self->SetBufferedBytes(self->parser_->get().body().size());
+          self->buffered_.Set(self->parser_->get().body().size());
           if (error || self->parser_->is_done()) return self->OnMessage(error);
-          if (self->core_->buffered_bytes_ > self->core_->limits_.total_body_bytes) {
+          if (self->core_->buffered_->bytes() > self->core_->limits_.total_body_bytes) {
             self->BeginReply();
             return self->Refuse(503, "too many large requests are being received");
           }
@@ -132,15 +136,10 @@
         });
   }
 
-  void SetBufferedBytes(std::size_t bytes) {
-    core_->buffered_bytes_ += bytes - buffered_bytes_;
-    buffered_bytes_ = bytes;
-  }
-
   void BeginReply() {
     replied_ = false;
     keep_alive_ = false;
-    SetBufferedBytes(0);
+    buffered_.Set(0);
   }
 
   void OnMessage(const beast::error_code& error) {
@@ -177,7 +176,7 @@
   beast::flat_buffer buffer_;
   std::optional<beast_http::request_parser<beast_http::string_body>> parser_;
   beast_http::response<beast_http::string_body> response_;
-  std::size_t buffered_bytes_ = 0;
+  buffered_bytes buffered_;
   bool busy_ = false;
   bool keep_alive_ = false;
   bool replied_ = true;
--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -54,7 +54,10 @@
 
 pipeline_connection::pipeline_connection(std::shared_ptr<pipeline_core> core,
                                          boost::asio::ip::tcp::socket socket)
-    : core_(std::move(core)), socket_(std::move(socket)) {}
+    : core_(std::move(core)),
+      socket_(std::move(socket)),
+      reading_(core_->buffered),
+      unanswered_(core_->buffered) {}
 
 void pipeline_connection::Start() {
   RecordActivity();
@@ -152,26 +155,20 @@
 }
 
 bool pipeline_connection::CheckBufferLimit() {
-  SetBufferedBytes(input_.size() + parser_->get().body().size());
+  reading_.Set(input_.size() + parser_->get().body().size());
   // The parser consumes a body at once. It leaves only the header of a chunk, whose size it does
   // not limit.
   if (!parser_->is_done() && input_.size() > core_->limits.header_bytes) {
     Refuse(400, "the chunk header is too large");
     return false;
   }
-  if (core_->buffered_bytes > core_->limits.total_body_bytes) {
+  if (core_->buffered->bytes() > core_->limits.total_body_bytes) {
     Refuse(503, "too many large requests are being received");
     return false;
   }
   return true;
 }
 
-void pipeline_connection::SetBufferedBytes(std::size_t bytes) {
-  bytes += unanswered_bytes_;
-  core_->buffered_bytes += bytes - buffered_bytes_;
-  buffered_bytes_ = bytes;
-}
-
 void pipeline_connection::SendContinue() {
   // The socket's send buffer has space for certain only before the first response of a connection.
   if (writing_ || !pending_.empty()) return;
@@ -188,9 +185,9 @@
     request.headers.emplace_back(std::string(header.name_string()), std::string(header.value()));
   }
   request.body = std::move(message.body());
-  unanswered_bytes_ += request.body.size();
+  unanswered_.Set(unanswered_.bytes() + request.body.size());
   request_received_ = true;
-  SetBufferedBytes(0);
+  reading_.Set(0);
   no_more_requests_ = !parser_->keep_alive();
   parser_.reset();
   auto accepted = std::make_shared<pipeline_request>(weak_from_this(), std::move(request));
@@ -203,7 +200,7 @@
   no_more_requests_ = true;
   parser_.reset();
   input_ = {};
-  SetBufferedBytes(0);
+  reading_.Set(0);
   auto refused = std::make_shared<pipeline_request>(weak_from_this(), whole_request());
   pending_.push_back(refused);
   refused->Respond(core_->build_refusal(status, reason));
@@ -213,8 +210,8 @@
   if (writing_ || closed_ || pending_.empty() || !pending_.front()->answered_) return;
   const std::shared_ptr<pipeline_request> answered = pending_.front();
   pending_.pop_front();
-  unanswered_bytes_ -= answered->body_bytes_;
-  SetBufferedBytes(parser_ ? input_.size() + parser_->get().body().size() : 0);
+  unanswered_.Set(unanswered_.bytes() - answered->body_bytes_);
+  reading_.Set(parser_ ? input_.size() + parser_->get().body().size() : 0);
   // Requests after a response that closes the connection count as unread by the server, so none may
   // have been dispatched: only the response to the last request in progress closes the connection.
   const bool last =
@@ -292,8 +289,8 @@
   if (closed_) return;
   const auto self = shared_from_this();
   closed_ = true;
-  unanswered_bytes_ = 0;
-  SetBufferedBytes(0);
+  unanswered_.Set(0);
+  reading_.Set(0);
   error_code ignored;
   socket_.close(ignored);
   const auto unfinished = std::exchange(pending_, {});
--- a/cornelweir/src/http/pipeline_connection.h
+++ b/cornelweir/src/http/pipeline_connection.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "cornelweir/src/http/buffered_bytes.h"
 #include "cornelweir/src/http/pipeline_server.h"
 #include "cornelweir/src/http/request_check.h"
 #include "cornelweir/src/kernel/clock.h"
@@ -43,8 +44,6 @@
   bool ParseHead();
   // Returns false after it has refused a request that exceeds the limits of buffered bytes.
   bool CheckBufferLimit();
-  // Sets the bytes of the request that is being read.
-  void SetBufferedBytes(std::size_t bytes);
   void Dispatch();
   void SendContinue();
   void Refuse(int status, std::string_view reason);
@@ -57,10 +56,10 @@
   boost::asio::ip::tcp::socket socket_;
   std::string input_;
   std::unique_ptr<parser> parser_;
-  // Share of the core's buffered_bytes.
-  std::size_t buffered_bytes_ = 0;
+  // Bytes of the request that is being read.
+  buffered_bytes reading_;
   // Bytes of the bodies of the requests that are not answered.
-  std::size_t unanswered_bytes_ = 0;
+  buffered_bytes unanswered_;
   std::deque<std::shared_ptr<pipeline_request>> pending_;
   std::string output_head_;
   std::string output_body_;
--- a/cornelweir/src/http/pipeline_core.h
+++ b/cornelweir/src/http/pipeline_core.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 
+#include "cornelweir/src/http/buffered_bytes.h"
 #include "cornelweir/src/http/listener.h"
 #include "cornelweir/src/http/pipeline_server.h"
 #include "cornelweir/src/kernel/clock.h"
@@ -36,7 +37,7 @@
   pipeline_server::refusal_builder build_refusal;
   // Bytes of requests that are being read and of the bodies of those that are not answered, over
   // all connections.
-  std::size_t buffered_bytes = 0;
+  const std::shared_ptr<buffered_total> buffered = std::make_shared<buffered_total>();
   // Shared buffer for reads; each connection copies what it has read.
   std::array<char, std::size_t{64} << 10> read_buffer;
 
--- a/cornelweir/src/http/upstream_connection.cc
+++ b/cornelweir/src/http/upstream_connection.cc
@@ -95,7 +95,8 @@
     : pool_(pool),
       socket_(pool->event_loop().context()),
       deadline_timer_(pool->event_loop()),
-      connect_timer_(pool->event_loop()) {}
+      connect_timer_(pool->event_loop()),
+      buffered_(pool->buffered) {}
 
 bool upstream_connection::IsUsable() {
   return !closed_ && connected_ && Peek(socket_) == socket_state::kEmpty;
@@ -213,16 +214,11 @@
 bool upstream_connection::IsWithinBufferLimit() {
   const auto pool = pool_.lock();
   if (!pool) return false;
-  SetBufferedBytes(input_.size() + parser_->get().body().size());
+  buffered_.Set(input_.size() + parser_->get().body().size());
   // The parser consumes a body at once. It leaves only an incomplete header, or the header of a
   // chunk, whose size it does not limit.
   return input_.size() <= pool->limits.header_bytes &&
-         pool->buffered_bytes <= pool->limits.total_body_bytes;
-}
-
-void upstream_connection::SetBufferedBytes(std::size_t bytes) {
-  if (const auto pool = pool_.lock()) pool->buffered_bytes += bytes - buffered_bytes_;
-  buffered_bytes_ = bytes;
+         pool->buffered->bytes() <= pool->limits.total_body_bytes;
 }
 
 void upstream_connection::OnResponse() {
@@ -256,7 +252,7 @@
   const auto exchange = std::exchange(exchange_, nullptr);
   deadline_timer_.Cancel();
   connect_timer_.Cancel();
-  SetBufferedBytes(0);
+  buffered_.Set(0);
   if (status == upstream_status::kResponse) {
     if (const auto pool = pool_.lock()) {
       const std::int64_t keep_alive_seconds =
@@ -297,7 +293,7 @@
   closed_ = true;
   deadline_timer_.Cancel();
   connect_timer_.Cancel();
-  SetBufferedBytes(0);
+  buffered_.Set(0);
   exchange_.reset();
   error_code ignored;
   socket_.close(ignored);
@@ -339,7 +335,7 @@
   return exchange;
 }
 
-std::size_t upstream_client::buffered_bytes() const { return pool_->buffered_bytes; }
+std::size_t upstream_client::buffered_bytes() const { return pool_->buffered->bytes(); }
 
 std::uint64_t upstream_client::opened_connections() const { return pool_->opened_connections; }
 
--- a/cornelweir/src/http/upstream_connection.h
+++ b/cornelweir/src/http/upstream_connection.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cornelweir/src/http/buffered_bytes.h"
 #include "cornelweir/src/http/upstream_client.h"
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/loop/timer.h"
@@ -36,7 +37,7 @@
   boost::asio::ip::tcp::endpoint endpoint;
   std::uint64_t opened_connections = 0;
   // Bytes of responses that are being read, over all connections.
-  std::size_t buffered_bytes = 0;
+  const std::shared_ptr<buffered_total> buffered = std::make_shared<buffered_total>();
   // Shared buffer for reads; each connection copies what it has read.
   std::array<char, std::size_t{64} << 10> read_buffer;
 
@@ -74,7 +75,6 @@
   void BeginResponse();
   void Parse(bool at_eof);
   bool IsWithinBufferLimit();
-  void SetBufferedBytes(std::size_t bytes);
   void OnResponse();
   void End(upstream_status status, whole_response response);
   void ReturnOrClose();
@@ -87,8 +87,8 @@
   std::string output_;
   std::string input_;
   std::unique_ptr<parser> parser_;
-  // Share of the pool's buffered_bytes.
-  std::size_t buffered_bytes_ = 0;
+  // Bytes of the response that is being read.
+  buffered_bytes buffered_;
   // Responses to the current request that were skipped.
   int interim_count_ = 0;
   int stale_count_ = 0;
--- a/tests/http_admin_test.cc
+++ b/tests/http_admin_test.cc
@@ -103,6 +103,22 @@
   EXPECT_EQ(slow->received, "");
 }
 
+// Guards against a sum of bodies that keeps the bytes of a connection that closed during a body.
+TEST_F(AdminTest, ReturnsTheBytesOfAnUnfinishedBody) {
+  admin_limits limits;
+  limits.read_timeout = milliseconds(50);
+  limits.body_bytes = 1000;
+  limits.total_body_bytes = 1000;
+  StartServer(limits);
+  for (int i = 0; i < 3; ++i) {
+    const auto slow = raw_peer::Connect(loop_, server_->local_endpoint());
+    slow->Send("POST /v1/edits HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n" +
+               std::string(800, 'x'));
+    RunUntil(loop_, [&] { return slow->closed; });
+    EXPECT_EQ(slow->received, "");
+  }
+}
+
 // Guards against a client that waits forever because the handler never responds.
 TEST_F(AdminTest, RespondsIfTheHandlerDropsTheRequest) {
   StartServer();
