--- a/programs/cornelweir_replay/replayer.h
+++ b/programs/cornelweir_replay/replayer.h
@@ -83,6 +83,10 @@
   };
 
   kernel::time_point Now() const { return clock_.Now(); }
+  // Whether an action that is repeated with this period is due in the current step.
+  bool IsDue(kernel::milliseconds period) const {
+    return Now().time_since_epoch() % period == kernel::microseconds::zero();
+  }
   bool IsUp(const process_name& process) const;
   bool CanReach(const process_name& from, const process_name& to) const;
   void Post(const process_name& from, const process_name& to, std::function<void()> run);
--- a/programs/cornelweir_replay/trace.h
+++ b/programs/cornelweir_replay/trace.h
@@ -19,6 +19,11 @@
 // A process of a trace: "control-0" or the name of a daemon.
 using process_name = kernel::strong_id<struct process_name_tag, std::string>;
 
+inline kernel::host_id HostOf(const process_name& name) { return kernel::host_id(name.value()); }
+inline kernel::endpoint EndpointOf(const process_name& name) {
+  return kernel::endpoint(name.value());
+}
+
 // A daemon of a trace and the service of the upstream beside it.
 struct daemon_shape {
   process_name name;
