Bound the depth of JSON documents before they are parsed

Cause: a policy of 16 MiB of opening brackets made the reader allocate about 80 bytes for each. `cornelweirctl check` took 1.30 GB and 3.6 s of processor time for it; control hosts read the policies that operators send with the same code.

A policy uses 7 levels.

--- a/programs/cornelweirctl/api_client.cc
+++ b/programs/cornelweirctl/api_client.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cornelweir/settings.h"
+#include "cornelweir/src/codec/json_depth.h"
 #include "programs/cornelweirctl/ctl_error.h"
 
 namespace cornelweir::ctl {
@@ -120,6 +121,7 @@
   if (!outcome->done) return "the loop was stopped";
   if (outcome->error) return outcome->error.message();
   reply.status = outcome->reply.status;
+  if (codec::IsNestedTooDeeply(outcome->reply.body)) return "the answer is nested too deeply";
   reply.body = codec::json::parse(outcome->reply.body, nullptr, /*allow_exceptions=*/false);
   if (reply.status >= 500) {
     const bool explained =
--- a/tests/ctl_check_test.cc
+++ b/tests/ctl_check_test.cc
@@ -95,6 +95,18 @@
   EXPECT_EQ(out_.str().find("secret"), std::string::npos);
 }
 
+// Guards against a small document that takes gigabytes, as each level of nesting takes memory.
+TEST_F(CheckVerb, BoundsTheDepthOfADocument) {
+  for (const std::string opening : {"[", "{\"a\":", "{\"\\\"[]\":[[],"}) {
+    std::string text;
+    while (text.size() < 1'000'000) text += opening;
+    EXPECT_EQ(Run({Write(text)}), exit_code{2});
+    EXPECT_EQ(out_.str(), "error: document: is nested too deeply\n1 error, 0 warnings\n");
+  }
+  std::string brackets = "\"" + std::string(99, '[') + "\\\"" + std::string(99, '{') + "\"";
+  EXPECT_EQ(Run({Write(Replaced("\"r1\"", brackets))}), exit_code{0});
+}
+
 // Guards against a document that crashes a control host or the tool.
 TEST_F(CheckVerb, ReadsAnyBytes) {
   EXPECT_TRUE(rc::check([this] {
@@ -106,7 +118,8 @@
       text.replace(at, length,
                    *rc::gen::oneOf(rc::gen::arbitrary<std::string>(),
                                    rc::gen::element<std::string>("null", "[]", "{}", "-1", "1e999",
-                                                                 "\"\xc2\x9b\"", "\"", "[[[[")));
+                                                                 "\"\xc2\x9b\"", "\"", "[[[[",
+                                                                 std::string(99, '{'))));
     }
     const platform::policy_document read = platform::ReadPolicy(text);
     if (read.errors.empty()) {
