End every process within its grace period, counted from the signal

Cause: a control host had no limit of its own but that of 120 s for all processes. It waited for an operator whose request was incomplete until the read timed out (10 s), and a change that arrived after the host had left the group was never answered. A sidecar that was paused when the signal was sent counted its 6 s from the end of the pause. The process then released its whole state before it ended. The plug-ins also held a reference to a context whose lifetime had ended.

Change: the grace period is a setting of each role (control.shutdown_ms is new), counts from the beginning of the pause in which the signal may have been sent, and ends 0.4 s early, in which a host with a tenth of a processor can write its log and exit. The loop is stopped then, whatever is in progress, and the process exits without releasing its memory. A stopped replica answers proposals and reads at once. Event 1002 states the time left, and event 1003 whether something was cut short. A callback that blocks the loop still delays the end.

Not measured with a tenth of a processor.

--- a/cornelweir/settings.h
+++ b/cornelweir/settings.h
@@ -7,6 +7,7 @@
 #include "cornelweir/src/settings/control_settings.h"
 #include "cornelweir/src/settings/daemon_settings.h"
 #include "cornelweir/src/settings/endpoint_text.h"
+#include "cornelweir/src/settings/grace_period.h"
 #include "cornelweir/src/settings/limits.h"
 #include "cornelweir/src/settings/load_settings.h"
 #include "cornelweir/src/settings/proxy_settings.h"
--- a/cornelweir/src/settings/control_settings.h
+++ b/cornelweir/src/settings/control_settings.h
@@ -1,6 +1,7 @@
 #ifndef CORNELWEIR_SRC_SETTINGS_CONTROL_SETTINGS_H_
 #define CORNELWEIR_SRC_SETTINGS_CONTROL_SETTINGS_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
   // folder is recognized.
   bool stable_inodes = true;
   quota_settings quota;
+  // How long a graceful shutdown may take, to the end of the process.
+  std::int64_t shutdown_ms = 6'000;
 };
 
 }  // namespace cornelweir::settings
--- a/cornelweir/src/settings/load_settings.cc
+++ b/cornelweir/src/settings/load_settings.cc
@@ -58,6 +58,7 @@
   reader.Endpoint("mesh_listen", port_rule::kMayBeZero, control.mesh_listen);
   reader.OptionalFlag("bootstrap", control.bootstrap);
   ReadQuota(reader, control.quota);
+  reader.OptionalNumber("shutdown_ms", 0, kMaxDrainMs, control.shutdown_ms);
   if (reader.Has("seeds")) {
     reader.Endpoints("seeds", kMaxControlHosts, control.seeds);
     reader.OptionalNumber("tolerated_losses", 0, kMaxControlHosts / 2, control.tolerated_losses);
--- a/cornelweir/src/settings/sidecar_settings.h
+++ b/cornelweir/src/settings/sidecar_settings.h
@@ -37,7 +37,7 @@
   bool strict_key_revocation = false;
   kernel::milliseconds max_policy_age{5'000};
   quota_settings quota;
-  // How long a graceful shutdown may take.
+  // How long a graceful shutdown may take, to the end of the process.
   std::int64_t shutdown_ms = 6'000;
 };
 
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -1,5 +1,6 @@
 #include "plugins/control/control_plugin.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <variant>
@@ -17,6 +18,8 @@
 constexpr kernel::milliseconds kShutdownCheckPeriod{20};
 // Changes have an outcome within protocol::kSubmissionTimeout, or none.
 constexpr kernel::milliseconds kMaxShutdownTime = protocol::kSubmissionTimeout;
+// Reserved for the replies to operators whose changes have no outcome, before the loop is stopped.
+constexpr kernel::milliseconds kOperatorReplyReserve{200};
 constexpr kernel::milliseconds kGroupMaintenancePeriod{150};
 // A host that has heard from no leader for this long may not be in the group any more.
 constexpr kernel::milliseconds kJoinRequestDelay{800};
@@ -176,7 +179,8 @@
 // that operators have sent to it are answered.
 void control_plugin::BeginShutdown(std::function<void()> done) {
   shutting_down_ = true;
-  const kernel::time_point limit = context_.clock.Now() + internal::kMaxShutdownTime;
+  const kernel::time_point limit = std::min(context_.clock.Now() + internal::kMaxShutdownTime,
+                                            context_.stop_at - internal::kOperatorReplyReserve);
   gateway_.Stop();
   feed_.Stop();
   quota_.Stop();
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -48,6 +48,7 @@
 }
 
 void replica::Stop() {
+  stopped_ = true;
   tick_timer_.Cancel();
   FailPending();
 }
@@ -74,7 +75,7 @@
 }
 
 void replica::Propose(state::command command, outcome_callback callback) {
-  if (failed_) {
+  if (!IsActive()) {
     callback(std::nullopt);
     return;
   }
@@ -88,7 +89,7 @@
 }
 
 void replica::ProposePacked(const std::string& packed, outcome_callback callback) {
-  if (failed_) {
+  if (!IsActive()) {
     callback(std::nullopt);
     return;
   }
@@ -114,7 +115,7 @@
 }
 
 void replica::Read(read_callback callback) {
-  if (failed_) {
+  if (!IsActive()) {
     callback(false);
     return;
   }
@@ -125,7 +126,7 @@
 }
 
 bool replica::ProposeConfiguration(const replication::group_configuration& configuration) {
-  if (failed_ || !node_.ProposeConfiguration(configuration, Now())) return false;
+  if (!IsActive() || !node_.ProposeConfiguration(configuration, Now())) return false;
   ScheduleProcessReady();
   return true;
 }
--- a/plugins/control/replica.h
+++ b/plugins/control/replica.h
@@ -40,7 +40,7 @@
   // it can't be decoded, the replica fails.
   void Restore(const replication::snapshot& snapshot);
   void Start();
-  // Stops and reports no outcome for every pending proposal and read.
+  // Stops and reports no outcome for every pending proposal and read, and for all later ones.
   void Stop();
   // Whether every proposal and read has been answered.
   bool IsIdle() const {
@@ -78,6 +78,8 @@
   };
 
   kernel::time_point Now() const { return clock_.Now(); }
+  // Whether proposals and reads are answered.
+  bool IsActive() const { return !failed_ && !stopped_; }
   void Tick();
   void ScheduleProcessReady();
   void ProcessReady();
@@ -115,6 +117,7 @@
   bool was_leader_ = false;
   // Set when the storage failed. A host without durable storage must not take part in the group.
   bool failed_ = false;
+  bool stopped_ = false;
 };
 
 }  // namespace cornelweir::plugins::control
--- a/plugins/daemon_context.h
+++ b/plugins/daemon_context.h
@@ -26,6 +26,8 @@
   // Set by the control plug-in, for the plug-ins that follow it in the settings.
   policy_port policy = {};
   rollout_port rollouts = {};
+  // When the loop is stopped, whatever is in progress. Known once the shutdown begins.
+  kernel::time_point stop_at = kernel::time_point::max();
 };
 
 // The error of a plug-in that can't be created.
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -12,8 +12,8 @@
 // Time for callers to notice that the daemon is not ready, before it stops accepting requests.
 constexpr kernel::milliseconds kReadinessPropagationTime{2'300};
 constexpr kernel::milliseconds kIdleCheckPeriod{50};
-// Reserved at the end of the configured shutdown time for the final steps.
-constexpr kernel::milliseconds kShutdownReserve{900};
+// Reserved for closing the links before the loop is stopped: transport::kDrainTimeout and a margin.
+constexpr kernel::milliseconds kLinkCloseReserve{500};
 constexpr kernel::milliseconds kMetricsPeriod{1'000};
 
 http::pipeline_limits ToPipelineLimits(const policy::caller_limits& limits) {
@@ -156,15 +156,19 @@
 }
 
 // Reports not ready at once, so that callers stop sending requests, but serves those that arrive
-// for kReadinessPropagationTime. Then the upstream is closed to new requests, and shutdown
-// completes when nothing is in progress.
+// for kReadinessPropagationTime, or for half of a shorter shutdown. Then the upstream is closed to
+// new requests, and shutdown completes when nothing is in progress.
 void sidecar_node::BeginShutdown(std::function<void()> done) {
   done_ = std::move(done);
   shutting_down_ = true;
-  shutdown_at_ = context_.clock.Now();
+  finish_at_ = context_.stop_at - internal::kLinkCloseReserve;
+  const kernel::microseconds left =
+      std::max(finish_at_ - context_.clock.Now(), kernel::microseconds::zero());
   LogReadinessChange();
   callers_.DisableKeepAlive();
-  shutdown_timer_.Start(internal::kReadinessPropagationTime, [this] { StopAccepting(); });
+  shutdown_timer_.Start(
+      std::min(kernel::microseconds(internal::kReadinessPropagationTime), left / 2),
+      [this] { StopAccepting(); });
 }
 
 void sidecar_node::StopAccepting() {
@@ -175,11 +179,9 @@
 }
 
 void sidecar_node::FinishWhenIdle() {
-  const kernel::microseconds limit =
-      kernel::milliseconds(context_.settings.sidecar->shutdown_ms) - internal::kShutdownReserve;
   const bool idle =
       callers_drained_ && router_.in_progress() == 0 && !dispatcher_.busy() && bulk_.idle();
-  if (idle || context_.clock.Now() - shutdown_at_ > limit) Finish();
+  if (idle || context_.clock.Now() >= finish_at_) Finish();
 }
 
 void sidecar_node::Finish() {
--- a/plugins/sidecar/sidecar_node.h
+++ b/plugins/sidecar/sidecar_node.h
@@ -56,7 +56,8 @@
   http::admin_server announcements_;
   loop::timer shutdown_timer_;
   loop::timer metrics_timer_;
-  kernel::time_point shutdown_at_;
+  // When what is still in progress is given up.
+  kernel::time_point finish_at_;
   bool shutting_down_ = false;
   bool callers_drained_ = false;
   bool was_ready_ = false;
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -1,5 +1,6 @@
 #include <malloc.h>
 
+#include <algorithm>
 #include <boost/leaf.hpp>
 #include <boost/program_options.hpp>
 #include <chrono>
@@ -42,9 +43,6 @@
 // Log lines wait for so long at most, so that many of them share one write.
 constexpr std::chrono::milliseconds kLogFlushPeriod{100};
 
-// A graceful shutdown that takes longer than this is cut short.
-constexpr std::chrono::seconds kMaxShutdown{120};
-
 struct arguments {
   std::string settings_file;
   std::vector<std::string> overrides;
@@ -69,14 +67,13 @@
           tls_, transport::LoadTlsContext({settings_.tls.certificate_file, settings_.tls.key_file,
                                            settings_.tls.authority_file}));
     }
-    plugins::daemon_context context{loop_,   settings_, admin_,  metrics_,
-                                    random_, clock_,    pauses_, tls_};
+    context_.tls = tls_;
     for (const std::string& name : settings_.plugins) {
       const auto* entry = plugins::daemon_plugin_registry::Instance().Find(name);
       if (entry == nullptr) {
         return boost::leaf::new_error(plugins::plugin_error{"there is no plug-in '" + name + "'"});
       }
-      BOOST_LEAF_AUTO(handle, entry->create(context));
+      BOOST_LEAF_AUTO(handle, entry->create(context_));
       plugins_.push_back(std::move(handle));
     }
     pause_timer_.StartPeriodic(loop::pause_tracker::kTickPeriod,
@@ -99,6 +96,8 @@
   }
 
   void Run() { loop_.Run(); }
+  // Whether the shutdown ended before everything in progress.
+  bool cut_short() const { return cut_short_; }
 
  private:
   static std::uint64_t Seed() {
@@ -128,11 +127,21 @@
         [] { event{event_id::kKeysRefused}.With("reason", "unexpected failure"); });
   }
 
+  // The signal may have been sent at the beginning of a pause of this process.
   void BeginShutdown() {
     if (shutting_down_) return;
     shutting_down_ = true;
-    event{event_id::kProcessStopping}.With("host", settings_.host);
-    shutdown_timer_.Start(kMaxShutdown, [this] { loop_.Stop(); });
+    const kernel::time_point now = clock_.Now();
+    context_.stop_at = loop::StopTime(pauses_.InputArrival(now), settings::GracePeriod(settings_));
+    const kernel::microseconds left =
+        std::max(context_.stop_at - now, kernel::microseconds::zero());
+    event{event_id::kProcessStopping}
+        .With("host", settings_.host)
+        .With("within_ms", kernel::ToMilliseconds(left).count());
+    shutdown_timer_.Start(left, [this] {
+      cut_short_ = true;
+      loop_.Stop();
+    });
     open_plugins_ = plugins_.size();
     for (const kernel::plugin_handle& plugin : plugins_) {
       plugin.begin_shutdown([this] {
@@ -153,9 +162,12 @@
   kernel::steady_clock_source clock_;
   loop::pause_tracker pauses_;
   transport::tls_context tls_;
+  plugins::daemon_context context_{loop_,   settings_, admin_,  metrics_,
+                                   random_, clock_,    pauses_, nullptr};
   std::vector<kernel::plugin_handle> plugins_;
   std::size_t open_plugins_ = 0;
   bool shutting_down_ = false;
+  bool cut_short_ = false;
 };
 
 int ReportSettings(const settings::settings_error& error) {
@@ -182,9 +194,13 @@
         daemon process(settings);
         BOOST_LEAF_CHECK(process.Start());
         process.Run();
-        event{event_id::kProcessStopped}.With("host", settings.host);
+        event{event_id::kProcessStopped}
+            .With("host", settings.host)
+            .With("cut_short", process.cut_short());
         logging::FlushOutput();
-        return EXIT_SUCCESS;
+        // Releasing the memory of large policies and many links one by one would take longer than
+        // is left of the grace period on a slow host.
+        std::_Exit(EXIT_SUCCESS);
       },
       [](const settings::settings_error& error) { return ReportSettings(error); },
       [](const plugins::plugin_error& error) { return CannotStart(error.reason); },
--- a/tests/control_plugin_test.cc
+++ b/tests/control_plugin_test.cc
@@ -157,6 +157,17 @@
   EXPECT_EQ(*answer_, policy_answer::kAccepted);
 }
 
+// Guards against a process that waits until it is killed for the answer to a change that arrived
+// after the host had left the group.
+TEST_F(ControlPluginTest, AnswersAChangeAfterItHasStopped) {
+  bool stopped = false;
+  plugin_->BeginShutdown([&] { stopped = true; });
+  http::RunUntil(loop_, [&] { return stopped; });
+  Replace(5);
+  ASSERT_TRUE(answer_);
+  EXPECT_EQ(*answer_, policy_answer::kUnknown);
+}
+
 // Guards against a large policy that no entry of the log, no message to a daemon or no decoder can
 // hold, so that it is never accepted or is lost when a host restarts.
 TEST_F(ControlPluginTest, AcceptsAndKeepsTheLargestPolicy) {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -78,6 +78,21 @@
   EXPECT_FALSE(settings->tls.enabled);
 }
 
+// Guards against a process that ends later than the setting of its role allows, or a section of a
+// plug-in that is not used and delays the end.
+TEST(Settings, TheGracePeriodIsThatOfTheRolesInUse) {
+  daemon_settings settings;
+  settings.control.emplace().shutdown_ms = 700;
+  settings.proxy.emplace();
+  EXPECT_EQ(GracePeriod(settings), kernel::milliseconds(0));
+  settings.plugins = {"control"};
+  EXPECT_EQ(GracePeriod(settings), kernel::milliseconds(700));
+  settings.sidecar.emplace().shutdown_ms = 900;
+  EXPECT_EQ(GracePeriod(settings), kernel::milliseconds(900));
+  settings.plugins.emplace_back("proxy");
+  EXPECT_GT(GracePeriod(settings), kernel::milliseconds(60'000));
+}
+
 TEST(Settings, OverridesReplaceTextsNumbersFlagsAndLists) {
   const auto settings = ParseSettings(
       kBothRoles, {"control.data_folder=/tmp/x", "proxy.data_listen=127.0.0.1:0",
