Weigh upstreams by their run times when slowness is judged

Cause: the false alarms were all findings of slowness on the route with little traffic, with 23 to 32 run times of the target. The spread of the upstreams' speeds had been measured at 4 to 9 of 20 upstreams, which happened to be equally fast, so it was 0.12 to 0.21 instead of 0.31. An upstream with one or two of the run times also counted as much as one with twenty.

Change: a spread counts once it is measured at half of the released upstreams, and the spread of a route that is measured at more upstreams is a lower bound. Upstreams count by their share of the run times.

The judgement of failures is unchanged.

--- a/cornelweir/src/rollout/evidence_series.cc
+++ b/cornelweir/src/rollout/evidence_series.cc
@@ -19,12 +19,24 @@
   return sum;
 }
 
+// The number of upstreams with equal counts whose mean has the same variance as that of these.
+double EffectiveCount(const std::map<kernel::endpoint, std::int64_t>& counts) {
+  double sum = 0;
+  double squares = 0;
+  for (const auto& [daemon, count] : counts) {
+    sum += static_cast<double>(count);
+    squares += static_cast<double>(count) * static_cast<double>(count);
+  }
+  return squares == 0 ? 0 : sum * sum / squares;
+}
+
 }  // namespace internal
 
 void evidence_series::StartStep(const rollout_record& record) {
   if (record.started != record_.started) {
     totals_.clear();
     evaluations_.clear();
+    added_.clear();
     earlier_steps_ = {};
     speed_deviations_.clear();
     released_upstreams_ = 0;
@@ -45,7 +57,7 @@
   if (known.since != sample.counted_since || known.version != sample.version) {
     // A report that was overtaken by one of a later process.
     if (sample.counted_since < known.since) return;
-    known = {sample.counted_since, sample.version, {}, known.added, known.added_at};
+    known = {sample.counted_since, sample.version, {}};
   }
   for (const auto& [route, evidence] : sample.routes) {
     route_evidence& previous = known.routes[route];
@@ -53,18 +65,17 @@
     route_evidence added = evidence;
     added.Subtract(previous);
     previous = evidence;
-    known.added = true;
+    if (is_target) added_[route][sample.daemon] += added.run_times.total();
     route_comparison& total = totals_[route];
     (is_target ? total.target : total.released).Add(added);
   }
 }
 
-void evidence_series::MeasureSpeeds(kernel::time_point now) {
+void evidence_series::MeasureSpeeds() {
   constexpr double kMedian = 0.5;
   std::map<kernel::route_name, std::vector<kernel::microseconds>> medians;
   std::size_t released_upstreams = 0;
   for (auto& [daemon, known] : daemons_) {
-    if (std::exchange(known.added, false)) known.added_at = now;
     if (known.routes.empty() || BelongsTo(record_, version_group::kTarget, known.version)) continue;
     ++released_upstreams;
     for (const auto& [route, evidence] : known.routes) {
@@ -74,27 +85,55 @@
   }
   released_upstreams_ = std::max(released_upstreams_, released_upstreams);
   for (const auto& [route, measured] : medians) {
-    auto& [count, deviation] = speed_deviations_[route];
-    if (measured.size() < std::max(count, kMinMeasuredUpstreams)) continue;
-    count = measured.size();
-    deviation = DeviationOf(measured);
+    // The first upstreams that have enough run times are the fastest, so they differ less than all.
+    if (measured.size() < kMinMeasuredUpstreams || measured.size() * 2 < released_upstreams_) {
+      continue;
+    }
+    const auto [known, added] = speed_deviations_.try_emplace(route);
+    if (!added && measured.size() < known->second.upstreams) continue;
+    known->second = {measured.size(), DeviationOf(measured)};
   }
 }
 
-speed_spread evidence_series::SpreadOf(const kernel::route_name& route,
-                                       kernel::time_point since) const {
-  speed_spread spread;
-  const auto found = speed_deviations_.find(route);
-  if (found != speed_deviations_.end() && found->second.first > 0) {
-    spread.deviation = found->second.second;
+evidence_series::run_time_counts evidence_series::AddedAfter(kernel::time_point time) const {
+  run_time_counts counts;
+  for (const evaluation& each : evaluations_) {
+    if (each.evaluated_at <= time) continue;
+    for (const auto& [route, daemons] : each.added) {
+      for (const auto& [daemon, count] : daemons) counts[route][daemon] += count;
+    }
   }
-  spread.released_upstreams = released_upstreams_;
+  return counts;
+}
+
+evidence_series::run_time_counts evidence_series::AddedInStep() const {
+  run_time_counts counts;
   for (const auto& [daemon, known] : daemons_) {
-    if (!known.routes.empty() && known.added_at > since &&
-        BelongsTo(record_, version_group::kTarget, known.version)) {
-      ++spread.target_upstreams;
+    if (!BelongsTo(record_, version_group::kTarget, known.version)) continue;
+    for (const auto& [route, evidence] : known.routes) {
+      counts[route][daemon] = evidence.run_times.total();
     }
   }
+  return counts;
+}
+
+speed_spread evidence_series::SpreadOf(const kernel::route_name& route,
+                                       const run_time_counts& targets) const {
+  speed_spread spread;
+  measured_deviation measured;
+  if (const auto found = speed_deviations_.find(route); found != speed_deviations_.end()) {
+    measured = found->second;
+    spread.deviation = measured.deviation;
+  }
+  // A few upstreams may happen to be equally fast on a route with little traffic.
+  for (const auto& [other_route, other] : speed_deviations_) {
+    if (other.upstreams <= measured.upstreams) continue;
+    spread.deviation = std::max(spread.deviation, other.deviation);
+  }
+  spread.released_upstreams = static_cast<double>(released_upstreams_);
+  if (const auto counts = targets.find(route); counts != targets.end()) {
+    spread.target_upstreams = internal::EffectiveCount(counts->second);
+  }
   return spread;
 }
 
@@ -111,9 +150,9 @@
 const evidence_series::comparisons* evidence_series::TotalsBefore(kernel::microseconds age,
                                                                   kernel::time_point now) const {
   const comparisons* latest = nullptr;
-  for (const auto& [evaluated_at, totals] : evaluations_) {
-    if (now - evaluated_at < age) break;
-    latest = &totals;
+  for (const evaluation& each : evaluations_) {
+    if (now - each.evaluated_at < age) break;
+    latest = &each.totals;
   }
   return latest;
 }
@@ -145,12 +184,12 @@
 }
 
 std::optional<bad_route> evidence_series::JudgeRunTimesSince(const comparisons& earlier,
-                                                             kernel::time_point since) const {
+                                                             const run_time_counts& targets) const {
   for (auto& [route, compared] : Since(earlier)) {
     const route_evidence& released =
         ReleasedServe() ? compared.released : totals_.at(route).released;
     const finding found =
-        JudgeRunTimes(compared.target.run_times, released.run_times, SpreadOf(route, since),
+        JudgeRunTimes(compared.target.run_times, released.run_times, SpreadOf(route, targets),
                       ReleasedServe() ? judge_limits() : kLaterLimits);
     if (found != finding::kNone) return bad_route{route, found, {compared.target, released}};
   }
@@ -158,10 +197,10 @@
 }
 
 std::optional<bad_route> evidence_series::Judge(kernel::time_point now) {
-  MeasureSpeeds(now);
-  evaluations_.emplace_back(now, totals_);
+  MeasureSpeeds();
+  evaluations_.push_back({now, totals_, std::exchange(added_, {})});
   // One evaluation that is at least as old as the longest window is needed.
-  while (evaluations_.size() > 1 && now - evaluations_[1].first >= kLongWindow) {
+  while (evaluations_.size() > 1 && now - evaluations_[1].evaluated_at >= kLongWindow) {
     evaluations_.pop_front();
   }
   std::optional<bad_route> bad = JudgeAllFailures();
@@ -171,11 +210,12 @@
   before = TotalsBefore(kMinSlownessTime, now);
   // The oldest evaluation kept is at most one period older than the longest window.
   if (!bad && before != nullptr) {
-    bad = JudgeRunTimesSince(evaluations_.front().second, evaluations_.front().first);
+    const evaluation& oldest = evaluations_.front();
+    bad = JudgeRunTimesSince(oldest.totals, AddedAfter(oldest.evaluated_at));
   }
   // The whole first step has evidence from more upstreams of the target.
   if (!bad && before != nullptr && record_.share <= kCanaryShare) {
-    bad = JudgeRunTimesSince(step_start_, kernel::time_point::min());
+    bad = JudgeRunTimesSince(step_start_, AddedInStep());
   }
   return bad;
 }
--- a/cornelweir/src/rollout/evidence_series.h
+++ b/cornelweir/src/rollout/evidence_series.h
@@ -5,7 +5,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <utility>
 
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/kernel/ids.h"
@@ -56,10 +55,21 @@
     kernel::microseconds since{};
     kernel::software_version version;
     std::map<kernel::route_name, route_evidence> routes;
-    // Whether it has counted more since the latest evaluation, and the latest one before which it
-    // had.
-    bool added = false;
-    kernel::time_point added_at;
+  };
+  // Numbers of run times by upstream of the target.
+  using run_time_counts = std::map<kernel::route_name, std::map<kernel::endpoint, std::int64_t>>;
+
+  // How much the released upstreams differ in speed on a route, and at how many it was measured.
+  struct measured_deviation {
+    std::size_t upstreams = 0;
+    double deviation = 0;
+  };
+
+  struct evaluation {
+    kernel::time_point evaluated_at;
+    comparisons totals;
+    // What the upstreams of the target have added since the evaluation before.
+    run_time_counts added;
   };
 
   // What was added to the totals since then.
@@ -67,13 +77,17 @@
   // The totals of the latest evaluation that is at least `age` old; null if there is none.
   const comparisons* TotalsBefore(kernel::microseconds age, kernel::time_point now) const;
   // Measures how much the released upstreams differ in speed.
-  void MeasureSpeeds(kernel::time_point now);
-  // For the upstreams of the target that have ended requests since then.
-  speed_spread SpreadOf(const kernel::route_name& route, kernel::time_point since) const;
+  void MeasureSpeeds();
+  // The run times of the target of each evaluation after the time.
+  run_time_counts AddedAfter(kernel::time_point time) const;
+  // The run times of the target that were counted in this step.
+  run_time_counts AddedInStep() const;
+  speed_spread SpreadOf(const kernel::route_name& route, const run_time_counts& targets) const;
   std::optional<bad_route> JudgeFailuresSince(const comparisons& earlier) const;
   std::optional<bad_route> JudgeAllFailures() const;
+  // targets are the run times of the target since then.
   std::optional<bad_route> JudgeRunTimesSince(const comparisons& earlier,
-                                              kernel::time_point since) const;
+                                              const run_time_counts& targets) const;
   bool ReleasedServe() const { return record_.share < kernel::kAllTraffic; }
 
   rollout_record record_;
@@ -84,11 +98,12 @@
   comparisons totals_;
   // The totals when the step started.
   comparisons step_start_;
-  // The deviation of each route and the number of upstreams at which it was measured.
-  std::map<kernel::route_name, std::pair<std::size_t, double>> speed_deviations_;
+  std::map<kernel::route_name, measured_deviation> speed_deviations_;
   // Of the earlier steps, all routes together.
   failure_score earlier_steps_;
-  std::deque<std::pair<kernel::time_point, comparisons>> evaluations_;
+  std::deque<evaluation> evaluations_;
+  // Since the latest evaluation.
+  run_time_counts added_;
 };
 
 }  // namespace cornelweir::rollout
--- a/cornelweir/src/rollout/judge.cc
+++ b/cornelweir/src/rollout/judge.cc
@@ -96,7 +96,8 @@
   }
   const auto count = static_cast<double>(medians.size());
   const double deviation = std::sqrt(std::max(squares - sum * sum / count, 0.0) / (count - 1));
-  return deviation * (1 + 1 / std::sqrt(count - 1));
+  // The relative standard error of the deviation of a normal distribution.
+  return deviation * (1 + 1 / std::sqrt(2 * (count - 1)));
 }
 
 finding JudgeRunTimes(const log_histogram& target, const log_histogram& released,
@@ -109,11 +110,10 @@
   // are samples.
   const double variance =
       (spread.deviation * spread.deviation + kStallDeviation * kStallDeviation) *
-          (1 / static_cast<double>(spread.target_upstreams) +
-           1 / static_cast<double>(spread.released_upstreams)) +
+          (1 / spread.target_upstreams + 1 / spread.released_upstreams) +
       kMedianError * kMedianError / static_cast<double>(target.total());
   const double min_ratio =
-      std::max(limits.min_slowness, std::exp(kSignificantDeviations * std::sqrt(variance)));
+      std::max(limits.min_slowness, std::exp(kSpreadDeviations * std::sqrt(variance)));
   constexpr double kMedian = 0.5;
   const auto target_median = static_cast<double>(target.Quantile(kMedian).count());
   const auto released_median = static_cast<double>(released.Quantile(kMedian).count());
--- a/cornelweir/src/rollout/judge.h
+++ b/cornelweir/src/rollout/judge.h
@@ -43,9 +43,10 @@
 struct speed_spread {
   // Standard deviation of the logarithms of the upstreams' median run times.
   double deviation = kAssumedSpeedDeviation;
-  // Numbers of upstreams whose run times are compared.
-  std::size_t target_upstreams = 0;
-  std::size_t released_upstreams = 0;
+  // Numbers of upstreams whose run times are compared. Upstreams with few of the run times count in
+  // part, since the median of all is mainly that of the others.
+  double target_upstreams = 0;
+  double released_upstreams = 0;
 };
 
 // The standard deviation of the logarithms of medians, increased by the error of its measurement.
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -222,18 +222,42 @@
   EXPECT_LT(counts.latest_completion, 9.5);
 }
 
-// Guards against false alarms in a fleet that itself fails, in which the upstreams differ in speed
-// and stall, including when only a few upstreams of the new version are ready.
-TEST(RolloutSimulation, CompletesAGoodVersionInANoisyFleet) {
+// A fleet that itself fails, in which the upstreams differ in speed and stall.
+fleet NoisyFleet(std::size_t new_upstreams) {
   fleet noisy;
   noisy.rates = {300, 100};
   noisy.failing = 0.05;
   noisy.fastest = 0.55;
   noisy.slowest = 1.6;
   noisy.stalled = 0.1;
-  EXPECT_EQ(RunMany(noisy, Good, Seeds(300)).rolled_back, 0);
-  noisy.new_upstreams = 3;
-  EXPECT_EQ(RunMany(noisy, Good, Seeds(300)).rolled_back, 0);
+  noisy.new_upstreams = new_upstreams;
+  return noisy;
+}
+
+// Guards against false alarms in a noisy fleet, including when only a few upstreams of the new
+// version are ready.
+TEST(RolloutSimulation, CompletesAGoodVersionInANoisyFleet) {
+  for (const std::size_t new_upstreams : {20, 3}) {
+    EXPECT_EQ(RunMany(NoisyFleet(new_upstreams), Good, Seeds(300)).rolled_back, 0);
+  }
+}
+
+// Guards against a spread of speeds that is measured on a route with little traffic at a few
+// upstreams which happen to be equally fast, and against counting upstreams with one or two of the
+// run times in full. Both gave false alarms with these seeds.
+TEST(RolloutSimulation, CompletesAGoodVersionWhoseFewUpstreamsAreSlow) {
+  for (const std::uint64_t seed : {1485, 4949, 17'664, 19'522}) {
+    EXPECT_EQ(simulation(NoisyFleet(3), Good, seed).Run().state, rollout_state::kCompleted) << seed;
+  }
+  EXPECT_EQ(simulation(NoisyFleet(20), Good, 8370).Run().state, rollout_state::kCompleted);
+}
+
+// Guards against limits that avoid false alarms in a noisy fleet, but miss bad versions there.
+TEST(RolloutSimulation, RollsBackABadVersionInANoisyFleet) {
+  const auto slow = [](std::size_t, double, double) { return behaviour{0, 5}; };
+  EXPECT_EQ(RunMany(NoisyFleet(20), slow, Seeds(100)).rolled_back, Seeds(100));
+  const auto failing = [](std::size_t, double, double) { return behaviour{0.3, 1}; };
+  EXPECT_EQ(RunMany(NoisyFleet(3), failing, Seeds(100)).rolled_back, Seeds(100));
 }
 
 struct bad_case {
