Send no request after a pause before its cancellation can have been read

Cause: after a pause of a daemon, a request that waited in a socket was started as soon as it was read, and a queued one as soon as a slot was released, although the cancellation or the end of the caller's connection was the next thing to be read. Input was also taken for new 100 ms after the pause, when a slow host has not read all of it: the time left of a request then counted from its reading.

Change: after a pause of 400 ms or more, the dispatcher holds back requests that have a slot, and the router those that are to be sent to a daemon, until two passes of the loop have read the input. A cancelled one is dropped and its slot released; one whose deadline has passed meanwhile is refused. Until then, input counts as old as the pause.

Not covered: a message that the network delays looks new to its receiver, and a request that must not be repeated is not withdrawn while the connection to its upstream is being opened.

Not run end to end.

--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -107,7 +107,7 @@
   created->request = request;
   created->decoded = std::move(std::get<call>(decoded));
   created->body = std::make_shared<const std::string>(std::move(created->decoded.body));
-  created->started_at = context_.pauses.InputArrival(Now());
+  created->started_at = dispatcher_.backlog().Arrival();
   created->repeated_share = dispatcher_.RepeatedShare();
   const kernel::microseconds caller_timeout =
       created->decoded.time_left.value_or(internal::kDefaultCallerTimeout);
@@ -227,13 +227,16 @@
 bool call_router::Defer(const request_state_ptr& state) {
   const kernel::time_point now = Now();
   if (now >= state->deferred_until || now - started_at_ >= internal::kStartupTime) return false;
-  deferred_.push_back(state);
-  if (!deferred_timer_.running()) {
-    deferred_timer_.StartPeriodic(internal::kDeferredCheckPeriod, [this] { RetryDeferred(); });
-  }
+  QueueDeferred(state);
   return true;
 }
 
+void call_router::QueueDeferred(const request_state_ptr& state) {
+  deferred_.push_back(state);
+  if (deferred_timer_.running()) return;
+  deferred_timer_.StartPeriodic(internal::kDeferredCheckPeriod, [this] { RetryDeferred(); });
+}
+
 void call_router::RetryDeferred() {
   for (const request_state_ptr& waiting : std::exchange(deferred_, {})) {
     if (waiting->finished) continue;
@@ -252,6 +255,8 @@
     Refuse(state, kernel::microseconds::zero(), "deadline has passed");
     return;
   }
+  // The caller may have disconnected during the pause.
+  if (dispatcher_.backlog().IsUnread()) return QueueDeferred(state);
   const bool large = state->route->retry_safety == policy::retry_safety::kDownload;
   const std::shared_ptr<peer> chosen =
       peers_.Choose({state->service, state->tried_peers, large, state->body->size()});
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -56,6 +56,7 @@
   void OnQuotaDecision(const request_state_ptr& state, const quota_client::admission& decided);
   void ReturnToken(const request_state_ptr& state);
   bool Defer(const request_state_ptr& state);
+  void QueueDeferred(const request_state_ptr& state);
   void RetryDeferred();
   void SendToPeer(const request_state_ptr& state);
   void OnResult(const request_state_ptr& state, run_result result);
@@ -90,7 +91,8 @@
   // Routes whose requests are calls of running upstreams, as the daemons that run them report.
   std::set<kernel::route_name> nested_routes_;
   std::size_t in_progress_ = 0;
-  // Requests that wait for the policy or an upstream shortly after the daemon's start.
+  // Requests that wait for the policy or an upstream shortly after the daemon's start, or for the
+  // input that arrived during a pause.
   std::vector<request_state_ptr> deferred_;
   loop::timer deferred_timer_;
   kernel::time_point started_at_;
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -86,7 +86,7 @@
     return;
   }
   added->second.request = message;
-  added->second.arrived_at = context_.pauses.InputArrival(context_.clock.Now());
+  added->second.arrived_at = dispatcher_.backlog().Arrival();
   if (message.body_bytes > 0) {
     AnnounceBody(sender, message.id);
     return;
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -28,6 +28,7 @@
       bulk_(bulk),
       on_change_(std::move(on_change)),
       client_(context.loop, http::upstream_limits()),
+      backlog_(context, [this] { StartHeld(); }),
       queue_timer_(context.loop),
       probe_timer_(context.loop),
       started_at_(context.clock.Now()) {
@@ -114,7 +115,7 @@
   if (serves_service) decision = queue_.Submit(SlotRequest(id, added), now);
   switch (decision.outcome) {
     case admission::slot_decision::kind::kRun:
-      Start(id);
+      StartOrHold(id);
       break;
     case admission::slot_decision::kind::kQueue:
       StartQueueTimer();
@@ -230,7 +231,29 @@
 }
 
 void upstream_dispatcher::StartAll(const std::vector<admission::ticket>& ids) {
-  for (const admission::ticket& id : ids) Start(id);
+  for (const admission::ticket& id : ids) StartOrHold(id);
+}
+
+void upstream_dispatcher::StartOrHold(admission::ticket id) {
+  if (backlog_.IsUnread()) {
+    held_.push_back(id);
+  } else {
+    Start(id);
+  }
+}
+
+// A request whose deadline passed meanwhile, or whose upstream was closed, is refused.
+void upstream_dispatcher::StartHeld() {
+  for (const admission::ticket& id : std::exchange(held_, {})) {
+    const kernel::time_point now = Now();
+    if (IsOpen() && runs_.at(id).deadline > now) {
+      Start(id);
+      continue;
+    }
+    RefuseAll({id},
+              IsOpen() ? protocol::run_failure::kNoCapacity : protocol::run_failure::kNoUpstream);
+    StartAll(queue_.Release(id, std::nullopt, now));
+  }
 }
 
 void upstream_dispatcher::Start(admission::ticket id) {
@@ -411,6 +434,11 @@
     runs_.erase(found);
     return;
   }
+  if (std::erase(held_, id) > 0) {
+    runs_.erase(found);
+    StartAll(queue_.Release(id, std::nullopt, Now()));
+    return;
+  }
   if (!found->second.exchange || !policy::IsIdempotent(found->second.request.retry_safety)) return;
   RecordTimeout(found->second);
   // The sender cancels at the deadline, just before the exchange here would time out.
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -18,6 +18,7 @@
 #include "cornelweir/rollout.h"
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/bulk_sender.h"
+#include "plugins/sidecar/input_backlog.h"
 #include "plugins/sidecar/request_dialect.h"
 #include "plugins/sidecar/run_result.h"
 
@@ -80,6 +81,8 @@
     return announced_ ? announced_->version : kernel::software_version();
   }
   bool busy() const { return !runs_.empty(); }
+  // Requests are not started while the backlog may contain their cancellations.
+  input_backlog& backlog() { return backlog_; }
   // The fraction of the requests at the upstream that another upstream may have received before.
   double RepeatedShare() const;
   // Sets the source of the time that requests wait for a slot at the upstreams of a service.
@@ -128,6 +131,8 @@
   void UpdateCallWaits();
   void Start(admission::ticket id);
   void StartAll(const std::vector<admission::ticket>& ids);
+  void StartOrHold(admission::ticket id);
+  void StartHeld();
   void OnExchangeEnded(admission::ticket id, http::upstream_result result);
   void RecordEvidence(const run& ended, const run_result& result);
   void OnNotice(const run& ended, const upstream_notice& notice);
@@ -156,6 +161,9 @@
   admission::route_calls calls_;
   service_wait_source service_wait_;
   std::map<admission::ticket, run> runs_;
+  input_backlog backlog_;
+  // Requests that have a slot and wait until the backlog has been read.
+  std::vector<admission::ticket> held_;
   std::uint64_t next_ticket_ = 1;
   // The upstream in use: the one that announced itself last, or that a probe found.
   std::optional<membership::upstream_announcement> announced_;
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -18,6 +18,9 @@
 constexpr kernel::milliseconds kCallerTimeout{300};
 constexpr const char* kCallerKey = "key-of-orion";
 
+// The timeout that callers state.
+kernel::milliseconds stated_timeout = kCallerTimeout;
+
 // The reply to the latest request.
 struct {
   reply_kind kind;
@@ -28,7 +31,7 @@
   call decoded;
   decoded.target = std::move(request.target);
   decoded.host = "forms.example";
-  decoded.time_left = kCallerTimeout;
+  decoded.time_left = stated_timeout;
   decoded.key = kernel::api_key(kCallerKey);
   return decoded;
 }
@@ -49,6 +52,8 @@
     return functions;
   }
 
+  ~CallRouterStartupTest() override { stated_timeout = kCallerTimeout; }
+
   std::shared_ptr<http::pipeline_request> HandleRequest() {
     auto request = std::make_shared<http::pipeline_request>(
         std::weak_ptr<http::internal::pipeline_connection>(), http::whole_request{"GET", "/x/"});
@@ -78,6 +83,24 @@
     return table;
   }
 
+  // Sets a policy with one route, to the upstream on this host.
+  void UseOneUpstream() {
+    policy::policy_table table;
+    policy::route route;
+    route.host = "forms.example";
+    route.path_prefix = "/x/";
+    route.service = kernel::service_name("forms");
+    route.timeout = route.latency_objective = kernel::milliseconds(5'000);
+    table.routes.push_back(route);
+    router_.SetPolicy(std::make_shared<policy::policy_table>(table));
+    membership::upstream_announcement announcement;
+    announcement.id = kernel::upstream_id("u1");
+    announcement.address = daemon_.settings.sidecar->upstream;
+    announcement.service = route.service;
+    announcement.slots = 1;
+    ASSERT_EQ(dispatcher_.Announce(announcement), announcement_result::kAccepted);
+  }
+
   // Answers the latest request for tokens.
   void Grant(std::int64_t tokens) {
     const quota::quota_request request = quota_requests_.back();
@@ -133,21 +156,7 @@
 // Guards against running a request whose caller gave up while this process was paused: it is read
 // only afterwards, with the time limit that it had when it was sent.
 TEST_F(CallRouterStartupTest, RefusesARequestThatWaitedTooLongDuringAPause) {
-  policy::policy_table table;
-  policy::route route;
-  route.host = "forms.example";
-  route.path_prefix = "/x/";
-  route.service = kernel::service_name("forms");
-  route.timeout = route.latency_objective = kernel::milliseconds(5'000);
-  table.routes.push_back(route);
-  router_.SetPolicy(std::make_shared<policy::policy_table>(table));
-  membership::upstream_announcement announcement;
-  announcement.id = kernel::upstream_id("u1");
-  announcement.address = daemon_.settings.sidecar->upstream;
-  announcement.service = route.service;
-  announcement.slots = 1;
-  ASSERT_EQ(dispatcher_.Announce(announcement), announcement_result::kAccepted);
-
+  UseOneUpstream();
   daemon_.pauses = loop::pause_tracker(daemon_.clock.Now() - 2 * kCallerTimeout);
   const auto request = HandleRequest();
   EXPECT_TRUE(request->answered());
@@ -155,6 +164,25 @@
   EXPECT_EQ(dispatcher_.Load().in_progress, 0);
 }
 
+// Guards against sending a request whose caller disconnected while this process was paused: the end
+// of its connection is read after the request.
+TEST_F(CallRouterStartupTest, DoesNotSendARequestWhoseCallerLeftDuringAPause) {
+  UseOneUpstream();
+  stated_timeout = kernel::milliseconds(5'000);
+  http::pipeline_server callers(
+      daemon_.loop, [this](const auto& request) { router_.Handle(request); },
+      [](int, std::string_view) { return http::whole_response(); });
+  ASSERT_TRUE(callers.Listen(kernel::endpoint("127.0.0.1:0")));
+  const auto caller = http::raw_peer::Connect(daemon_.loop, callers.local_endpoint());
+  http::RunUntil(daemon_.loop, [&] { return callers.connections() == 1; });
+  daemon_.pauses = loop::pause_tracker(daemon_.clock.Now() - kernel::milliseconds(1'000));
+  caller->Send("GET /x/ HTTP/1.1\r\nHost: forms.example\r\n\r\n");
+  caller->CloseWhenSent();
+  http::RunUntil(daemon_.loop, [this] { return router_.in_progress() == 1; });
+  http::RunUntil(daemon_.loop, [this] { return router_.in_progress() == 0; });
+  EXPECT_FALSE(dispatcher_.busy()) << "the request was sent on";
+}
+
 // Guards against a key that stays in use at a daemon that does not hear of its withdrawal, where
 // the settings ask for strict revocation.
 TEST_F(CallRouterStartupTest, RefusesKeysOfAPolicyThatNoOneConfirms) {
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -92,15 +92,23 @@
     http::RunUntil(daemon_.loop, [this] { return dispatcher_->Report().upstream.value() == "u1"; });
   }
 
+  admission::ticket RunOne(kernel::milliseconds time_left) {
+    protocol::run_request run;
+    run.service = kernel::service_name("forms");
+    run.method = "GET";
+    run.target = "/run";
+    run.time_left = run.objective_left = time_left;
+    return dispatcher_->Run(run, "", [this](run_result result) { latest_ = std::move(result); });
+  }
+
   void Run(int count, kernel::milliseconds time_left = kernel::milliseconds(5'000)) {
-    for (int i = 0; i < count; ++i) {
-      protocol::run_request run;
-      run.service = kernel::service_name("forms");
-      run.method = "GET";
-      run.target = "/run";
-      run.time_left = run.objective_left = time_left;
-      dispatcher_->Run(run, "", [this](run_result result) { latest_ = std::move(result); });
-    }
+    for (int i = 0; i < count; ++i) RunOne(time_left);
+  }
+
+  // Runs a request as the first input that is read after a pause.
+  admission::ticket RunAfterAPause(kernel::milliseconds time_left) {
+    daemon_.pauses = loop::pause_tracker(daemon_.clock.Now() - kernel::milliseconds(3'000));
+    return RunOne(time_left);
   }
 
   static std::string Response(const std::string& header) {
@@ -213,6 +221,44 @@
   EXPECT_EQ(runs_, 0);
 }
 
+// Guards against starting a request that waited unread during a pause of this process, when the
+// cancellation behind it is unread.
+TEST_F(UpstreamDispatcherTest, DoesNotStartARequestThatWasCancelledDuringThePause) {
+  dispatcher_->Announce(Announcement(1));
+  const admission::ticket waited = RunAfterAPause(kLongTime);
+  dispatcher_->Cancel(waited);
+  EXPECT_FALSE(dispatcher_->busy());
+  RunToEnd({kNoHeader});
+  EXPECT_EQ(runs_, 1) << "only the later request";
+}
+
+// The same for a request that was queued before the pause and gets a slot after it.
+TEST_F(UpstreamDispatcherTest, DoesNotStartAQueuedRequestThatWasCancelledDuringThePause) {
+  dispatcher_->Announce(Announcement(1));
+  run_responses_.push_back(Response(kNoHeader));
+  Run(6, kLongTime);
+  const admission::ticket queued = RunAfterAPause(kLongTime);
+  http::RunUntil(daemon_.loop, [this] { return dispatcher_->Load().queued == 0 && runs_ == 6; });
+  dispatcher_->Cancel(queued);
+  EXPECT_EQ(dispatcher_->Load().in_progress, 5);
+  run_responses_.push_back(Response(kNoHeader));
+  latest_.reset();
+  Run(1, kLongTime);
+  http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
+  EXPECT_EQ(runs_, 7) << "the six before and the one after";
+}
+
+// Guards against a slot that stays in use, and against starting a request whose deadline passes
+// while the input is read.
+TEST_F(UpstreamDispatcherTest, RefusesARequestWhoseDeadlinePassesAfterThePause) {
+  dispatcher_->Announce(Announcement(1));
+  RunAfterAPause(kernel::milliseconds(20));
+  http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
+  EXPECT_EQ(latest_->failure, protocol::run_failure::kNoCapacity);
+  EXPECT_EQ(dispatcher_->Load().in_progress, 0);
+  EXPECT_EQ(runs_, 0);
+}
+
 // Guards against calls of the upstream that have no rank, or that of requests that only wait.
 TEST_F(UpstreamDispatcherTest, CallsInheritTheRankOfRunningRequests) {
   dispatcher_->Announce(Announcement(1));
