Keep a leaving upstream closed that a probe found

Cause: of an upstream that a probe found, the daemon knew no start. After a response had said that it leaves, a late announcement of the same process that still said "ready" opened it again, and so did the older state that a control host returned. What its health response says of leaving was not read.

Change: a process that a probe found counts as started by then. An announcement or a returned state of a process that left does not open it; a process with the same id and a later start does. A health response that says that the upstream leaves closes it.

Not run end to end.

--- a/plugins/sidecar/upstream_announcements.cc
+++ b/plugins/sidecar/upstream_announcements.cc
@@ -1,9 +1,12 @@
 // The part of upstream_dispatcher that learns which upstream to use.
 
+#include <cstdint>
+#include <optional>
 #include <tuple>
 #include <utility>
 
 #include "plugins/sidecar/upstream_dispatcher.h"
+#include "plugins/wall_clock.h"
 
 namespace cornelweir::plugins::sidecar {
 namespace internal {
@@ -19,8 +22,21 @@
 
 }  // namespace internal
 
+namespace {
+
+// Whether the known upstream drains, or has said that it leaves, and the described process is not a
+// later one.
+template <class Known, class Described>
+bool HasLeft(const std::optional<Known>& known, const Described& described) {
+  return known && known->draining && known->id == described.id &&
+         described.started_at <= known->started_at;
+}
+
+}  // namespace
+
 // Announcements may arrive late and in any order, also from an earlier process with the same id.
 bool upstream_dispatcher::IsOutdated(const membership::upstream_announcement& announcement) const {
+  if (HasLeft(announced_, announcement) && !announcement.draining) return true;
   if (!last_announced_) return false;
   if (announcement.started_at != last_announced_->started_at) {
     return announcement.started_at < last_announced_->started_at;
@@ -46,14 +62,16 @@
     return std::tuple(state.started_at, state.sequence, state.draining);
   };
   if (last_announced_ && order(*last_announced_) >= order(upstream)) return;
+  const bool has_left = HasLeft(announced_, upstream) || HasLeft(last_announced_, upstream);
   last_announced_ = upstream;
+  last_announced_->draining |= has_left;
   if (announced_ && announced_->id != upstream.id) return;
   // What a response has stated since the restart is newer.
   SetRateLimit(queue_.rate_limit() ? queue_.rate_limit() : upstream.rate_limit);
   if (!announced_) return;
   announced_->started_at = upstream.started_at;
   announced_->slots = upstream.slots;
-  announced_->draining = upstream.draining;
+  announced_->draining = last_announced_->draining;
   announced_->version = upstream.version;
   OnStateChanged("restored");
 }
@@ -116,8 +134,13 @@
     announced_->address = context_.settings.sidecar->upstream;
     announced_->service = context_.settings.sidecar->service;
     announced_->slots = internal::kAssumedSlots;
-    // A health response does not tell whether the upstream has announced its end.
+    announced_->draining = dialect_.read_notice(result.response).leaving;
+    // Only that the process runs already is known. A later one with the same id has a later start.
+    announced_->started_at =
+        kernel::incarnation(static_cast<std::uint64_t>(SinceEpochMs().count()));
+    // An upstream that has announced its end may not repeat it in its health response.
     if (last_announced_ && last_announced_->id == id) {
+      last_announced_->draining |= announced_->draining;
       announced_->started_at = last_announced_->started_at;
       announced_->slots = last_announced_->slots;
       announced_->draining = last_announced_->draining;
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "plugins/wall_clock.h"
 #include "tests/http_test_support.h"
 #include "tests/sidecar_test_context.h"
 
@@ -87,6 +88,14 @@
     return announcement;
   }
 
+  // The announcement of a process with the same id that starts after the daemon.
+  membership::upstream_announcement LaterProcess() const {
+    membership::upstream_announcement announcement = Announcement(1);
+    announcement.started_at = kernel::incarnation(
+        static_cast<std::uint64_t>((SinceEpochMs() + kernel::milliseconds(60'000)).count()));
+    return announcement;
+  }
+
   void Probe() {
     dispatcher_->ProbeUntilAnnounced("/health");
     http::RunUntil(daemon_.loop, [this] { return dispatcher_->Report().upstream.value() == "u1"; });
@@ -403,6 +412,40 @@
   return record;
 }
 
+// Guards against opening an upstream again that a probe found and that said in a response that it
+// leaves: its announcement from before that arrives late, or the control host returns an older
+// state. A later process with the same id is used.
+TEST_F(UpstreamDispatcherTest, ALeavingUpstreamThatAProbeFoundStaysClosed) {
+  Probe();
+  RunToEnd({kLeavingHeader});
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  EXPECT_EQ(dispatcher_->Announce(Announcement(1)), announcement_result::kOutdated);
+  dispatcher_->Restore(Known(9, false));
+  EXPECT_EQ(dispatcher_->Announce(Announcement(10)), announcement_result::kOutdated);
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  EXPECT_EQ(dispatcher_->Announce(LaterProcess()), announcement_result::kAccepted);
+  EXPECT_TRUE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// The same if its health response says that it leaves.
+TEST_F(UpstreamDispatcherTest, DoesNotUseAnUpstreamWhoseHealthResponseSaysThatItLeaves) {
+  probe_response_ = "HTTP/1.1 200 OK\r\nUpstream: u1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
+  Probe();
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  EXPECT_EQ(dispatcher_->Announce(Announcement(1)), announcement_result::kOutdated);
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// The same if the daemon knew the upstream before its restart as one that does not drain.
+TEST_F(UpstreamDispatcherTest, DoesNotUseARestoredUpstreamWhoseHealthResponseSaysThatItLeaves) {
+  probe_response_ = "HTTP/1.1 200 OK\r\nUpstream: u1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
+  dispatcher_->Restore(Known(9, false));
+  Probe();
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  EXPECT_TRUE(dispatcher_->LastAnnounced()->draining);
+  EXPECT_EQ(dispatcher_->Announce(Announcement(10)), announcement_result::kOutdated);
+}
+
 // Guards against an upstream that stays closed during a rollout because its version was forgotten
 // when only the daemon restarted.
 TEST_F(UpstreamDispatcherTest, KnowsTheVersionAfterARestartOfTheDaemon) {
