--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "plugins/wall_clock.h"
 #include "tests/http_test_support.h"
 #include "tests/sidecar_test_context.h"
 
@@ -87,20 +88,36 @@
     return announcement;
   }
 
+  // The announcement of a process with the same id that starts after the daemon.
+  membership::upstream_announcement LaterProcess() const {
+    membership::upstream_announcement announcement = Announcement(1);
+    announcement.started_at = kernel::incarnation(
+        static_cast<std::uint64_t>((SinceEpochMs() + kernel::milliseconds(60'000)).count()));
+    return announcement;
+  }
+
   void Probe() {
     dispatcher_->ProbeUntilAnnounced("/health");
     http::RunUntil(daemon_.loop, [this] { return dispatcher_->Report().upstream.value() == "u1"; });
   }
 
+  admission::ticket RunOne(kernel::milliseconds time_left) {
+    protocol::run_request run;
+    run.service = kernel::service_name("forms");
+    run.method = "GET";
+    run.target = "/run";
+    run.time_left = run.objective_left = time_left;
+    return dispatcher_->Run(run, "", [this](run_result result) { latest_ = std::move(result); });
+  }
+
   void Run(int count, kernel::milliseconds time_left = kernel::milliseconds(5'000)) {
-    for (int i = 0; i < count; ++i) {
-      protocol::run_request run;
-      run.service = kernel::service_name("forms");
-      run.method = "GET";
-      run.target = "/run";
-      run.time_left = run.objective_left = time_left;
-      dispatcher_->Run(run, "", [this](run_result result) { latest_ = std::move(result); });
-    }
+    for (int i = 0; i < count; ++i) RunOne(time_left);
+  }
+
+  // Runs a request as the first input that is read after a pause.
+  admission::ticket RunAfterAPause(kernel::milliseconds time_left) {
+    daemon_.pauses = loop::pause_tracker(daemon_.clock.Now() - kernel::milliseconds(3'000));
+    return RunOne(time_left);
   }
 
   static std::string Response(const std::string& header) {
@@ -213,6 +230,44 @@
   EXPECT_EQ(runs_, 0);
 }
 
+// Guards against starting a request that waited unread during a pause of this process, when the
+// cancellation behind it is unread.
+TEST_F(UpstreamDispatcherTest, DoesNotStartARequestThatWasCancelledDuringThePause) {
+  dispatcher_->Announce(Announcement(1));
+  const admission::ticket waited = RunAfterAPause(kLongTime);
+  dispatcher_->Cancel(waited);
+  EXPECT_FALSE(dispatcher_->busy());
+  RunToEnd({kNoHeader});
+  EXPECT_EQ(runs_, 1) << "only the later request";
+}
+
+// The same for a request that was queued before the pause and gets a slot after it.
+TEST_F(UpstreamDispatcherTest, DoesNotStartAQueuedRequestThatWasCancelledDuringThePause) {
+  dispatcher_->Announce(Announcement(1));
+  run_responses_.push_back(Response(kNoHeader));
+  Run(6, kLongTime);
+  const admission::ticket queued = RunAfterAPause(kLongTime);
+  http::RunUntil(daemon_.loop, [this] { return dispatcher_->Load().queued == 0 && runs_ == 6; });
+  dispatcher_->Cancel(queued);
+  EXPECT_EQ(dispatcher_->Load().in_progress, 5);
+  run_responses_.push_back(Response(kNoHeader));
+  latest_.reset();
+  Run(1, kLongTime);
+  http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
+  EXPECT_EQ(runs_, 7) << "the six before and the one after";
+}
+
+// Guards against a slot that stays in use, and against starting a request whose deadline passes
+// while the input is read.
+TEST_F(UpstreamDispatcherTest, RefusesARequestWhoseDeadlinePassesAfterThePause) {
+  dispatcher_->Announce(Announcement(1));
+  RunAfterAPause(kernel::milliseconds(20));
+  http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
+  EXPECT_EQ(latest_->failure, protocol::run_failure::kNoCapacity);
+  EXPECT_EQ(dispatcher_->Load().in_progress, 0);
+  EXPECT_EQ(runs_, 0);
+}
+
 // Guards against calls of the upstream that have no rank, or that of requests that only wait.
 TEST_F(UpstreamDispatcherTest, CallsInheritTheRankOfRunningRequests) {
   dispatcher_->Announce(Announcement(1));
@@ -357,6 +412,40 @@
   return record;
 }
 
+// Guards against opening an upstream again that a probe found and that said in a response that it
+// leaves: its announcement from before that arrives late, or the control host returns an older
+// state. A later process with the same id is used.
+TEST_F(UpstreamDispatcherTest, ALeavingUpstreamThatAProbeFoundStaysClosed) {
+  Probe();
+  RunToEnd({kLeavingHeader});
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  EXPECT_EQ(dispatcher_->Announce(Announcement(1)), announcement_result::kOutdated);
+  dispatcher_->Restore(Known(9, false));
+  EXPECT_EQ(dispatcher_->Announce(Announcement(10)), announcement_result::kOutdated);
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  EXPECT_EQ(dispatcher_->Announce(LaterProcess()), announcement_result::kAccepted);
+  EXPECT_TRUE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// The same if its health response says that it leaves.
+TEST_F(UpstreamDispatcherTest, DoesNotUseAnUpstreamWhoseHealthResponseSaysThatItLeaves) {
+  probe_response_ = "HTTP/1.1 200 OK\r\nUpstream: u1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
+  Probe();
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  EXPECT_EQ(dispatcher_->Announce(Announcement(1)), announcement_result::kOutdated);
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// The same if the daemon knew the upstream before its restart as one that does not drain.
+TEST_F(UpstreamDispatcherTest, DoesNotUseARestoredUpstreamWhoseHealthResponseSaysThatItLeaves) {
+  probe_response_ = "HTTP/1.1 200 OK\r\nUpstream: u1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
+  dispatcher_->Restore(Known(9, false));
+  Probe();
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  EXPECT_TRUE(dispatcher_->LastAnnounced()->draining);
+  EXPECT_EQ(dispatcher_->Announce(Announcement(10)), announcement_result::kOutdated);
+}
+
 // Guards against an upstream that stays closed during a rollout because its version was forgotten
 // when only the daemon restarted.
 TEST_F(UpstreamDispatcherTest, KnowsTheVersionAfterARestartOfTheDaemon) {
