--- a/cornelweir/src/quota/messages.h
+++ b/cornelweir/src/quota/messages.h
@@ -19,11 +19,16 @@
   // has counted. Zero if the sender does not state them.
   kernel::request_count waiting{};
   kernel::request_count arrived{};
+  // States the reserve of a control host: the tokens a second that it passes on, and how many it
+  // holds. There is no statement if demand is 0.
+  kernel::request_rate demand{};
+  kernel::request_count held{};
 
   static constexpr auto Fields() {
     return std::tuple{
         kernel::field{"w", &token_request::workspace}, kernel::field{"n", &token_request::wanted},
-        kernel::field{"u", &token_request::waiting}, kernel::field{"a", &token_request::arrived}};
+        kernel::field{"u", &token_request::waiting},   kernel::field{"a", &token_request::arrived},
+        kernel::field{"d", &token_request::demand},    kernel::field{"h", &token_request::held}};
   }
   friend bool operator==(const token_request&, const token_request&) = default;
 };
@@ -53,12 +58,19 @@
   // Fewer were granted than requested, but not because the limit is used up: the tokens should be
   // requested again after next_in.
   bool pending = false;
+  // How many tokens the control host may hold in reserve, and for how long from the time at which
+  // it sent its statement. There was no valid statement if the time is 0.
+  kernel::request_count reserved{};
+  kernel::microseconds reserve_lifetime{};
 
   static constexpr auto Fields() {
-    return std::tuple{
-        kernel::field{"w", &token_grant::workspace}, kernel::field{"n", &token_grant::granted},
-        kernel::field{"l", &token_grant::lifetime}, kernel::field{"x", &token_grant::next_in},
-        kernel::field{"p", &token_grant::pending}};
+    return std::tuple{kernel::field{"w", &token_grant::workspace},
+                      kernel::field{"n", &token_grant::granted},
+                      kernel::field{"l", &token_grant::lifetime},
+                      kernel::field{"x", &token_grant::next_in},
+                      kernel::field{"p", &token_grant::pending},
+                      kernel::field{"r", &token_grant::reserved},
+                      kernel::field{"y", &token_grant::reserve_lifetime}};
   }
   friend bool operator==(const token_grant&, const token_grant&) = default;
 };
--- a/cornelweir/src/quota/quota_owner.cc
+++ b/cornelweir/src/quota/quota_owner.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <iterator>
 
 #include "cornelweir/src/quota/limits.h"
 
@@ -27,9 +28,10 @@
   const kernel::request_rate rate = std::min(source.limit.rate, limit.rate);
   const double added =
       kernel::RequestsPerSecond(rate) * std::max(0.0, seconds(now - source.updated_at).count());
-  for (double* level : {&source.tokens, &source.most_tokens, &source.unclaimed}) {
-    *level = std::min({*level + added, source.limit.Capacity(), limit.Capacity()});
-  }
+  const double capacity = std::min(source.limit.Capacity(), limit.Capacity());
+  source.tokens = std::min(source.tokens + added, capacity);
+  source.most_tokens = std::min(source.most_tokens + added, capacity);
+  source.unclaimed = std::max(source.unclaimed, std::min(source.unclaimed + added, capacity));
   if (now >= start_ + limits_.window + kMaxTokenLifetime) source.tokens = source.most_tokens;
   source.updated_at = std::max(source.updated_at, now);
   source.limit = limit;
@@ -38,8 +40,11 @@
 token_grant quota_owner::Issue(const token_request& request, const workspace_limit& limit,
                                kernel::time_point now) {
   const double capacity = limit.Capacity();
+  // Requests may have waited while there was no owner, for which the bucket would have been filled.
+  const double unclaimed =
+      capacity + kernel::RequestsPerSecond(limit.rate) * seconds(kBridgedTime).count();
   const auto [found, added] =
-      buckets_.try_emplace(request.workspace, bucket{limit, 0.0, capacity, capacity, start_});
+      buckets_.try_emplace(request.workspace, bucket{limit, 0.0, capacity, unclaimed, start_, {}});
   bucket& source = found->second;
   Refill(source, limit, now);
 
@@ -73,12 +78,35 @@
   return grant;
 }
 
+void quota_owner::IssueReserve(const reserve_statement& statement, token_grant& grant,
+                               kernel::time_point now) {
+  const auto found = buckets_.find(grant.workspace);
+  if (found == buckets_.end() || statement.demand.value() <= 0) return;
+  bucket& source = found->second;
+  const double capacity = source.limit.Capacity();
+  const double kept = capacity < 2 ? 0 : capacity / 2;
+  reserve_ledger::supply available;
+  available.max_total = source.limit.MaxReserve(limits_);
+  available.spare_tokens = static_cast<std::int64_t>(std::floor(source.tokens - kept));
+  available.has_unknown = now < start_ + kReserveLifetime;
+  const reserve_ledger::allowance allowed = source.reserves.Update(statement, available, now);
+  if (!allowed.is_valid) return;
+  const auto added = static_cast<double>(allowed.added);
+  source.tokens -= added;
+  source.most_tokens -= added;
+  source.unclaimed = std::max(0.0, source.unclaimed - added);
+  grant.reserved = kernel::request_count(allowed.total);
+  grant.reserve_lifetime = kReserveLifetime;
+}
+
 void quota_owner::DropFullBuckets(kernel::time_point now) {
-  std::erase_if(buckets_, [&](const auto& entry) {
-    bucket source = entry.second;
+  for (auto it = buckets_.begin(); it != buckets_.end();) {
+    bucket& source = it->second;
     Refill(source, source.limit, now);
-    return std::min(source.tokens, source.unclaimed) >= source.limit.Capacity();
-  });
+    source.reserves.DropExpired(now);
+    const bool full = std::min(source.tokens, source.unclaimed) >= source.limit.Capacity();
+    it = full && source.reserves.empty() ? buckets_.erase(it) : std::next(it);
+  }
 }
 
 }  // namespace cornelweir::quota
--- a/cornelweir/src/quota/quota_owner.h
+++ b/cornelweir/src/quota/quota_owner.h
@@ -10,6 +10,7 @@
 #include "cornelweir/src/kernel/quantity.h"
 #include "cornelweir/src/quota/messages.h"
 #include "cornelweir/src/quota/quota_limits.h"
+#include "cornelweir/src/quota/reserve_ledger.h"
 #include "cornelweir/src/quota/workspace_limit.h"
 
 namespace cornelweir::quota {
@@ -36,6 +37,11 @@
   token_grant Issue(const token_request& request, const workspace_limit& limit,
                     kernel::time_point now);
 
+  // Answers the statement of a control host about its reserve of a workspace, after Issue() for the
+  // same workspace. A reserve grows only by tokens that a bucket holds beyond half of its capacity,
+  // so that it takes none from a workspace that is close to its limit.
+  void IssueReserve(const reserve_statement& statement, token_grant& grant, kernel::time_point now);
+
   // Drops the buckets that are full. A bucket that is created later starts as full as the dropped
   // one would be.
   void DropFullBuckets(kernel::time_point now);
@@ -50,6 +56,7 @@
     double most_tokens = 0;
     double unclaimed = 0;
     kernel::time_point updated_at;
+    reserve_ledger reserves;
   };
 
   void Refill(bucket& source, const workspace_limit& limit, kernel::time_point now) const;
--- a/cornelweir/src/quota/workspace_limit.h
+++ b/cornelweir/src/quota/workspace_limit.h
@@ -1,6 +1,8 @@
 #ifndef CORNELWEIR_SRC_QUOTA_WORKSPACE_LIMIT_H_
 #define CORNELWEIR_SRC_QUOTA_WORKSPACE_LIMIT_H_
 
+#include <cstdint>
+
 #include "cornelweir/src/kernel/quantity.h"
 #include "cornelweir/src/quota/quota_limits.h"
 
@@ -13,10 +15,10 @@
 
   // The number of tokens that a full bucket holds.
   double Capacity() const;
-  // How long a token of this workspace may be used. Tokens that can be used in a window were issued
-  // in it or at most one lifetime before, so that there are at most
-  // rate x (window + lifetime) + burst of them.
+  // How long a daemon may use a token of this workspace.
   kernel::microseconds TokenLifetime(const quota_limits& limits) const;
+  // The number of tokens that the reserves of all control hosts may hold together.
+  std::int64_t MaxReserve(const quota_limits& limits) const;
 
   friend bool operator==(const workspace_limit&, const workspace_limit&) = default;
 };
