Complete rollouts in time after a change of the leader or a partition

Cause, found by whole rollouts of 16 s on a manual clock: their delays add up. A rollout that waited for free slots until 80% of its duration still took every step, and a daemon that died with the leader then held the completion for another 3 s. A new leader also decided on the reports of the first daemons: no evidence looked like enough of it, and no report like a target without upstreams. A leader elected at the last step had nothing to compare the target with.

Change: rollout_tracker holds what a control host knows of a rollout and decides its steps; the controller only feeds it. After 75% of the duration the target gets all requests at once. A new leader makes no step but a rollback of a bad version for 750 ms. At the last step, daemons beside released upstreams keep the counters of the step before. A daemon also refuses queued requests when its upstream was closed by the passing of time: after a pause, a response freed a slot for them before the admission was checked.

Without a majority for 6 s that begin between 6.5 s and 12.5 s, the rollout still ends late.

--- a/cornelweir/rollout.h
+++ b/cornelweir/rollout.h
@@ -13,6 +13,7 @@
 #include "cornelweir/src/rollout/rollout_record.h"
 #include "cornelweir/src/rollout/rollout_sample.h"
 #include "cornelweir/src/rollout/rollout_table.h"
+#include "cornelweir/src/rollout/rollout_tracker.h"
 #include "cornelweir/src/rollout/route_evidence.h"
 #include "cornelweir/src/rollout/upstream_guard.h"
 
--- a/cornelweir/src/rollout/evidence_series.cc
+++ b/cornelweir/src/rollout/evidence_series.cc
@@ -34,6 +34,7 @@
 
 void evidence_series::StartStep(const rollout_record& record) {
   if (record.started != record_.started) {
+    daemons_.clear();
     totals_.clear();
     evaluations_.clear();
     added_.clear();
@@ -46,7 +47,6 @@
   }
   record_ = record;
   step_start_ = totals_;
-  daemons_.clear();
 }
 
 void evidence_series::Receive(const rollout_sample& sample) {
--- a/cornelweir/src/rollout/evidence_series.h
+++ b/cornelweir/src/rollout/evidence_series.h
@@ -91,7 +91,8 @@
   bool ReleasedServe() const { return record_.share < kernel::kAllTraffic; }
 
   rollout_record record_;
-  // What the daemons have counted in this step.
+  // What the daemons have counted since they started their counters, which is in this step for all
+  // but those beside a released upstream at the last step, see upstream_guard.
   std::map<kernel::endpoint, counted> daemons_;
   // The largest number of released upstreams that have ended requests in a step.
   std::size_t released_upstreams_ = 0;
--- a/cornelweir/src/rollout/limits.h
+++ b/cornelweir/src/rollout/limits.h
@@ -26,14 +26,21 @@
 inline constexpr kernel::milliseconds kStepTime{700};
 // The steps end by this percentage of the duration, if the evidence suffices.
 inline constexpr std::int64_t kStepsEndPercent = 70;
-// After this percentage of the duration, a step no longer waits for free slots of the target.
-inline constexpr std::int64_t kLatestStepPercent = 80;
+// After this percentage of the duration, the target gets all requests at once, without further
+// steps, evidence or free slots. A rollout that waited until 80% and then took every step began the
+// last one at 91% of 16 s, which left less than kSilentDaemonTime for the old upstreams to end.
+inline constexpr std::int64_t kLatestStepPercent = 75;
+// A new leader makes no step but a rollback for this long: the daemons that are connected report
+// within one kSamplePeriod, and those that changed their control host take longer.
+inline constexpr kernel::milliseconds kCollectTime{750};
 // Responses of the target version that a route needs at the first step. A route with less traffic
 // needs a third of the duration instead.
 inline constexpr std::int64_t kMinResponses = 100;
 inline constexpr std::int64_t kLowTrafficTimeDivisor = 3;
 // The share may use at most this percentage of the slots of the target version.
 inline constexpr std::int64_t kUsableSlotsPercent = 90;
+// An older report says nothing about the load of an upstream.
+inline constexpr kernel::milliseconds kMaxLoadAge{1'000};
 // A daemon without a report for this long no longer delays the completion.
 inline constexpr kernel::milliseconds kSilentDaemonTime{3'000};
 // A daemon without a confirmed control host for this long closes its upstream if the rollout may
--- a/cornelweir/src/rollout/planner.cc
+++ b/cornelweir/src/rollout/planner.cc
@@ -34,12 +34,12 @@
 }
 
 kernel::microseconds TimeToCompletion(const rollout_record& record) {
-  kernel::microseconds time{};
-  for (const kernel::traffic_share& share : kShareSteps) {
-    if (share < record.share) continue;
-    time += share == kCanaryShare ? CanaryTime(record.duration) : kernel::microseconds(kStepTime);
-  }
-  return time;
+  // Late in the duration, the last step may follow any other.
+  if (record.share > kCanaryShare) return kStepTime;
+  const auto further_steps = static_cast<std::int64_t>(kShareSteps.size() - 1);
+  return std::min<kernel::microseconds>(
+      CanaryTime(record.duration) + kStepTime * further_steps,
+      internal::PercentOf(record.duration, kLatestStepPercent) + kStepTime);
 }
 
 std::optional<rollout_step> NextStep(const rollout_record& record,
@@ -48,6 +48,8 @@
   if (progress.bad) {
     return rollout_step{kernel::kNoTraffic, rollout_state::kRolledBack, "bad version"};
   }
+  // A new leader knows too little before the daemons have reported to it.
+  if (progress.collecting) return std::nullopt;
   if (record.share == kernel::kAllTraffic) {
     if (progress.step_elapsed < kStepTime || progress.unfinished_daemons > 0) return std::nullopt;
     return rollout_step{kernel::kAllTraffic, rollout_state::kCompleted, "completed"};
@@ -56,6 +58,10 @@
     return rollout_step{kernel::kNoTraffic, rollout_state::kRolledBack,
                         "no upstream of the version is ready at the time limit"};
   }
+  if (progress.elapsed >= internal::PercentOf(record.duration, kLatestStepPercent) &&
+      progress.target_slots > 0) {
+    return rollout_step{kernel::kAllTraffic, rollout_state::kRunning, "the time limit is near"};
+  }
   if (record.share <= kCanaryShare) {
     if (progress.elapsed < CanaryTime(record.duration) || !progress.evidence_suffices) {
       return std::nullopt;
@@ -64,9 +70,7 @@
     return std::nullopt;
   }
   const kernel::traffic_share next = internal::NextShare(record.share);
-  const bool late = progress.elapsed >= internal::PercentOf(record.duration, kLatestStepPercent) &&
-                    progress.target_slots > 0;
-  if (!late && !internal::HasRoom(next, progress)) return std::nullopt;
+  if (!internal::HasRoom(next, progress)) return std::nullopt;
   return rollout_step{next, rollout_state::kRunning, "no evidence against the version"};
 }
 
--- a/cornelweir/src/rollout/planner.h
+++ b/cornelweir/src/rollout/planner.h
@@ -20,6 +20,8 @@
   // second step.
   bool bad = false;
   bool evidence_suffices = false;
+  // Whether this leader was elected too recently to have the reports of all connected daemons.
+  bool collecting = false;
   // Slots of the upstreams of the target version that are ready.
   std::int64_t target_slots = 0;
   // Requests at all upstreams of the service, running and queued.
@@ -43,7 +45,8 @@
 // so the step lasts as long as the others allow.
 kernel::microseconds CanaryTime(kernel::milliseconds duration);
 
-// The earliest time after a share was set at which the rollout can be completed.
+// The earliest time at which the rollout can be completed: since the order at the first share,
+// since the share was set at the others.
 kernel::microseconds TimeToCompletion(const rollout_record& record);
 
 }  // namespace cornelweir::rollout
--- a/cornelweir/src/rollout/upstream_guard.cc
+++ b/cornelweir/src/rollout/upstream_guard.cc
@@ -13,13 +13,20 @@
                             kernel::microseconds since_order, kernel::time_point now) {
   const rollout_record* const record = table_.Find(service);
   if (record == nullptr) return;
-  if (record->started != started_) {
+  const bool is_new = record->started != started_;
+  if (is_new) {
     started_ = record->started;
     ordered_at_ = now - std::max(since_order, kernel::microseconds::zero());
   }
   const bool next_step = record->revision != revision_;
   if (next_step) step_learned_at_ = now;
-  if (next_step || upstream != upstream_ || version != version_) counters_.Restart(now);
+  // At the last step a released upstream only ends its requests. It keeps what it counted in the
+  // step before, so that a leader elected now has something to compare the target with.
+  const bool keeps_counters = !is_new && record->share == kernel::kAllTraffic &&
+                              BelongsTo(*record, version_group::kReleased, version);
+  if ((next_step && !keeps_counters) || upstream != upstream_ || version != version_) {
+    counters_.Restart(now);
+  }
   revision_ = record->revision;
   upstream_ = upstream;
   version_ = version;
--- a/plugins/control/rollout_controller.h
+++ b/plugins/control/rollout_controller.h
@@ -1,7 +1,6 @@
 #ifndef CORNELWEIR_PLUGINS_CONTROL_ROLLOUT_CONTROLLER_H_
 #define CORNELWEIR_PLUGINS_CONTROL_ROLLOUT_CONTROLLER_H_
 
-#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -15,9 +14,8 @@
 
 class control_plugin;
 
-// On the leader, collects the evidence on running rollouts and proposes their steps. On other
-// hosts, forwards the reports of daemons to the leader. The counters of daemons are cumulative
-// within a step, so a new leader has all evidence after one report of each.
+// Feeds the trackers of running rollouts and, on the leader, proposes their steps. On other hosts,
+// forwards the reports of daemons to the leader.
 class rollout_controller {
  public:
   rollout_controller(control_plugin& owner, loop::event_loop& loop);
@@ -35,18 +33,8 @@
   void OnLeadershipChanged(bool is_leader);
 
  private:
-  struct daemon_state {
-    rollout::rollout_sample latest;
-    kernel::time_point reported_at;
-  };
-
   struct active_rollout {
-    rollout::rollout_record record;
-    rollout::evidence_series evidence;
-    std::map<kernel::endpoint, daemon_state> daemons;
-    // When this host learned of the rollout and of its present share.
-    kernel::time_point started_at;
-    kernel::time_point step_started_at;
+    rollout::rollout_tracker tracker;
     bool proposing = false;
   };
 
@@ -55,8 +43,7 @@
   void Evaluate();
   void Evaluate(active_rollout& active);
   void Collect(const rollout::rollout_sample& sample);
-  rollout::rollout_progress Progress(const active_rollout& active) const;
-  std::size_t CountUnfinished(const active_rollout& active) const;
+  std::vector<kernel::endpoint> DaemonsOf(const kernel::service_name& service) const;
   void Propose(active_rollout& active, const rollout::rollout_step& step);
 
   control_plugin& owner_;
@@ -65,7 +52,6 @@
   loop::timer evaluation_timer_;
   std::map<kernel::service_name, active_rollout> active_;
   protocol::rollout_samples pending_;
-  kernel::time_point leader_since_;
 };
 
 }  // namespace cornelweir::plugins::control
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -184,11 +184,17 @@
   return running == 0 ? 0 : static_cast<double>(repeated) / static_cast<double>(running);
 }
 
+void upstream_dispatcher::RefuseQueuedIfClosed() {
+  if (queue_.queued() == 0 || IsOpen()) return;
+  RefuseAll(queue_.Clear(), protocol::run_failure::kNoUpstream);
+}
+
 void upstream_dispatcher::StartQueueTimer() {
   if (queue_timer_.running() || queue_.queued() == 0) return;
   queue_timer_.Start(internal::kQueueCheckPeriod, [this] {
     RefuseAll(queue_.Expire(Now()), protocol::run_failure::kNoCapacity);
     UpdateCallWaits();
+    RefuseQueuedIfClosed();
     StartAll(queue_.AdmitQueued(Now()));
     StartQueueTimer();
   });
@@ -279,6 +285,7 @@
   RecordEvidence(found->second, ended);
   if (connected && !found->second.nested) calls_.OnRunEnded(found->second.request.route);
   if (run_time) RecordRun(found->second.request.route, *run_time, ended.response->body.size());
+  RefuseQueuedIfClosed();
   const std::vector<admission::ticket> next = queue_.Release(id, run_time, Now());
   Finish(id, std::move(ended));
   StartAll(next);
@@ -324,6 +331,7 @@
 void upstream_dispatcher::SetRateLimit(std::optional<kernel::request_rate> rate) {
   const bool changed = rate.has_value() != queue_.rate_limit().has_value();
   if (last_announced_) last_announced_->rate_limit = rate;
+  RefuseQueuedIfClosed();
   StartAll(queue_.SetRateLimit(rate, Now()));
   if (changed) context_.loop.Post([this] { OnStateChanged("rate limit"); });
 }
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -140,6 +140,9 @@
   void RefuseAll(const std::vector<admission::ticket>& ids, protocol::run_failure failure);
   void OnConnectFailure();
   void OnProbeResponse(const std::string& health_path, const http::upstream_result& result);
+  // Refuses the queued requests if the upstream has been closed by the passing of time, as after a
+  // pause of this process.
+  void RefuseQueuedIfClosed();
   void StartQueueTimer();
   void OnStateChanged(std::string_view reason);
   void UpdateSlots();
--- a/tests/rollout_service_test.cc
+++ b/tests/rollout_service_test.cc
@@ -124,7 +124,8 @@
   std::int64_t new_version_failures_ = 0;
 };
 
-constexpr kernel::milliseconds kShort{1'200};
+// Long enough that no step is skipped to end in time, short enough that the test ends soon.
+constexpr kernel::milliseconds kShort{6'000};
 constexpr kernel::milliseconds kLong{60'000};
 
 // Guards against a good version that is not completed, a share that skips a step, and daemons that
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -403,5 +403,34 @@
   EXPECT_EQ(counted.run_times.total(), 2) << "an error may be fast";
 }
 
+// Guards against a request that waited in the queue of a daemon while it was paused, and goes to an
+// upstream whose version was replaced meanwhile: a response frees the slot before the daemon has
+// checked by its clock whether the upstream is still open.
+TEST_F(UpstreamDispatcherTest, RefusesQueuedRequestsOnceTheGuardExcludesTheUpstream) {
+  rollout::rollout_table table(1);
+  rollout::upstream_guard guard(table);
+  dispatcher_->UseGuard(guard);
+  rollout::rollout_record record;
+  record.service = kernel::service_name("forms");
+  record.target = kernel::software_version("v2");
+  record.share = rollout::kCanaryShare;
+  record.revision = kernel::rollout_revision(1);
+  const kernel::time_point now = daemon_.clock.Now();
+  table.Apply({record}, now);
+  guard.OnConfirmed(now);
+  membership::upstream_announcement announcement = Announcement(1);
+  announcement.version = record.target;
+  announcement.slots = 1;
+  ASSERT_EQ(dispatcher_->Announce(announcement), announcement_result::kAccepted);
+  Run(2, kLongTime);
+  http::RunUntil(daemon_.loop, [this] { return runs_ == 1; });
+  guard.OnConfirmed(now - rollout::kUnconfirmedCloseTime);
+  server_.peers.front()->Send(Response(kNoHeader));
+  http::RunUntil(daemon_.loop, [this] { return !dispatcher_->busy(); });
+  EXPECT_EQ(latest_->failure, protocol::run_failure::kNoUpstream);
+  EXPECT_EQ(runs_, 1);
+  dispatcher_.reset();
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
