Log how many changes an accepted policy contains

Change: the control host that accepts a policy adds the counts of added and removed elements and changed members from the same comparison. No key and no name is logged.

--- a/cornelweir/src/policy/policy_change.cc
+++ b/cornelweir/src/policy/policy_change.cc
@@ -138,6 +138,24 @@
 
 }  // namespace
 
+change_counts CountByKind(const std::vector<policy_change>& changes) {
+  change_counts counts;
+  for (const policy_change& change : changes) {
+    switch (change.kind) {
+      case change_kind::kAdded:
+        ++counts.added;
+        break;
+      case change_kind::kRemoved:
+        ++counts.removed;
+        break;
+      case change_kind::kChanged:
+        ++counts.changed;
+        break;
+    }
+  }
+  return counts;
+}
+
 std::vector<policy_change> Compare(const policy_table& from, const policy_table& to) {
   std::vector<policy_change> changes;
   CompareLists(from.services, to.services, changes);
--- a/cornelweir/src/policy/policy_change.h
+++ b/cornelweir/src/policy/policy_change.h
@@ -1,6 +1,7 @@
 #ifndef CORNELWEIR_SRC_POLICY_POLICY_CHANGE_H_
 #define CORNELWEIR_SRC_POLICY_POLICY_CHANGE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -23,6 +24,17 @@
   friend bool operator==(const policy_change&, const policy_change&) = default;
 };
 
+// The number of changes of each kind.
+struct change_counts {
+  std::size_t added = 0;
+  std::size_t removed = 0;
+  std::size_t changed = 0;
+
+  friend bool operator==(const change_counts&, const change_counts&) = default;
+};
+
+change_counts CountByKind(const std::vector<policy_change>& changes);
+
 // What differs between two policies. Weights are given as shares of the route's requests, and keys
 // as counts.
 std::vector<policy_change> Compare(const policy_table& from, const policy_table& to);
--- a/plugins/control/policy_service.cc
+++ b/plugins/control/policy_service.cc
@@ -26,6 +26,19 @@
          codec::Deflate(encoded_table).size() <= protocol::kMaxPartedBytes / 2;
 }
 
+// Operators see what a version changes without its keys.
+void LogAccepted(kernel::policy_version version, kernel::policy_version base,
+                 kernel::policy_version current, const policy::change_counts& changes) {
+  logging::event(logging::event_id::kPolicyDecided)
+      .With("version", version)
+      .With("base", base)
+      .With("current", current)
+      .With("outcome", "accepted")
+      .With("added", changes.added)
+      .With("removed", changes.removed)
+      .With("changed", changes.changed);
+}
+
 void LogOutcome(kernel::policy_version version, kernel::policy_version base,
                 kernel::policy_version current, std::string_view outcome) {
   logging::event(logging::event_id::kPolicyDecided)
@@ -92,7 +105,8 @@
     return;
   }
   cornelweir::control::replace_policy_command command{policy::Diff(current, table), digest};
-  owner_.Submit(std::move(command), [version, base, callback](const auto& outcome) {
+  const policy::change_counts changes = policy::CountByKind(policy::Compare(current, table));
+  owner_.Submit(std::move(command), [version, base, changes, callback](const auto& outcome) {
     const auto* refused =
         outcome ? std::get_if<cornelweir::control::refused_outcome>(&*outcome) : nullptr;
     if (refused != nullptr) {
@@ -107,9 +121,13 @@
       callback(policy_answer::kUnknown);
       return;
     }
-    internal::LogOutcome(version, base, decided->current,
-                         decided->accepted ? "accepted" : "conflict");
-    callback(decided->accepted ? policy_answer::kAccepted : policy_answer::kConflict);
+    if (!decided->accepted) {
+      internal::LogOutcome(version, base, decided->current, "conflict");
+      callback(policy_answer::kConflict);
+      return;
+    }
+    internal::LogAccepted(version, base, decided->current, changes);
+    callback(policy_answer::kAccepted);
   });
 }
 
--- a/tests/policy_report_test.cc
+++ b/tests/policy_report_test.cc
@@ -119,6 +119,7 @@
       {kind::kChanged, "route r (x.example/p/)", "destination", "a 75%, b 25%", "a 50%, b 50%"},
       {kind::kChanged, "route r (x.example/p/)", "public", "no", "yes"}};
   EXPECT_EQ(Compare(before, after), expected);
+  EXPECT_EQ(CountByKind(expected), (change_counts{1, 1, 5}));
 }
 
 }  // namespace
