Compare a policy with the version in force at a control host

`--against ADDRESS:PORT` compares with that version and warns if the workspaces' rates sum to more than the rate limits that all upstreams of the routed services state, and if a running rollout has no upstream of its version. It exits with 3 if the host can't be reached or its answer can't be parsed. The tool reads a document in parts and reads the base first, and operators' commands are refused unread if nested too deeply.

Not built, as docs/OPERATIONS.md states: warnings of a chain of calls and of a limit below the usage of a workspace. Neither a policy nor a control host has these facts.

The memory and time of a comparison with a real control host were not measured.

--- a/cornelweir/src/membership/roster.cc
+++ b/cornelweir/src/membership/roster.cc
@@ -60,6 +60,14 @@
   return found == records_.end() || found->second.gone ? nullptr : &found->second.entry;
 }
 
+std::vector<const roster_entry*> roster::Entries() const {
+  std::vector<const roster_entry*> entries;
+  for (const auto& [daemon, stored] : records_) {
+    if (!stored.gone) entries.push_back(&stored.entry);
+  }
+  return entries;
+}
+
 std::vector<const roster_entry*> roster::EntriesOf(const kernel::service_name& service) const {
   std::vector<const roster_entry*> entries;
   for (const auto& [daemon, stored] : records_) {
--- a/cornelweir/src/membership/roster.h
+++ b/cornelweir/src/membership/roster.h
@@ -35,6 +35,8 @@
 
   // The latest report of a daemon; null if it is unknown or gone.
   const roster_entry* Find(const kernel::endpoint& daemon) const;
+  // The daemons that are not gone, with what their upstreams announced.
+  std::vector<const roster_entry*> Entries() const;
   // The daemons of a service that are not gone.
   std::vector<const roster_entry*> EntriesOf(const kernel::service_name& service) const;
   // Number of daemons that are not gone.
--- a/plugins/control/operator_api.cc
+++ b/plugins/control/operator_api.cc
@@ -6,7 +6,9 @@
 #include <string_view>
 #include <utility>
 
+#include "cornelweir/src/codec/json_depth.h"
 #include "plugins/control/control_plugin.h"
+#include "plugins/control/operator_response.h"
 
 namespace cornelweir::plugins::control {
 namespace internal {
@@ -15,25 +17,6 @@
 
 constexpr std::string_view kVersionsPath = "/v1/versions/";
 
-http::admin_response Response(int status, const json& body) {
-  http::admin_response response;
-  response.status = status;
-  response.body = body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
-  return response;
-}
-
-http::admin_response Unavailable(std::string_view reason) {
-  return Response(503, json{{"result", "unavailable"}, {"reason", std::string(reason)}});
-}
-
-http::admin_response Malformed(std::string_view reason) {
-  return Response(400, json{{"result", "malformed"}, {"reason", std::string(reason)}});
-}
-
-http::admin_response NotFound(std::string_view reason) {
-  return Response(404, json{{"result", "absent"}, {"reason", std::string(reason)}});
-}
-
 json RowsToJson(const table::row_map& rows) {
   json list = json::array();
   for (const auto& [key, content] : rows) {
@@ -87,6 +70,7 @@
 // string.
 template <class Command>
 std::string DecodeCommand(const std::string& body, Command& command) {
+  if (codec::IsNestedTooDeeply(body)) return "body: nested too deeply";
   const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (parsed.is_discarded()) return "body: not JSON";
   return boost::leaf::try_handle_all(
@@ -139,6 +123,7 @@
   handle(method::get, "/v1/history", &operator_api::GetHistory);
   handle(method::get, internal::kVersionsPath, &operator_api::GetVersion);
   handle(method::get, "/v1/status", &operator_api::GetStatus);
+  policy_.Register(server);
   namespace state = cornelweir::control;
   handle(method::post, "/v1/edits", &operator_api::PostCommand<state::edit_command>);
   handle(method::post, "/v1/accept", &operator_api::PostCommand<state::accept_command>);
--- a/plugins/control/operator_api.h
+++ b/plugins/control/operator_api.h
@@ -7,6 +7,7 @@
 #include "cornelweir/codec.h"
 #include "cornelweir/control.h"
 #include "cornelweir/http.h"
+#include "plugins/control/policy_api.h"
 
 namespace cornelweir::plugins::control {
 
@@ -15,7 +16,7 @@
 // The operators' HTTP/JSON interface of a control host. docs/API.md describes it.
 class operator_api {
  public:
-  explicit operator_api(control_plugin& owner) : owner_(owner) {}
+  explicit operator_api(control_plugin& owner) : owner_(owner), policy_(owner) {}
 
   // Adds the handlers to the server. The server must not outlive this object while it serves.
   void Register(http::admin_server& server);
@@ -39,6 +40,7 @@
   void ReplyIfCurrent(reply send_reply, std::function<codec::json()> make_body);
 
   control_plugin& owner_;
+  policy_api policy_;
 };
 
 }  // namespace cornelweir::plugins::control
--- /dev/null
+++ b/plugins/control/operator_response.cc
@@ -0,0 +1,28 @@
+#include "plugins/control/operator_response.h"
+
+#include <string>
+
+namespace cornelweir::plugins::control::internal {
+
+using codec::json;
+
+http::admin_response Response(int status, const json& body) {
+  http::admin_response response;
+  response.status = status;
+  response.body = body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+  return response;
+}
+
+http::admin_response Unavailable(std::string_view reason) {
+  return Response(503, json{{"result", "unavailable"}, {"reason", std::string(reason)}});
+}
+
+http::admin_response Malformed(std::string_view reason) {
+  return Response(400, json{{"result", "malformed"}, {"reason", std::string(reason)}});
+}
+
+http::admin_response NotFound(std::string_view reason) {
+  return Response(404, json{{"result", "absent"}, {"reason", std::string(reason)}});
+}
+
+}  // namespace cornelweir::plugins::control::internal
--- a/programs/cornelweirctl/command_options.cc
+++ b/programs/cornelweirctl/command_options.cc
@@ -36,7 +36,8 @@
   add("timeout-ms", options::value<std::int64_t>(), "watch: how long to wait (default: 60000)");
   add("interval-ms", options::value<std::int64_t>(),
       "watch, top: time between two queries (default: 500, 1000)");
-  add("against", options::value<std::string>(), "check: the document to compare with");
+  add("against", options::value<std::string>(),
+      "check: the document to compare with, or the admin endpoint of a control host");
   add("output", options::value<std::string>(), "check: text or json (default: text)");
   add("strict", "check: exit with 1 if there are warnings");
   add("count", options::value<std::int64_t>(), "top: number of displays (default: no end)");
--- a/programs/cornelweirctl/verbs/check.cc
+++ b/programs/cornelweirctl/verbs/check.cc
@@ -1,15 +1,16 @@
-#include <fstream>
-#include <iostream>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cornelweir/policy.h"
+#include "cornelweir/src/codec/sha256.h"
 #include "platform/policy_format.h"
 #include "programs/cornelweirctl/ctl_error.h"
 #include "programs/cornelweirctl/printable.h"
 #include "programs/cornelweirctl/report.h"
 #include "programs/cornelweirctl/verb_registry.h"
+#include "programs/cornelweirctl/verbs/check_input.h"
 
 namespace cornelweir::ctl {
 namespace {
@@ -21,7 +22,6 @@
 // This verb's meaning of the exit codes.
 constexpr exit_code kWarnings = exit_code::kRefused;
 constexpr exit_code kErrors = exit_code::kUsage;
-constexpr exit_code kUnreadable = exit_code::kUnavailable;
 
 // What the verb found out about a document.
 struct check_report {
@@ -33,38 +33,13 @@
   std::vector<policy_change> changes;
 };
 
-boost::leaf::error_id Unreadable(const std::string& path, const std::string& reason) {
-  return boost::leaf::new_error(
-      ctl_error{kUnreadable, "cannot read '" + Printable(path) + "': " + reason});
-}
-
-boost::leaf::result<std::string> ReadDocument(const std::string& path) {
-  std::ifstream file;
-  if (path != "-") file.open(path, std::ios::binary);
-  std::istream& input = path == "-" ? std::cin : file;
-  if (!input) return Unreadable(path, "it can't be opened");
-  std::string text(platform::kMaxPolicyBytes + 1, '\0');
-  input.read(text.data(), static_cast<std::streamsize>(text.size()));
-  if (input.bad()) return Unreadable(path, "the read failed");
-  text.resize(static_cast<std::size_t>(input.gcount()));
-  if (text.size() > platform::kMaxPolicyBytes) return Unreadable(path, "it is above 16 MiB");
-  if (text.empty()) return Unreadable(path, "it is empty");
-  return text;
-}
-
 boost::leaf::result<check_report> Check(verb_context& context) {
-  BOOST_LEAF_AUTO(text, ReadDocument(context.arguments[0]));
-  std::optional<policy::policy_table> base;
+  std::optional<comparison_base> base;
   if (context.Has("against")) {
-    const auto path = context.Option<std::string>("against", "");
-    BOOST_LEAF_AUTO(base_text, ReadDocument(path));
-    platform::policy_document document = platform::ReadPolicy(base_text);
-    if (!document.errors.empty()) {
-      const finding& first = document.errors.front();
-      return Unreadable(path, first.place + " " + first.message);
-    }
-    base = std::move(document.table);
+    BOOST_LEAF_AUTO(read, ReadBase(context, context.Option<std::string>("against", "")));
+    base = std::move(read);
   }
+  BOOST_LEAF_AUTO(text, ReadDocument(context.arguments[0]));
   platform::policy_document document = platform::ReadPolicy(text);
   check_report report;
   report.version = document.table.version;
@@ -73,10 +48,14 @@
   if (!report.errors.empty()) return report;
   report.errors = policy::FindErrors(document.table);
   report.warnings = policy::FindWarnings(document.table);
-  if (base) {
-    report.against = base->version;
-    report.changes = policy::Compare(*base, document.table);
+  if (!base) return report;
+  for (finding& warning : policy::FindDeploymentWarnings(document.table, base->services)) {
+    if (report.warnings.size() >= policy::kMaxFindings) break;
+    report.warnings.push_back(std::move(warning));
   }
+  report.against = base->table.version;
+  if (base->has_key_digests) policy::ReplaceKeys(document.table, codec::Sha256Hex);
+  report.changes = policy::Compare(base->table, document.table);
   return report;
 }
 
--- a/tests/control_plugin_test.cc
+++ b/tests/control_plugin_test.cc
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "cornelweir/codec.h"
+#include "cornelweir/src/codec/sha256.h"
 #include "plugins/greeting.h"
 #include "tests/control_host_test.h"
 
@@ -126,6 +127,32 @@
   http::RunUntil(loop_, [this] { return confirmed_updates_ > 0; });
 }
 
+// Guards against an interface without authentication that shows keys, and against a stale policy.
+TEST_F(ControlPluginTest, ShowsThePolicyInForceWithoutKeys) {
+  ASSERT_TRUE(admin_.Listen(settings_.admin_listen));
+  http::admin_client client(loop_);
+  const auto get = [&](std::string_view target) {
+    std::string body;
+    client.Request(admin_.local_endpoint(), http::method::get, target, "", std::chrono::seconds(30),
+                   [&](const http::http_result<http::client_response>& result) {
+                     body = result.value().body;
+                   });
+    http::RunUntil(loop_, [&] { return !body.empty(); });
+    return body;
+  };
+  for (const int version : {3, 4}) {
+    const policy::policy_table table = LargePolicy(version, 1);
+    Replace(table, kernel::policy_version(version == 4 ? 3 : 0));
+    http::RunUntil(loop_, [this] { return answer_.has_value(); });
+    const std::string body = get("/v1/policy");
+    const std::string& key = table.workspaces[0].keys[0].value();
+    EXPECT_EQ(body.find(key), std::string::npos);
+    EXPECT_NE(body.find(codec::Sha256Hex(key)), std::string::npos);
+    EXPECT_EQ(codec::json::parse(body)["version"], version);
+  }
+  EXPECT_EQ(get("/v1/services"), "{\"services\":[]}\n");
+}
+
 // Guards against daemons that get no tokens from the leader, or tokens for a workspace that the
 // policy does not contain.
 TEST_F(ControlPluginTest, IssuesTokensByThePolicy) {
--- a/tests/ctl_check_test.cc
+++ b/tests/ctl_check_test.cc
@@ -10,9 +10,11 @@
 #include <string>
 #include <vector>
 
+#include "cornelweir/src/codec/sha256.h"
 #include "platform/policy_format.h"
 #include "programs/cornelweirctl/command_line.h"
 #include "programs/cornelweirctl/printable.h"
+#include "tests/fake_control_host.h"
 
 namespace cornelweir::ctl {
 namespace {
@@ -95,6 +97,64 @@
   EXPECT_EQ(out_.str().find("secret"), std::string::npos);
 }
 
+// The response of a control host in which kDocument is in force, with digests instead of keys.
+codec::json PolicyReply() {
+  policy::policy_table table = platform::ReadPolicy(kDocument).table;
+  policy::ReplaceKeys(table, codec::Sha256Hex);
+  return codec::ToJson(table);
+}
+
+// Guards against a comparison with another version than the one in force, against keys in the
+// output, and against a script that takes a failed comparison for a success.
+TEST_F(CheckVerb, ComparesWithTheVersionInForce) {
+  fake_control_host host(loop_);
+  policy::service_state state{kernel::service_name("a"), 1, 9, kernel::request_rate(4'000), {}};
+  host.answer_with = [&](const fake_control_host::request& request) {
+    if (request.target == "/v1/policy") return fake_control_host::answer(200, PolicyReply());
+    return fake_control_host::answer(200, {{"services", codec::ToJson(std::vector{state})}});
+  };
+  const std::string same = Write(kDocument);
+  EXPECT_EQ(Run({same, "--against", host.Endpoint()}), exit_code{0});
+  EXPECT_EQ(out_.str(),
+            "warning: workspaces: their rates sum to 5/s, but the upstreams of the routed services "
+            "take at most 4/s\nchanges from version 0000000c to 0000000c: 0\n0 errors, 1 "
+            "warning\n");
+  EXPECT_EQ(Run({Write(Replaced("secret-1", "secret-2")), "--against", host.Endpoint()}),
+            exit_code{0});
+  EXPECT_NE(out_.str().find("1 (1 added, 1 removed)"), std::string::npos) << out_.str();
+  EXPECT_EQ(out_.str().find("secret"), std::string::npos);
+  EXPECT_EQ(out_.str().find(codec::Sha256Hex("secret-2")), std::string::npos);
+  EXPECT_EQ(Run({same, "--against", "127.0.0.1:1"}), exit_code{3});
+  host.answer_with = [](const auto&) { return fake_control_host::answer(404, {{"a", 1}}); };
+  EXPECT_EQ(Run({same, "--against", host.Endpoint()}), exit_code{3});
+  host.answer_with = [](const auto&) { return fake_control_host::answer::Cut(); };
+  EXPECT_EQ(Run({same, "--against", host.Endpoint()}), exit_code{3});
+}
+
+// Guards against a control host whose answer crashes the tool or controls the terminal.
+TEST_F(CheckVerb, ReadsAnyAnswerOfAControlHost) {
+  fake_control_host host(loop_);
+  const std::string path = Write(kDocument);
+  const std::string whole = PolicyReply().dump();
+  EXPECT_TRUE(rc::check([&] {
+    const auto at = *rc::gen::inRange<std::size_t>(0, whole.size());
+    const auto length = *rc::gen::inRange<std::size_t>(0, 40);
+    const auto bytes = *rc::gen::oneOf(
+        rc::gen::arbitrary<std::string>(),
+        rc::gen::element<std::string>("null", "-1", "1e99", "\"\\u001b\"", std::string(99, '[')));
+    host.answer_with = [&](const fake_control_host::request& request) {
+      fake_control_host::answer reply(200, {{"services", codec::json::array()}});
+      if (request.target == "/v1/policy")
+        reply.body = std::string(whole).replace(at, length, bytes);
+      return reply;
+    };
+    const exit_code code = Run({path, "--against", host.Endpoint()});
+    RC_ASSERT(code == exit_code{0} || code == exit_code{3});
+    RC_ASSERT(out_.str().find('\x1b') == std::string::npos);
+    RC_ASSERT(out_.str().find("secret") == std::string::npos);
+  }));
+}
+
 // Guards against a small document that takes gigabytes, as each level of nesting takes memory.
 TEST_F(CheckVerb, BoundsTheDepthOfADocument) {
   for (const std::string opening : {"[", "{\"a\":", "{\"\\\"[]\":[[],"}) {
--- a/tests/policy_report_test.cc
+++ b/tests/policy_report_test.cc
@@ -122,5 +122,26 @@
   EXPECT_EQ(CountByKind(expected), (change_counts{1, 1, 5}));
 }
 
+// Guards against workspace limits that the services can't run, against a warning although the
+// capacity of a service is unknown, and against a rollout that no upstream can serve.
+TEST(PolicyReport, WarnsOfLimitsAboveTheCapacityOfTheUpstreams) {
+  policy_table table = ValidTable();
+  table.workspaces[0].rate = kernel::request_rate(50'000);
+  const kernel::request_rate limit(20'000);
+  std::vector<service_state> services{{kernel::service_name("a"), 2, 10, limit, {}},
+                                      {kernel::service_name("b"), 1, 5, limit, {}}};
+  const std::vector<finding> warnings = FindDeploymentWarnings(table, services);
+  ASSERT_EQ(warnings.size(), 1U);
+  EXPECT_EQ(warnings[0].message,
+            "their rates sum to 50/s, but the upstreams of the routed services take at most 40/s");
+  services[0].rate_limit.reset();
+  services[1].rollout = rollout_target{kernel::software_version("v2"), 1};
+  EXPECT_TRUE(FindDeploymentWarnings(table, services).empty());
+  EXPECT_TRUE(FindDeploymentWarnings(table, {}).empty());
+  services[1].rollout->upstreams = 0;
+  ASSERT_EQ(FindDeploymentWarnings(table, services).size(), 1U);
+  EXPECT_EQ(FindDeploymentWarnings(table, services)[0].place, "service b");
+}
+
 }  // namespace
 }  // namespace cornelweir::policy
