Measure the check of a policy of the largest size

Change: `scripts/bench policy_check` runs `cornelweirctl check` on 20,000 routes and 10,000 workspaces, alone and against another version, and on 16 MiB of opening brackets, 5 times each. It prints the median time (bound 1 s), the processor time, and the peak memory (bound 100 MB).

--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -398,8 +398,60 @@
     subprocess.run([program], check=True)
 
 
+def policy_document(version, routes=20_000, workspaces=10_000, hosts=50):
+    """A policy in the format of the command-line tool, with two keys for each workspace."""
+    count = 470
+    names = [f"service-{n}" for n in range(count)]
+    per_host = routes // hosts
+    return {
+        "version": f"{version:08x}",
+        "services": [{"name": n, "health_check": "/health", "max_connections": 100} for n in names],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 26, "header_timeout": "10s",
+                   "idle_timeout": "60s"},
+        "tenants": [{"name": f"workspace-{n}", "api_keys": [f"key-{n:036}-{k}" for k in range(2)],
+                     "rate_per_s": 5 + n % 100, "burst": 10 + version, "priority": n % 4}
+                    for n in range(workspaces)],
+        "virtual_hosts": [{"host": f"host-{h}.example", "host_routes": [
+            {"name": f"route-{h}-{n}", "path_prefix": f"/prefix-{n}/", "route_type": "safe",
+             "timeout": "2s", "target_latency": "500ms", "priority": n % 4, "attempts": 1 + version,
+             "traffic_split": [{"service": names[(h + n) % count], "weight": 90},
+                               {"service": names[(h + n + 1) % count], "weight": 10}]}
+            for n in range(per_host)]} for h in range(hosts)],
+    }
+
+
+def bench_policy_check(samples=5):
+    tool = fleets.ROOT / os.environ.get("BUILD_DIR", "build") / "programs" / "cornelweirctl"
+    with tempfile.TemporaryDirectory(prefix="cornelweir-bench-") as folder:
+        paths = [pathlib.Path(folder) / f"policy-{version}.json" for version in (1, 2)]
+        for version, path in enumerate(paths, 1):
+            path.write_text(json.dumps(policy_document(version)))
+        nested = pathlib.Path(folder) / "nested.json"
+        nested.write_text("[" * (16 << 20))
+        cases = {"file": [paths[1]], "against_file": [paths[1], "--against", paths[0]],
+                 "nested": [nested]}
+        for name, arguments in cases.items():
+            seconds, processor, memory = [], [], []
+            for _ in range(samples):
+                began = time.monotonic()
+                child = subprocess.Popen([tool, "check", *arguments], stdout=subprocess.DEVNULL)
+                _, status, usage = os.wait4(child.pid, 0)
+                seconds.append(time.monotonic() - began)
+                processor.append(usage.ru_utime + usage.ru_stime)
+                memory.append(usage.ru_maxrss * 1024)
+                child.returncode = os.waitstatus_to_exitcode(status)
+                if child.returncode != (2 if name == "nested" else 0):
+                    raise RuntimeError(f"check {name} ended with {child.returncode}")
+            emit("policy_check", f"{name}_time", statistics.median(seconds), "s", 1,
+                 statistics.median(seconds) < 1, samples=samples)
+            emit("policy_check", f"{name}_processor_time", statistics.median(processor), "s")
+            emit("policy_check", f"{name}_peak_memory", max(memory), "bytes", 100e6,
+                 max(memory) < 100e6)
+
+
 BENCHES = {
     "distribution": bench_distribution,
+    "policy_check": bench_policy_check,
     "convergence": bench_convergence,
     "control_bytes": bench_control_bytes,
     "herd": bench_herd,
