Encode and decode messages between daemons without a document

Cause: data messages passed through a JSON document in both directions, which was the largest part of a request's cost in a daemon.

Change: SendData and ReadData use EncodeDirectly and DecodeDirectly, which write the same bytes. Pairs, the form of headers, have a direct form too, rather than one document each.

--- a/cornelweir/src/codec/direct_cbor.h
+++ b/cornelweir/src/codec/direct_cbor.h
@@ -37,6 +37,9 @@
 inline constexpr bool kIsNumber = (std::is_integral_v<T> && !std::is_same_v<T, bool>) ||
                                   (std::is_enum_v<T> && !std::is_same_v<T, table::row_kind>);
 
+// Pairs travel as arrays of two elements.
+inline constexpr std::uint64_t kPairSize = 2;
+
 void AppendHead(cbor_type type, std::uint64_t value, std::string& out);
 void AppendText(std::string_view text, std::string& out);
 
@@ -173,6 +176,10 @@
   } else if constexpr (kIsInstance<T, std::vector>) {
     AppendHead(cbor_type::kArray, value.size(), out);
     for (const auto& element : value) AppendValue(element, out);
+  } else if constexpr (kIsInstance<T, std::pair>) {
+    AppendHead(cbor_type::kArray, kPairSize, out);
+    AppendValue(value.first, out);
+    AppendValue(value.second, out);
   } else if constexpr (kIsInstance<T, std::optional>) {
     if (value) {
       AppendValue(*value, out);
@@ -258,6 +265,10 @@
     return is_read;
   } else if constexpr (kIsInstance<T, std::vector>) {
     return ReadVector(reader, value);
+  } else if constexpr (kIsInstance<T, std::pair>) {
+    cbor_head head;
+    return reader.ReadHead(head) && head.type == cbor_type::kArray && head.value == kPairSize &&
+           ReadValue(reader, value.first) && ReadValue(reader, value.second);
   } else if constexpr (kIsInstance<T, std::optional>) {
     value.reset();
     return reader.SkipNull() || ReadValue(reader, value.emplace());
--- a/plugins/sidecar/data_frame.h
+++ b/plugins/sidecar/data_frame.h
@@ -10,6 +10,7 @@
 
 #include "cornelweir/codec.h"
 #include "cornelweir/protocol.h"
+#include "cornelweir/src/codec/direct_cbor.h"
 #include "cornelweir/transport.h"
 
 namespace cornelweir::plugins::sidecar {
@@ -18,7 +19,7 @@
 // link::Send().
 inline bool SendData(transport::link& link, const protocol::data_message& message,
                      std::string_view payload = {}) {
-  return link.Send(codec::Frame(codec::Encode(message), payload));
+  return link.Send(codec::Frame(codec::EncodeDirectly(message), payload));
 }
 
 // A decoded message and its payload, which refers to the buffer that was read.
@@ -30,7 +31,8 @@
 // Decodes a frame. The payload refers to bytes. Errors carry a codec_error.
 inline boost::leaf::result<data_frame> ReadData(std::string_view bytes) {
   BOOST_LEAF_AUTO(frame, codec::Unframe(bytes));
-  BOOST_LEAF_AUTO(message, codec::Decode<protocol::data_message>(frame.header));
+  BOOST_LEAF_AUTO(message, codec::DecodeDirectly<protocol::data_message>(frame.header,
+                                                                         codec::kMaxMessageBytes));
   return data_frame{std::move(message), frame.payload};
 }
 
--- a/tests/direct_cbor_test.cc
+++ b/tests/direct_cbor_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cornelweir/control.h"
+#include "cornelweir/protocol.h"
 
 namespace cornelweir::codec {
 namespace {
@@ -56,6 +57,31 @@
   return record;
 }
 
+protocol::data_message AnyDataMessage() {
+  protocol::upstream_load load;
+  load.queued = *rc::gen::arbitrary<std::int64_t>();
+  load.wait = kernel::microseconds(*rc::gen::arbitrary<std::int64_t>());
+  const kernel::call_id id(*rc::gen::arbitrary<std::uint64_t>());
+  const auto headers = *rc::gen::arbitrary<protocol::header_pairs>();
+  switch (*rc::gen::inRange(0, 4)) {
+    case 0: {
+      protocol::run_request run;
+      run.id = id;
+      run.target = AnyText();
+      run.headers = headers;
+      run.objective_left = kernel::microseconds(*rc::gen::arbitrary<std::int64_t>());
+      if (*rc::gen::arbitrary<bool>()) run.parent = protocol::parent_rank{-1, {}, {}};
+      return run;
+    }
+    case 1:
+      return protocol::run_response{id, *rc::gen::arbitrary<std::int32_t>(), headers, load};
+    case 2:
+      return protocol::run_failed{id, protocol::run_failure::kTimeout, {}, load, true};
+    default:
+      return protocol::upstream_report{kernel::service_name(AnyText()), {}, true, {}, {}, load};
+  }
+}
+
 // Guards against bytes that other versions can't read, and against a digest of a policy that
 // changes, so that a resend is taken for a conflict.
 TEST(DirectCbor, WritesAndReadsTheSameBytesAsEncode) {
@@ -78,6 +104,27 @@
   }));
 }
 
+// Guards against messages between daemons that a daemon of another version can't read.
+TEST(DirectCbor, WritesAndReadsMessagesBetweenDaemonsLikeEncode) {
+  EXPECT_TRUE(rc::check([] {
+    const protocol::data_message message = AnyDataMessage();
+    const std::string bytes = Encode(message);
+    RC_ASSERT(EncodeDirectly(message) == bytes);
+    const auto read = DecodeDirectly<protocol::data_message>(bytes, kMaxMessageBytes);
+    RC_ASSERT(read && Encode(read.value()) == bytes);
+  }));
+  // A header is a name and a value.
+  for (const char* const malformed : {"\x81\x61x", "\x83\x61x\x61y\x61z", "\x61x"}) {
+    protocol::run_response response;
+    response.headers = {{"x", "y"}};
+    std::string bytes = Encode(protocol::data_message(response));
+    const std::string header("\x82\x61x\x61y");
+    bytes.replace(bytes.find(header), header.size(), malformed);
+    EXPECT_FALSE(DecodeDirectly<protocol::data_message>(bytes, kMaxMessageBytes));
+    EXPECT_FALSE(Decode<protocol::data_message>(bytes));
+  }
+}
+
 // Guards against malformed bytes that crash a host, fill its memory or are read as another value.
 TEST(DirectCbor, ReadsAnyBytes) {
   EXPECT_TRUE(rc::check([] {
