Send one request at a time while the upstream's rate limit is unknown

Cause: a daemon that restarted while no control host knew its upstream used all slots as soon as the upstream announced itself, although the upstream may have stated a rate limit before.

Change: the limit of an upstream that started before its daemon is unknown until a control host returns it or a response states it or states none; one request runs at a time until then. A limit that the health response states counts, one that it does not state proves nothing. A daemon that restarts again before the first response still takes an unknown limit for none, since its report to the control hosts can't tell them apart. Four tests that need all slots at once now announce an upstream that has answered a request; what they assert is unchanged.

Not run end to end.

--- a/plugins/sidecar/upstream_announcements.cc
+++ b/plugins/sidecar/upstream_announcements.cc
@@ -66,6 +66,7 @@
   last_announced_ = upstream;
   last_announced_->draining |= has_left;
   if (announced_ && announced_->id != upstream.id) return;
+  rate_limit_known_ = true;
   // What a response has stated since the restart is newer.
   SetRateLimit(queue_.rate_limit() ? queue_.rate_limit() : upstream.rate_limit);
   if (!announced_) return;
@@ -82,6 +83,7 @@
     return announcement_result::kRefused;
   }
   if (IsOutdated(announcement)) return announcement_result::kOutdated;
+  const bool is_first = !announced_ && !last_announced_;
   const bool replaced = !announced_ || announced_->id != announcement.id ||
                         announced_->started_at != announcement.started_at;
   const bool same_process = IsSameProcess(announcement);
@@ -98,7 +100,10 @@
   warmed_up_at_ = Now() + announcement.warm_up;
   unavailable_ = false;
   connect_failures_ = 0;
-  if (!same_process) SetRateLimit(std::nullopt);
+  if (!same_process) {
+    rate_limit_known_ = !is_first || announcement.started_at > started_at_ms_;
+    SetRateLimit(std::nullopt);
+  }
   if (changed) OnStateChanged(replaced ? "announced" : "state");
   return announcement_result::kAccepted;
 }
@@ -134,7 +139,8 @@
     announced_->address = context_.settings.sidecar->upstream;
     announced_->service = context_.settings.sidecar->service;
     announced_->slots = internal::kAssumedSlots;
-    announced_->draining = dialect_.read_notice(result.response).leaving;
+    const upstream_notice notice = dialect_.read_notice(result.response);
+    announced_->draining = notice.leaving;
     // Only that the process runs already is known. A later one with the same id has a later start.
     announced_->started_at =
         kernel::incarnation(static_cast<std::uint64_t>(SinceEpochMs().count()));
@@ -146,7 +152,8 @@
       announced_->draining = last_announced_->draining;
       announced_->version = last_announced_->version;
     } else {
-      SetRateLimit(std::nullopt);
+      rate_limit_known_ = notice.rate_limit.has_value();
+      SetRateLimit(notice.rate_limit);
     }
     OnStateChanged("healthy");
   }
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "cornelweir/logging.h"
 #include "plugins/sidecar/queue_telemetry.h"
+#include "plugins/wall_clock.h"
 
 namespace cornelweir::plugins::sidecar {
 namespace internal {
@@ -19,6 +20,9 @@
 // from a limit on its connections.
 constexpr int kMaxConnectFailures = 2;
 
+// Requests at a time at an upstream whose rate limit is unknown.
+constexpr std::int64_t kSlotsOfUnknownLimit = 1;
+
 }  // namespace internal
 
 upstream_dispatcher::upstream_dispatcher(daemon_context& context, const dialect_functions& dialect,
@@ -31,7 +35,8 @@
       backlog_(context, [this] { StartHeld(); }),
       queue_timer_(context.loop),
       probe_timer_(context.loop),
-      started_at_(context.clock.Now()) {
+      started_at_(context.clock.Now()),
+      started_at_ms_(static_cast<std::uint64_t>(SinceEpochMs().count())) {
   client_.SetEndpoint(context.settings.sidecar->upstream);
 }
 
@@ -85,7 +90,9 @@
 }
 
 void upstream_dispatcher::UpdateSlots() {
-  StartAll(queue_.SetSlots(IsOpen() ? announced_->slots : 0, Now()));
+  const std::int64_t slots = IsOpen() ? announced_->slots : 0;
+  StartAll(queue_.SetSlots(
+      rate_limit_known_ ? slots : std::min(slots, internal::kSlotsOfUnknownLimit), Now()));
 }
 
 void upstream_dispatcher::BeginShutdown() {
@@ -335,6 +342,9 @@
     return;
   }
   if (notice.leaving) Withdraw(ended.upstream, "leaving");
+  if (notice.rate_limit || ended.response_kind == upstream_response_kind::kResponse) {
+    OnRateLimitKnown();
+  }
   if (notice.rate_limit) {
     rate_limited_at_ = Now();
     SetRateLimit(notice.rate_limit);
@@ -344,6 +354,16 @@
   }
 }
 
+// Posted, since a response is handled before its slot is released.
+void upstream_dispatcher::OnRateLimitKnown() {
+  if (std::exchange(rate_limit_known_, true)) return;
+  context_.loop.Post([this] { OnStateChanged("rate limit known"); });
+}
+
+std::optional<membership::announced_upstream> upstream_dispatcher::LastAnnounced() const {
+  return last_announced_;
+}
+
 void upstream_dispatcher::SetRateLimit(std::optional<kernel::request_rate> rate) {
   const bool changed = rate.has_value() != queue_.rate_limit().has_value();
   if (last_announced_) last_announced_->rate_limit = rate;
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -48,8 +48,9 @@
   // responses of the same upstream process do not undo it.
   void Restore(const membership::announced_upstream& upstream);
   // What the latest announcement and the responses said; empty if no announcement was received or
-  // restored.
-  std::optional<membership::announced_upstream> LastAnnounced() const { return last_announced_; }
+  // restored. A rate limit that is unknown looks like none: a daemon that restarts again before
+  // the first response takes it for that.
+  std::optional<membership::announced_upstream> LastAnnounced() const;
   // Probes the health of the upstream until it announces itself, for a limited time after the
   // start.
   void ProbeUntilAnnounced(const std::string& health_path);
@@ -136,6 +137,7 @@
   void OnExchangeEnded(admission::ticket id, http::upstream_result result);
   void RecordEvidence(const run& ended, const run_result& result);
   void OnNotice(const run& ended, const upstream_notice& notice);
+  void OnRateLimitKnown();
   void SetRateLimit(std::optional<kernel::request_rate> rate);
   run_result TranslateResult(const run& ended, http::upstream_result result);
   kernel::microseconds EstimateTransferTime(const route_history& route) const;
@@ -171,6 +173,9 @@
   kernel::time_point warmed_up_at_;
   // When a response last stated a rate limit.
   kernel::time_point rate_limited_at_;
+  // Whether a response has stated the rate limit or that there is none. The daemon does not know it
+  // of an upstream that ran before the daemon started, unless a control host does.
+  bool rate_limit_known_ = true;
   // The upstream refused connections or was replaced. Reset by the next announcement.
   bool unavailable_ = false;
   bool shutting_down_ = false;
@@ -181,6 +186,8 @@
   loop::timer queue_timer_;
   loop::timer probe_timer_;
   kernel::time_point started_at_;
+  // The same start in the time of announcements.
+  kernel::incarnation started_at_ms_;
 };
 
 }  // namespace cornelweir::plugins::sidecar
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -131,6 +131,15 @@
     http::RunUntil(daemon_.loop, [this] { return !dispatcher_->busy(); });
   }
 
+  // Announces an upstream whose responses state no rate limit.
+  void AnnounceWithoutRateLimit() {
+    dispatcher_->Announce(Announcement(1));
+    RunToEnd({kNoHeader});
+    http::RunUntil(daemon_.loop, [this] { return dispatcher_->Load().slots == 6; });
+    runs_ = 0;
+    latest_.reset();
+  }
+
   // Sends ten requests and returns how many of them have not started.
   std::int64_t QueuedOfTen() {
     Run(10, kLongTime);
@@ -243,7 +252,7 @@
 
 // The same for a request that was queued before the pause and gets a slot after it.
 TEST_F(UpstreamDispatcherTest, DoesNotStartAQueuedRequestThatWasCancelledDuringThePause) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceWithoutRateLimit();
   run_responses_.push_back(Response(kNoHeader));
   Run(6, kLongTime);
   const admission::ticket queued = RunAfterAPause(kLongTime);
@@ -270,7 +279,7 @@
 
 // Guards against calls of the upstream that have no rank, or that of requests that only wait.
 TEST_F(UpstreamDispatcherTest, CallsInheritTheRankOfRunningRequests) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceWithoutRateLimit();
   EXPECT_FALSE(dispatcher_->RankOfCalls());
   Run(6, kLongTime);
   Run(7, kLongTime * 2);
@@ -330,7 +339,7 @@
 
 // Guards against a limit that is lost because a request which ran before it ends later.
 TEST_F(UpstreamDispatcherTest, KeepsTheRateLimitAfterAResponseToAnEarlierRequest) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceWithoutRateLimit();
   RunToEnd({kSlowRateHeader, kNoHeader});
   EXPECT_GE(QueuedOfTen(), 9);
 }
@@ -380,7 +389,7 @@
 // Guards against new requests for an upstream whose responses say that it leaves, before or without
 // an announcement that says so.
 TEST_F(UpstreamDispatcherTest, StopsUsingAnUpstreamWhoseResponseSaysThatItLeaves) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceWithoutRateLimit();
   Run(6, kLongTime);
   Run(1, kLongTime);
   ASSERT_EQ(dispatcher_->Load().queued, 1);
@@ -412,6 +421,35 @@
   return record;
 }
 
+// Guards against more requests than the upstream takes after a restart of the daemon of which no
+// control host knows the upstream: its limit is unknown until a response states it.
+TEST_F(UpstreamDispatcherTest, SendsOneRequestAtATimeWhileTheRateLimitIsUnknown) {
+  EXPECT_EQ(dispatcher_->Announce(Announcement(1)), announcement_result::kAccepted);
+  EXPECT_EQ(dispatcher_->Load().slots, 1);
+  EXPECT_EQ(QueuedOfTen(), 9);
+  http::RunUntil(daemon_.loop, [this] { return runs_ == 1; });
+  server_.peers.front()->Send(Response(kSlowRateHeader));
+  http::RunUntil(daemon_.loop, [this] { return latest_ && latest_->response; });
+  EXPECT_EQ(dispatcher_->LastAnnounced()->rate_limit, kSlowRate);
+  EXPECT_GE(QueuedOfTen(), 9);
+}
+
+// Guards against a daemon that never uses more than one slot of an upstream without a limit.
+TEST_F(UpstreamDispatcherTest, UsesAllSlotsOnceAResponseStatesNoRateLimit) {
+  Probe();
+  dispatcher_->Announce(Announcement(1));
+  EXPECT_EQ(dispatcher_->Load().slots, 1);
+  RunToEnd({kNoHeader});
+  http::RunUntil(daemon_.loop, [this] { return dispatcher_->Load().slots == 6; });
+  EXPECT_FALSE(dispatcher_->LastAnnounced()->rate_limit);
+}
+
+// Guards against one request at a time at an upstream that starts while its daemon runs.
+TEST_F(UpstreamDispatcherTest, UsesAllSlotsOfAnUpstreamThatStartsAfterTheDaemon) {
+  dispatcher_->Announce(LaterProcess());
+  EXPECT_EQ(dispatcher_->Load().slots, 6);
+}
+
 // Guards against opening an upstream again that a probe found and that said in a response that it
 // leaves: its announcement from before that arrives late, or the control host returns an older
 // state. A later process with the same id is used.
