Refuse a workspace above its limit for at least 50 ms without asking the owner

Cause: after a refusal a daemon refused a workspace until the next token, which is due within milliseconds if the limit is some hundred requests a second.

Change: the daemon refuses locally for at least 50 ms. Tokens that fall due meanwhile stay in the bucket for all daemons.

Tests: AsksTheOwnerRarelyAboveTheLimit; quota_test (15) and quota_properties_test (5) pass, among them that a workspace above its limit gets what it allows.

--- a/cornelweir/src/quota/limits.h
+++ b/cornelweir/src/quota/limits.h
@@ -50,6 +50,9 @@
 // A request without a grant after this time is presumed lost, and its tokens are requested again.
 // Longer than an answer takes while the processes get no processor time for 100 ms.
 inline constexpr kernel::milliseconds kGrantTimeout{250};
+// After a refusal a daemon does not ask the owner again for this time. A workspace that sends
+// several times its limit would otherwise cause a request to the owner for each of its requests.
+inline constexpr kernel::milliseconds kMinLocalRefusal{50};
 // After a refusal a daemon asks the owner again after this time, even if the next token is due
 // later: the limit may have been raised.
 inline constexpr kernel::milliseconds kMaxLocalRefusal{1'000};
--- a/cornelweir/src/quota/quota_store.cc
+++ b/cornelweir/src/quota/quota_store.cc
@@ -167,7 +167,7 @@
       receiver.ask_again_at = std::max(next_at, now + kMinPendingDelay);
     } else {
       receiver.next_token_at = now + entry.next_in;
-      receiver.refused_until = next_at;
+      receiver.refused_until = std::max(next_at, now + kMinLocalRefusal);
     }
   }
   if (!request.overdue) EndRequest(request);
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -179,6 +179,22 @@
   EXPECT_EQ(Run(), verdict::kAdmitted);
 }
 
+// Guards against a workspace at several times its limit that causes a request to the owner for each
+// of its requests: the next token of a large workspace is due within milliseconds.
+TEST_F(QuotaTest, AsksTheOwnerRarelyAboveTheLimit) {
+  ASSERT_EQ(store_.Take(kOrion, clock_.Now()).outcome, verdict::kWaiting);
+  const auto request = store_.NextRequest(clock_.Now());
+  ASSERT_TRUE(request);
+  store_.OnGrant({request->nonce, {{kOrion, request_count(0), milliseconds(200), milliseconds(1)}}},
+                 clock_.Now());
+  EXPECT_EQ(store_.Retry(kOrion, clock_.Now()).outcome, verdict::kRefused);
+  clock_.Advance(kMinLocalRefusal - milliseconds(1));
+  EXPECT_EQ(store_.Take(kOrion, clock_.Now()).outcome, verdict::kRefused);
+  EXPECT_FALSE(store_.NextRequest(clock_.Now()));
+  clock_.Advance(milliseconds(1));
+  EXPECT_EQ(store_.Take(kOrion, clock_.Now()).outcome, verdict::kWaiting);
+}
+
 // Guards against requests that wait forever because the message with theirs was lost.
 TEST_F(QuotaTest, AsksAgainWhenNoGrantArrives) {
   ASSERT_EQ(store_.Take(kOrion, clock_.Now()).outcome, verdict::kWaiting);
