Say what happened in messages that left it open

Cause: some log events, reasons and responses named a state or a figure of speech instead of what happened, and "bad greeting" stood for three different causes.

Change: events 1008 "log lines dropped" (was "lines left out"), 2011 "state became current or outdated" ("knowledge of the newest policy changed"), 3010 "daemon appeared or its report changed" ("daemon reported"), 3011 "link to control host closed" ("control host given up"). A handler without a response yields "the handler sent no response", a disconnected caller "caller disconnected", and weights "sum to 0".

--- a/cornelweir/src/http/caller_connection.cc
+++ b/cornelweir/src/http/caller_connection.cc
@@ -137,7 +137,7 @@
 bool caller_connection::CanRetry() const { return CanAnswer() && retaining_body_; }
 
 void caller_connection::AnswerDroppedExchange() {
-  if (CanAnswer()) Respond(local_response{500, {}, "no answer\n"});
+  if (CanAnswer()) Respond(local_response{500, {}, "the handler sent no response\n"});
 }
 
 void caller_connection::AnswerIfExchangeDropped() {
--- a/cornelweir/src/http/forward_result.cc
+++ b/cornelweir/src/http/forward_result.cc
@@ -15,7 +15,7 @@
     case forward_status::kTimeout:
       return "timeout";
     case forward_status::kCallerGone:
-      return "caller gone";
+      return "caller disconnected";
     case forward_status::kDeclined:
       return "declined";
   }
--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -17,7 +17,7 @@
   X(kProcessStopped, 1003, kInfo, "process stopped")                                         \
   X(kKeysReloaded, 1006, kInfo, "keys reloaded")                                             \
   X(kKeysRefused, 1007, kError, "keys can't be loaded, the old ones stay")                   \
-  X(kLinesLeftOut, 1008, kWarning, "lines left out")                                         \
+  X(kLinesLeftOut, 1008, kWarning, "log lines dropped")                                      \
   X(kSettingsReloaded, 1009, kInfo, "settings read again")                                   \
   X(kLeaderElected, 2001, kInfo, "became leader")                                            \
   X(kLeadershipLost, 2002, kWarning, "no longer leader")                                     \
@@ -29,7 +29,7 @@
   X(kGroupChanged, 2008, kInfo, "group of control hosts changes")                            \
   X(kPolicyInvalid, 2009, kWarning, "policy refused as invalid")                             \
   X(kStorageOpened, 2010, kInfo, "data folder opened")                                       \
-  X(kCurrentStateChanged, 2011, kInfo, "knowledge of the newest policy changed")             \
+  X(kCurrentStateChanged, 2011, kInfo, "state became current or outdated")                   \
   X(kPolicyRead, 2012, kInfo, "policy read by an operator")                                  \
   X(kRolloutDecided, 2020, kInfo, "rollout order decided")                                   \
   X(kRolloutRead, 2021, kInfo, "rollout read by an operator")                                \
@@ -46,8 +46,8 @@
   X(kUpstreamLeft, 3007, kInfo, "upstream left")                                             \
   X(kLeaseExpired, 3008, kWarning, "lease expired")                                          \
   X(kControlLinkLost, 3009, kWarning, "link to control host lost")                           \
-  X(kDaemonReported, 3010, kInfo, "daemon reported")                                         \
-  X(kControlHostLost, 3011, kWarning, "control host given up")                               \
+  X(kDaemonReported, 3010, kInfo, "daemon appeared or its report changed")                   \
+  X(kControlHostLost, 3011, kWarning, "link to control host closed")                         \
   X(kControlHostConnected, 3012, kInfo, "connected to control host")                         \
   X(kPolicyApplied, 3013, kInfo, "policy in force")                                          \
   X(kUpstreamChanged, 3014, kInfo, "upstream changed")                                       \
--- a/cornelweir/src/table/configuration.h
+++ b/cornelweir/src/table/configuration.h
@@ -58,7 +58,7 @@
 };
 
 // Every fault of a table: cells out of range, references to absent rows, cycles of calls, call
-// chains that are too deep, services whose weights sum to nothing. Empty if it may be accepted.
+// chains that are too deep, services whose weights sum to 0. Empty if it may be accepted.
 std::vector<table_fault> Validate(const row_map& rows);
 
 // Whether each reference of each row names a row that is there too. The calls of services are
--- a/cornelweir/src/table/validate.cc
+++ b/cornelweir/src/table/validate.cc
@@ -125,7 +125,7 @@
     }
     for (const auto& [service, sum] : sums) {
       if (sum <= 0 && rows_.contains(KeyOf(service))) {
-        Fault(KeyOf(service), "", "the weights of its splits sum to nothing");
+        Fault(KeyOf(service), "", "the weights of its splits sum to 0");
       }
     }
   }
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -229,7 +229,7 @@
                                 std::string_view payload) {
   const auto greeting = ReadGreeting(*link, payload, context_.tls != nullptr);
   if (!greeting) {
-    link->Close("bad greeting");
+    link->Close("greeting refused");
     return;
   }
   if (greeting->role == protocol::process_role::kControl) {
--- a/plugins/proxy/subscription.cc
+++ b/plugins/proxy/subscription.cc
@@ -157,7 +157,7 @@
   const auto known = children_.find(link.get());
   if (known == children_.end()) {
     if (!ReadGreeting(*link, payload, context_.tls != nullptr)) {
-      link->Close("bad greeting");
+      link->Close("greeting refused");
       return;
     }
     const distribution::subscriber_id id(next_child_id_++);
