Merge the token requests of daemons in the control hosts

Cause: control hosts forwarded each request of a daemon to the leader, and nothing answered while there was no leader.

Change: quota_service uses quota_merger on every control host, the leader included. A host whose leader changes sends its requests again at once. The leader no longer answers its own daemons' requests before 5 ms have passed, so that they are merged, too.

Tests: control_plugin_test (6), quota_test (14) pass. No run with several control hosts in processes of their own has been made.

--- a/plugins/control/quota_service.cc
+++ b/plugins/control/quota_service.cc
@@ -10,12 +10,12 @@
 namespace cornelweir::plugins::control {
 namespace internal {
 
-// Requests that arrive within this period are forwarded to the leader in one message.
+// Requests of daemons that arrive within this period are merged.
 constexpr kernel::milliseconds kQuotaFlushPeriod{5};
 // A request that can't be forwarded or answered for this long is dropped: the daemon asks again,
 // and tokens that are issued twice would be missing at other daemons.
 constexpr kernel::milliseconds kMaxQuotaQueueTime = quota::kGrantTimeout;
-// No caller waits longer than this for an answer of the leader.
+// A daemon is no longer expected to use the answer after this time.
 constexpr kernel::milliseconds kMaxAnswerTime{700};
 // Requests in the queue above which further ones are dropped.
 constexpr std::size_t kMaxQuotaQueue = 20'000;
@@ -31,8 +31,8 @@
     : owner_(owner),
       context_(context),
       tokens_(internal::ToQuotaLimits(context.settings.control->quota)),
+      merger_(kernel::nonce(context.random.NextU64() >> 1U)),
       flush_timer_(context.loop),
-      next_id_(context.random.NextU64() >> 1U),
       requests_(context.metrics.Counter("cornelweir_quota_requests_total",
                                         "Requests for tokens that this host answered as leader")),
       tokens_requested_(context.metrics.Counter("cornelweir_quota_tokens_requested_total",
@@ -47,13 +47,11 @@
 
 void quota_service::Receive(const std::shared_ptr<transport::link>& daemon,
                             const quota::quota_request& request) {
-  if (queue_.size() >= internal::kMaxQuotaQueue) return;
-  const std::uint64_t id = next_id_++;
-  waiting_.emplace(id, waiting_daemon{daemon, Now()});
-  queue_.push_back({std::nullopt, {id, request}, Now()});
-  if (owner_.local_replica().node().IsLeader()) {
-    Flush();
-  } else if (!flush_timer_.running()) {
+  if (waiting_.size() >= internal::kMaxQuotaQueue) return;
+  next_id_ = Next(next_id_);
+  waiting_.emplace(next_id_, waiting_daemon{daemon, Now()});
+  merger_.Add(next_id_, request, Now());
+  if (!flush_timer_.running()) {
     flush_timer_.Start(internal::kQuotaFlushPeriod, [this] { Flush(); });
   }
 }
@@ -68,7 +66,9 @@
 }
 
 void quota_service::Receive(const protocol::quota_grant_batch& batch) {
-  for (const protocol::forwarded_quota_grant& forwarded : batch.grants) SendToDaemon(forwarded);
+  for (const protocol::forwarded_quota_grant& forwarded : batch.grants) {
+    OnOwnGrant(forwarded.grant);
+  }
 }
 
 // Answers or forwards what is queued. What is left, because this host may not issue yet or knows no
@@ -76,18 +76,24 @@
 void quota_service::Flush() {
   DropExpired();
   const replication::node& node = owner_.local_replica().node();
+  if (asked_leader_ != node.leader()) {
+    asked_leader_ = node.leader();
+    merger_.OnOwnerChanged();
+  }
   if (node.IsLeader()) {
     // The fence and the buckets use the same time, so that a pause in between can't move tokens to
     // the time of a later leader.
     const kernel::time_point now = Now();
     if (MayIssue(now)) AnswerQueue(now);
-  } else if (node.leader()) {
-    ForwardQueue(*node.leader());
+  } else {
+    // A host that sent a request to this one will learn of the leader, too.
+    queue_.clear();
+    if (node.leader()) ForwardMerged(*node.leader());
   }
-  if (queue_.empty()) {
-    flush_timer_.Cancel();
-  } else if (!flush_timer_.running()) {
+  if (!queue_.empty() || merger_.HasWork()) {
     flush_timer_.Start(internal::kQuotaFlushPeriod, [this] { Flush(); });
+  } else {
+    flush_timer_.Cancel();
   }
 }
 
@@ -96,6 +102,7 @@
   std::erase_if(queue_, [&](const queued_request& queued) {
     return now - queued.received_at > internal::kMaxQuotaQueueTime;
   });
+  for (const quota::quota_merger::answer& answered : merger_.Tick(now)) SendToDaemon(answered);
   while (!waiting_.empty() &&
          now - waiting_.begin()->second.received_at > internal::kMaxAnswerTime) {
     waiting_.erase(waiting_.begin());
@@ -116,14 +123,18 @@
 
 void quota_service::AnswerQueue(kernel::time_point now) {
   UpdateLimits();
+  while (auto merged = merger_.NextRequest(now)) {
+    queue_.push_back({std::nullopt, {merged->nonce.value(), *std::move(merged)}, now});
+  }
   std::map<kernel::host_id, protocol::quota_grant_batch> answers;
   for (const queued_request& queued : std::exchange(queue_, {})) {
+    const kernel::host_id& holder = queued.sender ? *queued.sender : context_.settings.host;
     protocol::forwarded_quota_grant answer{queued.forwarded.id,
-                                           Answer(queued.forwarded.request, now)};
+                                           Answer(holder, queued.forwarded.request, now)};
     if (queued.sender) {
       answers[*queued.sender].grants.push_back(std::move(answer));
     } else {
-      SendToDaemon(answer);
+      OnOwnGrant(answer.grant);
     }
   }
   for (const auto& [host, batch] : answers) owner_.SendToHost(host, batch);
@@ -132,22 +143,31 @@
   tokens_.DropFullBuckets(now);
 }
 
-void quota_service::ForwardQueue(const kernel::host_id& leader) {
-  protocol::quota_batch batch;
-  for (const queued_request& queued : queue_) {
-    if (!queued.sender) batch.requests.push_back(queued.forwarded);
+void quota_service::ForwardMerged(const kernel::host_id& leader) {
+  while (auto merged = merger_.NextRequest(Now())) {
+    protocol::quota_batch batch;
+    batch.requests.push_back({merged->nonce.value(), *std::move(merged)});
+    if (owner_.SendToHost(leader, batch)) continue;
+    merger_.OnOwnerChanged();
+    return;
+  }
+}
+
+void quota_service::OnOwnGrant(const quota::quota_grant& grant) {
+  for (const quota::quota_merger::answer& answered : merger_.OnGrant(grant, Now())) {
+    SendToDaemon(answered);
   }
-  if (!batch.requests.empty() && !owner_.SendToHost(leader, batch)) return;
-  // A host that forwarded a request to this one will learn of the leader, too.
-  queue_.clear();
 }
 
-quota::quota_grant quota_service::Answer(const quota::quota_request& request,
+quota::quota_grant quota_service::Answer(const kernel::host_id& holder,
+                                         const quota::quota_request& request,
                                          kernel::time_point now) {
   quota::quota_grant grant{request.nonce, {}};
   grant.entries.reserve(request.entries.size());
   for (const quota::token_request& entry : request.entries) {
     grant.entries.push_back(Answer(entry, now));
+    tokens_.IssueReserve({holder, request.nonce, entry.held, entry.demand}, grant.entries.back(),
+                         now);
     tokens_requested_.Increment(static_cast<std::uint64_t>(
         std::clamp(entry.wanted, kernel::request_count(0), quota::kMaxTokensPerEntry).value()));
     tokens_issued_.Increment(static_cast<std::uint64_t>(grant.entries.back().granted.value()));
@@ -187,12 +207,12 @@
   }
 }
 
-void quota_service::SendToDaemon(const protocol::forwarded_quota_grant& forwarded) {
-  const auto found = waiting_.find(forwarded.id);
+void quota_service::SendToDaemon(const quota::quota_merger::answer& answered) {
+  const auto found = waiting_.find(answered.request);
   if (found == waiting_.end()) return;
   const std::shared_ptr<transport::link> link = found->second.link.lock();
   waiting_.erase(found);
-  if (link) link->Send(codec::Encode(protocol::fleet_message{forwarded.grant}));
+  if (link) link->Send(codec::Encode(protocol::fleet_message{answered.grant}));
 }
 
 }  // namespace cornelweir::plugins::control
--- a/plugins/control/quota_service.h
+++ b/plugins/control/quota_service.h
@@ -20,8 +20,8 @@
 
 class control_plugin;
 
-// Answers the requests of daemons for tokens: on the leader itself, on another control host by
-// forwarding them to the leader in batches.
+// Answers the requests of daemons for tokens. Every control host merges those of its daemons, with
+// one entry for each workspace, and the leader answers the merged requests.
 class quota_service {
  public:
   quota_service(control_plugin& owner, daemon_context& context);
@@ -30,13 +30,14 @@
 
   // A request of a daemon that is connected to this host.
   void Receive(const std::shared_ptr<transport::link>& daemon, const quota::quota_request& request);
-  // Requests that another control host forwards, and the leader's answers to those of this host.
+  // Requests of another control host, and the leader's answers to those of this host. Each merged
+  // request travels as one forwarded request.
   void Receive(const kernel::host_id& sender, const protocol::quota_batch& batch);
   void Receive(const protocol::quota_grant_batch& batch);
 
  private:
   struct queued_request {
-    // The control host that forwarded the request; empty if the daemon is connected to this host.
+    // The control host that sent the request; empty if this host did.
     std::optional<kernel::host_id> sender;
     protocol::forwarded_quota_request forwarded;
     kernel::time_point received_at;
@@ -51,11 +52,13 @@
   void DropExpired();
   bool MayIssue(kernel::time_point now);
   void AnswerQueue(kernel::time_point now);
-  void ForwardQueue(const kernel::host_id& leader);
-  quota::quota_grant Answer(const quota::quota_request& request, kernel::time_point now);
+  void ForwardMerged(const kernel::host_id& leader);
+  void OnOwnGrant(const quota::quota_grant& grant);
+  quota::quota_grant Answer(const kernel::host_id& holder, const quota::quota_request& request,
+                            kernel::time_point now);
   quota::token_grant Answer(const quota::token_request& request, kernel::time_point now);
   void UpdateLimits();
-  void SendToDaemon(const protocol::forwarded_quota_grant& forwarded);
+  void SendToDaemon(const quota::quota_merger::answer& answered);
 
   control_plugin& owner_;
   daemon_context& context_;
@@ -66,11 +69,15 @@
   // The limits of the workspaces that have one, in the policy below.
   std::shared_ptr<const policy::policy_table> policy_;
   std::unordered_map<kernel::workspace_id, quota::workspace_limit> limits_;
+  // The requests of the daemons that are connected to this host, and the leader that has them.
+  quota::quota_merger merger_;
+  std::optional<kernel::host_id> asked_leader_;
+  // The requests that this host is to answer as the leader.
   std::vector<queued_request> queue_;
   loop::timer flush_timer_;
   // The daemons that wait for an answer, by the id of their request. Ids ascend with the time.
-  std::map<std::uint64_t, waiting_daemon> waiting_;
-  std::uint64_t next_id_;
+  std::map<quota::pending_request_id, waiting_daemon> waiting_;
+  quota::pending_request_id next_id_;
   metrics::counter& requests_;
   metrics::counter& tokens_requested_;
   metrics::counter& tokens_issued_;
