--- a/cornelweir/src/logging/event.h
+++ b/cornelweir/src/logging/event.h
@@ -10,7 +10,7 @@
 
 namespace cornelweir::logging {
 
-// One log line: the event's number, name and fields. It is written when the object goes away.
+// One log line: the event's number, name and fields. It is written by the destructor.
 //
 //   event(event_id::kVersionApplied).With("version", version);
 class event {
--- a/cornelweir/src/logging/line_buffer.h
+++ b/cornelweir/src/logging/line_buffer.h
@@ -8,15 +8,15 @@
 
 namespace cornelweir::logging {
 
-// Log lines on their way to a descriptor that may be slow. Lines are taken as long as there is room
-// and counted when there is not, so that logging never holds up the program that logs.
+// Buffers log lines for a descriptor that may be slow. Lines that exceed the capacity are dropped
+// and counted, so that logging never blocks the process.
 class line_buffer {
  public:
   explicit line_buffer(std::size_t capacity) : capacity_(capacity) {}
 
   void Add(std::string_view line);
-  // What has not been written yet. A line that tells how many were left out comes before the next
-  // one that is taken.
+  // The text that has not been written yet. A line with the number of dropped lines precedes the
+  // next line that is accepted.
   std::string_view pending() const {
     std::string_view text = text_;
     text.remove_prefix(written_);
--- a/cornelweir/src/logging/output.cc
+++ b/cornelweir/src/logging/output.cc
@@ -14,7 +14,7 @@
 namespace cornelweir::logging {
 namespace {
 
-// What one process may have waiting: some seconds of one line a request at the usual rates.
+// Size of the buffered lines of a process: some seconds of one line a request at the usual rates.
 constexpr std::size_t kBufferBytes = std::size_t{128} << 10;
 
 // Takes the lines that glog formats, with the time and severity in front.
--- a/cornelweir/src/logging/output.h
+++ b/cornelweir/src/logging/output.h
@@ -7,7 +7,7 @@
 // FlushOutput() empties. Standard output is switched to non-blocking mode.
 void StartOutput();
 
-// Writes what standard output takes now. The program calls it every now and then, and at its end.
+// Writes as much as standard output accepts now. To be called periodically and before the exit.
 void FlushOutput();
 
 }  // namespace cornelweir::logging
--- a/cornelweir/src/metrics/label.h
+++ b/cornelweir/src/metrics/label.h
@@ -7,7 +7,7 @@
 
 namespace cornelweir::metrics {
 
-// Tells one series of a metric from the others, for example tenant="payroll".
+// Distinguishes a series of a metric from the others, for example tenant="payroll".
 struct label {
   std::string name;
   std::string value;
--- a/cornelweir/src/settings/daemon_settings.h
+++ b/cornelweir/src/settings/daemon_settings.h
@@ -13,7 +13,7 @@
 
 namespace cornelweir::settings {
 
-// Everything that a daemon is told at its start. docs/SETTINGS.md describes each key.
+// The settings of a daemon, read at its start. docs/SETTINGS.md describes each key.
 struct daemon_settings {
   kernel::host_id host;
   kernel::failure_domain failure_domain;
--- a/cornelweir/src/settings/load_settings.h
+++ b/cornelweir/src/settings/load_settings.h
@@ -12,7 +12,7 @@
 
 // Reads a settings file. Each override replaces one key and has the form
 // "control.data_folder=/tmp/x"; a list of texts is given with commas, other lists as JSON. Errors
-// carry a settings_error with every fault of the file and of the overrides.
+// carry a settings_error with every error in the file and in the overrides.
 boost::leaf::result<daemon_settings> LoadSettings(const std::string& path,
                                                   const std::vector<std::string>& overrides);
 
--- a/cornelweir/src/settings/section_reader.h
+++ b/cornelweir/src/settings/section_reader.h
@@ -18,7 +18,7 @@
 // Whether port 0 is allowed, which lets the system choose a free port to listen at.
 enum class port_rule : std::uint8_t { kMayBeZero, kNotZero };
 
-// Reads the keys of one section. Every fault is recorded with its place, and reading goes on.
+// Reads the keys of one section. Every error is recorded with its place, and reading goes on.
 class section_reader {
  public:
   section_reader(settings_document& document, const json& section, std::string place);
@@ -50,7 +50,7 @@
                         kernel::milliseconds& value);
   bool OptionalSection(std::string_view key, const std::function<void(section_reader&)>& read);
 
-  // Records a fault for each key of the section that was not asked for.
+  // Records an error for each key of the section that no other call has read.
   void RefuseUnknownKeys();
 
   void AddFault(std::string_view key, std::string reason);
--- a/cornelweir/src/settings/settings_document.cc
+++ b/cornelweir/src/settings/settings_document.cc
@@ -10,7 +10,7 @@
 }
 
 void settings_document::Parse(std::string_view text) {
-  // The library keeps the last of two equal keys without a word; the first may be the one meant.
+  // The library silently keeps the last of two equal keys, but the first may be the intended one.
   std::vector<std::set<std::string>> open_objects;
   const auto check_keys = [&](int, json::parse_event_t event, json& parsed) {
     if (event == json::parse_event_t::object_start) open_objects.emplace_back();
--- a/cornelweir/src/settings/settings_document.h
+++ b/cornelweir/src/settings/settings_document.h
@@ -13,16 +13,16 @@
 
 using json = nlohmann::json;
 
-// Settings as JSON, with the overrides put in place, and the faults found so far.
+// Settings as JSON, with the overrides applied, and the errors found so far.
 class settings_document {
  public:
-  // Reads JSON with comments. Records a fault for bad syntax and for keys that occur twice.
+  // Reads JSON with comments. Records an error for bad syntax and for keys that occur twice.
   void Parse(std::string_view text);
 
-  // Puts the text of an override "a.b=text" in the place of a key.
+  // Replaces the value of a key by the text of an override "a.b=text".
   void Override(const std::string& assignment);
 
-  // Whether the value at a place is the text of an override, which is converted as its key asks.
+  // Whether the value at a place is the text of an override, which is converted to the key's type.
   bool IsOverridden(const std::string& place) const { return overridden_.contains(place); }
 
   void AddFault(std::string place, std::string reason);
--- a/cornelweir/src/settings/settings_error.h
+++ b/cornelweir/src/settings/settings_error.h
@@ -13,12 +13,12 @@
   std::string reason;
 };
 
-// Every fault that one run found.
+// Every error that one reading found.
 struct settings_error {
   std::vector<settings_fault> faults;
 };
 
-// One line for each fault.
+// One line for each error.
 std::string ToString(const settings_error& error);
 
 }  // namespace cornelweir::settings
