Find a known metric without cleaning its labels again

Cause: each look-up of a metric copied its labels, cleaned their values and searched them in the sets of known values, also for a series that exists.

Change: the series with exactly these labels is looked for first. Its labels are clean and bounded already, so the result is the same.

--- a/cornelweir/src/metrics/metrics_registry.cc
+++ b/cornelweir/src/metrics/metrics_registry.cc
@@ -78,6 +78,14 @@
   RenderSample(text, name + "_count", labels, std::to_string(metric.count()));
 }
 
+// Returns the series with exactly these labels, or null. The labels of a series are clean and
+// bounded, so if it exists, BoundLabels() would return the same labels.
+template <class Metric>
+Metric* FindSeries(std::map<label_list, Metric>& series, const label_list& labels) {
+  const auto found = series.find(labels);
+  return found == series.end() ? nullptr : &found->second;
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -112,12 +120,14 @@
 counter& metrics_registry::Counter(std::string_view name, std::string_view help,
                                    const label_list& labels) {
   auto& metric = FamilyOf<counter>(name, help);
+  if (counter* const known = internal::FindSeries(metric.series, labels)) return *known;
   return metric.series[BoundLabels(metric, labels)];
 }
 
 gauge& metrics_registry::Gauge(std::string_view name, std::string_view help,
                                const label_list& labels) {
   auto& metric = FamilyOf<gauge>(name, help);
+  if (gauge* const known = internal::FindSeries(metric.series, labels)) return *known;
   return metric.series[BoundLabels(metric, labels)];
 }
 
@@ -125,6 +135,7 @@
                                        const label_list& labels,
                                        const std::vector<double>& upper_bounds) {
   auto& metric = FamilyOf<histogram>(name, help);
+  if (histogram* const known = internal::FindSeries(metric.series, labels)) return *known;
   if (metric.upper_bounds.empty()) metric.upper_bounds = upper_bounds;
   return metric.series.try_emplace(BoundLabels(metric, labels), metric.upper_bounds).first->second;
 }
