Write a log line to one stream instead of two

Cause: the destructor of an event formatted the line in a second ostringstream, copied its text, and passed that to glog; the sink allocated the line once more.

Change: the line is written to glog's stream, and the sink reuses its buffer. Text and fields of the lines stay the same.

The request lines of the rig's daemons before and after have the same form.

--- a/cornelweir/src/logging/event.cc
+++ b/cornelweir/src/logging/event.cc
@@ -2,9 +2,20 @@
 
 #include <glog/logging.h>
 
+#include <ostream>
+#include <string_view>
+
 #include "cornelweir/src/logging/output.h"
 
 namespace cornelweir::logging {
+namespace {
+
+// Writes a line to the stream of a log message.
+void WriteLine(std::ostream& out, event_id id, std::string_view message, std::string_view fields) {
+  out << "event=" << static_cast<int>(id) << " message=\"" << message << '"' << fields;
+}
+
+}  // namespace
 
 event_description Describe(event_id id) {
   switch (id) {
@@ -21,18 +32,16 @@
 
 event::~event() {
   const event_description description = Describe(id_);
-  std::ostringstream line;
-  line << "event=" << static_cast<int>(id_) << " message=\"" << description.message << '"'
-       << text_.str();
+  const std::string_view fields = text_.view();
   switch (description.level) {
     case severity::kInfo:
-      LOG(INFO) << line.str();
+      WriteLine(LOG(INFO), id_, description.message, fields);
       break;
     case severity::kWarning:
-      LOG(WARNING) << line.str();
+      WriteLine(LOG(WARNING), id_, description.message, fields);
       break;
     case severity::kError:
-      LOG(ERROR) << line.str();
+      WriteLine(LOG(ERROR), id_, description.message, fields);
       break;
   }
 }
--- a/cornelweir/src/logging/output.cc
+++ b/cornelweir/src/logging/output.cc
@@ -27,10 +27,13 @@
     std::snprintf(prefix, sizeof prefix, "time=%02d:%02d:%02d.%06d severity=%s ", time.hour(),
                   time.min(), time.sec(), static_cast<int>(time.usec()),
                   google::GetLogSeverityName(severity));
-    buffer.Add(prefix + std::string(message, size));
+    line.assign(prefix).append(message, size);
+    buffer.Add(line);
   }
 
   line_buffer buffer{kBufferBytes};
+  // Kept between lines, so that its memory is used again.
+  std::string line;
 };
 
 std::unique_ptr<output_sink>& Sink() {
