Encode and decode a daemon's control messages without a document

Cause: each quota request and grant, and each update of a control host five times a second, passed through a JSON document in a daemon.

Change: control_client uses EncodeDirectly and DecodeDirectly, which write and read the same bytes. A test compares them with Encode for the messages of both directions.

--- a/plugins/sidecar/control_client.cc
+++ b/plugins/sidecar/control_client.cc
@@ -167,19 +167,21 @@
   report.self.upstream = handlers_.last_upstream();
   if (policy_) report.enforced_policy = policy_->version;
   report.enforced_rollouts = handlers_.rollouts_revision();
-  link_->Send(codec::Encode(protocol::report_message{report}));
+  link_->Send(codec::EncodeDirectly(protocol::report_message{report}));
 }
 
 bool control_client::RequestQuota(const quota::quota_request& request) {
-  return connected_ && link_ && link_->Send(codec::Encode(protocol::report_message{request}));
+  return connected_ && link_ &&
+         link_->Send(codec::EncodeDirectly(protocol::report_message{request}));
 }
 
 void control_client::Report(const rollout::rollout_sample& sample) {
-  if (link_ && connected_) link_->Send(codec::Encode(protocol::report_message{sample}));
+  if (link_ && connected_) link_->Send(codec::EncodeDirectly(protocol::report_message{sample}));
 }
 
 void control_client::OnMessage(std::string_view payload) {
-  const auto message = codec::Decode<protocol::fleet_message>(payload);
+  const auto message =
+      codec::DecodeDirectly<protocol::fleet_message>(payload, codec::kMaxMessageBytes);
   if (!message) {
     Disconnect("malformed message");
     return;
--- a/tests/direct_cbor_test.cc
+++ b/tests/direct_cbor_test.cc
@@ -125,6 +125,40 @@
   }
 }
 
+// Guards against messages between daemons and control hosts that another version can't read.
+TEST(DirectCbor, WritesAndReadsMessagesOfControlHostsLikeEncode) {
+  const auto expect_same = []<class Message>(const Message& message) {
+    const std::string bytes = Encode(message);
+    EXPECT_EQ(EncodeDirectly(message), bytes);
+    const auto read = DecodeDirectly<Message>(bytes, kMaxMessageBytes);
+    EXPECT_TRUE(read && Encode(read.value()) == bytes);
+  };
+  membership::roster_entry entry;
+  entry.daemon = kernel::endpoint("127.0.0.1:1");
+  entry.upstream.emplace().id = kernel::upstream_id("u1");
+  entry.upstream->rate_limit = kernel::request_rate(250'000);
+  rollout::rollout_record record;
+  record.service = kernel::service_name("forms");
+  record.released = {kernel::software_version("v1"), kernel::software_version("v2")};
+  protocol::fleet_update update;
+  update.policy_delta.bytes = std::string("\0\xff", 2);
+  update.present = {entry, {}};
+  update.gone = {entry.daemon};
+  update.last_upstream = entry.upstream;
+  update.rollouts = {record};
+  expect_same(protocol::fleet_message(update));
+  const kernel::workspace_id workspace("w1");
+  expect_same(protocol::fleet_message(quota::quota_grant{
+      kernel::nonce(1), {{workspace, kernel::request_count(2), kernel::microseconds(-3), {}}}}));
+  expect_same(protocol::report_message(
+      quota::quota_request{kernel::nonce(1), {{workspace, kernel::request_count(300)}}}));
+  protocol::daemon_report report;
+  report.self = entry;
+  expect_same(protocol::report_message(report));
+  rollout::rollout_sample sample;
+  expect_same(protocol::report_message(sample));
+}
+
 // Guards against malformed bytes that crash a host, fill its memory or are read as another value.
 TEST(DirectCbor, ReadsAnyBytes) {
   EXPECT_TRUE(rc::check([] {
