Count the running retries of an upstream instead of searching them

Cause: RepeatedShare walked over all runs, running or queued, for each request of a caller.

Change: two counters, updated where a run starts and ends, replace the walk. A test guards against counting requests that wait or have ended.

--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -174,14 +174,8 @@
 }
 
 double upstream_dispatcher::RepeatedShare() const {
-  std::size_t running = 0;
-  std::size_t repeated = 0;
-  for (const auto& [id, run] : runs_) {
-    if (!run.exchange) continue;
-    ++running;
-    if (run.request.repeated) ++repeated;
-  }
-  return running == 0 ? 0 : static_cast<double>(repeated) / static_cast<double>(running);
+  if (running_ == 0) return 0;
+  return static_cast<double>(running_repeated_) / static_cast<double>(running_);
 }
 
 void upstream_dispatcher::StartQueueTimer() {
@@ -242,6 +236,8 @@
   const std::size_t mean_bytes = history_[started.request.route].response_bytes;
   if (bulk_sender::IsLarge(mean_bytes)) started.expected_bytes = mean_bytes;
   expected_bytes_ += started.expected_bytes;
+  ++running_;
+  if (started.request.repeated) ++running_repeated_;
   const kernel::microseconds left = started.deadline - started.started_at;
   started.exchange = client_.Send(
       dialect_.encode_run(started.request, std::move(started.body), announced_->id,
@@ -393,10 +389,17 @@
   known.OnTimeout(elapsed, Now());
 }
 
+void upstream_dispatcher::CountEnd(const run& ended) {
+  if (!ended.exchange) return;
+  expected_bytes_ -= ended.expected_bytes;
+  --running_;
+  if (ended.request.repeated) --running_repeated_;
+}
+
 void upstream_dispatcher::Finish(admission::ticket id, run_result result) {
   const auto found = runs_.find(id);
   if (found == runs_.end()) return;
-  expected_bytes_ -= found->second.expected_bytes;
+  CountEnd(found->second);
   run ended = std::move(found->second);
   runs_.erase(found);
   result.nested = ended.nested;
@@ -420,7 +423,7 @@
     RecordEvidence(found->second, timeout);
   }
   found->second.exchange->Cancel();
-  expected_bytes_ -= found->second.expected_bytes;
+  CountEnd(found->second);
   runs_.erase(found);
   StartAll(queue_.Release(id, std::nullopt, Now()));
 }
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -136,6 +136,8 @@
   kernel::microseconds EstimateTransferTime(const route_history& route) const;
   void RecordRun(const kernel::route_name& route, kernel::microseconds run_time, std::size_t bytes);
   void RecordTimeout(const run& ended);
+  // Takes a run that ends out of the counts of what runs. Does nothing if it was never started.
+  void CountEnd(const run& ended);
   void Finish(admission::ticket id, run_result result);
   void RefuseAll(const std::vector<admission::ticket>& ids, protocol::run_failure failure);
   void OnConnectFailure();
@@ -170,6 +172,10 @@
   std::map<kernel::route_name, route_history> history_;
   // Total expected body size of the running requests with large responses.
   std::size_t expected_bytes_ = 0;
+  // Number of the requests at the upstream, and of those that another upstream may have received
+  // before.
+  std::size_t running_ = 0;
+  std::size_t running_repeated_ = 0;
   loop::timer queue_timer_;
   loop::timer probe_timer_;
   kernel::time_point started_at_;
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -225,6 +225,42 @@
   EXPECT_LE(rank->time_left, kLongTime);
 }
 
+// Guards against a share of retries that counts requests which only wait, or which have ended.
+TEST_F(UpstreamDispatcherTest, StatesTheShareOfRetriesAmongRunningRequests) {
+  dispatcher_->Announce(Announcement(1));
+  EXPECT_EQ(dispatcher_->RepeatedShare(), 0);
+  protocol::run_request run;
+  run.service = kernel::service_name("forms");
+  run.method = "GET";
+  run.target = "/run";
+  run.retry_safety = policy::retry_safety::kIdempotent;
+  run.time_left = run.objective_left = kLongTime;
+  std::vector<admission::ticket> tickets;
+  const auto start = [&](int count, bool repeated) {
+    run.repeated = repeated;
+    for (int i = 0; i < count; ++i) {
+      tickets.push_back(dispatcher_->Run(run, "", [](const run_result&) {}));
+    }
+  };
+  start(3, false);
+  EXPECT_EQ(dispatcher_->RepeatedShare(), 0);
+  start(3, true);
+  EXPECT_EQ(dispatcher_->RepeatedShare(), 0.5);
+  start(2, true);
+  EXPECT_EQ(dispatcher_->RepeatedShare(), 0.5) << "two requests wait";
+  dispatcher_->Cancel(tickets[6]);
+  EXPECT_EQ(dispatcher_->RepeatedShare(), 0.5) << "a waiting request was cancelled";
+  dispatcher_->Cancel(tickets[0]);
+  EXPECT_EQ(dispatcher_->RepeatedShare(), 4.0 / 6.0) << "a waiting request took the slot";
+  for (const admission::ticket& ticket : tickets) dispatcher_->Cancel(ticket);
+  EXPECT_EQ(dispatcher_->RepeatedShare(), 0);
+  run_responses_.push_back(Response(kNoHeader));
+  start(1, true);
+  EXPECT_EQ(dispatcher_->RepeatedShare(), 1);
+  http::RunUntil(daemon_.loop, [this] { return !dispatcher_->busy(); });
+  EXPECT_EQ(dispatcher_->RepeatedShare(), 0);
+}
+
 // Guards against a nested request that waits or runs when its parent has already timed out.
 TEST_F(UpstreamDispatcherTest, ANestedRequestEndsWithItsParent) {
   dispatcher_->Announce(Announcement(1));
