Look up the metrics of requests once for each service, route and workspace

Cause: the outcome and time of a request, its wait in the queue, and the requests sent during rollouts looked up their metrics by labels for each request.

Change: request_metrics, queue_wait_metrics and peer_set keep the metric that they found first. Names, labels and values stay the same.

call_router_test, peer_test, peer_server_test, upstream_dispatcher_test and rollout_agent_test pass.

--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -49,6 +49,7 @@
       dispatcher_(dispatcher),
       quota_(quota),
       key_hash_seed_(context.random.NextU64()),
+      metrics_(context.metrics),
       deferred_timer_(context.loop),
       started_at_(context.clock.Now()) {}
 
@@ -455,14 +456,7 @@
       .With("refusals", state->refusals)
       .With("sent", state->sent_count)
       .With("ms", kernel::ToMilliseconds(took).count());
-  context_.metrics
-      .Counter("cornelweir_requests_total", "Requests of callers by outcome",
-               {{"service", state->service.value()}, {"outcome", std::string(outcome)}})
-      .Increment();
-  context_.metrics
-      .Histogram("cornelweir_request_seconds", "Time from a request to its answer",
-                 {{"service", state->service.value()}})
-      .Observe(std::chrono::duration<double>(took).count());
+  metrics_.Observe(state->service, outcome, took);
   state->request->Respond(std::move(response));
 }
 
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -21,6 +21,7 @@
 #include "plugins/sidecar/peer_set.h"
 #include "plugins/sidecar/quota_client.h"
 #include "plugins/sidecar/request_dialect.h"
+#include "plugins/sidecar/request_metrics.h"
 
 namespace cornelweir::plugins::sidecar {
 
@@ -89,6 +90,7 @@
   std::map<kernel::service_name, outcome::shared_retry_budget> retry_budgets_;
   // Routes whose requests are calls of running upstreams, as the daemons that run them report.
   std::set<kernel::route_name> nested_routes_;
+  request_metrics metrics_;
   std::size_t in_progress_ = 0;
   // Requests that wait for the policy or an upstream shortly after the daemon's start.
   std::vector<request_state_ptr> deferred_;
--- a/plugins/sidecar/peer_set.cc
+++ b/plugins/sidecar/peer_set.cc
@@ -158,16 +158,24 @@
   }
   std::shared_ptr<peer> chosen = ChooseCollected(query.large_response);
   if (chosen != nullptr && rollout::IsRunning(record)) {
-    context_.metrics
-        .Counter("cornelweir_rollout_requests_total",
-                 "Requests sent during rollouts by the group of their version",
-                 {{"service", record.service.value()},
-                  {"group", group == version_group::kTarget ? "target" : "released"}})
-        .Increment();
+    CountRolloutRequest(record.service, group);
   }
   return chosen;
 }
 
+void peer_set::CountRolloutRequest(const kernel::service_name& service,
+                                   rollout::version_group group) {
+  metrics::counter*& known = rollout_counters_[{service, group}];
+  if (known == nullptr) {
+    known = &context_.metrics.Counter(
+        "cornelweir_rollout_requests_total",
+        "Requests sent during rollouts by the group of their version",
+        {{"service", service.value()},
+         {"group", group == rollout::version_group::kTarget ? "target" : "released"}});
+  }
+  known->Increment();
+}
+
 kernel::microseconds peer_set::ServiceWait(const kernel::service_name& service) {
   const kernel::time_point now = context_.clock.Now();
   service_wait& known = service_waits_[service];
--- a/plugins/sidecar/peer_set.h
+++ b/plugins/sidecar/peer_set.h
@@ -4,11 +4,13 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "cornelweir/kernel.h"
 #include "cornelweir/loop.h"
 #include "cornelweir/membership.h"
+#include "cornelweir/metrics.h"
 #include "cornelweir/rollout.h"
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/bulk_sender.h"
@@ -60,6 +62,7 @@
   // Reduces usable_peers_ and candidates_ to those that get the requests for the target now.
   void KeepActiveSubset(const rollout::rollout_record& record);
   std::shared_ptr<peer> ChooseCollected(bool large_response);
+  void CountRolloutRequest(const kernel::service_name& service, rollout::version_group group);
   kernel::microseconds IdleProbePeriod() const;
   bool IsInOwnDomain(const peer& daemon) const;
 
@@ -76,6 +79,9 @@
     kernel::time_point computed_at;
   };
   std::map<kernel::service_name, service_wait> service_waits_;
+  // Counters of requests sent during rollouts.
+  std::map<std::pair<kernel::service_name, rollout::version_group>, metrics::counter*>
+      rollout_counters_;
   // The part of all daemons that is in the own failure domain.
   double own_domain_share_ = 1;
   // Buffers of Choose(), kept to avoid allocations.
--- a/plugins/sidecar/queue_telemetry.cc
+++ b/plugins/sidecar/queue_telemetry.cc
@@ -22,19 +22,32 @@
       .With("missed", misses_deadline ? "deadline" : "objective");
 }
 
-void ObserveQueueWait(metrics::metrics_registry& metrics, const protocol::run_request& request,
-                      std::int32_t priority, kernel::microseconds wait) {
+metrics::histogram& queue_wait_metrics::OfRoute(const kernel::route_name& route,
+                                                std::int32_t priority) {
+  metrics::histogram*& known = by_route_[route][priority];
+  if (known == nullptr) {
+    known = &metrics_.Histogram("cornelweir_queue_wait_seconds",
+                                "Time from a request's arrival to its start",
+                                {{"route", route.value()}, {"priority", std::to_string(priority)}});
+  }
+  return *known;
+}
+
+metrics::histogram& queue_wait_metrics::OfWorkspace(const kernel::workspace_id& workspace) {
+  metrics::histogram*& known = by_workspace_[workspace];
+  if (known == nullptr) {
+    known = &metrics_.Histogram("cornelweir_workspace_queue_wait_seconds",
+                                "Time from the arrival of a workspace's request to its start",
+                                {{"workspace", workspace.value()}});
+  }
+  return *known;
+}
+
+void queue_wait_metrics::Observe(const protocol::run_request& request, std::int32_t priority,
+                                 kernel::microseconds wait) {
   const double seconds = std::chrono::duration<double>(wait).count();
-  metrics
-      .Histogram("cornelweir_queue_wait_seconds", "Time from a request's arrival to its start",
-                 {{"route", request.route.value()}, {"priority", std::to_string(priority)}})
-      .Observe(seconds);
-  if (request.workspace.value().empty()) return;
-  metrics
-      .Histogram("cornelweir_workspace_queue_wait_seconds",
-                 "Time from the arrival of a workspace's request to its start",
-                 {{"workspace", request.workspace.value()}})
-      .Observe(seconds);
+  OfRoute(request.route, priority).Observe(seconds);
+  if (!request.workspace.value().empty()) OfWorkspace(request.workspace).Observe(seconds);
 }
 
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/queue_telemetry.h
+++ b/plugins/sidecar/queue_telemetry.h
@@ -1,6 +1,9 @@
 #ifndef CORNELWEIR_PLUGINS_SIDECAR_QUEUE_TELEMETRY_H_
 #define CORNELWEIR_PLUGINS_SIDECAR_QUEUE_TELEMETRY_H_
 
+#include <cstdint>
+#include <map>
+
 #include "cornelweir/admission.h"
 #include "cornelweir/kernel.h"
 #include "cornelweir/metrics.h"
@@ -23,9 +26,23 @@
 
 void LogRefusal(const refusal_record& refusal, kernel::time_point now);
 
-// Records the time from the arrival of a request to its start.
-void ObserveQueueWait(metrics::metrics_registry& metrics, const protocol::run_request& request,
-                      std::int32_t priority, kernel::microseconds wait);
+// Records the time from the arrival of requests to their start. Keeps the metric of each route and
+// workspace, as a look-up by labels costs more than an observation.
+class queue_wait_metrics {
+ public:
+  explicit queue_wait_metrics(metrics::metrics_registry& metrics) : metrics_(metrics) {}
+
+  void Observe(const protocol::run_request& request, std::int32_t priority,
+               kernel::microseconds wait);
+
+ private:
+  metrics::histogram& OfRoute(const kernel::route_name& route, std::int32_t priority);
+  metrics::histogram& OfWorkspace(const kernel::workspace_id& workspace);
+
+  metrics::metrics_registry& metrics_;
+  std::map<kernel::route_name, std::map<std::int32_t, metrics::histogram*>> by_route_;
+  std::map<kernel::workspace_id, metrics::histogram*> by_workspace_;
+};
 
 }  // namespace cornelweir::plugins::sidecar
 
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "cornelweir/logging.h"
-#include "plugins/sidecar/queue_telemetry.h"
 
 namespace cornelweir::plugins::sidecar {
 namespace internal {
@@ -28,6 +27,7 @@
       bulk_(bulk),
       on_change_(std::move(on_change)),
       client_(context.loop, http::upstream_limits()),
+      queue_waits_(context.metrics),
       queue_timer_(context.loop),
       probe_timer_(context.loop),
       started_at_(context.clock.Now()) {
@@ -231,8 +231,8 @@
   run& started = runs_.at(id);
   started.started_at = Now();
   started.upstream = announced_->id;
-  ObserveQueueWait(context_.metrics, started.request, started.rank.priority,
-                   started.started_at - started.arrived_at);
+  queue_waits_.Observe(started.request, started.rank.priority,
+                       started.started_at - started.arrived_at);
   const std::size_t mean_bytes = history_[started.request.route].response_bytes;
   if (bulk_sender::IsLarge(mean_bytes)) started.expected_bytes = mean_bytes;
   expected_bytes_ += started.expected_bytes;
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -18,6 +18,7 @@
 #include "cornelweir/rollout.h"
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/bulk_sender.h"
+#include "plugins/sidecar/queue_telemetry.h"
 #include "plugins/sidecar/request_dialect.h"
 #include "plugins/sidecar/run_result.h"
 
@@ -157,6 +158,7 @@
   admission::upstream_speed speed_;
   admission::route_calls calls_;
   service_wait_source service_wait_;
+  queue_wait_metrics queue_waits_;
   std::map<admission::ticket, run> runs_;
   std::uint64_t next_ticket_ = 1;
   // The upstream in use: the one that announced itself last, or that a probe found.
