--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -19,6 +19,7 @@
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/bulk_sender.h"
 #include "plugins/sidecar/input_backlog.h"
+#include "plugins/sidecar/queue_telemetry.h"
 #include "plugins/sidecar/request_dialect.h"
 #include "plugins/sidecar/run_result.h"
 
@@ -171,6 +172,7 @@
   admission::upstream_speed speed_;
   admission::route_calls calls_;
   service_wait_source service_wait_;
+  queue_wait_metrics queue_waits_;
   std::map<admission::ticket, run> runs_;
   input_backlog backlog_;
   // Requests that have a slot and wait until the backlog has been read.
