Let a large body wait behind one other in its own failure domain

Cause: an upstream was passed over if requests waited there longer than at the best one by a quarter of the run time.

Change: a large body may wait longer by the time that it takes on an idle link.

Tests: KeepsLargeBodiesInTheOwnDomainBehindOneOther.

--- a/cornelweir/src/routing/limits.h
+++ b/cornelweir/src/routing/limits.h
@@ -75,7 +75,7 @@
 inline constexpr kernel::microseconds kServiceWaitLifetime = std::chrono::seconds(1);
 inline constexpr double kMinServiceWaitWeight = 0.3;
 // An upstream is passed over if requests wait there longer than at the best one, by more than this
-// percentage of the mean run time.
+// percentage of the mean run time and the time that a large body takes on an idle link.
 inline constexpr std::int64_t kPeerWaitTolerancePercent = 25;
 // The objective of requests that have none.
 inline constexpr kernel::microseconds kNoObjective = kernel::microseconds::max();
--- a/cornelweir/src/routing/peer_choice.cc
+++ b/cornelweir/src/routing/peer_choice.cc
@@ -104,11 +104,13 @@
   double own_capacity = 0;
   double other_capacity = 0;
   kernel::microseconds shortest_wait = kernel::microseconds::max();
+  kernel::microseconds shortest_transfer = kernel::microseconds::max();
   for (const peer_candidate& candidate : candidates) {
     const internal::estimate& added =
         estimates.emplace_back(internal::EstimateOf(candidate, mean_run_time));
     (candidate.own_domain ? own_capacity : other_capacity) += added.capacity;
     shortest_wait = std::min(shortest_wait, added.wait);
+    shortest_transfer = std::min(shortest_transfer, candidate.transfer_time);
   }
   double own_share = own_capacity > 0 ? 1 : 0;
   if (own_capacity > 0 && other_capacity > 0) {
@@ -117,8 +119,9 @@
             preference.factor,
         1.0);
   }
+  // A large body may wait behind one like it, so that links are shared out by domain and capacity.
   const kernel::microseconds longest_wait =
-      shortest_wait + mean_run_time * kPeerWaitTolerancePercent / 100;
+      shortest_wait + mean_run_time * kPeerWaitTolerancePercent / 100 + shortest_transfer;
   std::optional<std::size_t> best;
   double best_score = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
--- a/tests/peer_choice_test.cc
+++ b/tests/peer_choice_test.cc
@@ -220,6 +220,20 @@
   EXPECT_LT(ExpectedTransferTime(busy, 75'000), milliseconds(310));
 }
 
+// Guards against large bodies that cross to another failure domain because of one other body in
+// front of them, and against ones that stay behind several.
+TEST(PeerChoice, KeepsLargeBodiesInTheOwnDomainBehindOneOther) {
+  const link_load idle{0, 750'000, {}, 0};
+  for (const auto& [bodies_ahead, chosen] : {std::pair{1, 0U}, std::pair{4, 1U}}) {
+    const link_load busy{75'000 * bodies_ahead, 750'000, {}, 0};
+    std::vector<peer_candidate> candidates{Candidate(3, 140), Candidate(3, 140)};
+    candidates[1].own_domain = false;
+    candidates[0].transfer_time = ExpectedTransferTime(busy, 75'000);
+    candidates[1].transfer_time = ExpectedTransferTime(idle, 75'000);
+    EXPECT_EQ(Choose(candidates, {0.5, kLargeBodyDomainFactor}), chosen) << bodies_ahead;
+  }
+}
+
 // Guards against an upstream that gets more than its share: the busiest got 1.7 times the mean.
 TEST(PeerChoice, RequestsFollowTheSpeedOfTheUpstreams) {
   fleet_simulation fleet;
