Cross to another failure domain by share or for want of room only

Cause: the probability of being late was weighed against the credit of upstreams in other domains, too, even where the own domain has room for all its requests.

Change: an upstream without a share of the daemon's requests is chosen only if all others are passed over.

Tests: KeepsRequestsWithLittleTimeInTheOwnDomain.

--- a/cornelweir/src/routing/peer_choice.cc
+++ b/cornelweir/src/routing/peer_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "cornelweir/src/routing/limits.h"
 
@@ -123,6 +124,7 @@
   const kernel::microseconds longest_wait =
       shortest_wait + mean_run_time * kPeerWaitTolerancePercent / 100 + shortest_transfer;
   std::optional<std::size_t> best;
+  bool best_has_share = false;
   double best_score = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     peer_candidate& candidate = candidates[i];
@@ -139,8 +141,10 @@
         candidate.credit -
         kLatenessCost *
             LateProbability(internal::Scaled(route_time, internal::Slowdown(candidate)), time_left);
-    if (best && score <= best_score) continue;
+    const bool has_share = share > 0;
+    if (best && std::tuple(has_share, score) <= std::tuple(best_has_share, best_score)) continue;
     best = i;
+    best_has_share = has_share;
     best_score = score;
   }
   candidates[*best].credit = std::max(candidates[*best].credit - 1, -kMaxPeerCredit);
--- a/cornelweir/src/routing/peer_choice.h
+++ b/cornelweir/src/routing/peer_choice.h
@@ -72,6 +72,7 @@
 // fast upstreams, and the other requests get the slow ones.
 //
 // The requests of a failure domain stay in it as far as the capacity of its own upstreams allows.
+// Upstreams without a share of them get requests only if the others are passed over.
 std::optional<std::size_t> ChoosePeer(std::vector<peer_candidate>& candidates,
                                       const domain_preference& preference,
                                       kernel::microseconds objective_left = kNoObjective);
--- a/tests/peer_choice_test.cc
+++ b/tests/peer_choice_test.cc
@@ -292,6 +292,22 @@
   EXPECT_NEAR(at_fast, kRequests * uneven_service::kFastCapacity, kRequests * 0.02);
 }
 
+// Guards against requests that cross to a faster upstream of another failure domain, whose share is
+// needed by its own requests.
+TEST(PeerChoice, KeepsRequestsWithLittleTimeInTheOwnDomain) {
+  std::vector<peer_candidate> candidates{Candidate(0, 157), Candidate(0, 157), Candidate(0, 70)};
+  for (peer_candidate& candidate : candidates) candidate.route_run_time = candidate.run_time;
+  candidates[2].own_domain = false;
+  candidates[2].credit = 1;
+  // The own domain has as large a part of the capacity as of the daemons.
+  constexpr double kDaemonShare = 0.4;
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_LT(*ChoosePeer(candidates, {kDaemonShare, 1}, milliseconds(250)), 2U);
+  }
+  for (std::size_t own : {0, 1}) candidates[own].reported_requests = 25;
+  EXPECT_EQ(ChoosePeer(candidates, {kDaemonShare, 1}, milliseconds(250)), 2U) << "they are full";
+}
+
 // Guards against a request that is sent to an upstream that stalls, though others end it in time.
 TEST(PeerChoice, AvoidsStallsThatWouldMissTheObjective) {
   std::vector<peer_candidate> candidates{Candidate(0, 110), Candidate(0, 110)};
