Split the choice of an upstream into its steps

Cause: ChoosePeer() had grown to 60 lines. Change: estimates, capacities of the domains, longest wait and lateness are functions of their own; no change of behaviour. 13 of 13 tests of peer_choice_test pass.

--- a/cornelweir/src/routing/peer_choice.cc
+++ b/cornelweir/src/routing/peer_choice.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
+#include <utility>
 
 #include "cornelweir/src/routing/limits.h"
 
@@ -57,6 +57,10 @@
          internal::Scaled(run_time * excess / slots, internal::Freshness(candidate.report_age));
 }
 
+double OwnDomainShare(double capacity_share, double daemon_share) {
+  return daemon_share <= 0 ? 1 : std::min(capacity_share / daemon_share, 1.0);
+}
+
 double LateProbability(kernel::microseconds run_time, kernel::microseconds time_left) {
   if (run_time.count() <= 0 || time_left == kNoObjective) return 0;
   if (time_left.count() <= 0) return 1;
@@ -86,12 +90,62 @@
   return expected;
 }
 
-}  // namespace internal
+// The probability that the request is late at a candidate. mean_route_time stands in for an unknown
+// run time of the route.
+double LateProbabilityAt(const peer_candidate& candidate, kernel::microseconds wait,
+                         kernel::microseconds mean_route_time,
+                         kernel::microseconds objective_left) {
+  if (objective_left == kNoObjective) return 0;
+  const kernel::microseconds run_time =
+      candidate.route_run_time.count() > 0 ? candidate.route_run_time : mean_route_time;
+  return LateProbability(Scaled(run_time, Slowdown(candidate)), objective_left - wait);
+}
 
-double OwnDomainShare(double capacity_share, double daemon_share) {
-  return daemon_share <= 0 ? 1 : std::min(capacity_share / daemon_share, 1.0);
+// The capacity of the candidates, and the daemon's part of its requests for each domain.
+struct domain_capacities {
+  double own = 0;
+  double other = 0;
+  double own_share = 0;
+
+  // The candidate's share of the daemon's requests.
+  double ShareOf(const peer_candidate& candidate, const estimate& expected) const {
+    return candidate.own_domain ? own_share * expected.capacity / own
+                                : (1 - own_share) * expected.capacity / other;
+  }
+};
+
+domain_capacities CapacitiesOf(const std::vector<peer_candidate>& candidates,
+                               const std::vector<estimate>& estimates,
+                               const domain_preference& preference) {
+  domain_capacities sums;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    (candidates[i].own_domain ? sums.own : sums.other) += estimates[i].capacity;
+  }
+  sums.own_share = sums.own > 0 ? 1 : 0;
+  if (sums.own > 0 && sums.other > 0) {
+    const double capacity_share = sums.own / (sums.own + sums.other);
+    sums.own_share =
+        std::min(OwnDomainShare(capacity_share, preference.daemon_share) * preference.factor, 1.0);
+  }
+  return sums;
 }
 
+// The longest wait at which an upstream is not passed over. A large body may wait behind one like
+// it, so that links are shared out by domain and capacity.
+kernel::microseconds LongestWait(const std::vector<peer_candidate>& candidates,
+                                 const std::vector<estimate>& estimates,
+                                 kernel::microseconds mean_run_time) {
+  kernel::microseconds shortest_wait = kernel::microseconds::max();
+  kernel::microseconds shortest_transfer = kernel::microseconds::max();
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    shortest_wait = std::min(shortest_wait, estimates[i].wait);
+    shortest_transfer = std::min(shortest_transfer, candidates[i].transfer_time);
+  }
+  return shortest_wait + mean_run_time * kPeerWaitTolerancePercent / 100 + shortest_transfer;
+}
+
+}  // namespace internal
+
 std::optional<std::size_t> ChoosePeer(std::vector<peer_candidate>& candidates,
                                       const domain_preference& preference,
                                       kernel::microseconds objective_left) {
@@ -102,50 +156,26 @@
       candidates, &peer_candidate::route_run_time, kernel::microseconds::zero());
   std::vector<internal::estimate> estimates;
   estimates.reserve(candidates.size());
-  double own_capacity = 0;
-  double other_capacity = 0;
-  kernel::microseconds shortest_wait = kernel::microseconds::max();
-  kernel::microseconds shortest_transfer = kernel::microseconds::max();
   for (const peer_candidate& candidate : candidates) {
-    const internal::estimate& added =
-        estimates.emplace_back(internal::EstimateOf(candidate, mean_run_time));
-    (candidate.own_domain ? own_capacity : other_capacity) += added.capacity;
-    shortest_wait = std::min(shortest_wait, added.wait);
-    shortest_transfer = std::min(shortest_transfer, candidate.transfer_time);
-  }
-  double own_share = own_capacity > 0 ? 1 : 0;
-  if (own_capacity > 0 && other_capacity > 0) {
-    own_share = std::min(
-        OwnDomainShare(own_capacity / (own_capacity + other_capacity), preference.daemon_share) *
-            preference.factor,
-        1.0);
+    estimates.push_back(internal::EstimateOf(candidate, mean_run_time));
   }
-  // A large body may wait behind one like it, so that links are shared out by domain and capacity.
+  const internal::domain_capacities capacities =
+      internal::CapacitiesOf(candidates, estimates, preference);
   const kernel::microseconds longest_wait =
-      shortest_wait + mean_run_time * kPeerWaitTolerancePercent / 100 + shortest_transfer;
+      internal::LongestWait(candidates, estimates, mean_run_time);
   std::optional<std::size_t> best;
-  bool best_has_share = false;
-  double best_score = 0;
+  std::pair<bool, double> best_rank;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     peer_candidate& candidate = candidates[i];
-    const double share = candidate.own_domain
-                             ? own_share * estimates[i].capacity / own_capacity
-                             : (1 - own_share) * estimates[i].capacity / other_capacity;
+    const double share = capacities.ShareOf(candidate, estimates[i]);
     candidate.credit = std::min(candidate.credit + share, kMaxPeerCredit);
     if (estimates[i].wait > longest_wait) continue;
-    kernel::microseconds time_left = objective_left;
-    if (objective_left != kNoObjective) time_left -= estimates[i].wait;
-    const kernel::microseconds route_time =
-        candidate.route_run_time.count() > 0 ? candidate.route_run_time : mean_route_time;
-    const double score =
-        candidate.credit -
-        kLatenessCost *
-            LateProbability(internal::Scaled(route_time, internal::Slowdown(candidate)), time_left);
-    const bool has_share = share > 0;
-    if (best && std::tuple(has_share, score) <= std::tuple(best_has_share, best_score)) continue;
+    const double late_probability =
+        internal::LateProbabilityAt(candidate, estimates[i].wait, mean_route_time, objective_left);
+    const std::pair rank{share > 0, candidate.credit - kLatenessCost * late_probability};
+    if (best && rank <= best_rank) continue;
     best = i;
-    best_has_share = has_share;
-    best_score = score;
+    best_rank = rank;
   }
   candidates[*best].credit = std::max(candidates[*best].credit - 1, -kMaxPeerCredit);
   return best;
