--- a/cornelweir/src/quota/quota_owner.cc
+++ b/cornelweir/src/quota/quota_owner.cc
@@ -89,7 +89,7 @@
   available.max_total = source.limit.MaxReserve(limits_);
   available.spare_tokens = static_cast<std::int64_t>(std::floor(source.tokens - kept));
   available.has_unknown = now < start_ + kReserveLifetime;
-  const reserve_ledger::allowance allowed = source.reserves.Update(statement, available, now);
+  const reserve_ledger::permission allowed = source.reserves.Update(statement, available, now);
   if (!allowed.is_valid) return;
   const auto added = static_cast<double>(allowed.added);
   source.tokens -= added;
--- a/cornelweir/src/quota/reserve_ledger.cc
+++ b/cornelweir/src/quota/reserve_ledger.cc
@@ -12,8 +12,8 @@
   std::erase_if(holdings_, [&](const auto& entry) { return entry.second.expires_at <= now; });
 }
 
-reserve_ledger::allowance reserve_ledger::Update(const reserve_statement& statement,
-                                                 const supply& available, kernel::time_point now) {
+reserve_ledger::permission reserve_ledger::Update(const reserve_statement& statement,
+                                                  const supply& available, kernel::time_point now) {
   DropExpired(now);
   const auto [found, added] = holdings_.try_emplace(statement.holder);
   holding& own = found->second;
@@ -39,7 +39,7 @@
   // A small excess is kept, so that a demand that varies costs few tokens. A larger one would be
   // missing at other hosts.
   const std::int64_t kept = std::min(held, target + target / 8 + 1);
-  allowance result{true, kept, 0};
+  permission result{true, kept, 0};
   if (!available.has_unknown) {
     result.added = std::clamp<std::int64_t>(
         std::min({target - kept, available.max_total - others - held, available.spare_tokens}), 0,
--- a/cornelweir/src/quota/reserve_ledger.h
+++ b/cornelweir/src/quota/reserve_ledger.h
@@ -33,7 +33,7 @@
     // Whether an earlier owner's tokens may still be valid. They are kept, but none are added.
     bool has_unknown = true;
   };
-  struct allowance {
+  struct permission {
     // Whether the statement is the newest of its holder. If not, there is no answer to it.
     bool is_valid = false;
     // The reserve that the holder may have, and how many of its tokens are new.
@@ -41,8 +41,8 @@
     std::int64_t added = 0;
   };
 
-  allowance Update(const reserve_statement& statement, const supply& available,
-                   kernel::time_point now);
+  permission Update(const reserve_statement& statement, const supply& available,
+                    kernel::time_point now);
   void DropExpired(kernel::time_point now);
   bool empty() const { return holdings_.empty(); }
 
