--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -291,7 +291,7 @@
 
 // Guards against a share of retries that counts requests which only wait, or which have ended.
 TEST_F(UpstreamDispatcherTest, StatesTheShareOfRetriesAmongRunningRequests) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceWithoutRateLimit();
   EXPECT_EQ(dispatcher_->RepeatedShare(), 0);
   protocol::run_request run;
   run.service = kernel::service_name("forms");
