--- a/cornelweir/src/http/admin_server.cc
+++ b/cornelweir/src/http/admin_server.cc
@@ -240,8 +240,9 @@
 
 // NOLINTNEXTLINE(bugprone-exception-escape)
 admin_reply::~admin_reply() {
-  if (session_)
+  if (session_) {
     session_->Reply(admin_response{500, "text/plain", "the handler sent no response\n"});
+  }
 }
 
 void admin_reply::operator()(admin_response response) {
