--- a/tests/peer_choice_test.cc
+++ b/tests/peer_choice_test.cc
@@ -225,7 +225,7 @@
 TEST(PeerChoice, KeepsLargeBodiesInTheOwnDomainBehindOneOther) {
   const link_load idle{0, 750'000, {}, 0};
   for (const auto& [bodies_ahead, chosen] : {std::pair{1, 0U}, std::pair{4, 1U}}) {
-    const link_load busy{75'000 * bodies_ahead, 750'000, {}, 0};
+    const link_load busy{std::int64_t{75'000} * bodies_ahead, 750'000, {}, 0};
     std::vector<peer_candidate> candidates{Candidate(3, 140), Candidate(3, 140)};
     candidates[1].own_domain = false;
     candidates[0].transfer_time = ExpectedTransferTime(busy, 75'000);
