--- a/tests/upload_cancel_test.cc
+++ b/tests/upload_cancel_test.cc
@@ -124,7 +124,8 @@
     http::RunUntil(loop_, [&] { return peers_.HasOther(route.service, {}); });
     EXPECT_TRUE(callers_.Listen(kernel::endpoint("127.0.0.1:0")));
   }
-  ~UploadCancelTest() override {
+
+  void TearDown() override {
     peers_.Stop();
     bool closed = false;
     remote_.server->CloseAfterDrain([&] { closed = true; });
