--- /dev/null
+++ b/review/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the review: the platform, targets, requesters and the operator, on loopback."""
