--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -64,6 +64,7 @@
         self.folder.mkdir()
         self.process = None
         self.bootstrap = True
+        self.data = self.folder / "data"
         self.inbound = f"{self.ip}:{INBOUND}"
         self.outbound = f"{self.ip}:{OUTBOUND}"
         self.readiness = f"{self.ip}:{READINESS}"
@@ -86,7 +87,7 @@
         }
         if self.role == "control":
             own["machine_class"] = "core"
-            own["data_dir"] = str(self.folder / "data")
+            own["data_dir"] = str(self.data)
         else:
             own["machine_class"] = "sidecar"
             own["service"] = self.service
@@ -100,7 +101,7 @@
         text = (ROOT / role["template"]).read_text(encoding="utf-8")
         settings = self.folder / "settings.json"
         settings.write_text(template.render(text, [self.fields()]), encoding="utf-8")
-        (self.folder / "data").mkdir(exist_ok=True)
+        self.data.mkdir(exist_ok=True)
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
         environment["CORNELWEIR_SETTINGS"] = str(settings)
@@ -123,6 +124,11 @@
         if self.process is not None:
             self.process.wait()
 
+    def lose_disk(self):
+        """The next start finds an empty disk. Requires that the process has ended."""
+        self.data = self.folder / f"data-{time.monotonic_ns()}"
+        self.bootstrap = False
+
     def is_ready(self):
         status, _, _ = http1.exchange(self.readiness, "GET", "/ready", {"Host": self.readiness},
                                       timeout=1.0)
