--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -247,3 +247,44 @@
     record("answered", id=ident, status=status, by_target="server-seal" in headers,
            text=None if status == 200 else answer.decode("utf-8", "replace").strip())
     return ident, status, headers, answer
+
+
+def first_config(fleet, routes, seconds):
+    """Sends the first configuration to one control host after the other until one acknowledges it.
+    Returns that host, or None."""
+    fleet.version = 1
+    body = json.dumps(fleet.config(1, routes)).encode()
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        for machine in fleet.controls:
+            status, _, _ = http1.exchange(
+                machine.control_plane, "PUT", "/config",
+                {"Host": machine.control_plane, "If-Match": "00000000",
+                 "Content-Type": "application/json"}, body, timeout=1.0)
+            fleet.record("config", at=machine.name, version=1, status=status)
+            if status == 200:
+                return machine
+        time.sleep(0.1)
+    return None
+
+
+def read_all(fleet):
+    """What each control host answers to a read: the version, or the status."""
+    answers = {}
+    for machine in fleet.controls:
+        status, _, body = http1.exchange(
+            machine.control_plane, "GET", "/config", {"Host": machine.control_plane}, timeout=1.0)
+        answers[machine.name] = json.loads(body)["version"] if status == 200 else status
+    fleet.record("read", **answers)
+    return answers
+
+
+def read_back(fleet, seconds, patient):
+    """Reads the configuration for some time and returns whether a control host answers with the
+    first version at the end. Ends early at such an answer, unless it is patient."""
+    deadline = time.monotonic() + seconds
+    while True:
+        found = "00000001" in read_all(fleet).values()
+        if time.monotonic() > deadline or (found and not patient):
+            return found
+        time.sleep(1.0)
