--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -61,7 +62,7 @@
                 machine.process.wait(GRACE_S - (time.monotonic() - stopped_at))
                 record("ended", machine=machine.name,
                        after_s=round(time.monotonic() - stopped_at, 2))
-            except Exception:
+            except subprocess.TimeoutExpired:
                 machine.send_signal(signal.SIGKILL)
         for thread in threads:
             thread.join()
@@ -86,10 +87,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        sys.exit(main())
-    except SystemExit:
-        raise
-    except BaseException as error:  # The case could not run.
-        print(f"{type(error).__name__}: {error}", file=sys.stderr)
-        sys.exit(2)
+    fleets.run_case(main)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -152,7 +153,7 @@
                 machine.process.wait(GRACE_S)
                 record("ended", machine=machine.name,
                        after_s=round(time.monotonic() - stopped_at[0], 2))
-            except Exception:
+            except subprocess.TimeoutExpired:
                 machine.send_signal(signal.SIGKILL)
         thread.join()
         platform.stop()
@@ -183,10 +184,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        sys.exit(main())
-    except SystemExit:
-        raise
-    except BaseException as error:  # The case could not run.
-        print(f"{type(error).__name__}: {error}", file=sys.stderr)
-        sys.exit(2)
+    fleets.run_case(main)
--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -7,7 +7,9 @@
 import shlex
 import shutil
 import signal
+import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -24,7 +26,21 @@
 METRICS = 9464
 ZONES = ["zone-a", "zone-b", "zone-c"]
 HOST = "review.example"
-MAX_CONTROL_HOSTS = 5
+LONGEST_CASE_S = 100
+
+
+def free_network():
+    """The first three numbers of loopback addresses whose ports nothing uses."""
+    while True:
+        network = f"127.{random.randrange(16, 250)}.{random.randrange(1, 250)}"
+        try:
+            for port in (INBOUND, APPLICATION, READINESS, OUTBOUND, CONTROL_PLANE, METRICS,
+                         INTERNAL_PORTS[0]):
+                with socket.socket() as probe:
+                    probe.bind((f"{network}.1", port))
+            return network
+        except OSError:
+            continue
 
 
 class Record:
@@ -151,7 +167,7 @@
                        **(bounds or {})}
         self.heartbeat_s = heartbeat_s
         self.heartbeat_text = f"{int(heartbeat_s * 1000)}ms"
-        self.network = f"127.{random.randrange(16, 250)}.{random.randrange(1, 250)}"
+        self.network = free_network()
         self.last_ip = 0
         self.controls = []
         for number in range(controls):
@@ -288,3 +304,24 @@
         if time.monotonic() > deadline or (found and not patient):
             return found
         time.sleep(1.0)
+
+
+def run_case(main):
+    """Runs a case and ends with its result: 1 if the rule was broken, 0 if it held, and 2 if the
+    case could not run. main() must stop what it started, also when it is interrupted."""
+
+    def give_up(number, _):
+        raise TimeoutError(f"ended by signal {number}")
+
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGINT, give_up)
+    signal.signal(signal.SIGALRM, give_up)
+    signal.alarm(LONGEST_CASE_S)
+    try:
+        code = main()
+    except BaseException as error:
+        print(f"{type(error).__name__}: {error}", file=sys.stderr)
+        code = 2
+    sys.stderr.flush()
+    # Threads of requesters and targets may still wait.
+    os._exit(code)
