--- a/cornelweir/loop.h
+++ b/cornelweir/loop.h
@@ -6,7 +6,6 @@
 #include "cornelweir/src/loop/event_loop.h"
 #include "cornelweir/src/loop/limits.h"
 #include "cornelweir/src/loop/pause_tracker.h"
-#include "cornelweir/src/loop/stop_time.h"
 #include "cornelweir/src/loop/tcp_keepalive_options.h"
 #include "cornelweir/src/loop/timer.h"
 
--- a/cornelweir/src/settings/limits.h
+++ b/cornelweir/src/settings/limits.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "cornelweir/src/kernel/quantity.h"
+#include "cornelweir/src/shutdown/limits.h"
 
 namespace cornelweir::settings {
 
@@ -19,6 +20,9 @@
 inline constexpr std::int64_t kMaxMaxBodyBytes = std::int64_t{1} << 26;
 inline constexpr std::int64_t kDefaultDrainMs = 10'000;
 inline constexpr std::int64_t kMaxDrainMs = 600'000;
+// A shorter grace period would be used up by what is reserved at its end.
+inline constexpr std::int64_t kMinControlShutdownMs = shutdown::kControlReserve.count() + 1;
+inline constexpr std::int64_t kMinSidecarShutdownMs = shutdown::kSidecarReserve.count() + 1;
 inline constexpr std::int64_t kDefaultConnectionsPerPeer = 32;
 inline constexpr std::int64_t kMaxConnectionsPerPeer = 1'024;
 
--- a/cornelweir/src/settings/load_settings.cc
+++ b/cornelweir/src/settings/load_settings.cc
@@ -48,7 +48,7 @@
 }
 
 void ReadQuota(section_reader& reader, quota_settings& quota) {
-  reader.OptionalNumber("quota_window_ms", 1, kMaxQuotaWindowMs, quota.window_ms);
+  reader.OptionalMilliseconds("quota_window_ms", 1, kMaxQuotaWindowMs, quota.window_ms);
   reader.OptionalReal("quota_overshoot", kMaxQuotaOvershoot, quota.overshoot);
   reader.OptionalReal("quota_slack", kMaxQuotaSlack, quota.slack);
 }
@@ -58,7 +58,8 @@
   reader.Endpoint("mesh_listen", port_rule::kMayBeZero, control.mesh_listen);
   reader.OptionalFlag("bootstrap", control.bootstrap);
   ReadQuota(reader, control.quota);
-  reader.OptionalNumber("shutdown_ms", 0, kMaxDrainMs, control.shutdown_ms);
+  reader.OptionalMilliseconds("shutdown_ms", kMinControlShutdownMs, kMaxDrainMs,
+                              control.shutdown_ms);
   if (reader.Has("seeds")) {
     reader.Endpoints("seeds", kMaxControlHosts, control.seeds);
     reader.OptionalNumber("tolerated_losses", 0, kMaxControlHosts / 2, control.tolerated_losses);
@@ -83,13 +84,14 @@
   reader.Endpoints("seeds", kMaxControlHosts, sidecar.seeds);
   reader.OptionalNumber("control_port", 1, kMaxPort, sidecar.control_port);
   reader.OptionalReal("retry_ratio", 1, sidecar.retry_ratio);
-  reader.OptionalNumber("retry_window_ms", 1, kMaxRetryWindowMs, sidecar.retry_window_ms);
+  reader.OptionalMilliseconds("retry_window_ms", 1, kMaxRetryWindowMs, sidecar.retry_window_ms);
   reader.OptionalReal("retry_slack", kMaxRetrySlack, sidecar.retry_slack);
   reader.OptionalFlag("strict_key_revocation", sidecar.strict_key_revocation);
   reader.OptionalDuration("max_policy_age", kernel::milliseconds(1), kMaxPolicyAge,
                           sidecar.max_policy_age);
   ReadQuota(reader, sidecar.quota);
-  reader.OptionalNumber("shutdown_ms", 0, kMaxDrainMs, sidecar.shutdown_ms);
+  reader.OptionalMilliseconds("shutdown_ms", kMinSidecarShutdownMs, kMaxDrainMs,
+                              sidecar.shutdown_ms);
 }
 
 void ReadProxy(section_reader& reader, proxy_settings& proxy) {
--- a/cornelweir/src/settings/section_reader.cc
+++ b/cornelweir/src/settings/section_reader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -226,18 +227,36 @@
   const json* found = Find(key);
   if (found == nullptr) return;
   const std::string text = found->is_string() ? found->get<std::string>() : std::string();
-  std::int64_t count = 0;
+  double count = 0;
   const char* const end = text.data() + text.size();
-  const auto [unit, parse_error] = std::from_chars(text.data(), end, count);
+  const auto [unit, parse_error] =
+      std::from_chars(text.data(), end, count, std::chars_format::fixed);
   const std::string_view unit_text(unit, static_cast<std::size_t>(end - unit));
-  const std::int64_t unit_ms = unit_text == "ms" ? 1 : unit_text == "s" ? 1'000 : 0;
-  if (parse_error != std::errc() || unit_ms == 0 || count < least.count() / unit_ms ||
-      count > most.count() / unit_ms) {
+  const int unit_ms = unit_text == "ms" ? 1 : unit_text == "s" ? 1'000 : 0;
+  const double total_ms = std::round(count * unit_ms);
+  // Not-a-number is outside every range.
+  const bool in_range = total_ms >= static_cast<double>(least.count()) &&
+                        total_ms <= static_cast<double>(most.count());
+  if (parse_error != std::errc() || unit_ms == 0 || !in_range) {
     AddFault(key, "must be a time from " + std::to_string(least.count()) + "ms to " +
                       std::to_string(most.count()) + "ms, with its unit ms or s");
     return;
   }
-  value = kernel::milliseconds(count * unit_ms);
+  value = kernel::milliseconds(static_cast<std::int64_t>(total_ms));
+}
+
+void section_reader::OptionalMilliseconds(std::string_view key, std::int64_t least,
+                                          std::int64_t most, std::int64_t& value) {
+  constexpr std::string_view kUnitEnding = "_ms";
+  const std::string_view key_with_unit = key.substr(0, key.size() - kUnitEnding.size());
+  if (Has(key) && Has(key_with_unit)) {
+    AddFault(key_with_unit, "is also given as '" + std::string(key) + "'");
+  }
+  OptionalNumber(key, least, most, value);
+  kernel::milliseconds duration(value);
+  OptionalDuration(key_with_unit, kernel::milliseconds(least), kernel::milliseconds(most),
+                   duration);
+  value = duration.count();
 }
 
 bool section_reader::OptionalSection(std::string_view key,
--- a/cornelweir/src/settings/section_reader.h
+++ b/cornelweir/src/settings/section_reader.h
@@ -45,7 +45,11 @@
                       std::int64_t& value);
   // A number from 0 to most, whole or not.
   void OptionalReal(std::string_view key, std::int64_t most, double& value);
-  // Reads a time such as "1500ms" or "5s".
+  // Reads a whole number of milliseconds from a key that ends in "_ms", or a time with its unit from
+  // the same key without that ending. Both together are an error.
+  void OptionalMilliseconds(std::string_view key, std::int64_t least, std::int64_t most,
+                            std::int64_t& value);
+  // Reads a time such as "1500ms", "5s" or "2.5s". A part of a millisecond is rounded.
   void OptionalDuration(std::string_view key, kernel::milliseconds least, kernel::milliseconds most,
                         kernel::milliseconds& value);
   bool OptionalSection(std::string_view key, const std::function<void(section_reader&)>& read);
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "cornelweir/logging.h"
+#include "cornelweir/shutdown.h"
 #include "plugins/greeting.h"
 
 namespace cornelweir::plugins::control {
@@ -18,8 +19,6 @@
 constexpr kernel::milliseconds kShutdownCheckPeriod{20};
 // Changes have an outcome within protocol::kSubmissionTimeout, or none.
 constexpr kernel::milliseconds kMaxShutdownTime = protocol::kSubmissionTimeout;
-// Reserved for the replies to operators whose changes have no outcome, before the loop is stopped.
-constexpr kernel::milliseconds kOperatorReplyReserve{200};
 constexpr kernel::milliseconds kGroupMaintenancePeriod{150};
 // A host that has heard from no leader for this long may not be in the group any more.
 constexpr kernel::milliseconds kJoinRequestDelay{800};
@@ -180,7 +179,7 @@
 void control_plugin::BeginShutdown(std::function<void()> done) {
   shutting_down_ = true;
   const kernel::time_point limit = std::min(context_.clock.Now() + internal::kMaxShutdownTime,
-                                            context_.stop_at - internal::kOperatorReplyReserve);
+                                            context_.stop_at - shutdown::kOperatorReplyReserve);
   gateway_.Stop();
   feed_.Stop();
   quota_.Stop();
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -21,6 +21,7 @@
 #include "cornelweir/loop.h"
 #include "cornelweir/metrics.h"
 #include "cornelweir/settings.h"
+#include "cornelweir/shutdown.h"
 #include "cornelweir/transport.h"
 #include "plugins/daemon_context.h"
 #include "programs/version.h"
@@ -132,7 +133,7 @@
     if (shutting_down_) return;
     shutting_down_ = true;
     const kernel::time_point now = clock_.Now();
-    context_.stop_at = loop::StopTime(pauses_.InputArrival(now), settings::GracePeriod(settings_));
+    context_.stop_at = shutdown::StopTime(pauses_.InputArrival(now), settings::GracePeriod(settings_));
     const kernel::microseconds left =
         std::max(context_.stop_at - now, kernel::microseconds::zero());
     event{event_id::kProcessStopping}
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -63,15 +63,6 @@
   EXPECT_EQ(runs, 1);
 }
 
-// Guards against a process that stops its loop too late to end within its grace period, and against
-// a period that is too short for the reserve.
-TEST(StopTime, LeavesTimeForTheExit) {
-  const kernel::time_point requested{std::chrono::seconds(100)};
-  EXPECT_EQ(StopTime(requested, kernel::milliseconds(6'000)),
-            requested + kernel::milliseconds(6'000) - kExitReserve);
-  EXPECT_EQ(StopTime(requested, kernel::milliseconds(100)), requested);
-}
-
 // Guards against a signal that terminates the process or is reported only the first time.
 TEST(EventLoop, ReportsEverySignal) {
   event_loop loop;
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -234,5 +234,31 @@
   EXPECT_FALSE(ParseSettings(text, {}));
 }
 
+constexpr std::string_view kSidecar = R"({
+  "host": "h1", "failure_domain": "a", "region": "r", "admin_listen": "127.0.0.1:9464",
+  "plugins": ["platform_sidecar"], "trusted_network": true,
+  "sidecar": {"service": "forms", "upstream": "127.0.0.1:1", "callers_listen": "127.0.0.1:0",
+              "peers_listen": "127.0.0.1:0", "readiness_listen": "127.0.0.1:0",
+              "announce_listen": "127.0.0.1:0", "seeds": ["127.0.0.1:1"], "control_port": 1}})";
+
+// Guards against a grace period without time for requests, which would cut every one of them at a
+// stop.
+TEST(Settings, RefusesAGracePeriodWithinTheReserves) {
+  for (const char* value : {"shutdown_ms=0", "shutdown_ms=900", "shutdown=0s", "shutdown=0.9s"}) {
+    EXPECT_FALSE(ParseSettings(kSidecar, {"sidecar." + std::string(value)})) << value;
+  }
+  EXPECT_TRUE(ParseSettings(kSidecar, {"sidecar.shutdown=901ms"}));
+  EXPECT_FALSE(ParseSettings(kSeededControl, {"control.shutdown_ms=600"}));
+  EXPECT_TRUE(ParseSettings(kSeededControl, {"control.shutdown_ms=601"}));
+}
+
+// Guards against one of two contradicting values that is used without notice.
+TEST(Settings, ReadsATimeWithOrWithoutItsUnitInTheKey) {
+  EXPECT_EQ(ParseSettings(kSidecar, {"sidecar.shutdown=2.5s"})->sidecar->shutdown_ms, 2'500);
+  EXPECT_EQ(ParseSettings(kSidecar, {"sidecar.shutdown_ms=2500"})->sidecar->shutdown_ms, 2'500);
+  EXPECT_FALSE(ParseSettings(kSidecar, {"sidecar.shutdown=3s", "sidecar.shutdown_ms=3000"}));
+  EXPECT_FALSE(ParseSettings(kSidecar, {"sidecar.shutdown=nans"}));
+}
+
 }  // namespace
 }  // namespace cornelweir::settings
