Tell each kept connection to close when its server stops

Callers saw: on a kept connection with pipelined requests, a daemon that was stopped went on taking requests for 5.1 s, never said `Connection: close`, and then cut the requests in progress, or answered one with 502.

Cause: only the response to the last request in progress announced the close, and nothing stopped a draining server from taking further requests. While the caller kept one request unanswered there was no last one.

Change: `shutdown::connection_intake` decides per connection. When the server stops, a connection takes the request that it is reading, or one more if nothing is in progress, and none after that. The response to the last request taken closes the connection. Requests behind it are not taken, since a caller sends those again, also if they must not be repeated. So each connection is told within one response more than were due at the signal, 33 at most.

Evidence, with the new tests on the code before: four of the five new tests of the pipeline fail, each with 0 responses that say `Connection: close` where 1 is expected; WritesAResponseToItsEndWhileDraining passes before, too. After: the tests pass.

--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -61,9 +61,15 @@
 
 void pipeline_connection::Start() {
   RecordActivity();
+  if (core_->keep_alive_disabled()) BeginStop();
   AwaitBytes();
 }
 
+void pipeline_connection::BeginStop() {
+  intake_.BeginStop(pending_.size(), parser_ != nullptr);
+  if (!intake_.open()) input_ = {};
+}
+
 void pipeline_connection::RecordActivity() { used_at_ = core_->Now(); }
 
 void pipeline_connection::AwaitBytes() {
@@ -87,7 +93,7 @@
     return AwaitBytes();
   }
   if (error) return Close();
-  if (!lingering_ && !no_more_requests_) {
+  if (!lingering_ && intake_.open()) {
     RecordActivity();
     input_.append(core_->read_buffer.data(), size);
     Parse();
@@ -97,7 +103,7 @@
 
 void pipeline_connection::Parse() {
   const auto self = shared_from_this();
-  while (!closed_ && !no_more_requests_ && !input_.empty() &&
+  while (!closed_ && intake_.open() && !input_.empty() &&
          pending_.size() < kMaxPipelinedRequests) {
     if (!parser_) {
       parser_ = std::make_unique<parser>();
@@ -119,7 +125,7 @@
     if (!parser_->is_done()) break;
     Dispatch();
   }
-  if (input_.empty()) input_.shrink_to_fit();
+  if (input_.empty() || !intake_.open()) input_ = {};
 }
 
 // Parses the header once it is complete. Returns false if it is incomplete or was refused.
@@ -188,7 +194,7 @@
   unanswered_.Set(unanswered_.bytes() + request.body.size());
   request_received_ = true;
   reading_.Set(0);
-  no_more_requests_ = !parser_->keep_alive();
+  intake_.OnTaken(parser_->keep_alive());
   parser_.reset();
   auto accepted = std::make_shared<pipeline_request>(weak_from_this(), std::move(request));
   pending_.push_back(accepted);
@@ -197,7 +203,7 @@
 
 void pipeline_connection::Refuse(int status, std::string_view reason) {
   if (status == 0) return Close();
-  no_more_requests_ = true;
+  intake_.Close();
   parser_.reset();
   input_ = {};
   reading_.Set(0);
@@ -212,16 +218,11 @@
   pending_.pop_front();
   unanswered_.Set(unanswered_.bytes() - answered->body_bytes_);
   reading_.Set(parser_ ? input_.size() + parser_->get().body().size() : 0);
-  // Requests after a response that closes the connection count as unread by the server, so none may
-  // have been dispatched: only the response to the last request in progress closes the connection.
-  const bool last =
-      pending_.empty() && (no_more_requests_ || (core_->keep_alive_disabled() && !parser_));
-  Write(*answered, last);
+  Write(*answered, intake_.ClosesAfter(pending_.size()));
 }
 
 void pipeline_connection::Write(pipeline_request& answered, bool last) {
   writing_ = true;
-  if (last) no_more_requests_ = true;
   output_head_ = SerializeHead(answered.response_, last);
   if (!answered.is_head_request_) output_body_ = std::move(answered.response_.body);
   RecordActivity();
@@ -242,7 +243,7 @@
   RecordActivity();
   if (last) return Linger();
   Flush();
-  if (closed_ || no_more_requests_) return;
+  if (closed_) return;
   Parse();
   AwaitBytes();
   if (core_->draining()) CloseIfIdle();
@@ -280,7 +281,7 @@
   // A request that has already arrived is served before the connection is closed.
   error_code error;
   if (socket_.available(error) > 0 && !error) return;
-  no_more_requests_ = true;
+  intake_.Close();
   RecordActivity();
   Linger();
 }
--- a/cornelweir/src/http/pipeline_connection.h
+++ b/cornelweir/src/http/pipeline_connection.h
@@ -13,6 +13,7 @@
 #include "cornelweir/src/http/pipeline_server.h"
 #include "cornelweir/src/http/request_check.h"
 #include "cornelweir/src/kernel/clock.h"
+#include "cornelweir/src/shutdown/connection_intake.h"
 
 namespace cornelweir::http::internal {
 
@@ -26,6 +27,8 @@
   void Start();
   // Writes the available responses in request order.
   void Flush();
+  // Takes one more request at most, and closes the connection with the response to the last one.
+  void BeginStop();
   // Closes the connection if no request is in progress. A new connection whose first request may
   // still be on its way is kept for kFirstRequestTimeout after it was accepted.
   void CloseIfIdle();
@@ -68,8 +71,8 @@
   bool read_wait_pending_ = false;
   bool writing_ = false;
   bool request_received_ = false;
-  // No further request is read: the connection is being closed, or a request could not be read.
-  bool no_more_requests_ = false;
+  // Which requests are still taken. Bytes behind the last one are discarded.
+  shutdown::connection_intake intake_;
   bool lingering_ = false;
   bool closed_ = false;
 };
--- a/cornelweir/src/http/pipeline_core.cc
+++ b/cornelweir/src/http/pipeline_core.cc
@@ -56,9 +56,15 @@
   }
 }
 
+void pipeline_core::DisableKeepAlive() {
+  if (keep_alive_disabled_) return;
+  keep_alive_disabled_ = true;
+  for (const auto& connection : connections_) connection->BeginStop();
+}
+
 void pipeline_core::BeginDrain(std::function<void()> done) {
   draining_ = true;
-  keep_alive_disabled_ = true;
+  DisableKeepAlive();
   on_drained_ = std::move(done);
   if (listener_) listener_->Close();
   const std::vector<std::shared_ptr<pipeline_connection>> open(connections_.begin(),
--- a/cornelweir/src/http/pipeline_core.h
+++ b/cornelweir/src/http/pipeline_core.h
@@ -22,7 +22,7 @@
 
   boost::leaf::result<void> Listen(const kernel::endpoint& endpoint);
   kernel::endpoint local_endpoint() const;
-  void DisableKeepAlive() { keep_alive_disabled_ = true; }
+  void DisableKeepAlive();
   void BeginDrain(std::function<void()> done);
   void Close();
   void Remove(const std::shared_ptr<pipeline_connection>& connection);
--- a/cornelweir/src/http/pipeline_server.h
+++ b/cornelweir/src/http/pipeline_server.h
@@ -86,7 +86,8 @@
   // Applies to requests read from now on.
   void SetLimits(const pipeline_limits& limits);
 
-  // Makes responses announce Connection: close, after which the connection is closed.
+  // Makes each connection take one more request at most. The response to the last request that it
+  // takes announces Connection: close, after which the connection is closed.
   void DisableKeepAlive();
   // Stops accepting, closes idle connections and calls done once every request is answered.
   void BeginDrain(std::function<void()> done);
--- a/tests/http_pipeline_test.cc
+++ b/tests/http_pipeline_test.cc
@@ -31,6 +31,15 @@
     RunUntil(loop_, [&] { return caller_->received.find(text) != std::string::npos; });
   }
 
+  // How often the caller has received a text.
+  int CountOf(const std::string& text) const {
+    int count = 0;
+    for (std::size_t at = 0; (at = caller_->received.find(text, at)) != std::string::npos; ++count) {
+      at += text.size();
+    }
+    return count;
+  }
+
   loop::event_loop loop_;
   std::vector<std::shared_ptr<pipeline_request>> requests_;
   pipeline_server server_;
@@ -128,6 +137,97 @@
   RunUntil(loop_, [&] { return drained; });
 }
 
+// Guards against a planned stop that never tells a caller who keeps requests in progress to close
+// its connection, and then cuts the last of them.
+TEST_F(pipeline, TellsACallerThatNeverPausesToClose) {
+  Send(Get("/1") + Get("/2"));
+  AwaitRequests(2);
+  server_.DisableKeepAlive();
+  Send(Get("/3") + Get("/4"));
+  requests_[0]->Respond({200, {}, "first"});
+  AwaitText("first");
+  Send(Get("/5"));
+  EXPECT_EQ(CountOf("Connection: close"), 0) << "requests behind a closing response are unread";
+  requests_[1]->Respond({200, {}, "second"});
+  AwaitText("second");
+  ASSERT_EQ(CountOf("Connection: close"), 1);
+  RunUntil(loop_, [&] { return caller_->closed; });
+  EXPECT_EQ(CountOf("HTTP/1.1 200"), 2);
+  EXPECT_EQ(requests_.size(), 2U) << "a request was taken that nobody will answer";
+}
+
+// Guards against a stop that loses requests, or takes more, on a connection with as many requests
+// in progress as a connection may have.
+TEST_F(pipeline, ClosesAFullConnectionAfterItsRequests) {
+  constexpr std::size_t kMaxPipelined = 32;
+  constexpr std::size_t kUnread = 8;
+  std::string text;
+  for (std::size_t i = 0; i < kMaxPipelined + kUnread; ++i) text += Get("/" + std::to_string(i));
+  Send(text);
+  AwaitRequests(kMaxPipelined);
+  server_.DisableKeepAlive();
+  for (std::size_t i = 0; i < kMaxPipelined; ++i) requests_[i]->Respond({200, {}, "whole"});
+  RunUntil(loop_, [&] { return CountOf("whole") == static_cast<int>(kMaxPipelined); });
+  ASSERT_EQ(CountOf("Connection: close"), 1);
+  RunUntil(loop_, [&] { return caller_->closed; });
+  EXPECT_EQ(requests_.size(), kMaxPipelined);
+}
+
+// Guards against an upload that is cut, or that its caller has to send again, because the server
+// began to stop after a part of it.
+TEST_F(pipeline, TakesARequestOfWhichAPartWasReadWhenTheStopBegan) {
+  Send(Get("/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc");
+  AwaitRequests(1);
+  server_.DisableKeepAlive();
+  requests_[0]->Respond({200, {}, "first"});
+  AwaitText("first");
+  EXPECT_EQ(CountOf("Connection: close"), 0);
+  Send("def" + Get("/3"));
+  AwaitRequests(2);
+  EXPECT_EQ(requests_[1]->message.body, "abcdef");
+  requests_[1]->Respond({200, {}, "second"});
+  AwaitText("second");
+  ASSERT_EQ(CountOf("Connection: close"), 1);
+  RunUntil(loop_, [&] { return caller_->closed; });
+  EXPECT_EQ(requests_.size(), 2U);
+}
+
+// Guards against a kept connection without a request in progress that is served without end, or
+// whose next request, already on its way, is lost.
+TEST_F(pipeline, TakesOneMoreRequestOfAnIdleConnection) {
+  Send(Get("/1"));
+  AwaitRequests(1);
+  requests_[0]->Respond({200, {}, "first"});
+  AwaitText("first");
+  server_.DisableKeepAlive();
+  Send(Get("/2") + Get("/3"));
+  AwaitRequests(2);
+  requests_[1]->Respond({200, {}, "second"});
+  AwaitText("second");
+  ASSERT_EQ(CountOf("Connection: close"), 1);
+  RunUntil(loop_, [&] { return caller_->closed; });
+  EXPECT_EQ(requests_.size(), 2U);
+}
+
+// Guards against a response that is cut because the stop began while its caller read it slowly.
+TEST_F(pipeline, WritesAResponseToItsEndWhileDraining) {
+  constexpr std::size_t kBodyBytes = std::size_t{16} << 20;
+  caller_->paused = true;
+  Send(Get("/1"));
+  AwaitRequests(1);
+  const auto idle = raw_peer::Connect(loop_, server_.local_endpoint());
+  requests_[0]->Respond({200, {}, std::string(kBodyBytes, 'x')});
+  bool drained = false;
+  server_.BeginDrain([&] { drained = true; });
+  RunUntil(loop_, [&] { return idle->closed; });
+  EXPECT_FALSE(drained);
+  caller_->paused = false;
+  caller_->Read();
+  RunUntil(loop_, [&] { return caller_->closed; });
+  EXPECT_GT(caller_->received.size(), kBodyBytes);
+  RunUntil(loop_, [&] { return drained; });
+}
+
 // Guards against a planned stop that cuts off a caller who has just connected: its first request
 // may still be on its way when the server stops accepting.
 TEST_F(pipeline, ServesTheFirstRequestOfANewConnectionWhileDraining) {
