--- a/tests/platform_settings_test.cc
+++ b/tests/platform_settings_test.cc
@@ -94,5 +94,35 @@
   }
 }
 
+// Guards against a limit that the platform states and the daemon replaces by a default of its own.
+TEST(PlatformSettings, LimitsThatThePlatformStatesAreInForce) {
+  const auto sidecar = SettingsOf("sidecar", json::parse(kStated));
+  ASSERT_TRUE(sidecar);
+  EXPECT_DOUBLE_EQ(sidecar->sidecar->retry_ratio, 0.25);
+  EXPECT_DOUBLE_EQ(sidecar->sidecar->retry_slack, 194);
+  EXPECT_EQ(sidecar->sidecar->retry_window_ms, 12'000);
+  EXPECT_TRUE(sidecar->sidecar->strict_key_revocation);
+  EXPECT_EQ(sidecar->sidecar->max_policy_age, kernel::milliseconds(4'000));
+  const auto control = SettingsOf("control", json::parse(kStated));
+  ASSERT_TRUE(control);
+  EXPECT_EQ(control->control->tolerated_losses, 2);
+  for (const quota_settings& quota : {sidecar->sidecar->quota, control->control->quota}) {
+    EXPECT_EQ(quota.window_ms, 7'000);
+    EXPECT_DOUBLE_EQ(quota.overshoot, 0.3);
+    EXPECT_DOUBLE_EQ(quota.slack, 21);
+  }
+}
+
+// Guards against a template that fails where the platform leaves out what it need not state.
+TEST(PlatformSettings, WorksWithoutTheOptionalLimits) {
+  json fields = json::parse(kStated);
+  for (const char* name : {"grace", "retry_window", "quota_window", "quota_overshoot",
+                           "quota_slack", "revoke", "revoke_strict"}) {
+    fields["bounds"].erase(name);
+  }
+  EXPECT_TRUE(SettingsOf("control", fields));
+  EXPECT_TRUE(SettingsOf("sidecar", fields));
+}
+
 }  // namespace
 }  // namespace cornelweir::settings
