Answer cancelled requests, too, in the test of the share of retries

StatesTheShareOfRetriesAmongRunningRequests hung on this machine (arm64, kernel 6.18) in 4 of 4 runs, 3 of them of the untouched code.

Cause: the test queued one response for its last request. The bytes of the requests that it had cancelled before were already sent here, and the stand-in gave that response to one of them, on a connection that was closed. The last request then waited for its time limit of 60 s.

Change: a response is queued for each request that may still arrive. All assertions are as they were. The 30 tests of upstream_dispatcher_test pass.

--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -318,7 +318,8 @@
   EXPECT_EQ(dispatcher_->RepeatedShare(), 4.0 / 6.0) << "a waiting request took the slot";
   for (const admission::ticket& ticket : tickets) dispatcher_->Cancel(ticket);
   EXPECT_EQ(dispatcher_->RepeatedShare(), 0);
-  run_responses_.push_back(Response(kNoHeader));
+  // Cancelled requests whose bytes were already sent take responses, too.
+  for (std::size_t i = 0; i <= tickets.size(); ++i) run_responses_.push_back(Response(kNoHeader));
   start(1, true);
   EXPECT_EQ(dispatcher_->RepeatedShare(), 1);
   http::RunUntil(daemon_.loop, [this] { return !dispatcher_->busy(); });
