Stop a daemon by one sequence of phases, and at once if it is unused

Cause: the stop of a sidecar was a chain of timers and flags in the plug-in, which no test could drive without sockets. It always waited 2.3 s for callers to notice, also with no caller and nothing in progress.

Change: `shutdown::stop_sequence` holds the phases (serving, leaving, draining, closing) and their times, without sockets. The plug-in does what belongs to each. A daemon without a connection of a caller, a request in progress, or a request within the last 2.3 s ends at once; one that callers use keeps accepting as before.

A process that ends at once writes none, so it now waits for the end of that line; what the test asserts is unchanged.

Before: the first end of an unused sidecar came 2.3 s after the signal (read from the code).

--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -119,6 +119,7 @@
       created->started_at + std::min(caller_timeout / internal::kStartupWaitDivisor,
                                      kernel::microseconds(internal::kMaxStartupWait));
   ++in_progress_;
+  last_request_at_ = Now();
   std::weak_ptr<request_state> weak = created;
   request->OnCallerGone([this, weak] {
     if (const auto abandoned = weak.lock()) OnCallerGone(abandoned);
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -45,6 +45,8 @@
   // Responds to the request once, at the latest at its deadline, unless its caller disconnects.
   void Handle(const std::shared_ptr<http::pipeline_request>& request);
   std::size_t in_progress() const { return in_progress_; }
+  // When a caller last sent a request.
+  kernel::time_point last_request_at() const { return last_request_at_; }
 
  private:
   struct request_state;
@@ -101,6 +103,7 @@
   std::set<kernel::route_name> nested_routes_;
   request_metrics metrics_;
   std::size_t in_progress_ = 0;
+  kernel::time_point last_request_at_;
   // Requests that wait for the policy or an upstream shortly after the daemon's start, or for the
   // input that arrived during a pause.
   std::vector<request_state_ptr> deferred_;
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -5,15 +5,13 @@
 #include <utility>
 
 #include "cornelweir/logging.h"
+#include "cornelweir/shutdown.h"
 
 namespace cornelweir::plugins::sidecar {
 namespace internal {
 
-// Time for callers to notice that the daemon is not ready, before it stops accepting requests.
-constexpr kernel::milliseconds kReadinessPropagationTime{2'300};
-constexpr kernel::milliseconds kIdleCheckPeriod{50};
-// Reserved for closing the links before the loop is stopped: transport::kDrainTimeout and a margin.
-constexpr kernel::milliseconds kLinkCloseReserve{500};
+// How often the phases of a stop are advanced.
+constexpr kernel::milliseconds kStopCheckPeriod{50};
 constexpr kernel::milliseconds kMetricsPeriod{1'000};
 
 http::pipeline_limits ToPipelineLimits(const policy::caller_limits& limits) {
@@ -182,33 +180,41 @@
       static_cast<double>(dispatcher_.connections_opened()));
 }
 
-// Reports not ready at once, so that callers stop sending requests, but serves those that arrive
-// for kReadinessPropagationTime, or for half of a shorter shutdown. Then the upstream is closed to
-// new requests, and shutdown completes when nothing is in progress.
+// Reports not ready at once, so that callers stop sending requests. Every connection takes one more
+// request at most and is told to close.
 void sidecar_node::BeginShutdown(std::function<void()> done) {
   done_ = std::move(done);
-  shutting_down_ = true;
-  finish_at_ = context_.stop_at - internal::kLinkCloseReserve;
-  const kernel::microseconds left =
-      std::max(finish_at_ - context_.clock.Now(), kernel::microseconds::zero());
+  stop_.Begin(context_.clock.Now(), context_.stop_at);
   LogReadinessChange();
   callers_.DisableKeepAlive();
-  shutdown_timer_.Start(
-      std::min(kernel::microseconds(internal::kReadinessPropagationTime), left / 2),
-      [this] { StopAccepting(); });
+  shutdown_timer_.StartPeriodic(internal::kStopCheckPeriod, [this] { AdvanceStop(); });
+  AdvanceStop();
+}
+
+shutdown::stop_work sidecar_node::Work() const {
+  shutdown::stop_work work;
+  work.in_progress = router_.in_progress() > 0 || dispatcher_.busy() || !bulk_.idle();
+  work.callers_connected = callers_.connections() > 0;
+  work.last_request_at = router_.last_request_at();
+  return work;
+}
+
+void sidecar_node::AdvanceStop() {
+  const shutdown::stop_phase before = stop_.phase();
+  const shutdown::stop_phase now = stop_.Advance(context_.clock.Now(), Work());
+  if (now == before) return;
+  if (now == shutdown::stop_phase::kDraining) {
+    StopAccepting();
+    AdvanceStop();
+  } else if (now == shutdown::stop_phase::kClosing) {
+    Finish();
+  }
 }
 
 void sidecar_node::StopAccepting() {
   dispatcher_.BeginShutdown();
   control_client_.BeginShutdown();
-  callers_.BeginDrain([this] { callers_drained_ = true; });
-  shutdown_timer_.StartPeriodic(internal::kIdleCheckPeriod, [this] { FinishWhenIdle(); });
-}
-
-void sidecar_node::FinishWhenIdle() {
-  const bool idle =
-      callers_drained_ && router_.in_progress() == 0 && !dispatcher_.busy() && bulk_.idle();
-  if (idle || context_.clock.Now() >= finish_at_) Finish();
+  callers_.BeginDrain([] {});
 }
 
 void sidecar_node::Finish() {
--- a/plugins/sidecar/sidecar_node.h
+++ b/plugins/sidecar/sidecar_node.h
@@ -7,6 +7,7 @@
 #include "cornelweir/http.h"
 #include "cornelweir/kernel.h"
 #include "cornelweir/loop.h"
+#include "cornelweir/shutdown.h"
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/call_router.h"
 #include "plugins/sidecar/control_client.h"
@@ -29,7 +30,7 @@
   // Opens all listeners. Fails if an address cannot be bound.
   boost::leaf::result<void> Listen();
   void Start();
-  // Shuts down gracefully; posts done when idle or when the time limit is reached.
+  // Stops gracefully by the phases of shutdown::stop_sequence, then posts done.
   void BeginShutdown(std::function<void()> done);
 
  private:
@@ -37,10 +38,12 @@
   void OnUpstreamChanged();
   // Tells a daemon which requests to refuse before it gets any.
   void OnPeerOpened(peer& daemon);
-  bool IsReady() const { return router_.has_policy() && !shutting_down_; }
+  bool IsReady() const { return router_.has_policy() && !stop_.stopping(); }
   void LogReadinessChange();
+  shutdown::stop_work Work() const;
+  // Does what belongs to the phases of the stop that are due.
+  void AdvanceStop();
   void StopAccepting();
-  void FinishWhenIdle();
   void Finish();
   void ReportMetrics();
 
@@ -60,10 +63,7 @@
   http::admin_server announcements_;
   loop::timer shutdown_timer_;
   loop::timer metrics_timer_;
-  // When what is still in progress is given up.
-  kernel::time_point finish_at_;
-  bool shutting_down_ = false;
-  bool callers_drained_ = false;
+  shutdown::stop_sequence stop_;
   bool was_ready_ = false;
   bool probe_started_ = false;
   std::function<void()> done_;
--- a/tests/daemon_exit_test.cc
+++ b/tests/daemon_exit_test.cc
@@ -133,9 +133,14 @@
   // The time limit of the shutdown in milliseconds, as logged.
   std::int64_t LoggedLimit() {
     constexpr std::string_view kField = "within_ms=";
-    EXPECT_TRUE(ReadUntil(kField) && ReadSome());
+    EXPECT_TRUE(ReadUntil(kField));
     const std::size_t at = log_.find(kField);
-    return at == std::string::npos ? -1 : std::stoll(log_.substr(at + kField.size()));
+    if (at == std::string::npos) return -1;
+    // The process may end right after this line.
+    while (log_.find('\n', at) == std::string::npos && ReadSome()) {
+    }
+    EXPECT_NE(log_.find('\n', at), std::string::npos) << "the line is not complete";
+    return std::stoll(log_.substr(at + kField.size()));
   }
 
   static constexpr std::string_view kIncompleteRequest =
--- a/tests/shutdown_test.cc
+++ b/tests/shutdown_test.cc
@@ -20,6 +20,80 @@
   EXPECT_EQ(StopTime(requested, kernel::milliseconds(100)), requested);
 }
 
+using kernel::milliseconds;
+
+constexpr kernel::time_point kStart{std::chrono::seconds(100)};
+
+// The work of a process whose callers last sent a request at the start of the stop.
+stop_work WorkWithRecentCaller() {
+  stop_work work;
+  work.last_request_at = kStart;
+  return work;
+}
+
+stop_work WorkInProgress() {
+  stop_work work = WorkWithRecentCaller();
+  work.in_progress = true;
+  return work;
+}
+
+stop_sequence Begun(milliseconds grace) {
+  stop_sequence sequence;
+  sequence.Begin(kStart, StopTime(kStart, grace));
+  return sequence;
+}
+
+// Guards against a process that cuts requests although its grace period is not used up.
+TEST(StopSequence, UsesTheWholeGracePeriodIfItIsNeeded) {
+  for (const milliseconds grace : {milliseconds(6'000), milliseconds(10'000)}) {
+    stop_sequence sequence = Begun(grace);
+    const kernel::time_point finish_at = kStart + grace - kSidecarReserve;
+    EXPECT_EQ(sequence.finish_at(), finish_at);
+    sequence.Advance(kStart + kReadinessPropagationTime, WorkInProgress());
+    EXPECT_EQ(sequence.Advance(finish_at - milliseconds(1), WorkInProgress()),
+              stop_phase::kDraining);
+    EXPECT_EQ(sequence.Advance(finish_at, WorkInProgress()), stop_phase::kClosing);
+  }
+}
+
+// Guards against a stop that takes longer than its work.
+TEST(StopSequence, EndsAtOnceWithNothingInProgress) {
+  stop_sequence sequence = Begun(milliseconds(6'000));
+  EXPECT_EQ(sequence.Advance(kStart, {}), stop_phase::kDraining);
+  EXPECT_EQ(sequence.Advance(kStart, {}), stop_phase::kClosing);
+}
+
+// Guards against a process that turns callers away who can't know yet that it stops.
+TEST(StopSequence, AcceptsConnectionsUntilCallersKnowThatItIsNotReady) {
+  stop_sequence sequence = Begun(milliseconds(6'000));
+  const kernel::time_point until = kStart + kReadinessPropagationTime;
+  EXPECT_EQ(sequence.Advance(until - milliseconds(1), WorkWithRecentCaller()),
+            stop_phase::kLeaving);
+  EXPECT_EQ(sequence.Advance(until, WorkWithRecentCaller()), stop_phase::kDraining);
+  stop_work connected = WorkWithRecentCaller();
+  connected.callers_connected = true;
+  EXPECT_EQ(sequence.Advance(until, connected), stop_phase::kDraining);
+  EXPECT_EQ(sequence.Advance(until, WorkWithRecentCaller()), stop_phase::kClosing);
+}
+
+// Guards against a short grace period that is used up by accepting requests.
+TEST(StopSequence, LeavesHalfOfAShortGracePeriodToTheRequests) {
+  constexpr milliseconds kWorkingTime{600};
+  stop_sequence sequence = Begun(kSidecarReserve + kWorkingTime);
+  EXPECT_EQ(sequence.Advance(kStart + kWorkingTime / 2, WorkInProgress()), stop_phase::kDraining);
+  EXPECT_EQ(sequence.Advance(kStart + kWorkingTime, WorkInProgress()), stop_phase::kClosing);
+}
+
+// Guards against a second signal that restarts or shortens the stop.
+TEST(StopSequence, IsNotChangedByASecondSignal) {
+  stop_sequence sequence = Begun(milliseconds(6'000));
+  const kernel::time_point finish_at = sequence.finish_at();
+  sequence.Advance(kStart + kReadinessPropagationTime, WorkInProgress());
+  sequence.Begin(kStart + milliseconds(3'000), kStart + milliseconds(9'000));
+  EXPECT_EQ(sequence.phase(), stop_phase::kDraining);
+  EXPECT_EQ(sequence.finish_at(), finish_at);
+}
+
 // A caller's connection: the steps of the caller and the server in any order.
 enum class step { kSendPart, kSendRest, kRespond, kStop };
 
