Refuse requests that may outlast a daemon that stops

A daemon that stops took every request for 2.3 s, whatever its time limit, from its own callers and from other daemons. One that may run 5 s and was taken 2.3 s after the signal can end 7.3 s after it; the daemon gives up at 7.1 s.

Change: from the signal on, - a request of a caller that must not be repeated is refused as not run, with the time to come back, if its time limit ends later than the daemon gives up. One that may be repeated is taken within the time that is left. - a request of another daemon is refused as not run under the same condition; its sender tries another daemon. - what is still in progress when the daemon gives up gets a final response (504, or 503 if it was not sent) in place of a closed connection.

--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -118,7 +118,7 @@
   created->deferred_until =
       created->started_at + std::min(caller_timeout / internal::kStartupWaitDivisor,
                                      kernel::microseconds(internal::kMaxStartupWait));
-  ++in_progress_;
+  open_.insert(created);
   last_request_at_ = Now();
   std::weak_ptr<request_state> weak = created;
   request->OnCallerGone([this, weak] {
@@ -178,6 +178,7 @@
   const policy::route& route = *state->route;
   state->deadline =
       state->started_at + std::min(state->decoded.time_left.value_or(route.timeout), route.timeout);
+  if (!FitsBeforeStop(state)) return;
   state->objective_deadline = ComputeObjective(*state);
   state->service = SelectService(route);
   std::weak_ptr<request_state> weak = state;
@@ -422,9 +423,7 @@
 
 void call_router::OnCallerGone(const request_state_ptr& state) {
   if (state->finished) return;
-  state->finished = true;
-  --in_progress_;
-  state->deadline_timer.Cancel();
+  MarkFinished(state);
   if (state->current_peer != nullptr) {
     state->current_peer->Cancel(state->run_id);
   } else if (!state->may_have_run) {
@@ -462,12 +461,16 @@
   Respond(state, dialect_.reply(state->decoded, kind, retry_after, reason), reason);
 }
 
+void call_router::MarkFinished(const request_state_ptr& state) {
+  state->finished = true;
+  open_.erase(state);
+  state->deadline_timer.Cancel();
+}
+
 void call_router::Respond(const request_state_ptr& state, http::whole_response response,
                           std::string_view outcome) {
   if (state->finished) return;
-  state->finished = true;
-  --in_progress_;
-  state->deadline_timer.Cancel();
+  MarkFinished(state);
   const kernel::microseconds took = Now() - state->started_at;
   logging::event(logging::event_id::kRequestEnded)
       .With("request", state->decoded.request_id)
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -44,10 +44,16 @@
 
   // Responds to the request once, at the latest at its deadline, unless its caller disconnects.
   void Handle(const std::shared_ptr<http::pipeline_request>& request);
-  std::size_t in_progress() const { return in_progress_; }
+  std::size_t in_progress() const { return open_.size(); }
   // When a caller last sent a request.
   kernel::time_point last_request_at() const { return last_request_at_; }
 
+  // The daemon stops and gives up what is in progress at finish_at. Requests that must not be
+  // repeated are refused from now on if their time limits end later.
+  void BeginStop(kernel::time_point finish_at) { finish_at_ = finish_at; }
+  // Gives every request in progress its final response.
+  void EndAll();
+
  private:
   struct request_state;
   using request_state_ptr = std::shared_ptr<request_state>;
@@ -59,6 +65,10 @@
   bool ResolveRequest(const request_state_ptr& state);
   bool KeysAreCurrent() const;
   void RouteRequest(const request_state_ptr& state);
+  // Returns false after it has refused a request that might not end before the daemon does.
+  bool FitsBeforeStop(const request_state_ptr& state);
+  // Records that the request has its response or needs none.
+  void MarkFinished(const request_state_ptr& state);
   bool IsQuarantined(const request_state& state) const;
   // Refuses the request and returns true if it is quarantined.
   bool RefuseIfQuarantined(const request_state_ptr& state);
@@ -102,8 +112,10 @@
   // Routes whose requests are calls of running upstreams, as the daemons that run them report.
   std::set<kernel::route_name> nested_routes_;
   request_metrics metrics_;
-  std::size_t in_progress_ = 0;
+  // The requests that are not finished.
+  std::set<request_state_ptr> open_;
   kernel::time_point last_request_at_;
+  kernel::time_point finish_at_ = kernel::time_point::max();
   // Requests that wait for the policy or an upstream shortly after the daemon's start, or for the
   // input that arrived during a pause.
   std::vector<request_state_ptr> deferred_;
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -186,6 +186,8 @@
   done_ = std::move(done);
   stop_.Begin(context_.clock.Now(), context_.stop_at);
   LogReadinessChange();
+  router_.BeginStop(stop_.finish_at());
+  dispatcher_.RefuseRunsBeyond(stop_.finish_at());
   callers_.DisableKeepAlive();
   shutdown_timer_.StartPeriodic(internal::kStopCheckPeriod, [this] { AdvanceStop(); });
   AdvanceStop();
@@ -220,6 +222,7 @@
 void sidecar_node::Finish() {
   shutdown_timer_.Cancel();
   metrics_timer_.Cancel();
+  router_.EndAll();
   control_client_.Stop();
   rollouts_.Stop();
   quarantine_.Stop();
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -105,6 +105,12 @@
   OnStateChanged("shutdown");
 }
 
+// The tolerance is for the time between the sender's computation of what is left and this one.
+bool upstream_dispatcher::EndsInTime(const run& added) const {
+  return finish_at_ == kernel::time_point::max() ||
+         added.deadline <= finish_at_ + internal::kDeadlineTolerance;
+}
+
 void upstream_dispatcher::OnConnectFailure() {
   if (++connect_failures_ < internal::kMaxConnectFailures || unavailable_) return;
   unavailable_ = true;
@@ -126,7 +132,7 @@
     context_.loop.Post([this, id, refused = *refusal] { Finish(id, refused); });
     return id;
   }
-  const bool serves_service = Serves(added.request.service);
+  const bool serves_service = Serves(added.request.service) && EndsInTime(added);
   admission::slot_decision decision;
   if (serves_service) decision = queue_.Submit(SlotRequest(id, added), now);
   switch (decision.outcome) {
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -57,6 +57,9 @@
   // Probes the health of the upstream until it announces itself, for a limited time after the
   // start.
   void ProbeUntilAnnounced(const std::string& health_path);
+  // Refuses all further requests whose time limits end later: the process may end before they do,
+  // and other daemons can still run them.
+  void RefuseRunsBeyond(kernel::time_point finish_at) { finish_at_ = finish_at; }
   // Refuses queued and all further requests.
   void BeginShutdown();
   // Sets the object that decides which versions take requests and counts the evidence of rollouts.
@@ -142,6 +145,7 @@
   bool IsOutdated(const membership::upstream_announcement& announcement) const;
   bool IsSameProcess(const membership::upstream_announcement& announcement) const;
   bool IsOpen() const;
+  bool EndsInTime(const run& added) const;
   admission::slot_request SlotRequest(admission::ticket id, run& added);
   void UpdateCallWaits();
   void Start(admission::ticket id);
@@ -215,6 +219,7 @@
   // The upstream refused connections or was replaced. Reset by the next announcement.
   bool unavailable_ = false;
   bool shutting_down_ = false;
+  kernel::time_point finish_at_ = kernel::time_point::max();
   int connect_failures_ = 0;
   std::map<kernel::route_name, route_history> history_;
   // Total expected body size of the running requests with large responses.
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -239,6 +239,18 @@
   EXPECT_EQ(runs_, 0);
 }
 
+// Guards against a request of another daemon that is cut because this one ends before it does.
+TEST_F(UpstreamDispatcherTest, RefusesWhatMayRunLongerThanTheDaemon) {
+  AnnounceWithoutRateLimit();
+  dispatcher_->RefuseRunsBeyond(daemon_.clock.Now() + kernel::milliseconds(2'000));
+  Run(1, kernel::milliseconds(4'000));
+  http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
+  EXPECT_EQ(latest_->failure, protocol::run_failure::kNoUpstream) << "its sender tries another";
+  EXPECT_EQ(runs_, 0);
+  Run(1, kernel::milliseconds(1'500));
+  http::RunUntil(daemon_.loop, [this] { return runs_ == 1; });
+}
+
 // Guards against starting a request that waited unread during a pause of this process, when the
 // cancellation behind it is unread.
 TEST_F(UpstreamDispatcherTest, DoesNotStartARequestThatWasCancelledDuringThePause) {
