Say which requests were not taken when a link between daemons closes

A daemon that ends says on each link that it takes no more requests, answers what it took, and closes the links. A request that crossed this was discarded unread, but its sender saw only the end of the link and had to count it as "may have run": a request that must not be repeated was answered with 502 although it had not run and another daemon could have run it.

Change: the last message on a link, `link_closing`, lists the requests that were taken and have no result. All others were not taken, and their sender sends them to another daemon.

The new tests (PeerTest.KnowsWhichRequestsADaemonDidNotTakeBeforeItsEnd, PeerServerTest.SaysAtItsEndWhichRequestsItTook) use the new message, so they were not run on the code before.

--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -294,10 +294,21 @@
   }
 };
 
+// The last message of a daemon that closes the link. Requests that have no result by now and are not
+// listed were not taken: they did not reach an upstream and will not.
+struct link_closing {
+  static constexpr std::string_view kType = "closing";
+
+  // Requests that were taken and whose results were given up.
+  std::vector<kernel::call_id> taken;
+
+  static constexpr auto Fields() { return std::tuple{kernel::field{"t", &link_closing::taken}}; }
+};
+
 // A message between two daemons.
 using data_message = std::variant<run_request, body_piece, cancel_request, run_response, run_failed,
                                   upstream_report, link_probe, body_piece_ack, body_credit,
-                                  crash_notice, suspects_cleared, quarantine_notice>;
+                                  crash_notice, suspects_cleared, quarantine_notice, link_closing>;
 
 }  // namespace cornelweir::protocol
 
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -194,9 +195,24 @@
     result.nested = failed->nested;
     result.quarantined_for = failed->quarantined_for;
     Finish(failed->id, std::move(result));
+  } else if (const auto* closing = std::get_if<protocol::link_closing>(&frame->message)) {
+    OnClosing(*closing);
   }
 }
 
+// The others have a result that is partly received, or none that will come.
+void peer::OnClosing(const protocol::link_closing& message) {
+  if (report_) report_->accepting = false;
+  const std::set<kernel::call_id> taken(message.taken.begin(), message.taken.end());
+  std::vector<kernel::call_id> not_taken;
+  for (const auto& [id, call] : pending_) {
+    if (!taken.contains(id) && call.response.status == 0) not_taken.push_back(id);
+  }
+  run_result result;
+  result.failure = protocol::run_failure::kNoUpstream;
+  for (const kernel::call_id id : not_taken) Finish(id, result);
+}
+
 void peer::OnReport(const protocol::upstream_report& report) {
   // The failures of an earlier upstream process do not apply to a new one.
   if (!report_ || report_->upstream != report.upstream) {
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -93,6 +93,7 @@
   void OnSilent();
   void OnReport(const protocol::upstream_report& report);
   void OnResponse(const protocol::run_response& message, std::string_view payload);
+  void OnClosing(const protocol::link_closing& message);
   void OnBodySent(kernel::call_id id);
   // Drops what has not been sent of the body of a request.
   void DropBody(kernel::call_id id, const pending& call);
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -33,7 +33,17 @@
   return {};
 }
 
+// Requests that cross the end of the links are not taken, and their senders are told so. Without it
+// their outcome would look unknown, and those that must not run twice would be lost.
 void peer_server::CloseAfterDrain(std::function<void()> done) {
+  for (const auto& [key, open] : sessions_) {
+    if (!open.greeting_received) continue;
+    protocol::link_closing closing;
+    for (const auto& [id, inbound] : open.requests) {
+      if (inbound.complete) closing.taken.push_back(id);
+    }
+    SendData(*open.link, std::move(closing));
+  }
   listener_->CloseAfterDrain(std::move(done));
 }
 
--- a/tests/peer_server_test.cc
+++ b/tests/peer_server_test.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "plugins/greeting.h"
 #include "plugins/sidecar/data_frame.h"
@@ -89,6 +90,8 @@
       response_ = *response;
     } else if (const auto* failed = std::get_if<protocol::run_failed>(&frame->message)) {
       failed_ = *failed;
+    } else if (const auto* closing = std::get_if<protocol::link_closing>(&frame->message)) {
+      closing_ = *closing;
     }
   }
 
@@ -119,6 +122,7 @@
   std::string received_by_upstream_;
   std::optional<protocol::run_response> response_;
   std::optional<protocol::run_failed> failed_;
+  std::optional<protocol::link_closing> closing_;
   std::size_t granted_ = 0;
   std::size_t sent_ = 0;
   // Whether pieces are sent as soon as there is credit.
@@ -180,5 +184,28 @@
   EXPECT_TRUE(received_by_upstream_.empty());
 }
 
+// Guards against a daemon that runs a request after it has said that it did not take it, or that
+// denies one that runs.
+TEST_F(PeerServerTest, SaysAtItsEndWhichRequestsItTook) {
+  protocol::run_request run;
+  run.id = kernel::call_id(1);
+  run.service = kernel::service_name("forms");
+  run.method = "GET";
+  run.target = "/run";
+  run.time_left = run.objective_left = kernel::milliseconds(20'000);
+  SendData(*link_, run);
+  http::RunUntil(daemon_.loop, [this] { return !received_by_upstream_.empty(); });
+  sends_ = false;
+  Announce(2);
+  http::RunUntil(daemon_.loop, [this] { return granted_ > 0; });
+  server_->CloseAfterDrain([] {});
+  run.id = kernel::call_id(3);
+  SendData(*link_, run);
+  http::RunUntil(daemon_.loop, [this] { return link_closed_; });
+  ASSERT_TRUE(closing_);
+  EXPECT_EQ(closing_->taken, std::vector<kernel::call_id>{kernel::call_id(1)});
+  EXPECT_EQ(dispatcher_->Load().queued, 0) << "the last request was taken";
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -201,5 +201,31 @@
   EXPECT_EQ(body_received_, 0U);
 }
 
+// Guards against a request that is lost because it crossed the end of a daemon that stops. It must
+// not be sent elsewhere if the daemon took it or began to send its response.
+TEST_F(PeerTest, KnowsWhichRequestsADaemonDidNotTakeBeforeItsEnd) {
+  std::optional<run_result> not_taken;
+  std::optional<run_result> taken;
+  std::optional<run_result> partly_received;
+  Run(policy::retry_safety::kNonIdempotent, not_taken);
+  const kernel::call_id running = Run(policy::retry_safety::kNonIdempotent, taken);
+  const kernel::call_id responding = Run(policy::retry_safety::kNonIdempotent, partly_received);
+  http::RunUntil(daemon_.loop, [this] { return received_.size() == 3; });
+  protocol::run_response response;
+  response.id = responding;
+  response.status = 200;
+  response.last = false;
+  SendData(*link_, response, "part");
+  SendData(*link_, protocol::link_closing{{running}});
+  http::RunUntil(daemon_.loop, [&] { return not_taken.has_value(); });
+  EXPECT_EQ(not_taken->failure, protocol::run_failure::kNoUpstream);
+  EXPECT_FALSE(taken || partly_received);
+  EXPECT_FALSE(peer_->Serves(kernel::service_name("forms")));
+  link_->Close("test");
+  http::RunUntil(daemon_.loop, [&] { return taken && partly_received; });
+  EXPECT_EQ(taken->failure, protocol::run_failure::kUpstreamError);
+  EXPECT_EQ(partly_received->failure, protocol::run_failure::kUpstreamError);
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
