Answer operators whose requests are being read when the process stops

The program stopped its loop as soon as its plug-ins had ended, without draining its admin endpoint: a response that was being written, or a request that was being read, was cut. An idle connection was also closed although a request on it had already arrived.

Change: after the plug-ins the admin endpoint is drained, within the grace period. A request that has arrived is served before its connection is closed.

DaemonExitTest.AnswersAnOperatorWhoseRequestIsBeingRead passes after. It was not run on the code before.

--- a/cornelweir/src/http/admin_server.cc
+++ b/cornelweir/src/http/admin_server.cc
@@ -100,8 +100,11 @@
         });
   }
 
+  // A request that has already arrived is served before the connection is closed.
   void CloseIfIdle() {
-    if (!busy_) Close();
+    beast::error_code error;
+    if (busy_ || (stream_.socket().available(error) > 0 && !error)) return;
+    Close();
   }
 
   void Close() {
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -146,10 +146,15 @@
     open_plugins_ = plugins_.size();
     for (const kernel::plugin_handle& plugin : plugins_) {
       plugin.begin_shutdown([this] {
-        if (--open_plugins_ == 0) loop_.Stop();
+        if (--open_plugins_ == 0) FinishShutdown();
       });
     }
-    if (plugins_.empty()) loop_.Stop();
+    if (plugins_.empty()) FinishShutdown();
+  }
+
+  // Operators get the responses to the requests that the admin endpoint has read.
+  void FinishShutdown() {
+    admin_.BeginDrain([this] { loop_.Stop(); });
   }
 
   const settings::daemon_settings& settings_;
--- a/tests/daemon_exit_test.cc
+++ b/tests/daemon_exit_test.cc
@@ -77,6 +77,25 @@
     ASSERT_TRUE(ReadUntil("process started"));
   }
 
+  void StartControl(std::int64_t shutdown_ms) {
+    const std::string mesh = FreePort(context_);
+    operators_port_ = FreePort(context_);
+    std::string section = R"("control": {"tolerated_losses": 0, "bootstrap": true, )";
+    section += R"("data_folder": ")" + folder_ + R"(/data", )";
+    section += R"("mesh_listen": "127.0.0.1:)" + mesh + R"(", )";
+    section += R"("seeds": ["127.0.0.1:)" + mesh + R"("], )";
+    section += R"("policy_listen": "127.0.0.1:)" + operators_port_ + R"(", )";
+    section += R"("shutdown_ms": )" + std::to_string(shutdown_ms) + "}";
+    Start(R"("control", "platform_operator", "metrics")", section);
+  }
+
+  // The port of the admin endpoint, as logged at the start.
+  std::string AdminPort() const {
+    constexpr std::string_view kField = "admin=127.0.0.1:";
+    const std::size_t at = log_.find(kField) + kField.size();
+    return std::to_string(std::stoi(log_.substr(at)));
+  }
+
   void StartSidecar(std::int64_t shutdown_ms) {
     callers_port_ = FreePort(context_);
     peers_port_ = FreePort(context_);
@@ -150,6 +169,7 @@
   std::string folder_;
   std::string callers_port_;
   std::string peers_port_;
+  std::string operators_port_;
   pid_t process_ = 0;
   int output_ = -1;
   std::string log_;
@@ -160,17 +180,10 @@
 // Guards against a control host that waits for the rest of an operator's request after its grace
 // period.
 TEST_F(DaemonExitTest, AControlHostDoesNotWaitForAnIncompleteRequest) {
-  const std::string mesh = FreePort(context_);
-  const std::string operators = FreePort(context_);
-  std::string section = R"("control": {"tolerated_losses": 0, "bootstrap": true, )";
-  section += R"("data_folder": ")" + folder_ + R"(/data", )";
-  section += R"("mesh_listen": "127.0.0.1:)" + mesh + R"(", )";
-  section += R"("seeds": ["127.0.0.1:)" + mesh + R"("], )";
-  section += R"("policy_listen": "127.0.0.1:)" + operators + R"(", "shutdown_ms": 700})";
-  Start(R"("control", "platform_operator", "metrics")", section);
-  Open(operators, kIncompleteRequest);
+  StartControl(700);
+  Open(operators_port_, kIncompleteRequest);
   // Once this request is answered, the daemon has read the one before.
-  Open(operators, "GET /config HTTP/1.1\r\nHost: h\r\n\r\n");
+  Open(operators_port_, "GET /config HTTP/1.1\r\nHost: h\r\n\r\n");
   std::array<char, 1> response{};
   boost::asio::read(connections_.back(), boost::asio::buffer(response));
   ::kill(process_, SIGTERM);
@@ -206,5 +219,25 @@
   EXPECT_LT(limit, kShutdownMs - kPause.count());
 }
 
+// Guards against an operator whose request was being read when the process stopped, and who gets no
+// response: a control host without work in progress ends within milliseconds.
+TEST_F(DaemonExitTest, AnswersAnOperatorWhoseRequestIsBeingRead) {
+  StartControl(6'000);
+  Open(AdminPort(), "GET /metrics HT");
+  // Once this request is answered, the daemon has read the one before.
+  Open(AdminPort(), "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::array<char, 1> first_byte{};
+  boost::asio::read(connections_.back(), boost::asio::buffer(first_byte));
+  ::kill(process_, SIGTERM);
+  ASSERT_TRUE(ReadUntil("graceful shutdown began"));
+  boost::system::error_code error;
+  boost::asio::write(connections_.front(), boost::asio::buffer("TP/1.1\r\nHost: h\r\n\r\n", 20),
+                     error);
+  std::string response;
+  boost::asio::read(connections_.front(), boost::asio::dynamic_buffer(response), error);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response.substr(0, 100);
+  EXPECT_EQ(AwaitExit(), 0);
+}
+
 }  // namespace
 }  // namespace cornelweir
