Log a stop that is requested again

A second SIGTERM or SIGINT changes nothing, as before: a platform may repeat it, and ending early would cut requests. It was ignored without a trace; event 1010 now says so. DaemonExitTest.ASecondSignalChangesNothing pins both.

--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -19,6 +19,7 @@
   X(kKeysRefused, 1007, kError, "keys can't be loaded, the old ones stay")                   \
   X(kLinesLeftOut, 1008, kWarning, "log lines dropped")                                      \
   X(kSettingsReloaded, 1009, kInfo, "settings read again")                                   \
+  X(kStopRepeated, 1010, kInfo, "stop requested again")                                      \
   X(kLeaderElected, 2001, kInfo, "became leader")                                            \
   X(kLeadershipLost, 2002, kWarning, "no longer leader")                                     \
   X(kStorageFailed, 2003, kError, "storage failed")                                          \
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -130,7 +130,10 @@
 
   // The signal may have been sent at the beginning of a pause of this process.
   void BeginShutdown() {
-    if (shutting_down_) return;
+    if (shutting_down_) {
+      event{event_id::kStopRepeated}.With("host", settings_.host);
+      return;
+    }
     shutting_down_ = true;
     const kernel::time_point now = clock_.Now();
     context_.stop_at = shutdown::StopTime(pauses_.InputArrival(now), settings::GracePeriod(settings_));
--- a/tests/daemon_exit_test.cc
+++ b/tests/daemon_exit_test.cc
@@ -239,5 +239,18 @@
   EXPECT_EQ(AwaitExit(), 0);
 }
 
+// Guards against a second signal that ends the process before its requests do. Platforms may send
+// it again.
+TEST_F(DaemonExitTest, ASecondSignalChangesNothing) {
+  StartSidecar(1'500);
+  Open(callers_port_, kIncompleteRequest);
+  ::kill(process_, SIGTERM);
+  ASSERT_TRUE(ReadUntil("graceful shutdown began"));
+  ::kill(process_, SIGTERM);
+  EXPECT_EQ(AwaitExit(), 0);
+  EXPECT_NE(log_.find("stop requested again"), std::string::npos);
+  EXPECT_NE(log_.find("cut_short="), std::string::npos) << "the process did not end in order";
+}
+
 }  // namespace
 }  // namespace cornelweir
