Use the drain time of the proxy path, which had no effect

`proxy.drain_ms` was read, checked and documented as the time for which a shutdown waits for requests in progress, and nothing used it: the process waited 120 s at most, whatever it said. An operator whose platform kills after 20 s had requests cut without notice in between.

Change: the grace period of the proxy path is `drain_ms` and what the path needs besides: 1 s for other daemons to learn of it, 0.1 s for the last messages, 0.4 s for the exit. 0 is refused, as it leaves no time for requests.

The test asserted that a proxy has over 60 s, which is not what the setting says. It now asserts the exact time for a value of the setting.

--- a/cornelweir/src/settings/grace_period.cc
+++ b/cornelweir/src/settings/grace_period.cc
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <string_view>
 
+#include "cornelweir/src/shutdown/limits.h"
+
 namespace cornelweir::settings {
 namespace {
 
-// A proxy has no setting for it: it waits for the requests in progress, which time out sooner.
-constexpr kernel::milliseconds kProxyGracePeriod{120'000};
-
 bool UsesPlugin(const daemon_settings& settings, std::string_view name) {
   return std::find(settings.plugins.begin(), settings.plugins.end(), name) !=
          settings.plugins.end();
@@ -23,7 +22,10 @@
   if (settings.control && UsesPlugin(settings, "control")) {
     longest = std::max(longest, kernel::milliseconds(settings.control->shutdown_ms));
   }
-  if (UsesPlugin(settings, "proxy")) longest = std::max(longest, kProxyGracePeriod);
+  if (settings.proxy && UsesPlugin(settings, "proxy")) {
+    longest = std::max(longest, kernel::milliseconds(settings.proxy->drain_ms) +
+                                    shutdown::kProxyReserve);
+  }
   return longest;
 }
 
--- a/cornelweir/src/settings/load_settings.cc
+++ b/cornelweir/src/settings/load_settings.cc
@@ -100,7 +100,7 @@
   reader.Endpoint("mesh_listen", port_rule::kMayBeZero, proxy.mesh_listen);
   reader.Endpoints("control_hosts", kMaxControlHosts, proxy.control_hosts);
   reader.OptionalNumber("max_body_bytes", 1, kMaxMaxBodyBytes, proxy.max_body_bytes);
-  reader.OptionalNumber("drain_ms", 0, kMaxDrainMs, proxy.drain_ms);
+  reader.OptionalMilliseconds("drain_ms", 1, kMaxDrainMs, proxy.drain_ms);
   reader.OptionalNumber("max_connections_per_peer", 1, kMaxConnectionsPerPeer,
                         proxy.max_connections_per_peer);
 }
--- a/plugins/proxy/proxy_plugin.cc
+++ b/plugins/proxy/proxy_plugin.cc
@@ -3,16 +3,13 @@
 #include <string>
 #include <utility>
 
+#include "cornelweir/shutdown.h"
+
 namespace cornelweir::plugins::proxy {
 namespace internal {
 
 using codec::json;
 
-// Other daemons learn within this time that the upstream is draining. Requests that they forward
-// until then are refused as not run and retried on another upstream.
-constexpr kernel::milliseconds kDrainPropagationDelay{1'000};
-// Lets the last messages reach the control host before the link closes.
-constexpr kernel::milliseconds kLeaveDelay{100};
 constexpr kernel::milliseconds kStatusPeriod{1'000};
 
 http::pool_limits PoolLimits(const settings::proxy_settings& settings) {
@@ -100,7 +97,7 @@
 void proxy_plugin::BeginShutdown(std::function<void()> done) {
   shutdown_done_ = std::move(done);
   local_upstream_.BeginDrain();
-  shutdown_timer_.Start(internal::kDrainPropagationDelay, [this] {
+  shutdown_timer_.Start(shutdown::kDrainPropagationTime, [this] {
     router_.BeginDrain();
     server_.BeginDrain([this] { FinishShutdown(); });
   });
@@ -108,7 +105,7 @@
 
 void proxy_plugin::FinishShutdown() {
   local_upstream_.Leave();
-  shutdown_timer_.Start(internal::kLeaveDelay, [this] {
+  shutdown_timer_.Start(shutdown::kLeaveTime, [this] {
     status_timer_.Cancel();
     subscription_.Stop();
     control_client_.Stop();
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -1,4 +1,5 @@
 #include "cornelweir/settings.h"
+#include "cornelweir/shutdown.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -90,7 +91,8 @@
   settings.sidecar.emplace().shutdown_ms = 900;
   EXPECT_EQ(GracePeriod(settings), kernel::milliseconds(900));
   settings.plugins.emplace_back("proxy");
-  EXPECT_GT(GracePeriod(settings), kernel::milliseconds(60'000));
+  settings.proxy->drain_ms = 20'000;
+  EXPECT_EQ(GracePeriod(settings), kernel::milliseconds(20'000) + shutdown::kProxyReserve);
 }
 
 TEST(Settings, OverridesReplaceTextsNumbersFlagsAndLists) {
