Send the last report to the control host before a daemon ends

Cause: found by looking for the class on announcements. A daemon gets back what its upstream announced last from its control host after a restart. At its end it closed the link without sending what was still queued on it, so an acknowledged "draining" could be missing there, and the restarted daemon could use the upstream again.

Change: the link is closed after its queue was sent. No test of its own: the queue is empty on loopback.

--- a/plugins/sidecar/control_client.cc
+++ b/plugins/sidecar/control_client.cc
@@ -58,7 +58,9 @@
 void control_client::Stop() {
   timer_.Cancel();
   if (alive_) *alive_ = false;
-  if (link_) link_->Close("the process is shutting down");
+  // What the upstream announced last is to reach the control host, from which the daemon gets it
+  // back after a restart.
+  if (link_) link_->CloseAfterDrain("the process is shutting down");
 }
 
 void control_client::BeginShutdown() {
