--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -103,8 +103,7 @@
 
 void pipeline_connection::Parse() {
   const auto self = shared_from_this();
-  while (!closed_ && intake_.open() && !input_.empty() &&
-         pending_.size() < kMaxPipelinedRequests) {
+  while (!closed_ && intake_.open() && !input_.empty() && pending_.size() < kMaxPipelinedRequests) {
     if (!parser_) {
       parser_ = std::make_unique<parser>();
       parser_->header_limit(static_cast<std::uint32_t>(core_->limits.header_bytes));
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -294,8 +294,8 @@
   }
 };
 
-// The last message of a daemon that closes the link. Requests that have no result by now and are not
-// listed were not taken: they did not reach an upstream and will not.
+// The last message of a daemon that closes the link. Requests that have no result by now and are
+// not listed were not taken: they did not reach an upstream and will not.
 struct link_closing {
   static constexpr std::string_view kType = "closing";
 
--- a/cornelweir/src/settings/grace_period.cc
+++ b/cornelweir/src/settings/grace_period.cc
@@ -23,8 +23,8 @@
     longest = std::max(longest, kernel::milliseconds(settings.control->shutdown_ms));
   }
   if (settings.proxy && UsesPlugin(settings, "proxy")) {
-    longest = std::max(longest, kernel::milliseconds(settings.proxy->drain_ms) +
-                                    shutdown::kProxyReserve);
+    longest =
+        std::max(longest, kernel::milliseconds(settings.proxy->drain_ms) + shutdown::kProxyReserve);
   }
   return longest;
 }
--- a/cornelweir/src/settings/section_reader.h
+++ b/cornelweir/src/settings/section_reader.h
@@ -45,8 +45,8 @@
                       std::int64_t& value);
   // A number from 0 to most, whole or not.
   void OptionalReal(std::string_view key, std::int64_t most, double& value);
-  // Reads a whole number of milliseconds from a key that ends in "_ms", or a time with its unit from
-  // the same key without that ending. Both together are an error.
+  // Reads a whole number of milliseconds from a key that ends in "_ms", or a time with its unit
+  // from the same key without that ending. Both together are an error.
   void OptionalMilliseconds(std::string_view key, std::int64_t least, std::int64_t most,
                             std::int64_t& value);
   // Reads a time such as "1500ms", "5s" or "2.5s". A part of a millisecond is rounded.
--- a/plugins/sidecar/peer_server.h
+++ b/plugins/sidecar/peer_server.h
@@ -30,8 +30,8 @@
   boost::leaf::result<void> Listen();
   // Requires Listen().
   kernel::endpoint local_endpoint() const { return listener_->local_endpoint(); }
-  // Tells the other daemons which requests were not taken, closes the links after the results queued
-  // on them were sent, then calls done.
+  // Tells the other daemons which requests were not taken, closes the links after the results
+  // queued on them were sent, then calls done.
   void CloseAfterDrain(std::function<void()> done);
   // Sends the upstream's current state to all connected daemons.
   void ReportUpstream();
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -136,7 +136,8 @@
     }
     shutting_down_ = true;
     const kernel::time_point now = clock_.Now();
-    context_.stop_at = shutdown::StopTime(pauses_.InputArrival(now), settings::GracePeriod(settings_));
+    context_.stop_at =
+        shutdown::StopTime(pauses_.InputArrival(now), settings::GracePeriod(settings_));
     const kernel::microseconds left =
         std::max(context_.stop_at - now, kernel::microseconds::zero());
     event{event_id::kProcessStopping}
--- a/tests/call_router_stop_test.cc
+++ b/tests/call_router_stop_test.cc
@@ -53,8 +53,8 @@
     dialect_.encode_run = &EncodeRun;
     dispatcher_ = std::make_unique<upstream_dispatcher>(daemon_.context, dialect_, bulk_, [] {});
     peers_ = std::make_unique<peer_set>(daemon_.context, *dispatcher_, bulk_);
-    router_ = std::make_unique<call_router>(daemon_.context, dialect_, *peers_, *dispatcher_,
-                                            quota_);
+    router_ =
+        std::make_unique<call_router>(daemon_.context, dialect_, *peers_, *dispatcher_, quota_);
     membership::upstream_announcement announcement;
     announcement.id = kernel::upstream_id("u1");
     announcement.address = upstream_.endpoint();
--- a/tests/http_pipeline_test.cc
+++ b/tests/http_pipeline_test.cc
@@ -34,7 +34,8 @@
   // How often the caller has received a text.
   int CountOf(const std::string& text) const {
     int count = 0;
-    for (std::size_t at = 0; (at = caller_->received.find(text, at)) != std::string::npos; ++count) {
+    for (std::size_t at = 0; (at = caller_->received.find(text, at)) != std::string::npos;
+         ++count) {
       at += text.size();
     }
     return count;
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -1,5 +1,4 @@
 #include "cornelweir/settings.h"
-#include "cornelweir/shutdown.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -8,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "cornelweir/shutdown.h"
+
 namespace cornelweir::settings {
 namespace {
 
