Test that the proxy path tells a caller that never pauses to close

This path serves one request at a time, so each response can close its connection; its code did not change.

--- a/tests/http_proxy_test.cc
+++ b/tests/http_proxy_test.cc
@@ -720,5 +720,23 @@
   EXPECT_NE(busy->received.find("Connection: close"), std::string::npos) << busy->received;
 }
 
+// Guards against a shutdown that never tells a caller who keeps requests in progress to close its
+// connection, or that takes a request behind the response that closes it.
+TEST_F(ProxyTest, TellsACallerThatNeverPausesToClose) {
+  StartProxy();
+  server_.on_bytes = nullptr;
+  const auto caller = Connect();
+  caller->Send(std::string(kGet) + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil([&] { return !server_.peers.empty() && !server_.peers[0]->received.empty(); });
+  bool drained = false;
+  proxy_->BeginDrain([&] { drained = true; });
+  server_.peers[0]->Send(Answer("ok"));
+  RunUntil([&] { return caller->closed; });
+  EXPECT_TRUE(caller->received.ends_with("ok")) << "one response is expected";
+  EXPECT_NE(caller->received.find("Connection: close"), std::string::npos) << caller->received;
+  EXPECT_EQ(server_.peers[0]->received.find("/b"), std::string::npos);
+  RunUntil([&] { return drained; });
+}
+
 }  // namespace
 }  // namespace cornelweir::http
