Give each run of the stop soak a network and a process of its own

A long run by hand was in progress beside it. Cause: the network was drawn after the generator had been seeded, so two fleets of one seed drew the same one, and the stand-ins of an earlier seed of the long run kept their ports, since a thread that waits in accept() holds the socket after close().

Change: the generator is seeded after the network is drawn, and each seed of a long run has its own process.

--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -204,13 +204,14 @@
     def __init__(self, options):
         self.options = options
         self.choose = random.Random(options.seed)
-        random.seed(options.seed)
         self.over = threading.Event()
         self.record = fleets.Record(options.record)
         grace_s = options.grace or self.choose.choice([6, 8, 10])
         self.grace_s = grace_s
         self.fleet = fleets.Fleet(self.record, {"forms": 3, "intake": 3},
                                   bounds={"grace": f"{grace_s}s"}, work=work)
+        # Not before: fleets of the same seed would draw the same network.
+        random.seed(options.seed)
         daemon = str(pathlib.Path(options.daemon).resolve())
         for role in self.fleet.deploy["roles"].values():
             role["run"] = daemon
@@ -361,18 +362,8 @@
     parser.add_argument("--grace", type=int, help="seconds; drawn by the seed if absent")
     parser.add_argument("--logs", type=pathlib.Path, help="folder for the logs of a failed run")
     options = parser.parse_args()
-    logs = options.logs
-    failed = 0
-    for seed in range(options.seed, options.seed + options.runs):
-        options.seed = seed
-        options.logs = logs / str(seed) if logs else None
-        failed += run_seed(options) != 0
     if options.runs > 1:
-        print(f"{failed} of {options.runs} runs failed")
-    return 1 if failed else 0
-
-
-def run_seed(options):
+        return run_seeds(options)
     with tempfile.TemporaryDirectory(prefix="stop-soak-") as folder:
         options.record = pathlib.Path(folder) / "record.txt"
         if options.logs:
@@ -381,5 +372,20 @@
         return Soak(options).run()
 
 
+def run_seeds(options):
+    """Each run has a process of its own: stand-ins that wait for a connection keep their ports."""
+    failed = 0
+    for seed in range(options.seed, options.seed + options.runs):
+        command = [sys.executable, __file__, "--daemon", options.daemon, "--seed", str(seed),
+                   "--rounds", str(options.rounds)]
+        if options.grace:
+            command += ["--grace", str(options.grace)]
+        if options.logs:
+            command += ["--logs", str(options.logs / str(seed))]
+        failed += subprocess.run(command).returncode != 0
+    print(f"{failed} of {options.runs} runs failed")
+    return 1 if failed else 0
+
+
 if __name__ == "__main__":
     sys.exit(main())
