Excuse in the stop soak what was passed on to a daemon that stood still

Trace: sidecar-5 passed it on to sidecar-2 (event 4002, upstream_daemon=127.70.19.6:8300) at 23:26:57.87, which was stopped by SIGSTOP from 23:26:57.6 to 58.5. A host that stands still is no planned work, and the check already excused requests that run there; this one never ran, so the record did not name the host. The log of the caller's daemon does.

The excuse needs that exact host.

--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -9,6 +9,7 @@
 import argparse
 import pathlib
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -310,8 +311,17 @@
         if newest < self.acknowledged:
             self.faults.append(f"version {self.acknowledged} was acknowledged, {newest} is read")
 
-    def is_excused(self, attempt, runs):
-        names = {attempt.machine.name} | {run["target"].removeprefix("i-") for run in runs}
+    def daemons_that_got(self):
+        """The hosts that each request was passed on to last, by the logs. A request that was passed
+        on to a daemon that stands still does not run there."""
+        pattern = re.compile(r"event=4002 .*request=(\w+) .*upstream_daemon=([\d.:]+)")
+        by_address = {machine.inbound: machine.name for machine in self.fleet.sidecars}
+        return {found.group(1): by_address[found.group(2)] for machine in self.fleet.sidecars
+                for found in pattern.finditer(machine.log()) if found.group(2) in by_address}
+
+    def is_excused(self, attempt, runs, daemon):
+        names = {attempt.machine.name, daemon}
+        names |= {run["target"].removeprefix("i-") for run in runs}
         return any(machine.name in names
                    and attempt.sent_at < end + FREEZE_SLACK_S
                    and (attempt.ended_at or time.monotonic()) > begin - FREEZE_SLACK_S
@@ -321,11 +331,12 @@
         runs = {}
         for _, fields in self.record.of("run"):
             runs.setdefault(fields["id"], []).append(fields)
+        passed_on = self.daemons_that_got()
         counts = {"answered": 0, "refused": 0, "unread": 0, "late": 0, "excused": 0}
         for attempt in attempts:
             ran = runs.get(attempt.ident, [])
             took = (attempt.ended_at or time.monotonic()) - attempt.sent_at
-            if self.is_excused(attempt, ran):
+            if self.is_excused(attempt, ran, passed_on.get(attempt.ident)):
                 counts["excused"] += 1
             elif attempt.whole:
                 counts["answered"] += 1
