Make the calls of the storage replaceable, and load a store again

So far a store rejected all calls after one had failed, until a new store was opened, and its system calls could not be made to fail in a test.

The calls on files go through the concept file_calls. posix_calls passes them on to the operating system and is the only place that makes them; a test can put a simulated disk in its place. An error names the call besides the file, the offset and the errno, and a file size limit counts as a full disk.

Load() replaces the reading part of Open() and may be called again after a failure. It believes nothing after the end of what was durable before, since a failed sync may drop bytes that reads still return: it cuts the log there, writes and syncs a record, and reads all files back. If something durable is missing, the data is set aside under a new identity. A folder that ever had an identity never gets the bootstrap flag again.

--- a/cornelweir/src/storage/limits.h
+++ b/cornelweir/src/storage/limits.h
@@ -12,7 +12,7 @@
 // of the largest size, a record stays below kMaxRecordBytes.
 inline constexpr std::size_t kRecordSplitBytes = std::size_t{256} << 10;
 inline constexpr std::size_t kRecordSplitEntries = 1024;
-// Size from which on a segment gets no further records.
+// Default of store_options::segment_bytes.
 inline constexpr std::uint64_t kSegmentBytes = std::uint64_t{8} << 20;
 inline constexpr std::size_t kSnapshotPieceBytes = std::size_t{256} << 10;
 inline constexpr std::uint64_t kMaxSnapshotBytes = std::uint64_t{256} << 20;
--- a/cornelweir/src/storage/record_codec.h
+++ b/cornelweir/src/storage/record_codec.h
@@ -17,7 +17,8 @@
 
 inline boost::leaf::error_id MakeError(storage_fault fault, const std::filesystem::path& path,
                                        std::uint64_t offset = 0) {
-  return boost::leaf::new_error(storage_error{fault, path.string(), offset, 0});
+  return boost::leaf::new_error(
+      storage_error{fault, path.string(), offset, 0, storage_call::kNone});
 }
 
 // Encodes a value as a record. Fails with kTooLarge above kMaxRecordBytes.
--- a/cornelweir/src/storage/record_types.h
+++ b/cornelweir/src/storage/record_types.h
@@ -11,7 +11,7 @@
 #include "cornelweir/src/replication/durable_state.h"
 #include "cornelweir/src/replication/group_configuration.h"
 #include "cornelweir/src/replication/log_entry.h"
-#include "cornelweir/src/storage/file.h"
+#include "cornelweir/src/storage/file_identity.h"
 
 namespace cornelweir::storage::internal {
 
--- a/cornelweir/src/storage/storage_error.h
+++ b/cornelweir/src/storage/storage_error.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "cornelweir/src/storage/storage_call.h"
+
 namespace cornelweir::storage {
 
 enum class storage_fault : std::uint8_t {
@@ -21,19 +23,26 @@
   kAlreadyInitialized,
   // A record or a snapshot exceeds its size limit.
   kTooLarge,
-  // An earlier write or sync failed; the store rejects further writes until it is opened again.
-  kFailed
+  // An earlier write or sync failed; the store rejects further writes until it is loaded again.
+  kFailed,
+  // Data that was durable before a write failed is missing from the files.
+  kLost
 };
 
-// Why storing or reading data failed, with the file and the offset in bytes at which it failed.
+// Why storing or reading data failed: the file, the offset in bytes and the call.
 struct storage_error {
   storage_fault fault = storage_fault::kSystem;
   std::string file;
   std::uint64_t offset = 0;
   // The errno value of the failed call; 0 if the operating system reported no error.
   int system_error = 0;
+  storage_call call = storage_call::kNone;
 };
 
+// Whether the same call may succeed later without an operator: the disk is full, gives errors or
+// refuses writes, or the process is short of memory or descriptors.
+bool IsTransient(const storage_error& error);
+
 }  // namespace cornelweir::storage
 
 #endif  // CORNELWEIR_SRC_STORAGE_STORAGE_ERROR_H_
