Write the end of the log again before a new process counts it as durable

A process that ended between a write and its sync left records that the next one read from the cache and counted as durable: it acknowledged entries, or stood by votes, that a loss of power took away. If the sync had failed, no later sync would have written them either.

A store that is loaded for the first time writes the last segment again, unchanged, and syncs it before it counts anything in it. Earlier segments were synced before it was started.

Found by reading for the class of the full disk, and shown by tests on a simulated disk whose failed syncs drop what they were to write: storage_faults_test fails each of the 186 calls of a recorded run once, twice and seven times, cuts each write short, and ends the process or the power at each. Without the change WhatAnEarlierProcessWroteIsDurableOnceItIsRead fails, and with a plain sync in its place TheProcessMayEndAtEachFailedCall (at call 30).

--- a/cornelweir/src/storage/file_calls.h
+++ b/cornelweir/src/storage/file_calls.h
@@ -17,7 +17,9 @@
   // Creates the file if it does not exist. Writes go to its end.
   kAppend,
   // Fails if the file exists. Writes go to its end.
-  kCreate
+  kCreate,
+  // Writes replace the content from the beginning on.
+  kOverwrite
 };
 
 // The result of a call to the operating system: a value, or the errno of the failure.
--- a/cornelweir/src/storage/file_system.h
+++ b/cornelweir/src/storage/file_system.h
@@ -41,6 +41,17 @@
     return Open(path, open_mode::kCreate);
   }
 
+  // Writes the content of a file again, unchanged, and makes it durable. A sync alone is not enough
+  // for content that an earlier failed sync dropped: reads may return it although no sync writes
+  // it.
+  boost::leaf::result<void> RewriteDurably(const std::filesystem::path& path) const {
+    BOOST_LEAF_AUTO(content, ReadFile(path));
+    BOOST_LEAF_AUTO(descriptor, OpenDescriptor(path, open_mode::kOverwrite));
+    file<Calls> rewritten(calls_, descriptor, 0, path);
+    BOOST_LEAF_CHECK(rewritten.Append(content));
+    return rewritten.Sync();
+  }
+
   boost::leaf::result<bool> Exists(const std::filesystem::path& path) const {
     const call_result found = calls_.Exists(path.string());
     if (!found) return SystemError(storage_call::kStatus, path, 0, found.error);
--- a/cornelweir/src/storage/posix_calls.cc
+++ b/cornelweir/src/storage/posix_calls.cc
@@ -36,6 +36,8 @@
       return O_WRONLY | O_CREAT | O_APPEND;
     case open_mode::kCreate:
       return O_WRONLY | O_CREAT | O_EXCL | O_APPEND;
+    case open_mode::kOverwrite:
+      return O_WRONLY;
   }
   return O_RDONLY;
 }
