Let a control host take part again after its disk was full

Cause: a write that failed set a flag in replica::Persist() that nothing reset. From then on the host ignored messages, the time, proposals and reads, while it looked alive. The log of the untouched code shows event 2003 on three hosts at 3.8, 15.5 and 27.4 s, nothing from them afterwards, and the leader giving up at 28.3 s for lack of a majority. Proposals that were pending got no outcome, and the event named neither the file nor the errno.

The replica uses a durable_node: the fault answers everything that is pending, gives up leadership and ends when the files take writes again. The state machine stays, since committed entries stay committed; entries that the new node delivers again are skipped. A disk that is full at the start no longer ends the process. Data that can't be used ends it with the file and the offset.

Event 2003 names file, call, errno, offset and free bytes; 2013 to 2017, two metrics and the status of the host tell the rest. cornelweirctl status shows it.

The new test ControlPluginTest.TakesPartAgainAfterItsDiskWasFull can't pass on the old code, where failed_ stays set.

--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -32,6 +32,11 @@
   X(kStorageOpened, 2010, kInfo, "data folder opened")                                       \
   X(kCurrentStateChanged, 2011, kInfo, "state became current or outdated")                   \
   X(kPolicyRead, 2012, kInfo, "policy read by an operator")                                  \
+  X(kStorageRecovered, 2013, kInfo, "storage takes writes again")                            \
+  X(kStorageStillFailing, 2014, kError, "storage keeps failing")                             \
+  X(kSnapshotPostponed, 2015, kWarning, "snapshot not written, the log keeps its entries")   \
+  X(kDiskSpaceLow, 2016, kWarning, "disk space low or enough again")                         \
+  X(kStateTooLarge, 2017, kError, "state too large for a snapshot")                          \
   X(kRolloutDecided, 2020, kInfo, "rollout order decided")                                   \
   X(kRolloutRead, 2021, kInfo, "rollout read by an operator")                                \
   X(kRolloutChanged, 2022, kInfo, "rollout started or advanced")                             \
--- a/cornelweir/src/storage/log_store.h
+++ b/cornelweir/src/storage/log_store.h
@@ -52,9 +52,6 @@
       const std::filesystem::path& folder, copy_check check = copy_check::kByFileIdentity,
       Calls calls = {});
 
-  // Whether the folder has an identity.
-  static bool HasIdentity(const std::filesystem::path& folder, Calls calls = {});
-
   // Reads the data folder, for the first time or after a call has failed. Truncates a torn record
   // at the end of the log; fails with kDamaged if data is corrupted anywhere else. After a failure,
   // first cuts off what was not durable before it and proves by a write and a sync that the disk
--- a/cornelweir/src/storage/log_store_load.h
+++ b/cornelweir/src/storage/log_store_load.h
@@ -114,12 +114,6 @@
 
 // ---- Reading.
 
-template <file_calls Calls>
-bool basic_log_store<Calls>::HasIdentity(const std::filesystem::path& folder, Calls calls) {
-  const auto found = internal::file_system<Calls>(calls).Exists(folder / internal::kIdentityName);
-  return found && found.value();
-}
-
 template <file_calls Calls>
 boost::leaf::result<std::shared_ptr<basic_log_store<Calls>>> basic_log_store<Calls>::Open(
     const std::filesystem::path& folder, copy_check check, Calls calls) {
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -1,6 +1,9 @@
 #include "plugins/control/control_plugin.h"
 
 #include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
 #include <string>
 #include <utility>
 #include <variant>
@@ -53,12 +56,45 @@
   return kernel::host_id(settings::WithPort(seed, settings::PortOf(own_mesh)).value());
 }
 
-// Writes the identity of an initial host to its data folder. An existing identity is kept: it comes
-// from an earlier start with the same settings.
-boost::leaf::result<void> BootstrapStorage(const settings::control_settings& settings) {
-  if (storage::log_store::HasIdentity(settings.data_folder)) return {};
-  if (!settings.seeds.empty() && !IsFirstSeed(settings)) return {};
-  return storage::log_store::Bootstrap(settings.data_folder);
+// Returns how the data folder is opened. The bootstrap flag has an effect only on a folder that
+// never had an identity: it may remain set after the first start.
+storage::store_options StoreOptions(const settings::control_settings& settings) {
+  storage::store_options options;
+  options.check =
+      settings.stable_inodes ? storage::copy_check::kByFileIdentity : storage::copy_check::kNone;
+  options.bootstrap = settings.bootstrap && (settings.seeds.empty() || IsFirstSeed(settings));
+  return options;
+}
+
+// Builds this host's node from the content of its data folder.
+replication::node BuildNode(const daemon_context& context, storage::recovered_state content) {
+  replication::group_configuration initial = InitialGroup(*context.settings.control);
+  if (!context.settings.control->seeds.empty() && content.bootstrap) {
+    initial.voters = {context.settings.host};
+  }
+  return replication::node_builder()
+      .Self(context.settings.host)
+      .Disk(content.disk)
+      .Bootstrap(content.bootstrap)
+      .State(std::move(content.state))
+      .Snapshot(std::move(content.snapshot))
+      .Entries(std::move(content.entries))
+      .Configuration(std::move(initial))
+      .Seed(context.random.NextU64())
+      .Build();
+}
+
+std::string Describe(const storage::storage_error& error) {
+  std::string text = "the data folder can't be used: ";
+  text.append(storage::CallName(error.call)).append(" of ").append(error.file);
+  text.append(" at offset ").append(std::to_string(error.offset));
+  if (error.system_error != 0) text.append(": ").append(std::strerror(error.system_error));
+  if (error.fault == storage::storage_fault::kDamaged) text.append(": the file is damaged");
+  if (error.fault == storage::storage_fault::kInconsistent) {
+    text.append(": the files are inconsistent");
+  }
+  if (error.fault == storage::storage_fault::kLocked) text.append(": another process uses it");
+  return text;
 }
 
 }  // namespace internal
@@ -74,57 +110,36 @@
         plugin_error{"admin_listen: the operators' interface has no authentication, so a control "
                      "host offers it on a loopback address only"});
   }
-  const settings::control_settings& settings = *context.settings.control;
-  // Operators set this for the first start of an initial host only. If it stayed set, a host that
-  // lost its disk would bootstrap the group again.
-  if (settings.bootstrap) BOOST_LEAF_CHECK(internal::BootstrapStorage(settings));
-  using copy_check = storage::log_store::copy_check;
-  BOOST_LEAF_AUTO(store,
-                  storage::log_store::Open(settings.data_folder, settings.stable_inodes
-                                                                     ? copy_check::kByFileIdentity
-                                                                     : copy_check::kNone));
-  storage::recovered_state recovered = store->TakeRecoveredState();
-  replication::group_configuration initial = internal::InitialGroup(settings);
-  if (!settings.seeds.empty() && recovered.bootstrap) initial.voters = {context.settings.host};
-  logging::event(logging::event_id::kStorageOpened)
-      .With("disk", recovered.disk)
-      .With("created", recovered.identity_created)
-      .With("set_aside", recovered.set_aside)
-      .With("torn_bytes", recovered.torn_bytes)
-      .With("term", recovered.state.term)
-      .With("snapshot", recovered.snapshot ? recovered.snapshot->index : kernel::log_index())
-      .With("entries", recovered.entries.size());
-  const std::optional<replication::snapshot> snapshot = recovered.snapshot;
-  replication::node node = replication::node_builder()
-                               .Self(context.settings.host)
-                               .Disk(recovered.disk)
-                               .Bootstrap(recovered.bootstrap)
-                               .State(std::move(recovered.state))
-                               .Snapshot(std::move(recovered.snapshot))
-                               .Entries(std::move(recovered.entries))
-                               .Configuration(std::move(initial))
-                               .Seed(context.random.NextU64())
-                               .Build();
-  auto plugin = std::make_shared<control_plugin>(context, std::move(node), store);
-  if (snapshot) plugin->replica_.Restore(*snapshot);
+  auto plugin = std::make_shared<control_plugin>(context);
+  BOOST_LEAF_CHECK(plugin->OpenStorage());
   BOOST_LEAF_CHECK(plugin->Listen());
   return plugin;
 }
 
-control_plugin::control_plugin(daemon_context& context, replication::node node,
-                               std::shared_ptr<storage::log_store> store)
+control_plugin::control_plugin(daemon_context& context)
     : context_(context),
-      replica_(context.loop, std::move(node), std::move(store),
-               replica::handlers{.send =
-                                     [this](const replication::envelope& message) {
-                                       mesh_.Send(message.to, protocol::replicate{message});
-                                     },
-                                 .applied =
-                                     [this](const cornelweir::control::applied_effects& effects) {
-                                       OnApplied(effects);
-                                     },
-                                 .leadership_changed =
-                                     [this](bool is_leader) { OnLeadershipChanged(is_leader); }}),
+      replica_(
+          context.loop,
+          storage::log_store(context.settings.control->data_folder,
+                             internal::StoreOptions(*context.settings.control)),
+          [&context](storage::recovered_state content) {
+            return internal::BuildNode(context, std::move(content));
+          },
+          internal::InitialGroup(*context.settings.control),
+          replica::handlers{
+              .send =
+                  [this](const replication::envelope& message) {
+                    mesh_.Send(message.to, protocol::replicate{message});
+                  },
+              .applied =
+                  [this](const cornelweir::control::applied_effects& effects) {
+                    OnApplied(effects);
+                  },
+              .leadership_changed = [this](bool is_leader) { OnLeadershipChanged(is_leader); },
+              .storage_unusable =
+                  [](const storage::storage_error& error) {
+                    EndProcess(internal::Describe(error));
+                  }}),
       mesh_(context.loop, context.settings, context.tls, context.random.NextU64()),
       gateway_(*this, context.loop, context.random),
       feed_(*this, context.loop, context.pauses),
@@ -138,12 +153,29 @@
       metrics_timer_(context.loop),
       group_timer_(context.loop),
       shutdown_timer_(context.loop),
+      storage_monitor_(context.metrics),
       started_at_(context.clock.Now()) {
   api_.Register(context.admin);
   context.policy = policy_.MakePort();
   context.rollouts = rollouts_.MakePort();
 }
 
+boost::leaf::result<void> control_plugin::OpenStorage() {
+  return boost::leaf::try_handle_some([this] { return replica_.Open(); },
+                                      [](const storage::storage_error& error) {
+                                        return boost::leaf::result<void>(boost::leaf::new_error(
+                                            plugin_error{internal::Describe(error)}));
+                                      });
+}
+
+// Whatever starts the process again shows the reason to operators if the next start fails, too.
+void control_plugin::EndProcess(const std::string& reason) {
+  logging::event(logging::event_id::kProcessStopped).With("reason", reason);
+  logging::FlushOutput();
+  std::fprintf(stderr, "cornelweird: %s\n", reason.c_str());
+  std::_Exit(EXIT_FAILURE);
+}
+
 boost::leaf::result<void> control_plugin::Listen() {
   transport::link_handlers handlers;
   handlers.message = [this](const std::shared_ptr<transport::link>& link,
@@ -324,6 +356,7 @@
   }
   for (const auto& [link, host] : peers_) hosts.insert(host);
   mesh_.SetPeers(hosts);
+  if (!replica_.IsStorageHealthy()) return;
   if (!node.IsLeader()) {
     const auto since = node.TimeSinceLeaderContact();
     if (!since || *since > internal::kJoinRequestDelay) {
@@ -459,6 +492,7 @@
       .Set(static_cast<double>(replica_.machine().history().newest().value()));
   metrics.Gauge("cornelweir_control_subscribers", "Daemons that subscribe at this host", {})
       .Set(static_cast<double>(gateway_.subscribers()));
+  storage_monitor_.Report(replica_.storage());
 }
 
 namespace {
--- a/plugins/control/control_plugin.h
+++ b/plugins/control/control_plugin.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "cornelweir/codec.h"
@@ -22,6 +23,7 @@
 #include "plugins/control/replica.h"
 #include "plugins/control/rollout_controller.h"
 #include "plugins/control/rollout_service.h"
+#include "plugins/control/storage_monitor.h"
 #include "plugins/daemon_context.h"
 
 namespace cornelweir::plugins::control {
@@ -36,11 +38,12 @@
   using outcome_callback = std::function<void(std::optional<cornelweir::control::outcome>)>;
 
   // Opens the data folder, restores the replica and starts to listen. Fails with plugin_error if
-  // the settings do not allow a control host, otherwise with the error of the storage or listener.
+  // the settings do not allow a control host or the data folder needs an operator, otherwise with
+  // the error of the listener. A disk that is full or gives errors delays only this host's part in
+  // the group.
   static boost::leaf::result<std::shared_ptr<control_plugin>> Create(daemon_context& context);
 
-  control_plugin(daemon_context& context, replication::node node,
-                 std::shared_ptr<storage::log_store> store);
+  explicit control_plugin(daemon_context& context);
 
   void Start();
   void BeginShutdown(std::function<void()> done);
@@ -59,6 +62,10 @@
     return mesh_.Send(host, message);
   }
 
+  // Whether this host can store changes. If not, changes and reads are refused at once, and nothing
+  // of them is stored.
+  bool CanStore() const { return replica_.IsStorageHealthy(); }
+
   quota_service& quota() { return quota_; }
   // Sends a message to the leader, if it is another host and reachable.
   void SendToLeader(const protocol::control_message& message);
@@ -73,6 +80,8 @@
   codec::json StatusReport() const;
 
  private:
+  [[noreturn]] static void EndProcess(const std::string& reason);
+  boost::leaf::result<void> OpenStorage();
   boost::leaf::result<void> Listen();
   void OnMessage(const std::shared_ptr<transport::link>& link, std::string_view payload);
   void OnGreeting(const std::shared_ptr<transport::link>& link, std::string_view payload);
@@ -112,6 +121,7 @@
   loop::timer metrics_timer_;
   loop::timer group_timer_;
   loop::timer shutdown_timer_;
+  storage_monitor storage_monitor_;
   bool shutting_down_ = false;
   // Hosts that requested to join, and when each request expires.
   std::map<kernel::host_id, kernel::time_point> join_requests_;
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -1,5 +1,6 @@
 #include "plugins/control/replica.h"
 
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -17,33 +18,114 @@
 constexpr std::uint64_t kCompactionInterval = 10'000;
 // Bytes of the entries between two snapshots. It limits the log that is held in memory.
 constexpr std::size_t kCompactionBytes = std::size_t{16} << 20;
+constexpr kernel::milliseconds kSnapshotRetryDelay{10'000};
+
+// A log line about storage: which call on which file failed, and why.
+class storage_event : public logging::event {
+ public:
+  storage_event(logging::event_id id, const storage::storage_error& error) : logging::event(id) {
+    With("file", error.file);
+    With("call", storage::CallName(error.call));
+    With("errno", error.system_error);
+    With("offset", error.offset);
+  }
+};
+
+// The free space of the disk for a log line.
+std::string FreeBytesText(std::optional<std::uint64_t> free_bytes) {
+  return free_bytes ? std::to_string(*free_bytes) : "unknown";
+}
 
 }  // namespace internal
 
-replica::replica(loop::event_loop& loop, replication::node node,
-                 std::shared_ptr<storage::log_store> store, handlers callbacks)
+replica::replica(loop::event_loop& loop, storage::log_store store,
+                 durable_node::node_factory make_node,
+                 const replication::group_configuration& initial_group, handlers callbacks)
     : loop_(loop),
       tick_timer_(loop),
-      node_(std::move(node)),
-      store_(std::move(store)),
-      handlers_(std::move(callbacks)) {}
+      handlers_(std::move(callbacks)),
+      durable_(std::move(store), std::move(make_node),
+               replication::node_builder().Configuration(initial_group).Build(),
+               StorageHandlers()) {}
+
+boost::leaf::result<void> replica::Open() { return durable_.Start(Now()); }
+
+// ---- Storage.
+
+replica::durable_node::handlers replica::StorageHandlers() {
+  durable_node::handlers callbacks;
+  callbacks.loaded = [this](const auto& content) { OnStorageLoaded(content); };
+  callbacks.failed = [this](const auto& error) { OnStorageFailed(error); };
+  callbacks.recovered = [this](const auto& outage) { OnStorageRecovered(outage); };
+  callbacks.still_failing = [this](const auto& error, const auto& outage) {
+    internal::storage_event(logging::event_id::kStorageStillFailing, error)
+        .With("outage_ms", kernel::ToMilliseconds(outage.duration).count())
+        .With("attempts", outage.attempts)
+        .With("free_bytes", internal::FreeBytesText(durable_.FreeBytes()));
+  };
+  callbacks.snapshot_postponed = [this](const auto& error) { OnSnapshotPostponed(error); };
+  callbacks.unusable = [this](const auto& error) { handlers_.storage_unusable(error); };
+  return callbacks;
+}
+
+void replica::OnStorageLoaded(const storage::recovered_state& content) {
+  logging::event(logging::event_id::kStorageOpened)
+      .With("disk", content.disk)
+      .With("created", content.identity_created)
+      .With("set_aside", content.set_aside)
+      .With("torn_bytes", content.torn_bytes)
+      .With("term", content.state.term)
+      .With("snapshot", content.snapshot ? content.snapshot->index : kernel::log_index())
+      .With("entries", content.entries.size());
+  if (content.snapshot) Restore(*content.snapshot);
+}
+
+void replica::OnStorageFailed(const storage::storage_error& error) {
+  internal::storage_event(logging::event_id::kStorageFailed, error)
+      .With("free_bytes", internal::FreeBytesText(durable_.FreeBytes()));
+  FailPending();
+  UpdateLeadership();
+}
+
+void replica::OnStorageRecovered(const storage::storage_outage& outage) {
+  logging::event(logging::event_id::kStorageRecovered)
+      .With("outage_ms", kernel::ToMilliseconds(outage.duration).count())
+      .With("attempts", outage.attempts)
+      .With("applied", applied_index_);
+}
+
+void replica::OnSnapshotPostponed(const storage::storage_error& error) {
+  postponed_snapshot_due_ = Now() + internal::kSnapshotRetryDelay;
+  internal::storage_event(logging::event_id::kSnapshotPostponed, error)
+      .With("free_bytes", internal::FreeBytesText(durable_.FreeBytes()));
+}
 
 void replica::Restore(const replication::snapshot& snapshot) {
-  if (snapshot.index == kernel::log_index()) return;
+  if (snapshot.index <= applied_index_) return;
   const auto decoded =
       codec::DecodeDirectly<state::state_snapshot>(snapshot.data.bytes, codec::kMaxStateBytes);
   if (!decoded) {
-    failed_ = true;
-    logging::event(logging::event_id::kStorageFailed).With("what", "snapshot can't be decoded");
+    handlers_.storage_unusable(
+        storage::storage_error{storage::storage_fault::kInconsistent, "snapshot"});
     return;
   }
   machine_.Restore(decoded.value());
   reader_.Clear();
   applied_index_ = snapshot.index;
   compacted_index_ = snapshot.index;
+  // Before the start, nobody has seen an earlier state.
+  if (!started_) return;
+  handlers_.applied({.table_changed = true,
+                     .members_changed = true,
+                     .quarantine_changed = true,
+                     .policy_changed = true,
+                     .rollouts_changed = true});
 }
 
+// ---- Proposals and reads.
+
 void replica::Start() {
+  started_ = true;
   tick_timer_.StartPeriodic(internal::kTickPeriod, [this] { Tick(); });
 }
 
@@ -62,15 +144,13 @@
 }
 
 void replica::Tick() {
-  if (failed_) return;
-  node_.Tick(Now());
+  durable_.Tick(Now());
   ExpireProposals();
   ScheduleProcessReady();
 }
 
 void replica::Receive(const replication::envelope& message) {
-  if (failed_) return;
-  node_.Receive(message, Now());
+  durable_.Receive(message, Now());
   ScheduleProcessReady();
 }
 
@@ -102,14 +182,14 @@
                               outcome_callback callback) {
   std::optional<kernel::log_index> index;
   for (kernel::byte_string& payload : payloads) {
-    index = node_.Propose(std::move(payload), Now());
+    index = durable_.node().Propose(std::move(payload), Now());
     if (!index) {
       callback(std::nullopt);
       return;
     }
   }
   proposals_.emplace(*index,
-                     pending_proposal{node_.current_term(), Now() + protocol::kSubmissionTimeout,
+                     pending_proposal{node().current_term(), Now() + protocol::kSubmissionTimeout,
                                       std::move(callback)});
   ScheduleProcessReady();
 }
@@ -121,19 +201,19 @@
   }
   const kernel::nonce nonce(next_nonce_++);
   pending_reads_.emplace(nonce, std::move(callback));
-  node_.RequestReadIndex(nonce, Now());
+  durable_.node().RequestReadIndex(nonce, Now());
   ScheduleProcessReady();
 }
 
 bool replica::ProposeConfiguration(const replication::group_configuration& configuration) {
-  if (!IsActive() || !node_.ProposeConfiguration(configuration, Now())) return false;
+  if (!IsActive() || !durable_.node().ProposeConfiguration(configuration, Now())) return false;
   ScheduleProcessReady();
   return true;
 }
 
 // Posted, so that all proposals and messages of one loop iteration share one sync of the log.
 void replica::ScheduleProcessReady() {
-  if (processing_scheduled_ || !node_.HasReady()) return;
+  if (processing_scheduled_ || !node().HasReady()) return;
   processing_scheduled_ = true;
   loop_.Post([this] {
     processing_scheduled_ = false;
@@ -142,43 +222,17 @@
 }
 
 void replica::ProcessReady() {
-  while (!failed_ && node_.HasReady()) {
-    const replication::ready ready = node_.TakeReady();
-    if (!Persist(ready)) return;
-    node_.Persisted();
-    for (const replication::envelope& message : ready.messages) handlers_.send(message);
-    if (ready.snapshot) {
-      Restore(*ready.snapshot);
-      handlers_.applied({.table_changed = true,
-                         .members_changed = true,
-                         .quarantine_changed = true,
-                         .policy_changed = true,
-                         .rollouts_changed = true});
-    }
-    for (const replication::log_entry& entry : ready.committed) ApplyEntry(entry);
-    HandleReadResults(ready.reads);
+  while (const std::optional<replication::ready> output = durable_.TakeDurable(Now())) {
+    for (const replication::envelope& message : output->messages) handlers_.send(message);
+    if (output->snapshot) Restore(*output->snapshot);
+    for (const replication::log_entry& entry : output->committed) ApplyEntry(entry);
+    HandleReadResults(output->reads);
   }
   CompleteAppliedReads();
   UpdateLeadership();
   CompactIfDue();
 }
 
-bool replica::Persist(const replication::ready& ready) {
-  const bool nothing_to_store =
-      !ready.state && ready.entries.empty() && !ready.snapshot && !ready.compacted;
-  if (nothing_to_store) return true;
-  const auto stored = [&]() -> boost::leaf::result<void> {
-    if (ready.snapshot) BOOST_LEAF_CHECK(store_->SaveSnapshot(*ready.snapshot));
-    BOOST_LEAF_CHECK(store_->Append(ready.state, ready.entries));
-    if (ready.compacted) BOOST_LEAF_CHECK(store_->SaveSnapshot(*ready.compacted));
-    return store_->Sync();
-  }();
-  if (stored) return true;
-  failed_ = true;
-  logging::event(logging::event_id::kStorageFailed).With("what", "the log can't be written");
-  return false;
-}
-
 std::optional<state::outcome> replica::ApplyRecord(const replication::log_entry& entry,
                                                    state::applied_effects& effects) {
   const log_record_reader::result read = reader_.Read(entry);
@@ -189,7 +243,9 @@
   return state::refused_outcome{"the command can't be decoded"};
 }
 
+// A node that was built again after a storage fault delivers entries that were applied before it.
 void replica::ApplyEntry(const replication::log_entry& entry) {
+  if (entry.index <= applied_index_) return;
   applied_index_ = entry.index;
   applied_bytes_ += entry.payload.bytes.size();
   state::applied_effects effects;
@@ -248,30 +304,33 @@
 }
 
 void replica::UpdateLeadership() {
-  if (node_.IsLeader() == was_leader_) return;
-  was_leader_ = node_.IsLeader();
+  if (node().IsLeader() == was_leader_) return;
+  was_leader_ = node().IsLeader();
+  if (was_leader_) led_term_ = node().current_term();
   logging::event(was_leader_ ? logging::event_id::kLeaderElected
                              : logging::event_id::kLeadershipLost)
-      .With("term", node_.current_term());
+      .With("term", led_term_);
   handlers_.leadership_changed(was_leader_);
 }
 
+bool replica::IsCompactionDue() const {
+  if (postponed_snapshot_due_) return Now() >= *postponed_snapshot_due_;
+  return applied_index_.value() >= compacted_index_.value() + internal::kCompactionInterval ||
+         applied_bytes_ >= internal::kCompactionBytes;
+}
+
 void replica::CompactIfDue() {
-  const bool is_due =
-      applied_index_.value() >= compacted_index_.value() + internal::kCompactionInterval ||
-      applied_bytes_ >= internal::kCompactionBytes;
-  if (failed_ || !is_due || reader_.HasIncomplete()) return;
+  if (!IsStorageHealthy() || !IsCompactionDue() || reader_.HasIncomplete()) return;
+  postponed_snapshot_due_.reset();
   compacted_index_ = applied_index_;
   applied_bytes_ = 0;
   std::string snapshot = codec::EncodeDirectly(machine_.Snapshot());
   if (snapshot.size() > codec::kMaxStateBytes) {
     // No host could read it back. The log keeps all entries instead.
-    logging::event(logging::event_id::kStorageFailed)
-        .With("what", "the state is too large for a snapshot")
-        .With("bytes", snapshot.size());
+    logging::event(logging::event_id::kStateTooLarge).With("bytes", snapshot.size());
     return;
   }
-  node_.Compact(applied_index_, kernel::byte_string{std::move(snapshot)});
+  durable_.node().Compact(applied_index_, kernel::byte_string{std::move(snapshot)});
   ScheduleProcessReady();
 }
 
--- a/plugins/control/replica.h
+++ b/plugins/control/replica.h
@@ -1,11 +1,11 @@
 #ifndef CORNELWEIR_PLUGINS_CONTROL_REPLICA_H_
 #define CORNELWEIR_PLUGINS_CONTROL_REPLICA_H_
 
+#include <boost/leaf.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,8 +19,9 @@
 
 namespace cornelweir::plugins::control {
 
-// This host's replica of the state machine: runs the node of the replicated log, stores the state
-// and entries that it returns, and applies committed entries.
+// This host's replica of the state machine: runs the durable node of the replicated log and applies
+// committed entries. The state is kept while the storage fails, since committed entries stay
+// committed; proposals and reads are answered at once without a result then.
 class replica {
  public:
   // Gets no outcome if the result is unknown: the command may or may not take effect later.
@@ -31,14 +32,19 @@
     std::function<void(const replication::envelope&)> send;
     std::function<void(const state::applied_effects&)> applied;
     std::function<void(bool is_leader)> leadership_changed;
+    // The data folder can't be used without an operator.
+    std::function<void(const storage::storage_error&)> storage_unusable;
   };
 
-  replica(loop::event_loop& loop, replication::node node, std::shared_ptr<storage::log_store> store,
-          handlers callbacks);
+  using durable_node = storage::durable_node<storage::log_store>;
 
-  // Replaces the state with that of a snapshot. A snapshot from disk is restored before Start(). If
-  // it can't be decoded, the replica fails.
-  void Restore(const replication::snapshot& snapshot);
+  // The group is the initial one, until the data folder has been read.
+  replica(loop::event_loop& loop, storage::log_store store, durable_node::node_factory make_node,
+          const replication::group_configuration& initial_group, handlers callbacks);
+
+  // Reads the data folder. Fails if it can't be used without an operator; a disk that is full or
+  // gives errors is tried again after Start().
+  boost::leaf::result<void> Open();
   void Start();
   // Stops and reports no outcome for every pending proposal and read, and for all later ones.
   void Stop();
@@ -60,10 +66,13 @@
   // another change is in progress.
   bool ProposeConfiguration(const replication::group_configuration& configuration);
 
-  const replication::node& node() const { return node_; }
+  // While the storage fails, a node that knows of no leader.
+  const replication::node& node() const { return durable_.node(); }
   const state::state_machine& machine() const { return machine_; }
   kernel::log_index applied_index() const { return applied_index_; }
-  bool failed() const { return failed_; }
+  const durable_node& storage() const { return durable_; }
+  // Whether the storage takes writes, so that this host can take part in the group.
+  bool IsStorageHealthy() const { return durable_.IsHealthy(); }
 
  private:
   struct pending_proposal {
@@ -79,13 +88,19 @@
 
   kernel::time_point Now() const { return clock_.Now(); }
   // Whether proposals and reads are answered.
-  bool IsActive() const { return !failed_ && !stopped_; }
+  bool IsActive() const { return IsStorageHealthy() && !stopped_; }
+  durable_node::handlers StorageHandlers();
+  void OnStorageLoaded(const storage::recovered_state& content);
+  void OnStorageFailed(const storage::storage_error& error);
+  void OnStorageRecovered(const storage::storage_outage& outage);
+  void OnSnapshotPostponed(const storage::storage_error& error);
+  // Replaces the state with that of a snapshot. An older snapshot is ignored.
+  void Restore(const replication::snapshot& snapshot);
   void Tick();
   void ScheduleProcessReady();
   void ProcessReady();
   // Proposes the payloads as consecutive entries. The last one has the outcome.
   void ProposePayloads(std::vector<kernel::byte_string> payloads, outcome_callback callback);
-  bool Persist(const replication::ready& ready);
   void ApplyEntry(const replication::log_entry& entry);
   // Applies a record. Returns no outcome if the entry doesn't complete one.
   std::optional<state::outcome> ApplyRecord(const replication::log_entry& entry,
@@ -94,15 +109,15 @@
   void CompleteAppliedReads();
   void ExpireProposals();
   void FailPending();
+  bool IsCompactionDue() const;
   void CompactIfDue();
   void UpdateLeadership();
 
   loop::event_loop& loop_;
   loop::timer tick_timer_;
   kernel::steady_clock_source clock_;
-  replication::node node_;
-  std::shared_ptr<storage::log_store> store_;
   handlers handlers_;
+  durable_node durable_;
   state::state_machine machine_;
   kernel::log_index applied_index_;
   kernel::log_index compacted_index_;
@@ -115,9 +130,12 @@
   std::uint64_t next_nonce_ = 1;
   bool processing_scheduled_ = false;
   bool was_leader_ = false;
-  // Set when the storage failed. A host without durable storage must not take part in the group.
-  bool failed_ = false;
+  // The term in which this host was the leader most recently.
+  kernel::term led_term_;
+  bool started_ = false;
   bool stopped_ = false;
+  // When a snapshot that was not written is tried again.
+  std::optional<kernel::time_point> postponed_snapshot_due_;
 };
 
 }  // namespace cornelweir::plugins::control
--- a/plugins/control/status_report.cc
+++ b/plugins/control/status_report.cc
@@ -25,6 +25,22 @@
   return "unknown";
 }
 
+json StorageToJson(const replica::durable_node& storage, kernel::time_point now) {
+  json status{{"state", std::string(storage::StateName(storage.health().state()))},
+              {"outages", storage.health().outages()}};
+  if (const auto free_bytes = storage.FreeBytes()) status["free_bytes"] = *free_bytes;
+  const auto outage = storage.Outage(now);
+  if (!outage) return status;
+  const storage::storage_error& error = storage.last_error();
+  status["outage_ms"] = kernel::ToMilliseconds(outage->duration).count();
+  status["attempts"] = outage->attempts;
+  status["error"] = {{"file", error.file},
+                     {"call", std::string(storage::CallName(error.call))},
+                     {"errno", error.system_error},
+                     {"offset", error.offset}};
+  return status;
+}
+
 }  // namespace internal
 
 codec::json control_plugin::StatusReport() const {
@@ -37,7 +53,8 @@
                : replication::IsVoter(node.configuration(), context_.settings.host) ? "follower"
                                                                                     : "learner"},
       {"leader", node.leader() ? node.leader()->value() : std::string()},
-      {"failed", replica_.failed()},
+      {"failed", !replica_.IsStorageHealthy()},
+      {"storage", internal::StorageToJson(replica_.storage(), context_.clock.Now())},
       {"term", node.current_term().value()},
       {"commit_index", node.commit_index().value()},
       {"applied_index", replica_.applied_index().value()},
--- a/programs/cornelweirctl/api/status_reply.h
+++ b/programs/cornelweirctl/api/status_reply.h
@@ -2,6 +2,7 @@
 #define PROGRAMS_CORNELWEIRCTL_API_STATUS_REPLY_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -73,6 +74,39 @@
     }
   };
 
+  // The state of the control host's data folder.
+  struct storage_status {
+    // The call that failed first in the outage.
+    struct failed_call {
+      std::string file;
+      std::string call;
+      int error_number = 0;
+      std::int64_t offset = 0;
+
+      static constexpr auto Fields() {
+        return std::tuple{kernel::field{"file", &failed_call::file},
+                          kernel::field{"call", &failed_call::call},
+                          kernel::field{"errno", &failed_call::error_number},
+                          kernel::field{"offset", &failed_call::offset}};
+      }
+    };
+
+    std::string state;
+    std::int64_t outages = 0;
+    std::optional<std::int64_t> free_bytes;
+    // Empty while the storage is healthy.
+    std::optional<std::int64_t> outage_ms;
+    std::optional<failed_call> error;
+
+    static constexpr auto Fields() {
+      return std::tuple{kernel::field{"state", &storage_status::state},
+                        kernel::field{"outages", &storage_status::outages},
+                        kernel::field{"free_bytes", &storage_status::free_bytes},
+                        kernel::field{"outage_ms", &storage_status::outage_ms},
+                        kernel::field{"error", &storage_status::error}};
+    }
+  };
+
   kernel::host_id host;
   std::string role;
   kernel::host_id leader;
@@ -81,6 +115,8 @@
   kernel::log_index applied_index;
   kernel::table_version version;
   kernel::membership_revision revision;
+  // Empty if the control host is of a version that doesn't report it.
+  std::optional<storage_status> storage;
   std::vector<peer> peers;
   std::int64_t subscribers = 0;
   std::vector<proxy> proxies;
@@ -96,6 +132,7 @@
                       kernel::field{"applied_index", &status_reply::applied_index},
                       kernel::field{"version", &status_reply::version},
                       kernel::field{"revision", &status_reply::revision},
+                      kernel::field{"storage", &status_reply::storage},
                       kernel::field{"peers", &status_reply::peers},
                       kernel::field{"subscribers", &status_reply::subscribers},
                       kernel::field{"proxies", &status_reply::proxies},
--- a/programs/cornelweirctl/verbs/status.cc
+++ b/programs/cornelweirctl/verbs/status.cc
@@ -9,6 +9,17 @@
 namespace cornelweir::ctl {
 namespace {
 
+void PrintStorage(std::ostream& out, const status_reply::storage_status& storage) {
+  out << "storage: " << storage.state;
+  if (storage.outage_ms) out << " for " << *storage.outage_ms << " ms";
+  if (storage.error) {
+    out << ", " << storage.error->call << " of " << storage.error->file << " at offset "
+        << storage.error->offset << " failed with errno " << storage.error->error_number;
+  }
+  if (storage.free_bytes) out << ", " << *storage.free_bytes << " bytes free";
+  out << "\n";
+}
+
 void PrintLists(std::ostream& out, const status_reply& reply) {
   table_text::text_grid peers;
   peers.AddLine({"peer", "voter", "match index", "reachable"});
@@ -61,6 +72,7 @@
                 << reply.applied_index.value() << "\n"
                 << "table version " << reply.version.value() << ", membership revision "
                 << reply.revision.value() << ", " << reply.subscribers << " subscribers\n";
+    if (reply.storage) PrintStorage(context.out, *reply.storage);
     PrintLists(context.out, reply);
     return exit_code::kOk;
   }
--- a/tests/control_plugin_test.cc
+++ b/tests/control_plugin_test.cc
@@ -3,7 +3,10 @@
 #include "plugins/control/control_plugin.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
+#include <cerrno>
+#include <csignal>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +14,7 @@
 #include <vector>
 
 #include "cornelweir/codec.h"
+#include "cornelweir/src/codec/direct_cbor.h"
 #include "cornelweir/src/codec/sha256.h"
 #include "plugins/greeting.h"
 #include "tests/control_host_test.h"
@@ -18,13 +22,35 @@
 namespace cornelweir::plugins::control {
 namespace {
 
+// Makes each write to a file fail while it exists, as on a full disk.
+class full_disk {
+ public:
+  full_disk() {
+    ::getrlimit(RLIMIT_FSIZE, &previous_);
+    struct rlimit limited = previous_;
+    limited.rlim_cur = 0;
+    previous_handler_ = std::signal(SIGXFSZ, SIG_IGN);
+    ::setrlimit(RLIMIT_FSIZE, &limited);
+  }
+  ~full_disk() {
+    ::setrlimit(RLIMIT_FSIZE, &previous_);
+    std::signal(SIGXFSZ, previous_handler_);
+  }
+  full_disk(const full_disk&) = delete;
+  full_disk& operator=(const full_disk&) = delete;
+
+ private:
+  struct rlimit previous_ {};
+  void (*previous_handler_)(int) = nullptr;
+};
+
 // A control host, and a link of a daemon to it.
 // NOLINTNEXTLINE(readability-identifier-naming)
 class ControlPluginTest : public ControlHostTest {
  protected:
   ~ControlPluginTest() override { plugin_.reset(); }
 
-  void Replace(std::uint64_t version) {
+  void Replace(std::uint64_t version, std::uint64_t base = 0) {
     policy::policy_table table;
     table.version = kernel::policy_version(version);
     policy::workspace orion;
@@ -32,7 +58,7 @@
     // So high that the bucket holds a token as soon as the leader may issue.
     orion.rate = kernel::request_rate(10'000'000);
     table.workspaces.push_back(orion);
-    Replace(table);
+    Replace(table, kernel::policy_version(base));
   }
   // A policy with random keys, which can't be compressed.
   policy::policy_table LargePolicy(int routes, int workspaces) {
@@ -247,12 +273,12 @@
   EXPECT_EQ(policy::Apply(policy::policy_table(), delta.value()), newest);
 
   replica& local = plugin_->local_replica();
-  local.Restore({local.applied_index(),
-                 local.node().current_term(),
-                 local.node().configuration(),
-                 {codec::Encode(local.machine().Snapshot())}});
-  EXPECT_FALSE(local.failed());
-  EXPECT_EQ(*local.machine().policy().current(), newest);
+  const auto snapshot = codec::DecodeDirectly<cornelweir::control::state_snapshot>(
+      codec::Encode(local.machine().Snapshot()), codec::kMaxStateBytes);
+  ASSERT_TRUE(snapshot);
+  cornelweir::control::state_machine restored;
+  restored.Restore(snapshot.value());
+  EXPECT_EQ(*restored.policy().current(), newest);
 
   bool stopped = false;
   plugin_->BeginShutdown([&] { stopped = true; });
@@ -265,6 +291,52 @@
   EXPECT_EQ(*plugin_->local_replica().machine().policy().current(), newest);
 }
 
+// Guards against a control host that takes part no more, until its process is restarted, after its
+// disk was full once.
+TEST_F(ControlPluginTest, TakesPartAgainAfterItsDiskWasFull) {
+  Replace(5);
+  http::RunUntil(loop_, [this] { return answer_.has_value(); });
+  ASSERT_EQ(*answer_, policy_answer::kAccepted);
+  loop::timer later(loop_);
+  for (std::uint64_t version = 6; version < 9; ++version) {
+    {
+      const full_disk full;
+      Replace(version, version - 1);
+      http::RunUntil(loop_, [this] { return answer_.has_value(); });
+      EXPECT_EQ(*answer_, policy_answer::kUnknown) << "the change was in progress";
+      bool passed = false;
+      later.Start(kernel::milliseconds(300), [&] { passed = true; });
+      http::RunUntil(loop_, [&] { return passed; });
+    }
+    http::RunUntil(loop_, [this] { return plugin_->local_replica().node().IsLeader(); });
+    Replace(version, version - 1);
+    http::RunUntil(loop_, [this] { return answer_.has_value(); });
+    ASSERT_EQ(*answer_, policy_answer::kAccepted);
+  }
+  EXPECT_EQ(plugin_->local_replica().machine().policy().current()->version,
+            kernel::policy_version(8));
+}
+
+// Guards against a process that ends, instead of waiting for room, because its disk is full when it
+// starts.
+TEST_F(ControlPluginTest, StartsOnAFullDisk) {
+  Replace(5);
+  http::RunUntil(loop_, [this] { return answer_.has_value(); });
+  plugin_.reset();
+  {
+    const full_disk full;
+    auto created = control_plugin::Create(context_);
+    ASSERT_TRUE(created);
+    plugin_ = created.value();
+    plugin_->Start();
+    EXPECT_FALSE(plugin_->CanStore());
+  }
+  http::RunUntil(loop_, [this] {
+    return plugin_->local_replica().machine().policy().current()->version ==
+           kernel::policy_version(5);
+  });
+}
+
 // Guards against a large change that is lost on its way from another control host to the leader.
 TEST_F(ControlPluginTest, AppliesALargeChangeThatAnotherHostForwards) {
   settings::daemon_settings other = settings_;
