Refuse changes and reads at once on a host that can't store

A control host with a full disk left a change without an answer until the deadline of the operator's request, or answered that its outcome is unknown, although it knew that nothing was stored.

Guarded by ControlPluginTest.RefusesRequestsAtOnceWhileItsDiskIsFull.

--- a/plugins/control/operator_api.cc
+++ b/plugins/control/operator_api.cc
@@ -95,6 +95,10 @@
     send_reply(internal::Malformed(decode_error));
     return;
   }
+  if (!owner_.CanStore()) {
+    send_reply(internal::Unavailable(internal::kNotStored));
+    return;
+  }
   auto shared_reply = std::make_shared<reply>(std::move(send_reply));
   owner_.Submit(std::move(command), [shared_reply](const auto& outcome) {
     (*shared_reply)(internal::OutcomeResponse(outcome));
--- a/plugins/control/policy_service.cc
+++ b/plugins/control/policy_service.cc
@@ -72,6 +72,11 @@
 
 void policy_service::Replace(kernel::policy_version base, const shared_table& table,
                              const policy_port::replace_callback& callback) {
+  if (!owner_.CanStore()) {
+    internal::LogOutcome(table->version, base, kernel::policy_version(), "not-stored");
+    callback(policy_answer::kNotStored);
+    return;
+  }
   owner_.local_replica().Read([this, base, table, callback](bool is_current) {
     if (!is_current) {
       internal::LogOutcome(table->version, base, kernel::policy_version(), "not-proved-current");
--- a/plugins/control/rollout_service.cc
+++ b/plugins/control/rollout_service.cc
@@ -32,6 +32,8 @@
       return "conflict";
     case rollout_answer::kUnknownService:
       return "unknown-service";
+    case rollout_answer::kNotStored:
+      return "not-stored";
     case rollout_answer::kUnknown:
       return "unknown";
   }
@@ -79,6 +81,7 @@
         .Increment();
     callback(answer);
   };
+  if (!owner_.CanStore()) return decide(rollout_answer::kNotStored);
   owner_.local_replica().Read([this, order, decide](bool is_current) {
     if (!is_current) return decide(rollout_answer::kUnknown);
     if (!IsKnownService(order.service)) return decide(rollout_answer::kUnknownService);
--- a/plugins/policy_port.h
+++ b/plugins/policy_port.h
@@ -18,6 +18,8 @@
   kConflict,
   // Larger than the log can hold. It has not been and will not be accepted.
   kTooLarge,
+  // This host's storage takes no writes. It has not been stored and will not be accepted.
+  kNotStored,
   // The result is unknown: no majority answered in time. The replacement may take effect later.
   kUnknown,
 };
--- a/plugins/rollout_port.h
+++ b/plugins/rollout_port.h
@@ -26,6 +26,8 @@
   kConflict,
   // The newest policy has no such service.
   kUnknownService,
+  // This host's storage takes no writes. It has not been stored and will not be accepted.
+  kNotStored,
   // The result is unknown: no majority answered in time. The order may take effect later.
   kUnknown,
 };
--- a/tests/control_plugin_test.cc
+++ b/tests/control_plugin_test.cc
@@ -317,6 +317,47 @@
             kernel::policy_version(8));
 }
 
+// Guards against an operator who waits for the deadline of a request that this host can't store or
+// prove, and against a host that claims to lead, or to be healthy, while its disk is full.
+TEST_F(ControlPluginTest, RefusesRequestsAtOnceWhileItsDiskIsFull) {
+  Replace(5);
+  http::RunUntil(loop_, [this] { return answer_.has_value(); });
+  ASSERT_TRUE(admin_.Listen(settings_.admin_listen));
+  const full_disk full;
+  Replace(6, 5);
+  http::RunUntil(loop_, [this] { return answer_.has_value(); });
+
+  Replace(6, 5);
+  ASSERT_TRUE(answer_) << "it is answered without waiting";
+  EXPECT_EQ(*answer_, policy_answer::kNotStored);
+  std::optional<rollout_answer> rollout;
+  context_.rollouts.start({kernel::service_name("forms"), kernel::software_version("2"), {}},
+                          [&](rollout_answer answer) { rollout = answer; });
+  EXPECT_EQ(rollout, rollout_answer::kNotStored);
+  bool was_read = false;
+  context_.policy.read([&](const auto& table) {
+    was_read = true;
+    EXPECT_EQ(table, nullptr);
+  });
+  EXPECT_TRUE(was_read);
+  EXPECT_FALSE(plugin_->local_replica().node().IsLeader());
+
+  const codec::json status = plugin_->StatusReport();
+  EXPECT_NE(status["role"], "leader");
+  EXPECT_EQ(status["storage"]["state"], "failing");
+  EXPECT_EQ(status["storage"]["error"]["call"], "write");
+  EXPECT_EQ(status["storage"]["error"]["errno"], EFBIG);
+  http::admin_client client(loop_);
+  std::optional<http::client_response> response;
+  client.Request(
+      admin_.local_endpoint(), http::method::post, "/v1/accept",
+      R"({"change_id": "c1", "author": "ana", "note": ""})", std::chrono::seconds(30),
+      [&](const http::http_result<http::client_response>& result) { response = result.value(); });
+  http::RunUntil(loop_, [&] { return response.has_value(); });
+  EXPECT_EQ(response->status, 503);
+  EXPECT_NE(response->body.find("not stored"), std::string::npos);
+}
+
 // Guards against a process that ends, instead of waiting for room, because its disk is full when it
 // starts.
 TEST_F(ControlPluginTest, StartsOnAFullDisk) {
