Survive the limit on file sizes and a log that nobody reads

A write beyond the file size limit of the process, or to a closed pipe as standard output, ended the daemon by SIGXFSZ or SIGPIPE: the opposite of a fault that passes. Both signals are ignored, so that the write fails with an error instead.

--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -4,6 +4,7 @@
 #include <boost/leaf.hpp>
 #include <boost/program_options.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -261,6 +262,10 @@
 }  // namespace cornelweir::programs
 
 int main(int argc, char** argv) {
+  // A write beyond the limit on file sizes, or to standard output that nobody reads any more, fails
+  // with an error then instead of ending the process.
+  std::signal(SIGXFSZ, SIG_IGN);
+  std::signal(SIGPIPE, SIG_IGN);
   // Bodies are large and short-lived; their memory goes back to the system at once.
   constexpr int kReturnedBlockBytes = 64 << 10;
   ::mallopt(M_MMAP_THRESHOLD, kReturnedBlockBytes);
