--- a/cornelweir/src/storage/log_store_write.h
+++ b/cornelweir/src/storage/log_store_write.h
@@ -161,7 +161,7 @@
 
 template <file_calls Calls>
 kernel::log_index basic_log_store<Calls>::last_index() const {
-  return kernel::log_index(base_index_.value() + terms_.size());
+  return kernel::log_index{base_index_.value() + terms_.size()};
 }
 
 template <file_calls Calls>
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -314,7 +314,10 @@
 }
 
 bool replica::IsCompactionDue() const {
-  if (postponed_snapshot_due_) return Now() >= *postponed_snapshot_due_;
+  if (postponed_snapshot_due_) {
+    // The node takes a snapshot of a later entry only.
+    return Now() >= *postponed_snapshot_due_ && applied_index_ > compacted_index_;
+  }
   return applied_index_.value() >= compacted_index_.value() + internal::kCompactionInterval ||
          applied_bytes_ >= internal::kCompactionBytes;
 }
--- a/tests/storage_faults_test.cc
+++ b/tests/storage_faults_test.cc
@@ -51,7 +51,7 @@
   std::function<void(promised_content&)> promise;
 };
 
-step Write(durable_state state, std::vector<log_entry> entries) {
+step Write(const durable_state& state, const std::vector<log_entry>& entries) {
   const auto run = [state, entries](store& written) -> boost::leaf::result<void> {
     BOOST_LEAF_CHECK(written.Append(state, entries));
     return written.Sync();
