--- a/cornelweir/src/storage/storage_error.h
+++ b/cornelweir/src/storage/storage_error.h
@@ -24,9 +24,7 @@
   // A record or a snapshot exceeds its size limit.
   kTooLarge,
   // An earlier write or sync failed; the store rejects further writes until it is loaded again.
-  kFailed,
-  // Data that was durable before a write failed is missing from the files.
-  kLost
+  kFailed
 };
 
 // Why storing or reading data failed: the file, the offset in bytes and the call.
