Take the time of a soak request before its last bytes are sent

Cause: the test, not the daemon. SlowUploader slept 50 ms after the last piece of the body and took sent_at after that, so that a 504 at the time limit of 2.5 s was measured 2.45 s after sent_at: exactly the bound from which the test counts a request as late. Which side of the bound it fell on was chance.

Ruled out: a 504 before the time limit (the daemon's timer starts when the whole request was read, so 2.5 s after the last byte is right).

The bounds stay: an answer earlier than 2.45 s after the last bytes is still reported, now for uploads as for the others, and the bound for unread requests gets stricter by the time that sending takes.

--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -51,6 +51,7 @@
         self.ident = fleets.new_attempt_id()
         self.machine = machine
         self.path = path
+        # Before the last bytes are sent: the daemon's time limit starts when it has read them.
         self.sent_at = None
         self.ended_at = None
         self.status = None
@@ -90,8 +91,8 @@
 
     def send(self, connection, path, method="GET", body=b""):
         attempt = Attempt(self.machine, path)
-        connection.send(method, path, self.headers(attempt), body)
         attempt.sent_at = time.monotonic()
+        connection.send(method, path, self.headers(attempt), body)
         self.attempts.append(attempt)
         return attempt
 
@@ -147,11 +148,11 @@
             try:
                 connection.sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
                 for start in range(0, len(UPLOAD), 6_000):
-                    connection.sock.sendall(UPLOAD[start:start + 6_000])
                     time.sleep(0.05)
+                    attempt.sent_at = time.monotonic()
+                    connection.sock.sendall(UPLOAD[start:start + 6_000])
             except OSError:
                 return
-            attempt.sent_at = time.monotonic()
             self.attempts.append(attempt)
             if not self.receive(connection, attempt):
                 return
