Print why requests of the stop soak were refused or lost

The soak now prints the daemons' reasons for the refusals with how often each was given, and the log's end of each request that it reports as lost. What it checks is unchanged.

--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import collections
 import pathlib
 import random
 import re
@@ -312,13 +313,19 @@
         if newest < self.acknowledged:
             self.faults.append(f"version {self.acknowledged} was acknowledged, {newest} is read")
 
-    def daemons_that_got(self):
-        """The hosts that each request was passed on to last, by the logs. A request that was passed
-        on to a daemon that stands still does not run there."""
-        pattern = re.compile(r"event=4002 .*request=(\w+) .*upstream_daemon=([\d.:]+)")
+    def ends_by_log(self):
+        """What the daemons logged about the end of each request: the name of the host that it was
+        passed on to last, if any, and how it ended."""
+        pattern = re.compile(r'event=4002 .*request=(\w+) .*upstream_daemon=(\S*) .*'
+                             r'outcome=("[^"]*"|\S+) refusals=(\d+) sent=(\d+) ms=(\d+)')
         by_address = {machine.inbound: machine.name for machine in self.fleet.sidecars}
-        return {found.group(1): by_address[found.group(2)] for machine in self.fleet.sidecars
-                for found in pattern.finditer(machine.log()) if found.group(2) in by_address}
+        ends = {}
+        for machine in self.fleet.sidecars:
+            for found in pattern.finditer(machine.log()):
+                ident, daemon, outcome, refusals, sent, took = found.groups()
+                ends[ident] = (by_address.get(daemon),
+                               f"{outcome} after {refusals} refusals, sent {sent} times, {took} ms")
+        return ends
 
     def is_excused(self, attempt, runs, daemon):
         names = {attempt.machine.name, daemon}
@@ -332,12 +339,15 @@
         runs = {}
         for _, fields in self.record.of("run"):
             runs.setdefault(fields["id"], []).append(fields)
-        passed_on = self.daemons_that_got()
+        ends = self.ends_by_log()
+        refusals = collections.Counter()
         counts = {"answered": 0, "refused": 0, "unread": 0, "late": 0, "excused": 0}
         for attempt in attempts:
             ran = runs.get(attempt.ident, [])
             took = (attempt.ended_at or time.monotonic()) - attempt.sent_at
-            if self.is_excused(attempt, ran, passed_on.get(attempt.ident)):
+            # A request that was passed on to a daemon that stands still does not run there.
+            daemon, end = ends.get(attempt.ident, (None, "not in the log"))
+            if self.is_excused(attempt, ran, daemon):
                 counts["excused"] += 1
             elif attempt.whole:
                 counts["answered"] += 1
@@ -345,6 +355,7 @@
                 counts["late"] += 1
             elif attempt.status in (429, 503):
                 counts["refused"] += 1
+                refusals[end.split(" after ")[0]] += 1
                 if ran and attempt.path == PATHS["submit"]:
                     self.faults.append(f"{attempt.ident} was refused as not run and ran")
             elif not ran and (attempt.unread or (attempt.status is None and took < UNREAD_SLACK_S)):
@@ -352,7 +363,7 @@
             else:
                 self.faults.append(f"{attempt.ident} at {attempt.machine.name} {attempt.path} is "
                                    f"lost: status {attempt.status}, ran {len(ran)} times, "
-                                   f"{took:.2f} s after it was sent")
+                                   f"{took:.3f} s after it was sent; by the log: {end}")
             if len(ran) > 1 and attempt.path == PATHS["submit"]:
                 self.faults.append(f"{attempt.ident} ran {len(ran)} times")
         stops = [fields["after_s"] for _, fields in self.record.of("ended")]
@@ -360,6 +371,8 @@
               f"{min(stops, default=0)} to {max(stops, default=0)} s, {len(attempts)} requests: "
               + ", ".join(f"{count} {name}" for name, count in counts.items())
               + f", {len(self.faults)} faults", flush=True)
+        if refusals:
+            print("  refused: " + ", ".join(f"{n} {text}" for text, n in refusals.most_common()))
         for fault in self.faults[:20]:
             print("  " + fault)
         return 1 if self.faults else 0
