Test that the daemon survives a closed log pipe

A control host whose log pipe is closed now has to log an event, answer, and end with status 0 after SIGTERM. Without the line that ignores the signal the test fails (the process is ended by the signal, status -1).

The wait for the exit status is bounded by kHangTimeout, as it no longer follows the end of the output.

--- a/tests/daemon_exit_test.cc
+++ b/tests/daemon_exit_test.cc
@@ -134,9 +134,19 @@
   int AwaitExit() {
     while (ReadSome()) {
     }
-    if (!output_ended_) return -1;
+    return output_ended_ ? AwaitExitStatus() : -1;
+  }
+
+  // The same without the output: the process may have ended or be about to.
+  int AwaitExitStatus() {
+    const auto deadline = std::chrono::steady_clock::now() + kHangTimeout;
     int status = -1;
-    ::waitpid(process_, &status, 0);
+    pid_t ended = 0;
+    while ((ended = ::waitpid(process_, &status, WNOHANG)) == 0 &&
+           std::chrono::steady_clock::now() < deadline) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    if (ended != process_) return -1;
     process_ = 0;
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
@@ -239,6 +249,23 @@
   EXPECT_EQ(AwaitExit(), 0);
 }
 
+// Guards against a process that SIGPIPE ends: a log collector that restarts closes the pipe that
+// the daemon writes to.
+TEST_F(DaemonExitTest, ServesAndEndsInOrderAfterItsLogPipeWasClosed) {
+  StartControl(6'000);
+  const std::string admin = AdminPort();
+  ::close(output_);
+  output_ = -1;
+  // The first request is refused with an event in the log, the second must still be answered.
+  Open(operators_port_, "PUT /config HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx");
+  std::array<char, 1> first_byte{};
+  boost::asio::read(connections_.back(), boost::asio::buffer(first_byte));
+  Open(admin, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+  boost::asio::read(connections_.back(), boost::asio::buffer(first_byte));
+  ::kill(process_, SIGTERM);
+  EXPECT_EQ(AwaitExitStatus(), 0);
+}
+
 // Guards against a second signal that ends the process before its requests do. Platforms may send
 // it again.
 TEST_F(DaemonExitTest, ASecondSignalChangesNothing) {
