--- a/tests/replication_properties_test.cc
+++ b/tests/replication_properties_test.cc
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <ostream>
 #include <set>
 #include <string>
 #include <utility>
@@ -16,6 +15,7 @@
 
 #include "cornelweir/kernel.h"
 #include "cornelweir/replication.h"
+#include "tests/schedule_step.h"
 
 // Tests a group of nodes under random schedules of faults. The clock, the network and the disks are
 // simulated, and every choice is determined by the generated input.
@@ -59,17 +59,7 @@
   kCount
 };
 
-struct step {
-  action kind = action::kWait;
-  std::uint32_t host = 0;
-  std::uint32_t detail = 0;
-  std::uint32_t wait_ms = 0;
-};
-
-std::ostream& operator<<(std::ostream& out, const step& printed) {
-  return out << "{" << static_cast<int>(printed.kind) << "," << printed.host << ","
-             << printed.detail << "," << printed.wait_ms << "}";
-}
+using step = schedule_step<action>;
 
 // The stored data of a host, which survives a crash.
 struct disk {
@@ -497,19 +487,11 @@
   bool two_disks_lost_at_once_ = false;
 };
 
-rc::Gen<action> AnyAction() {
-  return rc::gen::map(rc::gen::inRange(0, static_cast<int>(action::kCount)),
-                      [](int number) { return static_cast<action>(number); });
-}
-
-rc::Gen<step> AnyStep(const rc::Gen<action>& kind) {
-  return rc::gen::build<step>(
-      rc::gen::set(&step::kind, kind),
-      rc::gen::set(&step::host, rc::gen::inRange<std::uint32_t>(0, kHostChoices)),
-      rc::gen::set(&step::detail, rc::gen::inRange<std::uint32_t>(0, 30)),
-      rc::gen::set(&step::wait_ms, rc::gen::oneOf(rc::gen::inRange<std::uint32_t>(0, 20),
-                                                  rc::gen::inRange<std::uint32_t>(0, 100),
-                                                  rc::gen::inRange<std::uint32_t>(200, 700))));
+rc::Gen<step> StepOf(const rc::Gen<action>& kind) {
+  return AnyStep(kind, kHostChoices,
+                 rc::gen::oneOf(rc::gen::inRange<std::uint32_t>(0, 20),
+                                rc::gen::inRange<std::uint32_t>(0, 100),
+                                rc::gen::inRange<std::uint32_t>(200, 700)));
 }
 
 // Guards against two leaders in one term, lost or changed committed entries, stale reads, hosts
@@ -522,7 +504,7 @@
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto initial_hosts = *rc::gen::element<std::size_t>(3, 3, 5);
     const auto loss_percent = *rc::gen::element<std::uint32_t>(0, 5, 20);
-    const auto steps = *rc::gen::container<std::vector<step>>(AnyStep(AnyAction()));
+    const auto steps = *rc::gen::container<std::vector<step>>(StepOf(AnyAction<action>()));
     simulation group(seed, initial_hosts, loss_percent);
     for (const step& taken : steps) group.Execute(taken);
     group.EndFaultsAndCheckRecovery();
@@ -538,9 +520,9 @@
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto loss_percent = *rc::gen::element<std::uint32_t>(0, 5, 20);
     const auto steps = *rc::gen::container<std::vector<step>>(
-        AnyStep(rc::gen::element(action::kWait, action::kPropose, action::kRead, action::kCrash,
-                                 action::kRestart, action::kCrashAndRestart, action::kCutLink,
-                                 action::kIsolate, action::kHeal, action::kCompact)));
+        StepOf(rc::gen::element(action::kWait, action::kPropose, action::kRead, action::kCrash,
+                                action::kRestart, action::kCrashAndRestart, action::kCutLink,
+                                action::kIsolate, action::kHeal, action::kCompact)));
     const auto first_lost = *rc::gen::inRange<std::size_t>(0, kHosts);
     const auto distance = *rc::gen::inRange<std::size_t>(1, kHosts);
     const auto detail = *rc::gen::inRange<std::uint32_t>(0, 30);
--- a/tests/storage_group_properties_test.cc
+++ b/tests/storage_group_properties_test.cc
@@ -10,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <ostream>
 #include <set>
 #include <string>
 #include <utility>
@@ -18,6 +17,7 @@
 
 #include "cornelweir/src/storage/log_store_load.h"
 #include "cornelweir/src/storage/log_store_write.h"
+#include "tests/schedule_step.h"
 #include "tests/simulated_disk.h"
 
 namespace cornelweir::storage {
@@ -53,17 +53,7 @@
   kCount
 };
 
-struct step {
-  action kind = action::kWait;
-  std::uint32_t host = 0;
-  std::uint32_t detail = 0;
-  std::uint32_t wait_ms = 0;
-};
-
-std::ostream& operator<<(std::ostream& out, const step& printed) {
-  return out << "{" << static_cast<int>(printed.kind) << "," << printed.host << ","
-             << printed.detail << "," << printed.wait_ms << "}";
-}
+using step = schedule_step<action>;
 
 class simulated_group {
  public:
@@ -314,15 +304,10 @@
   std::uint64_t proposals_ = 0;
 };
 
-rc::Gen<step> AnyStep() {
-  const auto kind = rc::gen::map(rc::gen::inRange(0, static_cast<int>(action::kCount)),
-                                 [](int number) { return static_cast<action>(number); });
-  return rc::gen::build<step>(
-      rc::gen::set(&step::kind, kind),
-      rc::gen::set(&step::host, rc::gen::inRange<std::uint32_t>(0, kMaxHosts)),
-      rc::gen::set(&step::detail, rc::gen::inRange<std::uint32_t>(0, 30)),
-      rc::gen::set(&step::wait_ms, rc::gen::oneOf(rc::gen::inRange<std::uint32_t>(0, 50),
-                                                  rc::gen::inRange<std::uint32_t>(200, 1500))));
+rc::Gen<step> StepAtAnyHost() {
+  return AnyStep(AnyAction<action>(), kMaxHosts,
+                 rc::gen::oneOf(rc::gen::inRange<std::uint32_t>(0, 50),
+                                rc::gen::inRange<std::uint32_t>(200, 1500)));
 }
 
 // Guards against a host whose disk was full or gave errors and that takes part no more, against
@@ -333,7 +318,7 @@
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto size = *rc::gen::element<std::size_t>(3, 5);
     const auto loss_percent = *rc::gen::element<std::uint32_t>(0, 5, 20);
-    const auto steps = *rc::gen::container<std::vector<step>>(AnyStep());
+    const auto steps = *rc::gen::container<std::vector<step>>(StepAtAnyHost());
     simulated_group group(seed, size, loss_percent);
     for (const step& taken : steps) group.Execute(taken);
     group.EndFaultsAndCheckRecovery();
@@ -346,7 +331,7 @@
   EXPECT_TRUE(rc::check([] {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto size = *rc::gen::element<std::size_t>(3, 5);
-    const auto steps = *rc::gen::container<std::vector<step>>(AnyStep());
+    const auto steps = *rc::gen::container<std::vector<step>>(StepAtAnyHost());
     const auto first = *rc::gen::inRange<std::size_t>(0, kMaxHosts);
     simulated_group group(seed, size, /*loss_percent=*/5);
     for (const step& taken : steps) group.Execute(taken);
