Change the members of a group while its disks fail

The promise on disks names a member that is added or replaced while a disk is full; the property test of the group never changed its members. A step now removes a host, or makes it a learner or a voter; at the end every host must be a voter again and follow.

--- a/tests/storage_group_properties_test.cc
+++ b/tests/storage_group_properties_test.cc
@@ -50,6 +50,7 @@
   kCompact,
   kIsolate,
   kHeal,
+  kReconfigure,
   kCount
 };
 
@@ -110,6 +111,9 @@
       case action::kHeal:
         isolated_.clear();
         break;
+      case action::kReconfigure:
+        Reconfigure(position, executed.detail);
+        break;
       default:
         break;
     }
@@ -126,6 +130,8 @@
       host->disk.FailCalls(0, 0, 0);
       host->stalled_until = now();
     }
+    RC_CLASSIFY(reconfigurations_ > 0, "members were removed or added");
+    RestoreGroupWithin(milliseconds(8'000));
     ExpectProgressWithin(milliseconds(5'000));
     for (const auto& host : hosts_) RC_ASSERT(host->process->IsHealthy());
   }
@@ -208,6 +214,44 @@
     process.node().Propose(kernel::byte_string{std::to_string(++proposals_)}, now());
   }
 
+  // The healthy leader of the highest term, or nullptr.
+  replication::node* Leader() {
+    replication::node* found = nullptr;
+    for (const auto& host : hosts_) {
+      if (!host->process->IsHealthy() || !host->process->node().IsLeader()) continue;
+      replication::node& node = host->process->node();
+      if (found == nullptr || node.current_term() > found->current_term()) found = &node;
+    }
+    return found;
+  }
+
+  // Removes the host from the group, or makes it a learner or a voter, which may be refused.
+  void Reconfigure(std::size_t position, std::uint32_t detail) {
+    replication::node* const leader = Leader();
+    if (leader == nullptr) return;
+    replication::group_configuration changed = leader->configuration();
+    std::erase(changed.voters, HostAt(position));
+    std::erase(changed.learners, HostAt(position));
+    if (detail % 3 == 0) changed.learners.push_back(HostAt(position));
+    if (detail % 3 == 1) changed.voters.push_back(HostAt(position));
+    if (leader->ProposeConfiguration(std::move(changed), now())) ++reconfigurations_;
+  }
+
+  // Makes every host a voter again: one that was removed first catches up as a learner.
+  void RestoreGroupWithin(milliseconds limit) {
+    for (milliseconds passed{0}; passed < limit; passed += milliseconds(100)) {
+      RunFor(milliseconds(100));
+      replication::node* const leader = Leader();
+      if (leader == nullptr) continue;
+      const replication::group_configuration& group = leader->configuration();
+      std::size_t position = 0;
+      while (position < hosts_.size() && IsVoter(group, HostAt(position))) ++position;
+      if (position == hosts_.size()) return;
+      Reconfigure(position, IsLearner(group, HostAt(position)) ? 1 : 0);
+    }
+    RC_FAIL("a host that was removed does not become a voter again");
+  }
+
   void RunFor(milliseconds duration) {
     for (milliseconds passed{0}; passed < duration; passed += kStep) {
       clock_.Advance(kStep);
@@ -302,10 +346,11 @@
   // The host that acknowledged entries in each term.
   std::map<kernel::term, std::size_t> acknowledging_;
   std::uint64_t proposals_ = 0;
+  std::uint64_t reconfigurations_ = 0;
 };
 
-rc::Gen<step> StepAtAnyHost() {
-  return AnyStep(AnyAction<action>(), kMaxHosts,
+rc::Gen<step> StepAtAnyHost(const rc::Gen<action>& kind = AnyAction<action>()) {
+  return AnyStep(kind, kMaxHosts,
                  rc::gen::oneOf(rc::gen::inRange<std::uint32_t>(0, 50),
                                 rc::gen::inRange<std::uint32_t>(200, 1500)));
 }
@@ -325,6 +370,25 @@
   }));
 }
 
+// Guards against a host that is removed, added or made a learner while its disk or that of another
+// member is full, and that does not become a voter again.
+TEST(StorageGroupProperties, MembersChangeWhileDisksFail) {
+  EXPECT_TRUE(rc::check([] {
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto size = *rc::gen::element<std::size_t>(3, 5);
+    const auto loss_percent = *rc::gen::element<std::uint32_t>(0, 5);
+    const auto steps = *rc::gen::container<std::vector<step>>(StepAtAnyHost(rc::gen::element(
+        action::kPropose, action::kFillDisk, action::kFillDiskSoon, action::kFreeDisk,
+        action::kFreeDisk, action::kFailCalls, action::kStall, action::kKill, action::kLosePower,
+        action::kCompact, action::kReconfigure, action::kReconfigure, action::kReconfigure)));
+    simulated_group group(seed, size, loss_percent);
+    // Members change only under a leader.
+    group.Execute({action::kWait, 0, 0, 1'500});
+    for (const step& taken : steps) group.Execute(taken);
+    group.EndFaultsAndCheckRecovery();
+  }));
+}
+
 // Guards against a group that loses an acknowledged change because a host whose disk had failed is
 // counted as holding it: as many disks as the group tolerates are lost right afterwards.
 TEST(StorageGroupProperties, KeepsAcknowledgedChangesIfDisksAreLostAfterwards) {
