Keep the outcome of a soak request apart from its report text

The reasons for refusals were counted by splitting the text that reports print. The log's outcome and the figures are two values now.

--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -315,7 +315,7 @@
 
     def ends_by_log(self):
         """What the daemons logged about the end of each request: the name of the host that it was
-        passed on to last, if any, and how it ended."""
+        passed on to last, if any, the outcome, and the figures for a report."""
         pattern = re.compile(r'event=4002 .*request=(\w+) .*upstream_daemon=(\S*) .*'
                              r'outcome=("[^"]*"|\S+) refusals=(\d+) sent=(\d+) ms=(\d+)')
         by_address = {machine.inbound: machine.name for machine in self.fleet.sidecars}
@@ -323,8 +323,8 @@
         for machine in self.fleet.sidecars:
             for found in pattern.finditer(machine.log()):
                 ident, daemon, outcome, refusals, sent, took = found.groups()
-                ends[ident] = (by_address.get(daemon),
-                               f"{outcome} after {refusals} refusals, sent {sent} times, {took} ms")
+                ends[ident] = (by_address.get(daemon), outcome,
+                               f"{refusals} refusals, sent {sent} times, {took} ms")
         return ends
 
     def is_excused(self, attempt, runs, daemon):
@@ -346,7 +346,7 @@
             ran = runs.get(attempt.ident, [])
             took = (attempt.ended_at or time.monotonic()) - attempt.sent_at
             # A request that was passed on to a daemon that stands still does not run there.
-            daemon, end = ends.get(attempt.ident, (None, "not in the log"))
+            daemon, outcome, figures = ends.get(attempt.ident, (None, "not in the log", ""))
             if self.is_excused(attempt, ran, daemon):
                 counts["excused"] += 1
             elif attempt.whole:
@@ -355,7 +355,7 @@
                 counts["late"] += 1
             elif attempt.status in (429, 503):
                 counts["refused"] += 1
-                refusals[end.split(" after ")[0]] += 1
+                refusals[outcome] += 1
                 if ran and attempt.path == PATHS["submit"]:
                     self.faults.append(f"{attempt.ident} was refused as not run and ran")
             elif not ran and (attempt.unread or (attempt.status is None and took < UNREAD_SLACK_S)):
@@ -363,7 +363,8 @@
             else:
                 self.faults.append(f"{attempt.ident} at {attempt.machine.name} {attempt.path} is "
                                    f"lost: status {attempt.status}, ran {len(ran)} times, "
-                                   f"{took:.3f} s after it was sent; by the log: {end}")
+                                   f"{took:.3f} s after it was sent; by the log: {outcome} "
+                                   f"{figures}")
             if len(ran) > 1 and attempt.path == PATHS["submit"]:
                 self.faults.append(f"{attempt.ident} ran {len(ran)} times")
         stops = [fields["after_s"] for _, fields in self.record.of("ended")]
