--- a/cornelweir/src/storage/recovered_state.h
+++ b/cornelweir/src/storage/recovered_state.h
@@ -20,7 +20,7 @@
   // The log after the snapshot.
   std::vector<replication::log_entry> entries;
   kernel::disk_id disk;
-  // Whether the operator initialized the folder with log_store::Bootstrap().
+  // Whether the identity was created with the bootstrap flag; see store_options::bootstrap.
   bool bootstrap = false;
   // Whether opening the folder created its identity.
   bool identity_created = false;
