Give the stand-ins of the soaks a home under tests

The soaks imported the platform, targets and the operator from review/, whose cases must stay as they are. tests/stand_ins/ is a copy without the parts that only those cases use; it also states the memory of a machine, which the tests of slow readers need.

--- a/tests/disk_soak.py
+++ b/tests/disk_soak.py
@@ -19,7 +19,7 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT / "review" / "stand_ins"))
+sys.path.insert(0, str(ROOT / "tests" / "stand_ins"))
 
 import fleet as fleets  # noqa: E402
 import http1  # noqa: E402
