Decide why a control host is not current

A host that is not current sent daemons one bit, and its logs gave no reason, so the hypotheses of the incident of 2026-12-06 could not be told apart. currency_state names the fact that is missing; the decision takes facts and a limit, and knows nothing of links or storage. A host is current under the same conditions as before: a policy, all committed entries applied, a round confirmed within the limit, and a read proved for the daemon in question.

fleet_update gets the optional member not_current.

--- a/cornelweir/protocol.h
+++ b/cornelweir/protocol.h
@@ -3,6 +3,9 @@
 
 // The messages exchanged between control hosts and daemons.
 
+#include "cornelweir/src/protocol/currency_facts.h"
+#include "cornelweir/src/protocol/currency_report.h"
+#include "cornelweir/src/protocol/currency_state.h"
 #include "cornelweir/src/protocol/data_messages.h"
 #include "cornelweir/src/protocol/fleet_messages.h"
 #include "cornelweir/src/protocol/limits.h"
--- a/cornelweir/src/protocol/fleet_messages.h
+++ b/cornelweir/src/protocol/fleet_messages.h
@@ -13,6 +13,7 @@
 #include "cornelweir/policy.h"
 #include "cornelweir/quarantine.h"
 #include "cornelweir/rollout.h"
+#include "cornelweir/src/protocol/currency_report.h"
 #include "cornelweir/src/protocol/message_part.h"
 
 namespace cornelweir::protocol {
@@ -42,6 +43,8 @@
   // Whether the control host recently learned that a majority confirmed its leader. If not, the
   // update may be outdated.
   bool leader_confirmed = false;
+  // If not, the reason. Hosts of earlier versions send none.
+  std::optional<currency_report> not_current;
   kernel::policy_version newest_policy;
   // The encoded and deflated policy_delta from the policy of the daemon, or from the empty policy.
   // Empty if the policy is unchanged.
@@ -65,6 +68,7 @@
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"current", &fleet_update::leader_confirmed},
+                      kernel::field{"not_current", &fleet_update::not_current},
                       kernel::field{"newest", &fleet_update::newest_policy},
                       kernel::field{"delta", &fleet_update::policy_delta},
                       kernel::field{"delta_part", &fleet_update::policy_part},
