Report the role of a node and its contact with each voter

A host without a leader could not say whether it campaigns, nor which voters it hears. node gets const accessors: its role, and for each voter of its latest configuration the time since its last message. Receive() records the contact for these reports only; no decision reads it. The role moves to a type of its own file, with names.

--- a/cornelweir/replication.h
+++ b/cornelweir/replication.h
@@ -14,6 +14,8 @@
 #include "cornelweir/src/replication/node_builder.h"
 #include "cornelweir/src/replication/peer_status.h"
 #include "cornelweir/src/replication/ready.h"
+#include "cornelweir/src/replication/role.h"
 #include "cornelweir/src/replication/snapshot.h"
+#include "cornelweir/src/replication/voter_contact.h"
 
 #endif  // CORNELWEIR_REPLICATION_H_
--- a/cornelweir/src/replication/node.cc
+++ b/cornelweir/src/replication/node.cc
@@ -61,9 +61,34 @@
 void node::Receive(const envelope& received, kernel::time_point now) {
   AdvanceClock(now);
   if (received.to != self_ || received.from == self_) return;
+  RecordContact(received.from);
   std::visit([&](const auto& body) { Handle(received.from, body); }, received.body);
 }
 
+// Keeps entries of voters only, since any number of hosts may join and leave over time.
+void node::RecordContact(const kernel::host_id& sender) {
+  if (!IsVoter(configuration(), sender)) return;
+  last_contacts_[sender] = now_;
+  if (last_contacts_.size() <= configuration().voters.size()) return;
+  std::erase_if(last_contacts_,
+                [this](const auto& contact) { return !IsVoter(configuration(), contact.first); });
+}
+
+std::vector<voter_contact> node::VoterContacts() const {
+  std::vector<voter_contact> contacts;
+  for (const kernel::host_id& host : configuration().voters) {
+    voter_contact contact{host, std::nullopt};
+    const auto found = last_contacts_.find(host);
+    if (host == self_) {
+      contact.age = kernel::microseconds::zero();
+    } else if (found != last_contacts_.end()) {
+      contact.age = now_ - found->second;
+    }
+    contacts.push_back(std::move(contact));
+  }
+  return contacts;
+}
+
 void node::Persisted() {
   durable_index_ = taken_index_;
   AdvanceCommitIndex();
--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -23,7 +23,9 @@
 #include "cornelweir/src/replication/peer_status.h"
 #include "cornelweir/src/replication/ready.h"
 #include "cornelweir/src/replication/replicated_log.h"
+#include "cornelweir/src/replication/role.h"
 #include "cornelweir/src/replication/snapshot.h"
+#include "cornelweir/src/replication/voter_contact.h"
 
 namespace cornelweir::replication {
 
@@ -62,6 +64,10 @@
   ready TakeReady();
 
   bool IsLeader() const { return role_ == role::kLeader; }
+  role current_role() const { return role_; }
+  // The voters of the latest configuration, in its order, as of the latest Tick() or Receive(). A
+  // follower of a working leader hears from that leader only.
+  std::vector<voter_contact> VoterContacts() const;
   // The index up to which the log of another host is known to match the leader's; 0 if this host
   // isn't the leader.
   kernel::log_index MatchIndex(const kernel::host_id& host) const {
@@ -93,8 +99,6 @@
  private:
   friend class node_builder;
 
-  enum class role : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
-
   struct pending_read {
     kernel::host_id origin_host;
     kernel::nonce request_nonce;
@@ -121,6 +125,7 @@
   void SetElectionTimer(kernel::microseconds min_timeout, kernel::microseconds max_timeout);
   void ResetElectionTimer();
   void Send(const kernel::host_id& receiver, message body);
+  void RecordContact(const kernel::host_id& sender);
 
   // Elections.
   bool MayCampaign() const;
@@ -193,6 +198,8 @@
   bool started_ = false;
   kernel::time_point election_deadline_;
   std::optional<kernel::time_point> last_leader_contact_;
+  // When the last message of each other voter was received. For reports only.
+  std::map<kernel::host_id, kernel::time_point> last_contacts_;
 
   kernel::log_index commit_index_;
   // The last index that was returned in ready::committed, that was returned in ready::entries, and
--- a/tests/replication_test.cc
+++ b/tests/replication_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -414,6 +415,63 @@
   EXPECT_TRUE(group.nodes_.at(remaining).IsLeader());
 }
 
+// Guards against reports from which nobody can tell a voter that is gone from one that is slow.
+TEST(Replication, KnowsWhenItLastHeardFromEachVoter) {
+  test_group group(kThreeVoters);
+  group.RunFor(milliseconds(1000));
+  node& leader = *group.Leader();
+  const host_id self = *leader.leader();
+  const host_id lost = self == host_id("c") ? host_id("a") : host_id("c");
+  ASSERT_EQ(leader.VoterContacts().size(), 3U);
+  for (const voter_contact& contact : leader.VoterContacts()) {
+    ASSERT_TRUE(contact.age);
+    EXPECT_LE(*contact.age, contact.host == self ? milliseconds(0) : kHeartbeatInterval);
+  }
+  group.disconnected_.insert(lost);
+  group.RunFor(milliseconds(2000));
+  for (const voter_contact& contact : leader.VoterContacts()) {
+    ASSERT_TRUE(contact.age);
+    const milliseconds silence(contact.host == lost ? 2000 : 0);
+    EXPECT_GE(*contact.age, silence) << contact.host.value();
+    EXPECT_LE(*contact.age, silence + kHeartbeatInterval) << contact.host.value();
+  }
+}
+
+// Guards against a voter that is taken for heard from because a host that is no voter, or that
+// addressed another host, has sent something.
+TEST(Replication, CountsOnlyMessagesOfVotersAsContact) {
+  kernel::manual_clock clock;
+  node host_node = HostWithDisk("a", 1, true).Build();
+  const request_vote request{kernel::term(0), log_index(0), kernel::term(0), true, {}};
+  host_node.Tick(clock.Now());
+  host_node.Receive(envelope{host_id("b"), host_id("c"), request}, clock.Now());
+  host_node.Receive(envelope{host_id("x"), host_id("a"), request}, clock.Now());
+  clock.Advance(milliseconds(30));
+  host_node.Receive(envelope{host_id("c"), host_id("a"), request}, clock.Now());
+  clock.Advance(milliseconds(20));
+  host_node.Tick(clock.Now());
+  const std::vector<voter_contact> expected{{host_id("a"), milliseconds(0)},
+                                            {host_id("b"), std::nullopt},
+                                            {host_id("c"), milliseconds(20)}};
+  EXPECT_EQ(host_node.VoterContacts(), expected);
+}
+
+// Guards against a report that shows a host as a follower while it campaigns in vain.
+TEST(Replication, ReportsItsRole) {
+  test_group group(kThreeVoters);
+  group.RunFor(milliseconds(1000));
+  node& leader = *group.Leader();
+  std::multiset<std::string_view> roles;
+  for (const auto& [host, host_node] : group.nodes_) {
+    roles.insert(RoleName(host_node.current_role()));
+  }
+  EXPECT_EQ(roles, (std::multiset<std::string_view>{"follower", "follower", "leader"}));
+  for (const host_id& host : kThreeVoters.voters) group.disconnected_.insert(host);
+  group.RunFor(milliseconds(2000));
+  EXPECT_FALSE(leader.IsLeader());
+  EXPECT_EQ(leader.current_role(), role::kPreCandidate);
+}
+
 // Guards against a group that waits for a full election timeout after all of its hosts have
 // started.
 TEST(Elections, ElectsALeaderSoonAfterAStart) {
