Say why a control host is not current in its log, status and metrics

Event 2011 told that a host was not current, but not why, and only once. It gets the reason, role, term, and how many voters the host counts and hears. Event 2018 repeats these with the age of each voter, the last confirmed round, the state of the storage and the duration of the last sync: after 2 s, then once every 10 s, so that a lasting state costs six lines a minute.

The facts leave fleet_feed for currency_tracker. When a host is current does not change, with one difference in reports: the age of the last confirmed round is kept over a storage fault, which builds the node again. Daemons get the reason and this age with each update that is not current. /v1/status has the object currency and the list voters, which needs no peers in the settings; currency_monitor has the metrics.

The time of a sync includes the write of its batch, since durable_node does both in one call.

--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -154,6 +154,7 @@
       group_timer_(context.loop),
       shutdown_timer_(context.loop),
       storage_monitor_(context.metrics),
+      currency_monitor_(context.metrics),
       started_at_(context.clock.Now()) {
   api_.Register(context.admin);
   context.policy = policy_.MakePort();
@@ -493,6 +494,7 @@
   metrics.Gauge("cornelweir_control_subscribers", "Daemons that subscribe at this host", {})
       .Set(static_cast<double>(gateway_.subscribers()));
   storage_monitor_.Report(replica_.storage());
+  currency_monitor_.Report(feed_.currency().Status(context_.clock.Now()));
 }
 
 namespace {
--- a/plugins/control/control_plugin.h
+++ b/plugins/control/control_plugin.h
@@ -15,6 +15,7 @@
 #include "cornelweir/protocol.h"
 #include "cornelweir/transport.h"
 #include "plugins/control/control_mesh.h"
+#include "plugins/control/currency_monitor.h"
 #include "plugins/control/daemon_gateway.h"
 #include "plugins/control/fleet_feed.h"
 #include "plugins/control/operator_api.h"
@@ -122,6 +123,7 @@
   loop::timer group_timer_;
   loop::timer shutdown_timer_;
   storage_monitor storage_monitor_;
+  currency_monitor currency_monitor_;
   bool shutting_down_ = false;
   // Hosts that requested to join, and when each request expires.
   std::map<kernel::host_id, kernel::time_point> join_requests_;
--- a/plugins/control/fleet_feed.cc
+++ b/plugins/control/fleet_feed.cc
@@ -31,7 +31,7 @@
 
 fleet_feed::fleet_feed(control_plugin& owner, loop::event_loop& loop,
                        const loop::pause_tracker& pauses)
-    : owner_(owner), pauses_(pauses), timer_(loop) {}
+    : owner_(owner), timer_(loop), currency_(owner.local_replica(), pauses) {}
 
 void fleet_feed::Start() {
   PublishPolicy();
@@ -144,42 +144,9 @@
   for (auto& [key, session] : daemons_) SendUpdate(session, false);
 }
 
-void fleet_feed::UpdateConfirmation() {
-  const kernel::heartbeat_round confirmed = owner_.local_replica().node().confirmed_round();
-  if (confirmed == confirmed_round_) return;
-  confirmed_round_ = confirmed;
-  // After a pause of this process, the message may have waited since the pause began.
-  confirmed_at_ = pauses_.InputArrival(clock_.Now());
-}
-
-bool fleet_feed::IsCurrent() const {
-  const replica& local = owner_.local_replica();
-  return local.applied_index() >= local.node().commit_index() &&
-         local.machine().policy().current()->version != kernel::policy_version() &&
-         confirmed_round_ != kernel::heartbeat_round() &&
-         clock_.Now() - confirmed_at_ < protocol::kMaxConfirmationAge;
-}
-
-bool fleet_feed::IsCurrentFor(const session& recipient) const {
-  return recipient.proved_current && IsCurrent();
-}
-
-void fleet_feed::LogCurrentStateChange() {
-  if (IsCurrent() == was_current_) return;
-  was_current_ = !was_current_;
-  const replica& local = owner_.local_replica();
-  logging::event(logging::event_id::kCurrentStateChanged)
-      .With("current", was_current_)
-      .With("version", local.machine().policy().current()->version)
-      .With("silent_ms", kernel::ToMilliseconds(clock_.Now() - confirmed_at_).count())
-      .With("applied", local.applied_index())
-      .With("committed", local.node().commit_index());
-}
-
 void fleet_feed::Tick() {
-  UpdateConfirmation();
-  LogCurrentStateChange();
   const kernel::time_point now = clock_.Now();
+  currency_.Update(now);
   roster_.Expire(now);
   if (now - last_shared_at_ >= internal::kSharePeriod) {
     last_shared_at_ = now;
@@ -283,8 +250,11 @@
 void fleet_feed::SendUpdate(session& recipient, bool heartbeat) {
   if (!recipient.known_policy || !recipient.link->is_open()) return;
   protocol::fleet_update update;
-  const bool is_current = IsCurrentFor(recipient);
+  const protocol::currency_report currency =
+      currency_.ReportFor(recipient.proved_current, clock_.Now());
+  const bool is_current = currency.state == protocol::currency_state::kCurrent;
   update.leader_confirmed = is_current;
+  if (!is_current) update.not_current = currency;
   update.newest_policy = owner_.local_replica().machine().policy().current()->version;
   update.superseded_incarnation =
       std::exchange(recipient.superseded_incarnation, kernel::incarnation());
--- a/plugins/control/fleet_feed.h
+++ b/plugins/control/fleet_feed.h
@@ -15,14 +15,14 @@
 #include "cornelweir/policy.h"
 #include "cornelweir/protocol.h"
 #include "cornelweir/transport.h"
+#include "plugins/control/currency_tracker.h"
 
 namespace cornelweir::plugins::control {
 
 class control_plugin;
 
 // Sends the daemons that are connected to this host the accepted policy, the roster of daemons, the
-// control hosts, and whether this host is current. It is current if it has applied all committed
-// entries and a majority has recently confirmed its leader.
+// control hosts, and whether this host is current.
 class fleet_feed {
  public:
   fleet_feed(control_plugin& owner, loop::event_loop& loop, const loop::pause_tracker& pauses);
@@ -50,6 +50,7 @@
   void PublishRollouts();
 
   const membership::roster& roster() const { return roster_; }
+  const currency_tracker& currency() const { return currency_; }
   std::size_t size() const { return daemons_.size(); }
 
  private:
@@ -78,12 +79,6 @@
   };
 
   void Tick();
-  void UpdateConfirmation();
-  // Whether this host knows, from the leader's messages, that it has applied the newest policy.
-  bool IsCurrent() const;
-  void LogCurrentStateChange();
-  // Whether this host may tell the daemon that its policy is the newest.
-  bool IsCurrentFor(const session& recipient) const;
   void ProveCurrent(session& recipient);
   void ShareEntries();
   void SendUpdate(session& recipient, bool heartbeat);
@@ -95,17 +90,13 @@
   std::vector<kernel::endpoint> ControlHosts() const;
 
   control_plugin& owner_;
-  const loop::pause_tracker& pauses_;
   kernel::steady_clock_source clock_;
   loop::timer timer_;
   std::map<const transport::link*, session> daemons_;
   membership::roster roster_;
   std::uint64_t quarantine_revision_ = 1;
   kernel::time_point last_shared_at_;
-  // The latest heartbeat round that a majority confirmed, and when this host first observed it.
-  kernel::heartbeat_round confirmed_round_;
-  kernel::time_point confirmed_at_;
-  bool was_current_ = false;
+  currency_tracker currency_;
   // The last accepted policies, as bases of the deltas to the newest.
   std::map<kernel::policy_version, std::shared_ptr<const policy::policy_table>> recent_policies_;
   // The encoded updates to the newest policy by base version, in parts if they are large. Daemons
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -221,8 +221,15 @@
   });
 }
 
+std::optional<replication::ready> replica::TakeDurable() {
+  const kernel::time_point began_at = Now();
+  std::optional<replication::ready> output = durable_.TakeDurable(began_at);
+  if (output && (output->state || !output->entries.empty())) last_sync_duration_ = Now() - began_at;
+  return output;
+}
+
 void replica::ProcessReady() {
-  while (const std::optional<replication::ready> output = durable_.TakeDurable(Now())) {
+  while (const std::optional<replication::ready> output = TakeDurable()) {
     for (const replication::envelope& message : output->messages) handlers_.send(message);
     if (output->snapshot) Restore(*output->snapshot);
     for (const replication::log_entry& entry : output->committed) ApplyEntry(entry);
--- a/plugins/control/replica.h
+++ b/plugins/control/replica.h
@@ -73,6 +73,8 @@
   const durable_node& storage() const { return durable_; }
   // Whether the storage takes writes, so that this host can take part in the group.
   bool IsStorageHealthy() const { return durable_.IsHealthy(); }
+  // How long it took to write and sync the last batch of the log. Empty before the first one.
+  std::optional<kernel::microseconds> last_sync_duration() const { return last_sync_duration_; }
 
  private:
   struct pending_proposal {
@@ -99,6 +101,8 @@
   void Tick();
   void ScheduleProcessReady();
   void ProcessReady();
+  // Stores and returns what the node has ready; measures the time if that writes to the log.
+  std::optional<replication::ready> TakeDurable();
   // Proposes the payloads as consecutive entries. The last one has the outcome.
   void ProposePayloads(std::vector<kernel::byte_string> payloads, outcome_callback callback);
   void ApplyEntry(const replication::log_entry& entry);
@@ -136,6 +140,7 @@
   bool stopped_ = false;
   // When a snapshot that was not written is tried again.
   std::optional<kernel::time_point> postponed_snapshot_due_;
+  std::optional<kernel::microseconds> last_sync_duration_;
 };
 
 }  // namespace cornelweir::plugins::control
--- a/plugins/control/status_report.cc
+++ b/plugins/control/status_report.cc
@@ -1,8 +1,10 @@
 // The status of a control host, for operators.
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "plugins/control/control_plugin.h"
 
@@ -41,6 +43,30 @@
   return status;
 }
 
+json AgeToJson(const std::optional<kernel::microseconds>& age) {
+  return age ? json(kernel::ToMilliseconds(*age).count()) : json(nullptr);
+}
+
+json CurrencyToJson(const currency_status& status) {
+  return {{"state", std::string(protocol::CurrencyStateName(status.state))},
+          {"outage_ms", AgeToJson(status.outage)},
+          {"role", std::string(replication::RoleName(status.role))},
+          {"voters", status.voters.size()},
+          {"heard", status.VotersHeard()},
+          {"learners", status.learners},
+          {"round", DescribeRound(status.confirmed_round)},
+          {"silent_ms", AgeToJson(status.confirmed_age)},
+          {"sync_ms", AgeToJson(status.sync_duration)}};
+}
+
+json VotersToJson(const std::vector<replication::voter_contact>& voters) {
+  json list = json::array();
+  for (const replication::voter_contact& voter : voters) {
+    list.push_back({{"host", voter.host.value()}, {"silent_ms", AgeToJson(voter.age)}});
+  }
+  return list;
+}
+
 }  // namespace internal
 
 codec::json control_plugin::StatusReport() const {
@@ -62,6 +88,9 @@
       {"revision", machine.members().revision().value()},
       {"subscribers", gateway_.subscribers()},
       {"claims", machine.claims().size()}};
+  const currency_status currency = feed_.currency().Status(context_.clock.Now());
+  status["currency"] = internal::CurrencyToJson(currency);
+  status["voters"] = internal::VotersToJson(currency.voters);
   json peers = json::array();
   for (const settings::control_peer& peer : context_.settings.control->peers) {
     if (peer.host == context_.settings.host) continue;
--- a/tests/control_plugin_test.cc
+++ b/tests/control_plugin_test.cc
@@ -18,6 +18,7 @@
 #include "cornelweir/src/codec/sha256.h"
 #include "plugins/greeting.h"
 #include "tests/control_host_test.h"
+#include "tests/logged_lines.h"
 
 namespace cornelweir::plugins::control {
 namespace {
@@ -87,6 +88,22 @@
     return table;
   }
 
+  // Starts a host of a group of three, without the others, on a new data folder.
+  void StartLoneHostOfThree() {
+    bool stopped = false;
+    plugin_->BeginShutdown([&] { stopped = true; });
+    http::RunUntil(loop_, [&] { return stopped; });
+    plugin_.reset();
+    settings_.control->data_folder = folder_ + "/of-three";
+    settings_.control->peers = {{settings_.host, {}, {}},
+                                {kernel::host_id("b"), kernel::endpoint("127.0.0.1:1"), {}},
+                                {kernel::host_id("c"), kernel::endpoint("127.0.0.1:1"), {}}};
+    auto created = control_plugin::Create(context_);
+    ASSERT_TRUE(created);
+    plugin_ = created.value();
+    plugin_->Start();
+  }
+
   void Replace(const policy::policy_table& table, kernel::policy_version base = {}) {
     answer_.reset();
     context_.policy.replace(base, table, [this](policy_answer answer) { answer_ = answer; });
@@ -116,6 +133,7 @@
       const auto* update = std::get_if<protocol::fleet_update>(&message.value());
       ASSERT_NE(update, nullptr);
       ++(update->leader_confirmed ? confirmed_updates_ : unconfirmed_updates_);
+      not_current_ = update->not_current;
       if (update->quarantined) quarantined_ = update->quarantined;
       if (update->policy_part) {
         if (const auto whole = parts_.Add(*update->policy_part)) received_delta_ = *whole;
@@ -134,6 +152,8 @@
   std::string received_delta_;
   std::optional<quota::quota_grant> grant_;
   std::optional<std::vector<quarantine::quarantined_fingerprint>> quarantined_;
+  // The reason of the last update, if it told one.
+  std::optional<protocol::currency_report> not_current_;
   int confirmed_updates_ = 0;
   int unconfirmed_updates_ = 0;
 };
@@ -157,6 +177,101 @@
   http::RunUntil(loop_, [this] { return confirmed_updates_ > 0; });
 }
 
+// Guards against daemons that leave a host for a reason that neither they nor the host can name.
+TEST_F(ControlPluginTest, TellsThatItHasNoLeaderAndWhichVotersItHears) {
+  StartLoneHostOfThree();
+  ConnectDaemon();
+  http::RunUntil(loop_, [this] { return not_current_.has_value(); });
+  EXPECT_EQ(not_current_->state, protocol::currency_state::kNoLeader);
+  EXPECT_EQ(not_current_->confirmed_age, std::nullopt);
+  EXPECT_EQ(confirmed_updates_, 0);
+
+  // A message of a voter counts as contact, whatever it says.
+  replication::envelope message{kernel::host_id("c"), settings_.host,
+                                replication::read_index{kernel::nonce(1)}};
+  plugin_->local_replica().Receive(message);
+  const codec::json status = plugin_->StatusReport();
+  const codec::json& currency = status["currency"];
+  EXPECT_EQ(currency["state"], "no-leader");
+  EXPECT_EQ(currency["voters"], 3);
+  EXPECT_EQ(currency["heard"], 2);
+  EXPECT_EQ(currency["round"], "0:0");
+  EXPECT_EQ(currency["silent_ms"], nullptr);
+  ASSERT_EQ(status["voters"].size(), 3U);
+  EXPECT_EQ(status["voters"][0], (codec::json{{"host", "a"}, {"silent_ms", 0}}));
+  EXPECT_EQ(status["voters"][1], (codec::json{{"host", "b"}, {"silent_ms", nullptr}}));
+  EXPECT_EQ(status["voters"][2]["host"], "c");
+  EXPECT_GE(status["voters"][2]["silent_ms"], 0);
+}
+
+// Guards against a status that shows no voters because the settings name none, and against a host
+// that is said to be current before it has a policy.
+TEST_F(ControlPluginTest, ShowsItsStateWithoutPeersInTheSettings) {
+  settings_.control->peers.clear();
+  ConnectDaemon();
+  http::RunUntil(loop_, [this] {
+    return not_current_ && not_current_->state == protocol::currency_state::kNoPolicy;
+  });
+  EXPECT_EQ(plugin_->StatusReport()["currency"]["state"], "no-policy");
+  Replace(5);
+  http::RunUntil(loop_, [this] { return confirmed_updates_ > 0; });
+  const codec::json status = plugin_->StatusReport();
+  EXPECT_EQ(status["currency"]["state"], "current");
+  EXPECT_EQ(status["currency"]["role"], "leader");
+  EXPECT_EQ(status["currency"]["outage_ms"], nullptr);
+  EXPECT_LT(status["currency"]["silent_ms"], 500);
+  EXPECT_GE(status["currency"]["sync_ms"], 0);
+  EXPECT_EQ(status["voters"], codec::json::parse(R"([{"host": "a", "silent_ms": 0}])"));
+  EXPECT_EQ(not_current_, std::nullopt);
+
+  http::RunUntil(loop_, [this] {
+    return metrics_.Render().find("cornelweir_control_currency{state=\"current\"} 1") !=
+           std::string::npos;
+  });
+  const std::string metrics = metrics_.Render();
+  for (const char* series :
+       {"cornelweir_control_currency{state=\"no-leader\"} 0",
+        "cornelweir_control_role{role=\"leader\"} 1", "cornelweir_control_voters 1",
+        "cornelweir_control_voters_heard 1", "cornelweir_control_confirmed_age_seconds ",
+        "cornelweir_storage_sync_seconds "}) {
+    EXPECT_NE(metrics.find(series), std::string::npos) << series << "\n" << metrics;
+  }
+}
+
+// Guards against a fault of the disk that looks like a fault of the group.
+TEST_F(ControlPluginTest, TellsThatItsStorageFails) {
+  Replace(5);
+  http::RunUntil(loop_, [this] { return answer_.has_value(); });
+  ConnectDaemon();
+  http::RunUntil(loop_, [this] { return confirmed_updates_ > 0; });
+  const logging::logged_lines lines;
+  const full_disk full;
+  Replace(6, 5);
+  http::RunUntil(loop_, [this] { return not_current_.has_value(); });
+  EXPECT_EQ(not_current_->state, protocol::currency_state::kStorageFailing);
+  EXPECT_TRUE(not_current_->confirmed_age) << "the host was current before";
+  EXPECT_EQ(plugin_->StatusReport()["currency"]["state"], "storage-failing");
+  http::RunUntil(loop_, [&] { return !lines.WithEvent(2011).empty(); });
+  const std::string line = lines.WithEvent(2011).back();
+  for (const char* field : {"current=0", "reason=storage-failing", "voters=1"}) {
+    EXPECT_NE(line.find(field), std::string::npos) << field << " in " << line;
+  }
+}
+
+// Guards against a log that can't tell why a host was not current, or that a lasting state fills.
+TEST_F(ControlPluginTest, LogsWhyItIsNotCurrent) {
+  StartLoneHostOfThree();
+  const logging::logged_lines lines;
+  http::RunUntil(loop_, [&] { return !lines.WithEvent(2018).empty(); });
+  EXPECT_TRUE(lines.WithEvent(2011).empty()) << "it was never current";
+  const std::string line = lines.WithEvent(2018).front();
+  for (const char* field :
+       {"reason=no-leader", "role=pre-candidate", "term=0", "voters=a=0,b=none,c=none", "heard=1",
+        "round=0:0", "silent_ms=none", "storage=healthy"}) {
+    EXPECT_NE(line.find(field), std::string::npos) << field << " in " << line;
+  }
+}
+
 // Guards against a quarantine that is lost with the daemons that decided it, that reaches daemons
 // of other services, and that no operator can end.
 TEST_F(ControlPluginTest, KeepsAndReleasesAQuarantineThatADaemonReported) {
