Say on a daemon whether its control host was silent or not current

Event 3011 had one reason, "silent or not current", for two states, and no line said that no control host at all was current: the incident had to be read out of the rhythm of links in three logs. 3011 now says which, with the ages of the last bytes, update and confirmed update on the link, and the reason and age that the host gave.

The metric cornelweir_control_update_age_seconds shows the time since the last confirmed update.

--- a/plugins/sidecar/control_client.cc
+++ b/plugins/sidecar/control_client.cc
@@ -51,6 +51,7 @@
 }
 
 void control_client::Start() {
+  outage_.Start(Now());
   Tick();
   timer_.StartPeriodic(internal::kTickPeriod, [this] { Tick(); });
 }
@@ -81,12 +82,15 @@
   alive_ = std::make_shared<bool>(true);
   connected_ = false;
   last_bytes_received_ = 0;
+  activity_ = control_link_activity();
+  link_end_ = control_link_end::kUnreachable;
   policy_parts_.Clear();
   last_progress_at_ = last_update_at_ = Now();
   transport::link_handlers callbacks;
   callbacks.opened = [this, alive = alive_](const std::shared_ptr<transport::link>& link) {
     if (!*alive) return;
     connected_ = true;
+    link_end_ = control_link_end::kClosed;
     failed_attempts_ = 0;
     last_progress_at_ = Now();
     logging::event(logging::event_id::kControlHostConnected).With("host", host_);
@@ -103,10 +107,9 @@
   callbacks.closed = [this, alive = alive_](const std::shared_ptr<transport::link>&,
                                             const std::string& reason) {
     if (!*alive) return;
+    outage_.OnLinkEnded(link_end_, activity_.reported());
     if (connected_) {
-      logging::event(logging::event_id::kControlHostLost)
-          .With("host", host_)
-          .With("reason", reason);
+      LogLinkLost(reason);
     } else {
       ++failed_attempts_;
     }
@@ -135,8 +138,27 @@
   if (link_) link_->Close(reason);
 }
 
+void control_client::LogLinkLost(const std::string& reason) const {
+  const auto age = [now = Now()](const std::optional<kernel::time_point>& at) {
+    return at ? std::to_string(kernel::ToMilliseconds(now - *at).count()) : "none";
+  };
+  const std::optional<protocol::currency_report>& reported = activity_.reported();
+  const bool has_age = reported && reported->confirmed_age;
+  logging::event(logging::event_id::kControlHostLost)
+      .With("host", host_)
+      .With("reason", reason)
+      .With("bytes_ms", age(activity_.bytes_at()))
+      .With("update_ms", age(activity_.update_at()))
+      .With("confirmed_ms", age(activity_.confirmed_at()))
+      .With("host_reason", reported ? protocol::CurrencyStateName(reported->state) : "none")
+      .With("host_silent_ms", has_age ? std::to_string(reported->confirmed_age->count()) : "none");
+}
+
 void control_client::Tick() {
   const kernel::time_point now = Now();
+  // After a pause of this process, what hosts sent meanwhile may not have been read yet.
+  const kernel::time_point input_until = context_.pauses.InputArrival(now);
+  outage_.Tick(input_until);
   if (!link_) {
     if (now >= retry_at_) Connect();
     return;
@@ -147,10 +169,12 @@
       now - last_update_at_ < internal::kMaxTransferTime) {
     last_progress_at_ = now;
   }
+  if (link_->bytes_received() > last_bytes_received_) activity_.OnBytes(now);
   last_bytes_received_ = link_->bytes_received();
-  // After a pause of this process, what the host sent meanwhile may not have been read yet.
-  if (context_.pauses.InputArrival(now) - last_progress_at_ > timeout) {
-    Disconnect(connected_ ? "silent or not current" : "no connection");
+  if (input_until - last_progress_at_ > timeout) {
+    if (!connected_) return Disconnect("no connection");
+    link_end_ = activity_.Fault(input_until, timeout);
+    Disconnect(link_end_ == control_link_end::kSilent ? "silent" : "not current");
     return;
   }
   if (connected_ && now - reported_at_ >= internal::kReportPeriod) Report();
@@ -204,8 +228,10 @@
     incarnation_ = Next(update.superseded_incarnation);
     Report();
   }
+  activity_.OnUpdate(update, Now());
   if (!update.leader_confirmed) return;
   last_progress_at_ = last_update_at_ = Now();
+  outage_.OnConfirmed(last_update_at_);
   if (!update.rollouts.empty()) {
     handlers_.rollouts_received(update.rollouts);
     Report();
--- a/plugins/sidecar/control_client.h
+++ b/plugins/sidecar/control_client.h
@@ -18,6 +18,9 @@
 #include "cornelweir/rollout.h"
 #include "cornelweir/transport.h"
 #include "plugins/daemon_context.h"
+#include "plugins/sidecar/control_link_activity.h"
+#include "plugins/sidecar/control_link_end.h"
+#include "plugins/sidecar/control_outage.h"
 
 namespace cornelweir::plugins::sidecar {
 
@@ -69,6 +72,8 @@
   // Null before the first policy.
   const std::shared_ptr<const policy::policy_table>& policy() const { return policy_; }
   const std::map<kernel::endpoint, membership::roster_entry>& roster() const { return roster_; }
+  // The time since a control host last confirmed that its state is the newest, or since the start.
+  kernel::microseconds SinceConfirmed() const { return outage_.SinceConfirmed(Now()); }
   kernel::endpoint self() const { return context_.settings.sidecar->peers_listen; }
 
  private:
@@ -76,6 +81,7 @@
   void Tick();
   void Connect();
   void Disconnect(const std::string& reason);
+  void LogLinkLost(const std::string& reason) const;
   // Appends the seeds to candidate_hosts_.
   void AddSeeds();
   kernel::endpoint TakeNextHost();
@@ -102,6 +108,10 @@
   kernel::time_point last_progress_at_;
   kernel::time_point last_update_at_;
   std::uint64_t last_bytes_received_ = 0;
+  // What the link has received, and why it ends if it ends now.
+  control_link_activity activity_;
+  control_link_end link_end_ = control_link_end::kUnreachable;
+  control_outage outage_;
   kernel::time_point reported_at_;
   kernel::time_point retry_at_;
   std::shared_ptr<const policy::policy_table> policy_;
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -1,6 +1,7 @@
 #include "plugins/sidecar/sidecar_node.h"
 
 #include <algorithm>
+#include <chrono>
 #include <memory>
 #include <utility>
 
@@ -159,6 +160,9 @@
   set("cornelweir_policy_version", "Policy in force",
       control_client_.policy() ? static_cast<double>(control_client_.policy()->version.value())
                                : 0);
+  set("cornelweir_control_update_age_seconds",
+      "Time since a control host confirmed that its state is the newest, or since the start",
+      std::chrono::duration<double>(control_client_.SinceConfirmed()).count());
   set("cornelweir_upstream_slots", "Slots of the upstream that requests can use",
       static_cast<double>(load.slots));
   set("cornelweir_upstream_in_progress", "Requests at the upstream",
