Move what the soaks share into the stand-ins of a machine

disk_soak had the full disk, the operator's request and the reading of a metric of a process to itself; other rigs need them as well.

--- a/tests/disk_soak.py
+++ b/tests/disk_soak.py
@@ -13,8 +13,6 @@
 import json
 import pathlib
 import random
-import re
-import resource
 import sys
 import time
 
@@ -59,22 +57,8 @@
     def versions(self):
         return [int(v, 16) for v in fleets.read_all(self.fleet).values() if isinstance(v, str)]
 
-    def set_full(self, machine, is_full):
-        _, hard = resource.prlimit(machine.process.pid, resource.RLIMIT_FSIZE)
-        limit = 0 if is_full else hard
-        resource.prlimit(machine.process.pid, resource.RLIMIT_FSIZE, (limit, hard))
-        self.fleet.record("full" if is_full else "room", machine=machine.name)
-
-    def request(self, machine, method, path="/config", headers=None, body=b""):
-        host = machine.control_plane
-        return http1.exchange(host, method, path, {"Host": host, **(headers or {})}, body,
-                              timeout=2.0)
-
     def is_healthy(self, machine):
-        status, _, body = http1.exchange(f"{machine.ip}:{fleets.METRICS}", "GET", "/metrics",
-                                         {"Host": machine.ip}, timeout=1.0)
-        found = re.search(rb"^cornelweir_storage_healthy(?:\{\})? (\d)", body or b"", re.M)
-        return status == 200 and found is not None and found.group(1) == b"1"
+        return machine.metric("cornelweir_storage_healthy") == 1
 
     def check_refusal(self, machine):
         """A host that knows that its disk is full refuses a change at once."""
@@ -84,7 +68,7 @@
         body = json.dumps(self.fleet.config(self.fleet.version + 1, self.routes())).encode()
         headers = {"If-Match": f"{self.fleet.version:08x}", "Content-Type": "application/json"}
         began = time.monotonic()
-        status, answered, _ = self.request(machine, "PUT", headers=headers, body=body)
+        status, answered, _ = machine.request("PUT", headers=headers, body=body)
         took = time.monotonic() - began
         if status != 503 or "retry-after" not in answered or took > AT_ONCE_S:
             self.faults.append(f"{machine.name} answered {status} after {took:.2f} s")
@@ -94,7 +78,7 @@
         began = time.monotonic()
         for machine in machines:
             def is_back(machine=machine):
-                status, _, body = self.request(machine, "GET")
+                status, _, body = machine.request("GET")
                 return (status == 200 and self.is_healthy(machine)
                         and int(json.loads(body)["version"], 16) >= self.acknowledged)
             if http1.wait_for(is_back, BACK_S, 0.02):
@@ -118,7 +102,7 @@
         count = self.choose.choice([1, 2, 2])
         full = self.choose.sample(self.fleet.controls, count)
         for machine in full:
-            self.set_full(machine, True)
+            machine.set_full(True)
             time.sleep(self.choose.uniform(0.0, 0.5))
         for _ in range(self.choose.randint(1, 3)):
             self.change()
@@ -129,12 +113,12 @@
             self.check_refusal(full[0])
         if self.choose.random() < 0.3:
             # Room for a moment, and full again.
-            self.set_full(full[0], False)
+            full[0].set_full(False)
             time.sleep(self.choose.uniform(0.1, 0.9))
-            self.set_full(full[0], True)
+            full[0].set_full(True)
             time.sleep(0.2)
         for machine in full:
-            self.set_full(machine, False)
+            machine.set_full(False)
         self.check_back(full)
         self.change()
 
--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -4,6 +4,8 @@
 import os
 import pathlib
 import random
+import re
+import resource
 import shlex
 import shutil
 import signal
@@ -79,6 +81,8 @@
         self.folder = fleet.folder / self.name
         self.folder.mkdir()
         self.process = None
+        # Variables of the process beside those that each process gets.
+        self.environment = {}
         self.bootstrap = True
         self.data = self.folder / "data"
         self.inbound = f"{self.ip}:{INBOUND}"
@@ -122,6 +126,7 @@
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
         environment["CORNELWEIR_SETTINGS"] = str(settings)
+        environment.update(self.environment)
         command = shlex.split(role["run"])
         command[0] = str(ROOT / command[0])
         with open(self.folder / "log", "ab") as out:
@@ -141,6 +146,16 @@
         if self.process is not None:
             self.process.wait()
 
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def set_full(self, is_full):
+        """The limit on the size of files stands in for a full disk: each write fails."""
+        _, hard = resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE)
+        limit = 0 if is_full else hard
+        resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (limit, hard))
+        self.fleet.record("full" if is_full else "room", machine=self.name)
+
     def lose_disk(self):
         """The next start finds an empty disk. Requires that the process has ended."""
         self.data = self.folder / f"data-{time.monotonic_ns()}"
@@ -151,6 +166,19 @@
                                       timeout=1.0)
         return status == 200
 
+    def request(self, method, path="/config", headers=None, body=b"", timeout=2.0):
+        """A request of the operator to a control host."""
+        host = self.control_plane
+        return http1.exchange(host, method, path, {"Host": host, **(headers or {})}, body,
+                              timeout=timeout)
+
+    def metric(self, name):
+        """The value of a metric without labels, or None."""
+        status, _, body = http1.exchange(f"{self.ip}:{METRICS}", "GET", "/metrics",
+                                         {"Host": self.ip}, timeout=1.0)
+        found = re.search(rf"^{name}(?:\{{\}})? (\S+)", body.decode("utf-8", "replace"), re.M)
+        return float(found.group(1)) if status == 200 and found else None
+
     def log(self):
         return (self.folder / "log").read_text(encoding="utf-8", errors="replace")
 
