--- /dev/null
+++ b/tests/fault_shim.cc
@@ -0,0 +1,109 @@
+// Faults that the rig of real processes sets in a daemon which it starts with this library in
+// LD_PRELOAD. It must not be linked into a program that is delivered.
+//
+// FAULT_SHIM_ROUTES names a file with a line "ADDRESS:PORT ADDRESS:PORT" for each IPv4 destination
+// that connect() replaces by another one. It is read at each call, so the rig may replace it.
+// FAULT_SHIM_SYNC_DELAY names a file of four bytes: the time in ms, in host byte order, that is
+// added to each fdatasync() and fsync(). It is mapped, so the rig may write it at any time.
+
+#include <arpa/inet.h>
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstdint>
+#include <cstdlib>
+#include <ctime>
+#include <fstream>
+#include <string>
+
+namespace {
+
+using connect_call = int (*)(int, const sockaddr*, socklen_t);
+using sync_call = int (*)(int);
+
+template <class Call>
+Call Next(const char* name) {
+  return reinterpret_cast<Call>(::dlsym(RTLD_NEXT, name));
+}
+
+bool ParseAddress(const std::string& text, sockaddr_in& parsed) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  std::uint16_t port = 0;
+  const char* const end = text.data() + text.size();
+  const auto [parsed_end, error] = std::from_chars(text.data() + colon + 1, end, port);
+  if (error != std::errc() || parsed_end != end) return false;
+  parsed = {};
+  parsed.sin_family = AF_INET;
+  parsed.sin_port = htons(port);
+  return ::inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed.sin_addr) == 1;
+}
+
+// Replaces the destination if a line of the file names it.
+void Redirect(sockaddr_in& destination) {
+  const char* const file = std::getenv("FAULT_SHIM_ROUTES");
+  if (file == nullptr) return;
+  std::ifstream lines(file);
+  std::string from;
+  std::string to;
+  while (lines >> from >> to) {
+    sockaddr_in listed{};
+    sockaddr_in replacement{};
+    if (!ParseAddress(from, listed) || !ParseAddress(to, replacement)) continue;
+    if (listed.sin_port != destination.sin_port ||
+        listed.sin_addr.s_addr != destination.sin_addr.s_addr) {
+      continue;
+    }
+    destination = replacement;
+    return;
+  }
+}
+
+const std::uint32_t* MapSyncDelay() {
+  const char* const file = std::getenv("FAULT_SHIM_SYNC_DELAY");
+  if (file == nullptr) return nullptr;
+  const int descriptor = ::open(file, O_RDONLY | O_CLOEXEC);
+  if (descriptor < 0) return nullptr;
+  void* const mapped = ::mmap(nullptr, sizeof(std::uint32_t), PROT_READ, MAP_SHARED, descriptor, 0);
+  ::close(descriptor);
+  return mapped == MAP_FAILED ? nullptr : static_cast<const std::uint32_t*>(mapped);
+}
+
+void DelaySync() {
+  static const std::uint32_t* const delay = MapSyncDelay();
+  if (delay == nullptr) return;
+  const std::uint32_t ms = __atomic_load_n(delay, __ATOMIC_RELAXED);
+  timespec left{static_cast<std::time_t>(ms / 1000), static_cast<long>(ms % 1000) * 1'000'000};
+  while (::nanosleep(&left, &left) != 0 && errno == EINTR) {
+  }
+}
+
+}  // namespace
+
+extern "C" int connect(int descriptor, const sockaddr* address, socklen_t size) {
+  static const auto next = Next<connect_call>("connect");
+  if (address == nullptr || size < sizeof(sockaddr_in) || address->sa_family != AF_INET) {
+    return next(descriptor, address, size);
+  }
+  sockaddr_in destination = *reinterpret_cast<const sockaddr_in*>(address);
+  Redirect(destination);
+  return next(descriptor, reinterpret_cast<const sockaddr*>(&destination), sizeof(destination));
+}
+
+extern "C" int fdatasync(int descriptor) {
+  static const auto next = Next<sync_call>("fdatasync");
+  DelaySync();
+  return next(descriptor);
+}
+
+extern "C" int fsync(int descriptor) {
+  static const auto next = Next<sync_call>("fsync");
+  DelaySync();
+  return next(descriptor);
+}
