--- a/tests/control_soak.py
+++ b/tests/control_soak.py
@@ -93,8 +93,13 @@
         self.fleet = fleets.Fleet(fleets.Record(folder / "record.txt"), {"forms": SIDECARS},
                                   controls=HOSTS)
         for role in self.fleet.deploy["roles"].values():
-            role["run"] = str(pathlib.Path(options.daemon).resolve())
+            # The signal that goes with the limit on file sizes has no counterpart on a full disk. A
+            # daemon that it ended would be started again in the calm.
+            role["run"] = ("/usr/bin/env --ignore-signal=XFSZ "
+                           + str(pathlib.Path(options.daemon).resolve()))
         self.retired = []
+        # The machines whose process the rig ended and has not started again.
+        self.down = set()
         self.next_control = HOSTS
         for machine in self.machines():
             self.equip(machine)
@@ -165,23 +170,35 @@
 
     def start(self, machine):
         if machine not in self.retired and not machine.is_running():
+            self.check_ended_by_rig(machine)
+            self.down.discard(machine)
             machine.bootstrap = False
             machine.start()
 
+    def end(self, machine):
+        self.check_ended_by_rig(machine)
+        self.down.add(machine)
+        machine.kill()
+
+    def check_ended_by_rig(self, machine):
+        if machine.process is not None and not machine.is_running() and machine not in self.down:
+            self.faults.append(f"{machine.name} ended by itself with {machine.process.returncode}")
+
     def kill(self):
         machine = self.some_machine()
-        machine.kill()
+        self.end(machine)
         return lambda: self.start(machine)
 
     def stop(self):
         machine = self.some_machine()
         if not machine.is_running():
             return None
+        self.down.add(machine)
         machine.send_signal(signal.SIGTERM)
 
         def end():
             if machine not in self.retired:
-                machine.kill()
+                self.end(machine)
                 self.start(machine)
         return end
 
@@ -259,7 +276,7 @@
             return None
         self.lost_disks += 1
         machine = self.choose.choice(self.fleet.controls)
-        machine.kill()
+        self.end(machine)
         machine.lose_disk()
         return lambda: self.start(machine)
 
@@ -270,7 +287,7 @@
         self.lost_disks += 1
         place = self.choose.randrange(HOSTS)
         old = self.fleet.controls[place]
-        old.kill()
+        self.end(old)
         self.retired.append(old)
         machine = fleets.Machine(self.fleet, "control", self.next_control)
         self.next_control += 1
@@ -372,7 +389,7 @@
     def restart_all(self):
         """Tells a state that a restart ends from one that stays."""
         for machine in self.fleet.controls:
-            machine.kill()
+            self.end(machine)
             self.start(machine)
         took = self.wait_for_version(self.writer.acknowledged, BOUND_S)
         return f"after a restart of all control hosts: {took:.2f} s" if took is not None else (
