--- a/tests/fault_shim.cc
+++ b/tests/fault_shim.cc
@@ -79,7 +79,9 @@
   static const std::uint32_t* const delay = MapSyncDelay();
   if (delay == nullptr) return;
   const std::uint32_t ms = __atomic_load_n(delay, __ATOMIC_RELAXED);
-  timespec left{static_cast<std::time_t>(ms / 1000), static_cast<long>(ms % 1000) * 1'000'000};
+  timespec left{};
+  left.tv_sec = ms / 1000;
+  left.tv_nsec = (ms % 1000) * 1'000'000;
   while (::nanosleep(&left, &left) != 0 && errno == EINTR) {
   }
 }
