--- a/tests/control_soak.py
+++ b/tests/control_soak.py
@@ -49,7 +49,8 @@
 
 
 class Writer(threading.Thread):
-    """Changes the configuration until it is stopped. Version N has a route that is named after it.
+    """Changes the configuration until it is stopped. Version N has a route that is named after it
+    and the one of version N - 1.
     A change whose outcome is unknown is sent again, so the versions have no gaps."""
 
     def __init__(self, rig, seed):
@@ -137,7 +138,9 @@
             written.replace(machine.folder / "routes")
 
     def routes(self, version):
-        return [self.fleet.route("form", "forms"), self.fleet.route(f"v{version}", "forms")]
+        # The one before it as well: a change whose outcome was unknown may come into force while
+        # the newest acknowledged one is being judged.
+        return [self.fleet.route(f"v{number}", "forms") for number in (version - 1, version)]
 
     def set_sync_delay(self, machine, ms):
         with open(machine.folder / "sync-delay", "r+b") as out:
--- a/tests/fault_shim.cc
+++ b/tests/fault_shim.cc
@@ -81,7 +81,7 @@
   const std::uint32_t ms = __atomic_load_n(delay, __ATOMIC_RELAXED);
   timespec left{};
   left.tv_sec = ms / 1000;
-  left.tv_nsec = (ms % 1000) * 1'000'000;
+  left.tv_nsec = decltype(left.tv_nsec){ms % 1000} * 1'000'000;
   while (::nanosleep(&left, &left) != 0 && errno == EINTR) {
   }
 }
