Replace links between control hosts that carry nothing any more

Seen by callers: no daemon gets an acknowledged configuration, and operators' reads get 503, although all control hosts run and take links.

Cause: control_mesh replaced a link only once it was closed. A link that stays open, whose bytes are acknowledged by something between the hosts, but that carries nothing any more in at least one direction, was kept for good; with enough of them no host gets votes or confirmed rounds, until the processes restart. Every other link between daemons has a timeout of its own.

Change: both ends of a link between control hosts send WebSocket pings, which every version answers, and close the link after six periods of 250 ms without an answer; control_mesh then opens a new one. Pings are counted, not time, so a pause of the process closes nothing. Answers are asked for in both directions, since received bytes do not show that sent ones arrive.

--- a/cornelweir/src/transport/limits.h
+++ b/cornelweir/src/transport/limits.h
@@ -24,6 +24,15 @@
                                                                    .keepalive_idle_s = 1,
                                                                    .keepalive_interval_s = 1,
                                                                    .max_keepalive_probes = 2};
+// Pings on a link and how many of them may remain unanswered before it is closed.
+struct ping_options {
+  std::chrono::milliseconds period{};
+  int max_unanswered = 0;
+};
+// Between control hosts, whose group has no leader while too many links carry nothing: closed after
+// 1.5 s, as by kLinkKeepaliveOptions.
+inline constexpr ping_options kControlLinkPings{.period = std::chrono::milliseconds(250),
+                                                .max_unanswered = 6};
 // Links per listener, including those in the handshake; further connections are closed.
 inline constexpr std::size_t kMaxLinks = 4096;
 
--- a/cornelweir/src/transport/link.cc
+++ b/cornelweir/src/transport/link.cc
@@ -95,6 +95,7 @@
       if (raw->state_ != state::kOpen || !raw->handlers_.message) return;
       raw->handlers_.message(raw->shared_from_this(), payload);
     };
+    callbacks.pong = [raw] { raw->unanswered_pings_ = 0; };
     callbacks.closed = [raw](const std::string& reason) { raw->Finish(reason); };
     self->codec_ = std::make_unique<internal::websocket_codec>(self->side_, kMaxMessageBytes,
                                                                std::move(callbacks));
@@ -155,6 +156,27 @@
   stream_.ShutdownSend();
 }
 
+void link::StartPings(const ping_options& options) {
+  pings_ = options;
+  unanswered_pings_ = 0;
+  PingNext();
+}
+
+// Counts pings instead of time, so that a pause of this process closes no link. A ping behind bytes
+// that are still queued here is not missing yet.
+void link::PingNext() {
+  if (unanswered_pings_ >= pings_.max_unanswered) return Finish("the peer does not answer pings");
+  if (write_buffer_.empty() && send_queue_.empty()) {
+    ++unanswered_pings_;
+    codec_->Ping();
+  }
+  state_timer_.expires_after(pings_.period);
+  state_timer_.async_wait([weak = weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (!error && self && self->state_ == state::kOpen) self->PingNext();
+  });
+}
+
 void link::Close(const std::string& reason) { Finish(reason); }
 
 void link::CloseAfterDrain(const std::string& reason) {
--- a/cornelweir/src/transport/link.h
+++ b/cornelweir/src/transport/link.h
@@ -44,6 +44,10 @@
   // Queues one message. Returns false if the link is not open or its send queue is full. A full
   // queue closes the link, because dropping single messages would leave gaps in the stream.
   bool Send(const std::string& payload);
+  // Sends pings, and closes the link when too many remain unanswered. An open connection may stop
+  // carrying bytes while a middlebox goes on to acknowledge them, which the time limits of TCP
+  // don't detect. Must be called while the link is open.
+  void StartPings(const ping_options& options);
   // Closes the socket without a closing handshake. The closed callback runs later, from the loop,
   // with this reason.
   void Close(const std::string& reason);
@@ -68,6 +72,7 @@
   // Closes the link if it is still in this state after the timeout.
   void StartStateTimer(state limited, std::chrono::milliseconds timeout, std::string reason);
   void StartHandshake();
+  void PingNext();
   void ReadSome();
   void QueueBytes(const char* data, std::size_t size);
   void WriteNext();
@@ -75,7 +80,7 @@
   void Finish(const std::string& reason);
 
   boost::asio::io_context& context_;
-  // Limits the time to open the link, and later the time to drain it.
+  // Limits the time to open the link, then times its pings, and later limits the time to drain it.
   boost::asio::steady_timer state_timer_;
   internal::socket_stream stream_;
   link_handlers handlers_;
@@ -85,6 +90,8 @@
   std::string send_queue_;
   std::string write_buffer_;
   std::string peer_role_;
+  ping_options pings_;
+  int unanswered_pings_ = 0;
   std::uint64_t bytes_sent_ = 0;
   std::uint64_t bytes_received_ = 0;
 };
--- a/cornelweir/src/transport/websocket_codec.cc
+++ b/cornelweir/src/transport/websocket_codec.cc
@@ -87,6 +87,15 @@
                               : !client_connection_->send(payload, kBinary);
   }
 
+  void Ping() {
+    websocketpp::lib::error_code ignored;
+    if (server_connection_) {
+      server_connection_->ping("", ignored);
+    } else {
+      client_connection_->ping("", ignored);
+    }
+  }
+
   void Close(const std::string& reason) {
     websocketpp::lib::error_code error;
     constexpr auto kNormal = websocketpp::close::status::normal;
@@ -111,6 +120,8 @@
                                           const typename Connection::message_ptr& message) {
       handlers_.message(message->get_payload());
     });
+    connection.set_pong_handler(
+        [this](const websocketpp::connection_hdl&, const std::string&) { handlers_.pong(); });
     connection.set_close_handler([this, &connection](const websocketpp::connection_hdl&) {
       handlers_.closed(connection.get_ec().message());
     });
@@ -126,6 +137,7 @@
     });
     connection.set_open_handler(nullptr);
     connection.set_message_handler(nullptr);
+    connection.set_pong_handler(nullptr);
     connection.set_close_handler(nullptr);
     connection.set_fail_handler(nullptr);
     connection.eof();
@@ -147,6 +159,7 @@
   implementation_->Feed(data, size);
 }
 bool websocket_codec::Send(const std::string& payload) { return implementation_->Send(payload); }
+void websocket_codec::Ping() { implementation_->Ping(); }
 void websocket_codec::Close(const std::string& reason) { implementation_->Close(reason); }
 
 }  // namespace cornelweir::transport::internal
--- a/cornelweir/src/transport/websocket_codec.h
+++ b/cornelweir/src/transport/websocket_codec.h
@@ -23,6 +23,8 @@
     std::function<void(const char* data, std::size_t size)> write;
     std::function<void()> opened;
     std::function<void(const std::string& payload)> message;
+    // The peer answered a ping.
+    std::function<void()> pong;
     std::function<void(const std::string& reason)> closed;
   };
 
@@ -37,6 +39,8 @@
   void Feed(const char* data, std::size_t size);
   // Sends one binary message. Returns false if the connection is not open.
   bool Send(const std::string& payload);
+  // Sends a ping, which each peer answers. Does nothing if the connection is not open.
+  void Ping();
   // Starts the closing handshake.
   void Close(const std::string& reason);
 
--- a/plugins/control/control_mesh.cc
+++ b/plugins/control/control_mesh.cc
@@ -89,6 +89,7 @@
   handlers.opened = [this](const std::shared_ptr<transport::link>& link) {
     const protocol::control_message greeting = Greeting(protocol::process_role::kControl, self_);
     link->Send(codec::Encode(greeting));
+    link->StartPings(transport::kControlLinkPings);
   };
   handlers.closed = [this, host, generation](const std::shared_ptr<transport::link>&,
                                              const std::string&) { OnClosed(host, generation); };
