Close the socket of an abandoned attempt to connect

A link that was closed while it was connecting left its socket to the pending operation, which the system gives up only after some 2 minutes. Daemons give up an attempt after 250 ms and control hosts after 1.5 s, so a process that tries hosts which are gone held up to hundreds of descriptors for nothing.

--- a/cornelweir/src/transport/link.cc
+++ b/cornelweir/src/transport/link.cc
@@ -44,6 +44,7 @@
   }
   self->StartStateTimer(state::kOpening, kOpenTimeout, "handshake timed out");
   auto socket = std::make_shared<tcp::socket>(context);
+  self->connecting_ = socket;
   socket->async_connect(address, [self, socket, tls](error_code error) {
     if (self->state_ == state::kClosed) return;
     if (error) {
@@ -191,6 +192,8 @@
   state_ = state::kClosed;
   state_timer_.cancel();
   stream_.Close();
+  error_code ignored;
+  if (const auto connecting = connecting_.lock()) connecting->close(ignored);
   // The callbacks may own the link's owner, and the codec may be the caller of this function, so
   // both are released only after the call stack has unwound.
   auto closed = std::move(handlers_.closed);
--- a/cornelweir/src/transport/link.h
+++ b/cornelweir/src/transport/link.h
@@ -83,6 +83,8 @@
   // Limits the time to open the link, then times its pings, and later limits the time to drain it.
   boost::asio::steady_timer state_timer_;
   internal::socket_stream stream_;
+  // The socket until it is connected; owned by the operation that connects it.
+  std::weak_ptr<boost::asio::ip::tcp::socket> connecting_;
   link_handlers handlers_;
   side side_;
   state state_ = state::kOpening;
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -4,6 +4,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,38 @@
   EXPECT_EQ(closed_count, 1);
 }
 
+// The number of descriptors that this process has open.
+std::ptrdiff_t OpenDescriptors() {
+  return std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {});
+}
+
+// Guards against a process that runs out of descriptors while hosts are unreachable: the socket of
+// an abandoned attempt stays open until the system gives up the attempt, minutes later.
+TEST_F(LinkTest, ClosesTheSocketOfAnAbandonedAttempt) {
+  using boost::asio::ip::tcp;
+  // A listener with a full queue, so that further attempts get no answer.
+  tcp::acceptor unresponsive(context_, tcp::v4());
+  unresponsive.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+  unresponsive.listen(0);
+  std::vector<tcp::socket> queued;
+  for (int i = 0; i < 4; ++i) {
+    queued.emplace_back(context_);
+    queued.back().async_connect(unresponsive.local_endpoint(), [](const auto&) {});
+  }
+  const kernel::endpoint remote("127.0.0.1:" +
+                                std::to_string(unresponsive.local_endpoint().port()));
+  const std::ptrdiff_t open_before = OpenDescriptors();
+  constexpr int kAttempts = 10;
+  int closed_count = 0;
+  link_handlers handlers;
+  handlers.closed = [&](const std::shared_ptr<link>&, const std::string&) { ++closed_count; };
+  for (int i = 0; i < kAttempts; ++i) {
+    link::Connect(context_, remote, nullptr, handlers)->Close("abandoned");
+  }
+  while (closed_count < kAttempts) context_.run_one();
+  EXPECT_EQ(OpenDescriptors(), open_before);
+}
+
 // Guards against a loop that spins while the process has no free file descriptors, and against a
 // listener that stays deaf when it has some again.
 TEST_F(LinkTest, WaitsForFreeFileDescriptorsWithoutSpinning) {
