Show that a group with syncs of 500 ms elects no leader

A candidate's timeout of 300 to 600 ms runs while its own vote and then those of the others are synced. After the timeout it starts a pre-vote and ignores the votes of its term. A leader counts the time in which its loop was blocked as silence of the others. So groups whose disks all need 300 ms or more for a sync have no leader, or lose theirs at each change, until the disks are faster.

Two tests, apart from those that pass: a group whose disks all need 500 ms, and schedules of faults after which each disk keeps a time of up to 500 ms.

--- a/tests/replication_liveness_test.cc
+++ b/tests/replication_liveness_test.cc
@@ -187,5 +187,16 @@
   EXPECT_TRUE(rc::check([] { CheckRecoveryWithEqualDisks(milliseconds(150)); }));
 }
 
+// Guards against a group whose members never elect a leader, or lose it at each change, since a
+// sync takes longer than their timers allow. A disk that needs 500 ms for a sync is slow, but it
+// works.
+TEST(ReplicationLivenessSlowDisks, GroupIsFoundedWithSyncsOf500Ms) {
+  EXPECT_TRUE(rc::check([] { CheckRecoveryWithEqualDisks(milliseconds(500)); }));
+}
+
+TEST(ReplicationLivenessSlowDisks, GroupIsCurrentAfterFaultsWithSyncsOfUpTo500Ms) {
+  EXPECT_TRUE(rc::check([] { CheckRecoveryAfterFaults(milliseconds(500)); }));
+}
+
 }  // namespace
 }  // namespace cornelweir::storage
