Elect and keep a leader while disks are slow

Seen by callers: no daemon gets an acknowledged configuration and operators' reads get 503 for as long as the disks of a majority need 300 ms or more for a sync, although all of them store.

Cause: the timers of the replicated log took the time of a sync, which blocks the loop of its host, for the silence of others. A candidate's timeout ran while its own vote and those of the others were synced; after it the candidate asked for pre-votes and ignored the votes of its own term; a leader stepped down when its own sync and those of the others took longer than 600 ms.

Change: the time for which a host was blocked by its own sync is taken out of its timers (node::Persisted); election timeouts and the leader's check of its majority allow for two syncs, each host's own and those of a majority, which votes and replies state; votes of a term still count while pre-votes for the next one are asked for. Allowances are for syncs of 750 ms at most. A slow minority changes nothing: the majority's slowest sync counts.

The model of the liveness test made proposals inside a sync, which kept a leader from ever reading replies; they now reach a host when its loop runs, as operators' requests do. What must hold is unchanged.

--- a/cornelweir/src/replication/limits.h
+++ b/cornelweir/src/replication/limits.h
@@ -23,6 +23,14 @@
 // recent contact with a leader grants a pre-vote.
 inline constexpr kernel::milliseconds kFirstElectionMin{80};
 inline constexpr kernel::milliseconds kFirstElectionMax{180};
+// Syncs of the log that an exchange between two hosts waits for: that of the sender and that of the
+// receiver, each of which blocks its host. Elections and the leader's check of its majority allow
+// for them, as otherwise a group whose disks need as long as an election timeout has no leader.
+inline constexpr int kSyncsPerExchange = 2;
+// Longest sync that they allow for. Syncs that take longer count as failures of their host.
+inline constexpr kernel::milliseconds kMaxAllowedSync{750};
+// How long a sync is remembered at least.
+inline constexpr kernel::milliseconds kSyncMemory{10'000};
 // A read index request without a reply after this time has failed.
 inline constexpr kernel::milliseconds kReadTimeout{1000};
 
--- a/cornelweir/src/replication/message.h
+++ b/cornelweir/src/replication/message.h
@@ -47,12 +47,14 @@
   bool pre_vote = false;
   kernel::disk_id disk;
   bool bootstrap = false;
+  // The longest recent sync of the voter's log.
+  kernel::microseconds sync_time{};
 
   static constexpr auto Fields() {
-    return std::tuple{kernel::field{"term", &vote::term}, kernel::field{"granted", &vote::granted},
-                      kernel::field{"pre_vote", &vote::pre_vote},
-                      kernel::field{"disk", &vote::disk},
-                      kernel::field{"bootstrap", &vote::bootstrap}};
+    return std::tuple{
+        kernel::field{"term", &vote::term},           kernel::field{"granted", &vote::granted},
+        kernel::field{"pre_vote", &vote::pre_vote},   kernel::field{"disk", &vote::disk},
+        kernel::field{"bootstrap", &vote::bootstrap}, kernel::field{"sync_time", &vote::sync_time}};
   }
   friend bool operator==(const vote&, const vote&) = default;
 };
@@ -95,6 +97,8 @@
   kernel::heartbeat_round round;
   kernel::disk_id disk;
   bool bootstrap = false;
+  // The longest recent sync of the sender's log.
+  kernel::microseconds sync_time{};
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"term", &append_reply::term},
@@ -102,7 +106,8 @@
                       kernel::field{"index", &append_reply::index},
                       kernel::field{"round", &append_reply::round},
                       kernel::field{"disk", &append_reply::disk},
-                      kernel::field{"bootstrap", &append_reply::bootstrap}};
+                      kernel::field{"bootstrap", &append_reply::bootstrap},
+                      kernel::field{"sync_time", &append_reply::sync_time}};
   }
   friend bool operator==(const append_reply&, const append_reply&) = default;
 };
--- a/cornelweir/src/replication/node.cc
+++ b/cornelweir/src/replication/node.cc
@@ -25,7 +25,41 @@
                            kernel::UniformBelow(random_, range)));
 }
 
-void node::ResetElectionTimer() { SetElectionTimer(kElectionTimeoutMin, kElectionTimeoutMax); }
+void node::ResetElectionTimer() {
+  const kernel::microseconds allowance = SyncAllowance();
+  SetElectionTimer(kElectionTimeoutMin + allowance, kElectionTimeoutMax + allowance);
+}
+
+kernel::microseconds node::SyncTimeOf(const kernel::host_id& host) const {
+  const auto found = syncs_.find(host);
+  return found != syncs_.end() ? found->second.Longest(now_) : kernel::microseconds::zero();
+}
+
+// The slowest disks of a minority don't count, so that they don't delay the end of a failed leader.
+kernel::microseconds node::SyncAllowance() const {
+  std::vector<kernel::microseconds> sync_times;
+  for (const kernel::host_id& host : configuration().voters) {
+    sync_times.push_back(SyncTimeOf(host));
+  }
+  if (sync_times.empty()) return kernel::microseconds::zero();
+  std::sort(sync_times.begin(), sync_times.end());
+  const kernel::microseconds slowest = std::max(sync_times[Quorum() - 1], SyncTimeOf(self_));
+  return kSyncsPerExchange * std::min<kernel::microseconds>(slowest, kMaxAllowedSync);
+}
+
+void node::RecordSync(kernel::microseconds sync_time) {
+  syncs_[self_].Record(sync_time, now_);
+  election_deadline_ += sync_time;
+  quorum_check_start_ += sync_time;
+  if (last_leader_contact_) *last_leader_contact_ += sync_time;
+  for (auto& [host, peer] : progress_) peer.last_contact += sync_time;
+}
+
+void node::RecordReportedSync(const kernel::host_id& host, kernel::microseconds sync_time) {
+  if (sync_time > kernel::microseconds::zero() && IsVoter(configuration(), host)) {
+    syncs_[host].Record(sync_time, now_);
+  }
+}
 
 void node::Send(const kernel::host_id& receiver, message body) {
   messages_.push_back(envelope{self_, receiver, std::move(body)});
@@ -89,8 +123,9 @@
   return contacts;
 }
 
-void node::Persisted() {
+void node::Persisted(kernel::microseconds sync_time) {
   durable_index_ = taken_index_;
+  if (sync_time > kernel::microseconds::zero()) RecordSync(sync_time);
   AdvanceCommitIndex();
 }
 
--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -18,6 +18,7 @@
 #include "cornelweir/src/replication/durable_state.h"
 #include "cornelweir/src/replication/group_configuration.h"
 #include "cornelweir/src/replication/log_entry.h"
+#include "cornelweir/src/replication/longest_sync.h"
 #include "cornelweir/src/replication/message.h"
 #include "cornelweir/src/replication/peer_progress.h"
 #include "cornelweir/src/replication/peer_status.h"
@@ -53,8 +54,9 @@
   // Requests the index that a read must wait for. The result appears in ready::reads exactly once.
   void RequestReadIndex(kernel::nonce nonce, kernel::time_point now);
 
-  // Must be called once everything that TakeReady() has returned so far is durable.
-  void Persisted();
+  // Must be called once everything that TakeReady() has returned so far is durable. The owner did
+  // nothing else for sync_time until then: this time does not count as silence of other hosts.
+  void Persisted(kernel::microseconds sync_time = kernel::microseconds::zero());
 
   // Replaces the log up to index, which must be committed and applied, by a snapshot with the state
   // after that entry. Ignored otherwise.
@@ -124,6 +126,12 @@
   void AdvanceClock(kernel::time_point now);
   void SetElectionTimer(kernel::microseconds min_timeout, kernel::microseconds max_timeout);
   void ResetElectionTimer();
+  // The longest recent sync of a host, as far as this host knows.
+  kernel::microseconds SyncTimeOf(const kernel::host_id& host) const;
+  // The time that the syncs of an exchange with a majority may take.
+  kernel::microseconds SyncAllowance() const;
+  void RecordSync(kernel::microseconds sync_time);
+  void RecordReportedSync(const kernel::host_id& host, kernel::microseconds sync_time);
   void Send(const kernel::host_id& receiver, message body);
   void RecordContact(const kernel::host_id& sender);
 
@@ -208,10 +216,16 @@
   kernel::log_index taken_index_;
   kernel::log_index durable_index_;
 
+  // The pre-votes for the next term, and the votes for the current one if this host is a candidate
+  // in it. Votes of voters with slow disks may arrive when pre-votes are requested again.
+  std::set<kernel::host_id> pre_votes_;
   std::set<kernel::host_id> votes_;
+  std::map<kernel::host_id, internal::longest_sync> syncs_;
   std::map<kernel::host_id, internal::peer_progress> progress_;
   kernel::time_point next_heartbeat_;
   kernel::time_point leadership_start_;
+  // From when on the leader expects replies, without the time of its own syncs.
+  kernel::time_point quorum_check_start_;
   std::size_t backlog_bytes_ = 0;
   std::uint64_t round_counter_ = 0;
   kernel::heartbeat_round confirmed_round_;
--- a/cornelweir/src/replication/node_election.cc
+++ b/cornelweir/src/replication/node_election.cc
@@ -30,7 +30,8 @@
 
 bool node::HasRecentLeaderContact() const {
   if (role_ == role::kLeader) return true;
-  return last_leader_contact_ && now_ - *last_leader_contact_ < kElectionTimeoutMin;
+  return last_leader_contact_ &&
+         now_ - *last_leader_contact_ < kElectionTimeoutMin + SyncAllowance();
 }
 
 void node::BecomeFollower(kernel::term term, std::optional<kernel::host_id> leader) {
@@ -41,19 +42,23 @@
   }
   role_ = role::kFollower;
   leader_ = std::move(leader);
+  pre_votes_.clear();
   votes_.clear();
   ResetElectionTimer();
 }
 
 void node::Campaign(bool pre_vote) {
-  votes_.clear();
-  if (IsVoter(configuration(), self_)) votes_.insert(self_);
+  pre_votes_.clear();
   leader_.reset();
+  const bool is_voter = IsVoter(configuration(), self_);
   if (pre_vote) {
     role_ = role::kPreCandidate;
+    if (is_voter) pre_votes_.insert(self_);
   } else {
     role_ = role::kCandidate;
     state_ = durable_state{Next(state_.term), self_};
+    votes_.clear();
+    if (is_voter) votes_.insert(self_);
     ResetElectionTimer();
   }
   for (const kernel::host_id& host : configuration().voters) {
@@ -67,21 +72,21 @@
 }
 
 void node::CountVotes() {
-  if (votes_.size() < Quorum()) return;
-  if (role_ == role::kPreCandidate) {
-    Campaign(/*pre_vote=*/false);
-  } else if (role_ == role::kCandidate) {
+  if (votes_.size() >= Quorum()) {
     BecomeLeader();
+  } else if (pre_votes_.size() >= Quorum()) {
+    Campaign(/*pre_vote=*/false);
   }
 }
 
 void node::BecomeLeader() {
   role_ = role::kLeader;
   leader_ = self_;
-  leadership_start_ = now_;
+  leadership_start_ = quorum_check_start_ = now_;
   round_counter_ = 0;
   unconfirmed_rounds_.clear();
   confirmed_sent_at_.reset();
+  pre_votes_.clear();
   votes_.clear();
   progress_.clear();
   UpdateTrackedPeers();
@@ -93,7 +98,7 @@
 
 void node::Handle(const kernel::host_id& sender, const request_vote& request) {
   const auto send_vote = [&](bool granted, kernel::term term) {
-    Send(sender, vote{term, granted, request.pre_vote, disk_, bootstrap_});
+    Send(sender, vote{term, granted, request.pre_vote, disk_, bootstrap_, SyncTimeOf(self_)});
   };
   if (request.term < state_.term) return send_vote(false, state_.term);
   // A host that can't reach the current leader must not depose it.
@@ -114,19 +119,22 @@
 }
 
 void node::Handle(const kernel::host_id& sender, const vote& reply) {
+  RecordReportedSync(sender, reply.sync_time);
   if (!reply.granted && reply.term > state_.term) {
     BecomeFollower(reply.term, std::nullopt);
     return;
   }
-  const bool is_expected = reply.pre_vote
-                               ? role_ == role::kPreCandidate && reply.term == Next(state_.term)
-                               : role_ == role::kCandidate && reply.term == state_.term;
+  // The votes of the current term still count while pre-votes for the next one are requested.
+  const bool is_campaigning = role_ == role::kPreCandidate || role_ == role::kCandidate;
+  const bool is_expected =
+      reply.pre_vote ? role_ == role::kPreCandidate && reply.term == Next(state_.term)
+                     : is_campaigning && reply.term == state_.term && state_.voted_for == self_;
   if (!is_expected || !reply.granted) return;
   if (!IsVoter(configuration(), sender) ||
       !IsRecordedDisk(configuration(), sender, reply.disk, reply.bootstrap)) {
     return;
   }
-  votes_.insert(sender);
+  (reply.pre_vote ? pre_votes_ : votes_).insert(sender);
   CountVotes();
 }
 
--- a/cornelweir/src/replication/node_follower.cc
+++ b/cornelweir/src/replication/node_follower.cc
@@ -43,7 +43,7 @@
 
 void node::Handle(const kernel::host_id& sender, const append_entries& request) {
   if (!IsWellFormed(request)) return;
-  append_reply reply{state_.term, false, {}, request.round, disk_, bootstrap_};
+  append_reply reply{state_.term, false, {}, request.round, disk_, bootstrap_, SyncTimeOf(self_)};
   if (!AcceptLeader(sender, request.term)) {
     Send(sender, reply);
     return;
--- a/cornelweir/src/replication/node_leader.cc
+++ b/cornelweir/src/replication/node_leader.cc
@@ -75,6 +75,7 @@
 }
 
 void node::Handle(const kernel::host_id& sender, const append_reply& reply) {
+  RecordReportedSync(sender, reply.sync_time);
   internal::peer_progress* peer =
       RecordReply(sender, reply.term, reply.round, reply.disk, reply.bootstrap);
   if (peer == nullptr) return;
@@ -264,12 +265,12 @@
 }
 
 void node::CheckQuorum() {
-  if (now_ - leadership_start_ < kElectionTimeoutMax) return;
+  const kernel::microseconds max_silence = kElectionTimeoutMax + SyncAllowance();
+  if (now_ - quorum_check_start_ < max_silence) return;
   std::size_t reachable_voters = 0;
   for (const kernel::host_id& host : configuration().voters) {
     const bool is_reachable =
-        host == self_ ||
-        (CountsAsVoter(host) && now_ - progress_[host].last_contact < kElectionTimeoutMax);
+        host == self_ || (CountsAsVoter(host) && now_ - progress_[host].last_contact < max_silence);
     if (is_reachable) ++reachable_voters;
   }
   if (reachable_voters < Quorum()) BecomeFollower(state_.term, std::nullopt);
--- a/cornelweir/src/storage/durable_node.h
+++ b/cornelweir/src/storage/durable_node.h
@@ -78,14 +78,16 @@
 
   // Stores what the node has ready and returns it, to be sent and applied. Returns nothing if the
   // node has nothing ready or the store failed.
-  std::optional<replication::ready> TakeDurable(kernel::time_point now) {
+  template <kernel::clock_source Clock>
+  std::optional<replication::ready> TakeDurable(const Clock& clock) {
     if (!health_.IsHealthy() || !node_.HasReady()) return std::nullopt;
     replication::ready output = node_.TakeReady();
+    const kernel::time_point started_at = clock.Now();
     if (const std::optional<storage_error> error = Persist(output)) {
-      OnFault(*error, now);
+      OnFault(*error, clock.Now());
       return std::nullopt;
     }
-    node_.Persisted();
+    node_.Persisted(clock.Now() - started_at);
     return output;
   }
 
--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -223,7 +223,7 @@
 
 std::optional<replication::ready> replica::TakeDurable() {
   const kernel::time_point began_at = Now();
-  std::optional<replication::ready> output = durable_.TakeDurable(began_at);
+  std::optional<replication::ready> output = durable_.TakeDurable(clock_);
   if (output && (output->state || !output->entries.empty())) last_sync_duration_ = Now() - began_at;
   return output;
 }
--- a/tests/liveness_group.h
+++ b/tests/liveness_group.h
@@ -104,11 +104,8 @@
     if (!IsTakingPart(position)) return;
     host.process->node().Compact(kernel::log_index(host.applied), kernel::byte_string{"s"});
   }
-  void Propose(std::size_t position) {
-    if (!IsTakingPart(position)) return;
-    hosts_[position]->process->node().Propose(kernel::byte_string{std::to_string(++proposals_)},
-                                              now());
-  }
+  // The host proposes a change when its loop runs next, as it reads operators' requests then.
+  void Propose(std::size_t position) { ++hosts_[position]->waiting_proposals; }
   // Ends all faults except the durations of syncs, and starts the hosts that are down.
   void EndFaults() {
     options_.loss_percent = 0;
@@ -245,11 +242,23 @@
     std::multimap<kernel::time_point, replication::envelope> inbox;
     kernel::time_point next_tick;
     kernel::time_point next_maintenance;
+    std::size_t waiting_proposals = 0;
     std::uint64_t applied = 0;
     kernel::heartbeat_round confirmed;
     std::optional<kernel::time_point> confirmed_at;
   };
 
+  // The clock of a host while it stores: a sync that used the disk has taken its time.
+  struct host_clock {
+    const liveness_group& group;
+    const simulated_host& host;
+
+    kernel::time_point Now() const {
+      const bool has_used_disk = host.disk.calls() != host.known_calls;
+      return group.now() + (has_used_disk ? host.sync_time : milliseconds(0));
+    }
+  };
+
   static kernel::host_id HostAt(std::size_t position) {
     return kernel::host_id(std::string(1, static_cast<char>('a' + position)));
   }
@@ -302,6 +311,7 @@
     host.confirmed_at.reset();
     host.unsent.reset();
     host.inbox.clear();
+    host.waiting_proposals = 0;
     host.blocked_until = now();
     host.next_tick = now();
     node_of_host::handlers callbacks;
@@ -394,6 +404,10 @@
 
   void ReceiveMessages(std::size_t position) {
     simulated_host& host = *hosts_[position];
+    for (; host.waiting_proposals > 0; --host.waiting_proposals) {
+      if (!IsTakingPart(position)) continue;
+      host.process->node().Propose(kernel::byte_string{std::to_string(++proposals_)}, now());
+    }
     for (std::size_t count = 0; count < options_.messages_per_turn; ++count) {
       if (host.inbox.empty() || host.inbox.begin()->first > now()) return;
       const replication::envelope received = std::move(host.inbox.begin()->second);
@@ -406,7 +420,7 @@
   bool ProcessReady(std::size_t position) {
     simulated_host& host = *hosts_[position];
     while (true) {
-      std::optional<replication::ready> output = host.process->TakeDurable(now());
+      std::optional<replication::ready> output = host.process->TakeDurable(host_clock{*this, host});
       const bool has_used_disk = host.disk.calls() != host.known_calls;
       host.known_calls = host.disk.calls();
       if (has_used_disk && host.sync_time > milliseconds(0)) {
--- a/tests/storage_group_properties_test.cc
+++ b/tests/storage_group_properties_test.cc
@@ -283,7 +283,7 @@
 
   void TakeDurable(std::size_t position) {
     simulated_host& host = *hosts_[position];
-    while (const auto output = host.process->TakeDurable(now())) {
+    while (const auto output = host.process->TakeDurable(clock_)) {
       for (const envelope& sent : output->messages) Transmit(sent);
       if (output->snapshot) {
         host.applied = std::max(host.applied, output->snapshot->index.value());
