Answer a proposal whose index is used again

Seen by callers: an operator's change gets status 500 although it may be committed; a rollout stands still until its host leads again; a daemon's submission is counted as in progress for good.

Cause: a leader that is deposed and elected again within 2 s may propose at an index for which an earlier proposal, dropped from the log meanwhile, still waits. The map kept the earlier one and destroyed the new callback uncalled.

Change: the earlier proposal is answered without an outcome, as its entry is not in the log any more.

Evidence: replica_test plays the other two voters by hand; the third proposal had no answer even after Stop(), and has one now.

--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -188,9 +188,12 @@
       return;
     }
   }
+  // An earlier proposal at this index was dropped from the log while another host led.
+  const auto dropped = proposals_.extract(*index);
   proposals_.emplace(*index,
                      pending_proposal{node().current_term(), Now() + protocol::kSubmissionTimeout,
                                       std::move(callback)});
+  if (!dropped.empty()) dropped.mapped().callback(std::nullopt);
   ScheduleProcessReady();
 }
 
