End a read whose entries do not come

Seen by callers: an operator's read gets no answer at all, and a daemon whose proof waits behind it is told that the host is not current for good.

Cause: kReadTimeout ended only the search for the index of a read. A read whose index was known waited until the host had applied it, without a limit, and the entries may never come.

Change: the read fails after kReadTimeout more.

--- a/plugins/control/replica.cc
+++ b/plugins/control/replica.cc
@@ -146,6 +146,7 @@
 void replica::Tick() {
   durable_.Tick(Now());
   ExpireProposals();
+  ExpireReads();
   ScheduleProcessReady();
 }
 
@@ -281,7 +282,8 @@
     read_callback callback = std::move(found->second);
     pending_reads_.erase(found);
     if (read.index) {
-      waiting_reads_.push_back({*read.index, std::move(callback)});
+      waiting_reads_.push_back(
+          {*read.index, Now() + replication::kReadTimeout, std::move(callback)});
     } else {
       callback(false);
     }
@@ -300,6 +302,19 @@
   }
 }
 
+// The entries that a read waits for may never come: the host was removed, or its leader can't reach
+// it.
+void replica::ExpireReads() {
+  const kernel::time_point now = Now();
+  std::vector<read_callback> expired;
+  std::erase_if(waiting_reads_, [&](waiting_read& read) {
+    if (read.expires_at > now) return false;
+    expired.push_back(std::move(read.callback));
+    return true;
+  });
+  for (const read_callback& callback : expired) callback(false);
+}
+
 void replica::ExpireProposals() {
   const kernel::time_point now = Now();
   for (auto it = proposals_.begin(); it != proposals_.end();) {
--- a/plugins/control/replica.h
+++ b/plugins/control/replica.h
@@ -85,6 +85,7 @@
 
   struct waiting_read {
     kernel::log_index index;
+    kernel::time_point expires_at;
     read_callback callback;
   };
 
@@ -112,6 +113,7 @@
   void HandleReadResults(const std::vector<replication::read_index_result>& reads);
   void CompleteAppliedReads();
   void ExpireProposals();
+  void ExpireReads();
   void FailPending();
   bool IsCompactionDue() const;
   void CompactIfDue();
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -110,5 +110,23 @@
   EXPECT_EQ(answers, (std::array<int, 3>{1, 1, 1}));
 }
 
+// Guards against an operator's read, and a proof for a daemon, that wait for ever: the leader has
+// told the index that they need, and the entries up to it never come.
+TEST_F(ReplicaTest, FailsAReadWhoseEntriesDoNotCome) {
+  FollowC(kernel::term(9));
+  std::optional<bool> is_current;
+  replica_->Read([&](bool result) { is_current = result; });
+  http::RunUntil(loop_, [&] {
+    for (const envelope& message : std::exchange(sent_, {})) {
+      const auto* request = std::get_if<replication::read_index>(&message.body);
+      if (request == nullptr) continue;
+      const replication::read_index_reply reply{request->request, kernel::log_index(5)};
+      replica_->Receive({c_, a_, reply});
+    }
+    return is_current.has_value();
+  });
+  EXPECT_FALSE(*is_current);
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::control
