Close no link between control hosts that is slow but works

Found in review. The pings of the accepting end wait behind whatever the other end sends, 4 MiB or more, and those of the opening end may wait in the system's send buffer; on a link of a few Mbit/s either end would have closed a working link in the middle of a transfer. The accepting end now takes any received bytes for an answer, as nothing but answers goes the other way; the opening end does not count a ping while bytes that it sent are not acknowledged, as TCP's own limits tell a slow link from a broken one then. A link that carries nothing is closed after 2 s instead of 1.5 s, so that a host whose sync takes as long as elections allow for keeps its links.

--- a/cornelweir/src/transport/limits.h
+++ b/cornelweir/src/transport/limits.h
@@ -28,11 +28,16 @@
 struct ping_options {
   std::chrono::milliseconds period{};
   int max_unanswered = 0;
+  // Whether any received bytes count as an answer: for a link on which this end only receives. Its
+  // pings may wait behind what the other end sends.
+  bool is_receiver = false;
 };
 // Between control hosts, whose group has no leader while too many links carry nothing: closed after
-// 1.5 s, as by kLinkKeepaliveOptions.
+// 2 s. A host answers no pings while a sync blocks it.
 inline constexpr ping_options kControlLinkPings{.period = std::chrono::milliseconds(250),
-                                                .max_unanswered = 6};
+                                                .max_unanswered = 8};
+inline constexpr ping_options kAcceptedControlLinkPings{
+    .period = std::chrono::milliseconds(250), .max_unanswered = 8, .is_receiver = true};
 // Links per listener, including those in the handshake; further connections are closed.
 inline constexpr std::size_t kMaxLinks = 4096;
 
--- a/cornelweir/src/transport/link.cc
+++ b/cornelweir/src/transport/link.cc
@@ -114,6 +114,7 @@
       return;
     }
     self->bytes_received_ += bytes.size();
+    if (self->pings_.is_receiver) self->unanswered_pings_ = 0;
     if (self->state_ != state::kDraining) self->codec_->Feed(bytes.data(), bytes.size());
     self->ReadSome();
   });
@@ -163,12 +164,12 @@
   PingNext();
 }
 
-// Counts pings instead of time, so that a pause of this process closes no link. A ping behind bytes
-// that are still queued here is not missing yet.
+// Counts pings instead of time, so that a pause of this process closes no link. While sent bytes
+// are not acknowledged, the link is slow or broken, which the time limits of TCP tell apart.
 void link::PingNext() {
   if (unanswered_pings_ >= pings_.max_unanswered) return Finish("the peer does not answer pings");
   if (write_buffer_.empty() && send_queue_.empty()) {
-    ++unanswered_pings_;
+    if (stream_.UnacknowledgedBytes() == 0) ++unanswered_pings_;
     codec_->Ping();
   }
   state_timer_.expires_after(pings_.period);
--- a/cornelweir/src/transport/link.h
+++ b/cornelweir/src/transport/link.h
@@ -46,7 +46,7 @@
   bool Send(const std::string& payload);
   // Sends pings, and closes the link when too many remain unanswered. An open connection may stop
   // carrying bytes while a middlebox goes on to acknowledge them, which the time limits of TCP
-  // don't detect. Must be called while the link is open.
+  // don't detect. Must be called while the link is open. Pings end when the link is drained.
   void StartPings(const ping_options& options);
   // Closes the socket without a closing handshake. The closed callback runs later, from the loop,
   // with this reason.
--- a/cornelweir/src/transport/socket_stream.cc
+++ b/cornelweir/src/transport/socket_stream.cc
@@ -1,7 +1,9 @@
 #include "cornelweir/src/transport/socket_stream.h"
 
+#include <linux/sockios.h>
 #include <openssl/ssl.h>
 #include <openssl/x509.h>
+#include <sys/ioctl.h>
 
 #include <array>
 
@@ -21,6 +23,13 @@
   return buffer;
 }
 
+std::size_t socket_stream::UnacknowledgedBytes() {
+  int bytes = 0;
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg)
+  if (::ioctl(tcp_socket().native_handle(), SIOCOUTQ, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
 std::string socket_stream::PeerRole() {
   if (!tls_stream_) return {};
   X509* certificate = SSL_get1_peer_certificate(tls_stream_->native_handle());
--- a/cornelweir/src/transport/socket_stream.h
+++ b/cornelweir/src/transport/socket_stream.h
@@ -90,6 +90,10 @@
     tcp_socket().close(ignored);
   }
 
+  // Bytes that were sent and that the other end of the connection has not acknowledged yet; 0 if
+  // the system does not tell.
+  std::size_t UnacknowledgedBytes();
+
   // Returns the organizational unit of the peer's certificate, which names the peer's role. Empty
   // without TLS.
   std::string PeerRole();
--- a/plugins/control/control_plugin.cc
+++ b/plugins/control/control_plugin.cc
@@ -270,7 +270,7 @@
   }
   if (greeting->role == protocol::process_role::kControl) {
     peers_[link.get()] = greeting->host;
-    link->StartPings(transport::kControlLinkPings);
+    link->StartPings(transport::kAcceptedControlLinkPings);
     if (!context_.settings.control->seeds.empty()) mesh_.AddPeer(greeting->host);
     return;
   }
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <iterator>
 #include <string>
 #include <vector>
 
