Let only the syncs of a majority delay elections

Found in review. And followers knew the sync times of others only from votes that they had asked for.

The leader now states the majority's sync time in its heartbeats, and each host allows for that alone. Late votes count only for the campaign of this process in its term and not once it has led, so that no vote can make a host the leader of a term twice. Allowances are for syncs of 650 ms at most, which keeps a leader's step-down before the replacement of a voter.

--- a/cornelweir/src/replication/limits.h
+++ b/cornelweir/src/replication/limits.h
@@ -25,10 +25,11 @@
 inline constexpr kernel::milliseconds kFirstElectionMax{180};
 // Syncs of the log that an exchange between two hosts waits for: that of the sender and that of the
 // receiver, each of which blocks its host. Elections and the leader's check of its majority allow
-// for them, as otherwise a group whose disks need as long as an election timeout has no leader.
+// for the syncs of a majority, as otherwise a group whose disks need as long as an election timeout
+// has no leader.
 inline constexpr int kSyncsPerExchange = 2;
-// Longest sync that they allow for. Syncs that take longer count as failures of their host.
-inline constexpr kernel::milliseconds kMaxAllowedSync{750};
+// Longest sync that they allow for.
+inline constexpr kernel::milliseconds kMaxAllowedSync{650};
 // How long a sync is remembered at least.
 inline constexpr kernel::milliseconds kSyncMemory{10'000};
 // A read index request without a reply after this time has failed.
@@ -66,6 +67,8 @@
 // A voter without contact for this long is removed if another host can replace it. Longer than an
 // ordinary restart, shorter than the time within which a replacement is expected to be a voter.
 inline constexpr kernel::milliseconds kVoterReplacementTimeout{2'000};
+// A leader without a majority steps down before it would replace a voter.
+static_assert(kElectionTimeoutMax + kSyncsPerExchange * kMaxAllowedSync < kVoterReplacementTimeout);
 // A learner without contact for this long is removed; it asks to join again once it is back.
 inline constexpr kernel::milliseconds kLearnerRemovalTimeout{10'000};
 
--- a/cornelweir/src/replication/longest_sync.h
+++ b/cornelweir/src/replication/longest_sync.h
@@ -2,6 +2,7 @@
 #define CORNELWEIR_SRC_REPLICATION_LONGEST_SYNC_H_
 
 #include <algorithm>
+#include <utility>
 
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/kernel/quantity.h"
@@ -14,11 +15,12 @@
 class longest_sync {
  public:
   void Record(kernel::microseconds duration, kernel::time_point now) {
-    if (now - period_start_ >= kSyncMemory) {
-      const bool is_next_period = now - period_start_ < 2 * kSyncMemory;
-      previous_ = is_next_period ? current_ : kernel::microseconds::zero();
-      current_ = kernel::microseconds::zero();
+    if (now - period_start_ >= 2 * kSyncMemory) {
+      previous_ = current_ = kernel::microseconds::zero();
       period_start_ = now;
+    } else if (now - period_start_ >= kSyncMemory) {
+      previous_ = std::exchange(current_, kernel::microseconds::zero());
+      period_start_ += kSyncMemory;
     }
     current_ = std::max(current_, duration);
   }
--- a/cornelweir/src/replication/message.h
+++ b/cornelweir/src/replication/message.h
@@ -73,6 +73,8 @@
   // has all entries up to `commit` knows what was committed before the confirmed round.
   kernel::heartbeat_round round;
   kernel::heartbeat_round confirmed;
+  // The longest recent sync that a majority needs, as far as the leader knows.
+  kernel::microseconds majority_sync_time{};
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"term", &append_entries::term},
@@ -81,7 +83,8 @@
                       kernel::field{"entries", &append_entries::entries},
                       kernel::field{"commit", &append_entries::commit},
                       kernel::field{"round", &append_entries::round},
-                      kernel::field{"confirmed", &append_entries::confirmed}};
+                      kernel::field{"confirmed", &append_entries::confirmed},
+                      kernel::field{"sync_time", &append_entries::majority_sync_time}};
   }
   friend bool operator==(const append_entries&, const append_entries&) = default;
 };
--- a/cornelweir/src/replication/node.cc
+++ b/cornelweir/src/replication/node.cc
@@ -31,24 +31,27 @@
 }
 
 kernel::microseconds node::SyncTimeOf(const kernel::host_id& host) const {
-  const auto found = syncs_.find(host);
-  return found != syncs_.end() ? found->second.Longest(now_) : kernel::microseconds::zero();
+  const auto found = sync_times_.find(host);
+  return found != sync_times_.end() ? found->second.Longest(now_) : kernel::microseconds::zero();
 }
 
-// The slowest disks of a minority don't count, so that they don't delay the end of a failed leader.
-kernel::microseconds node::SyncAllowance() const {
+// A slow minority does not delay the end of a failed leader.
+kernel::microseconds node::MajoritySyncTime() const {
   std::vector<kernel::microseconds> sync_times;
   for (const kernel::host_id& host : configuration().voters) {
     sync_times.push_back(SyncTimeOf(host));
   }
   if (sync_times.empty()) return kernel::microseconds::zero();
   std::sort(sync_times.begin(), sync_times.end());
-  const kernel::microseconds slowest = std::max(sync_times[Quorum() - 1], SyncTimeOf(self_));
-  return kSyncsPerExchange * std::min<kernel::microseconds>(slowest, kMaxAllowedSync);
+  return std::max(sync_times[Quorum() - 1], majority_sync_.Longest(now_));
+}
+
+kernel::microseconds node::SyncAllowance() const {
+  return kSyncsPerExchange * std::min<kernel::microseconds>(MajoritySyncTime(), kMaxAllowedSync);
 }
 
 void node::RecordSync(kernel::microseconds sync_time) {
-  syncs_[self_].Record(sync_time, now_);
+  sync_times_[self_].Record(sync_time, now_);
   election_deadline_ += sync_time;
   quorum_check_start_ += sync_time;
   if (last_leader_contact_) *last_leader_contact_ += sync_time;
@@ -57,7 +60,7 @@
 
 void node::RecordReportedSync(const kernel::host_id& host, kernel::microseconds sync_time) {
   if (sync_time > kernel::microseconds::zero() && IsVoter(configuration(), host)) {
-    syncs_[host].Record(sync_time, now_);
+    sync_times_[host].Record(sync_time, now_);
   }
 }
 
--- a/cornelweir/src/replication/node.h
+++ b/cornelweir/src/replication/node.h
@@ -55,7 +55,8 @@
   void RequestReadIndex(kernel::nonce nonce, kernel::time_point now);
 
   // Must be called once everything that TakeReady() has returned so far is durable. The owner did
-  // nothing else for sync_time until then: this time does not count as silence of other hosts.
+  // nothing else for sync_time until then, with a snapshot that it wrote: this time does not count
+  // as silence of other hosts.
   void Persisted(kernel::microseconds sync_time = kernel::microseconds::zero());
 
   // Replaces the log up to index, which must be committed and applied, by a snapshot with the state
@@ -78,7 +79,8 @@
   }
   // The other hosts of the group as the leader knows them; empty if this host isn't the leader.
   std::vector<peer_status> PeerStatuses() const;
-  // The time since this host last heard from a leader; empty if it never did, zero on the leader.
+  // The time since this host last heard from a leader, without the time of its own syncs; empty if
+  // it never did, zero on the leader.
   std::optional<kernel::microseconds> TimeSinceLeaderContact() const;
   std::optional<kernel::host_id> leader() const { return leader_; }
   kernel::term current_term() const { return state_.term; }
@@ -128,6 +130,8 @@
   void ResetElectionTimer();
   // The longest recent sync of a host, as far as this host knows.
   kernel::microseconds SyncTimeOf(const kernel::host_id& host) const;
+  // The longest recent sync that a majority of the voters needs.
+  kernel::microseconds MajoritySyncTime() const;
   // The time that the syncs of an exchange with a majority may take.
   kernel::microseconds SyncAllowance() const;
   void RecordSync(kernel::microseconds sync_time);
@@ -220,7 +224,12 @@
   // in it. Votes of voters with slow disks may arrive when pre-votes are requested again.
   std::set<kernel::host_id> pre_votes_;
   std::set<kernel::host_id> votes_;
-  std::map<kernel::host_id, internal::longest_sync> syncs_;
+  // Whether votes of the current term may still make this host its leader: it is a candidate in it,
+  // and has not led it yet.
+  bool counts_votes_ = false;
+  // Syncs as the voters state them, and the majority's as leaders state it.
+  std::map<kernel::host_id, internal::longest_sync> sync_times_;
+  internal::longest_sync majority_sync_;
   std::map<kernel::host_id, internal::peer_progress> progress_;
   kernel::time_point next_heartbeat_;
   kernel::time_point leadership_start_;
--- a/cornelweir/src/replication/node_election.cc
+++ b/cornelweir/src/replication/node_election.cc
@@ -42,6 +42,7 @@
   }
   role_ = role::kFollower;
   leader_ = std::move(leader);
+  counts_votes_ = false;
   pre_votes_.clear();
   votes_.clear();
   ResetElectionTimer();
@@ -57,6 +58,7 @@
   } else {
     role_ = role::kCandidate;
     state_ = durable_state{Next(state_.term), self_};
+    counts_votes_ = true;
     votes_.clear();
     if (is_voter) votes_.insert(self_);
     ResetElectionTimer();
@@ -86,6 +88,7 @@
   round_counter_ = 0;
   unconfirmed_rounds_.clear();
   confirmed_sent_at_.reset();
+  counts_votes_ = false;
   pre_votes_.clear();
   votes_.clear();
   progress_.clear();
@@ -125,10 +128,9 @@
     return;
   }
   // The votes of the current term still count while pre-votes for the next one are requested.
-  const bool is_campaigning = role_ == role::kPreCandidate || role_ == role::kCandidate;
-  const bool is_expected =
-      reply.pre_vote ? role_ == role::kPreCandidate && reply.term == Next(state_.term)
-                     : is_campaigning && reply.term == state_.term && state_.voted_for == self_;
+  const bool is_expected = reply.pre_vote
+                               ? role_ == role::kPreCandidate && reply.term == Next(state_.term)
+                               : counts_votes_ && reply.term == state_.term;
   if (!is_expected || !reply.granted) return;
   if (!IsVoter(configuration(), sender) ||
       !IsRecordedDisk(configuration(), sender, reply.disk, reply.bootstrap)) {
--- a/cornelweir/src/replication/node_follower.cc
+++ b/cornelweir/src/replication/node_follower.cc
@@ -48,6 +48,9 @@
     Send(sender, reply);
     return;
   }
+  if (request.majority_sync_time > kernel::microseconds::zero()) {
+    majority_sync_.Record(request.majority_sync_time, now_);
+  }
   reply.term = state_.term;
   const kernel::log_index last_new_index(request.previous_index.value() + request.entries.size());
   if (last_new_index < commit_index_) {
--- a/cornelweir/src/replication/node_leader.cc
+++ b/cornelweir/src/replication/node_leader.cc
@@ -163,7 +163,7 @@
   }
   const kernel::log_index previous = Previous(peer.next_index);
   append_entries append{state_.term,   previous, *log_.TermAt(previous), {},
-                        commit_index_, round,    confirmed_round_};
+                        commit_index_, round,    confirmed_round_,       MajoritySyncTime()};
   if (HasSendWindow(peer) && !peer.awaiting_reply) {
     append.entries = log_.Slice(peer.next_index, kMaxBatchEntries, kMaxBatchBytes);
   }
