Account for the bytes that a process holds for others

Nothing knew how many bytes a process holds for callers, upstreams, other daemons and operators, so nothing could refuse what does not fit into its memory. memory_account counts them by use, bounds each use and the sum, and keeps a reserve for small holds; a memory_hold takes bytes before they are asked for and travels with them. Nothing takes from the account yet; its holders follow one by one.

memory_account_test is new; settings_test and platform_settings_test pass.

--- a/cornelweir/src/http/whole_message.h
+++ b/cornelweir/src/http/whole_message.h
@@ -1,11 +1,14 @@
 #ifndef CORNELWEIR_SRC_HTTP_WHOLE_MESSAGE_H_
 #define CORNELWEIR_SRC_HTTP_WHOLE_MESSAGE_H_
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "cornelweir/src/memory/memory_hold.h"
+
 namespace cornelweir::http {
 
 // Headers as plain text, in order, for messages that outlive the connection they arrived on.
@@ -30,6 +33,8 @@
   int status = 0;
   header_pairs headers;
   std::string body;
+  // The bytes of the body in the account of the process; null if they are not counted.
+  std::shared_ptr<memory::memory_hold> hold = nullptr;
 };
 
 }  // namespace cornelweir::http
--- a/cornelweir/src/settings/limits.h
+++ b/cornelweir/src/settings/limits.h
@@ -27,6 +27,9 @@
 inline constexpr std::int64_t kMaxConnectionsPerPeer = 1'024;
 
 inline constexpr std::int64_t kMaxPort = 65'535;
+// Leaves room in the account for the largest body that is buffered whole.
+inline constexpr std::int64_t kMinMemoryMb = 64;
+inline constexpr std::int64_t kMaxMemoryMb = 1'048'576;
 inline constexpr std::int64_t kMaxRetryWindowMs = 600'000;
 inline constexpr std::int64_t kMaxRetrySlack = 100'000;
 inline constexpr kernel::milliseconds kMaxPolicyAge{600'000};
--- a/cornelweir/src/settings/load_settings.cc
+++ b/cornelweir/src/settings/load_settings.cc
@@ -172,6 +172,7 @@
     settings.sidecar = std::move(sidecar);
   }
   reader.OptionalFlag("trusted_network", settings.trusted_network);
+  reader.OptionalNumber("memory_mb", kMinMemoryMb, kMaxMemoryMb, settings.memory_mb);
   if (settings.control && !settings.control->seeds.empty()) {
     settings.host = kernel::host_id(settings.control->mesh_listen.value());
   }
--- a/plugins/daemon_context.h
+++ b/plugins/daemon_context.h
@@ -1,9 +1,12 @@
 #ifndef CORNELWEIR_PLUGINS_DAEMON_CONTEXT_H_
 #define CORNELWEIR_PLUGINS_DAEMON_CONTEXT_H_
 
+#include <memory>
+
 #include "cornelweir/http.h"
 #include "cornelweir/kernel.h"
 #include "cornelweir/loop.h"
+#include "cornelweir/memory.h"
 #include "cornelweir/metrics.h"
 #include "cornelweir/settings.h"
 #include "cornelweir/transport.h"
@@ -23,6 +26,9 @@
   const loop::pause_tracker& pauses;
   // Null if the settings switch TLS off.
   transport::tls_context tls;
+  // The bytes that the process holds for others.
+  std::shared_ptr<memory::memory_account> memory = std::make_shared<memory::memory_account>(
+      memory::memory_account::LimitFor(memory::kDefaultMemoryMb));
   // Set by the control plug-in, for the plug-ins that follow it in the settings.
   policy_port policy = {};
   rollout_port rollouts = {};
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -173,8 +173,16 @@
   kernel::steady_clock_source clock_;
   loop::pause_tracker pauses_;
   transport::tls_context tls_;
-  plugins::daemon_context context_{loop_,   settings_, admin_,  metrics_,
-                                   random_, clock_,    pauses_, nullptr};
+  plugins::daemon_context context_{loop_,
+                                   settings_,
+                                   admin_,
+                                   metrics_,
+                                   random_,
+                                   clock_,
+                                   pauses_,
+                                   nullptr,
+                                   std::make_shared<memory::memory_account>(
+                                       memory::memory_account::LimitFor(settings_.memory_mb))};
   std::vector<kernel::plugin_handle> plugins_;
   std::size_t open_plugins_ = 0;
   bool shutting_down_ = false;
