Limit the responses that a slow caller holds

Cause: a connection dispatched 32 requests whatever its caller had taken of their responses, any byte that was written renewed its time, and nothing was given up when memory ran out.

Change: a connection dispatches no further request while its answered, unwritten responses exceed 1 MiB. While the account of memory is scarce, the connections that hold most for longest (bytes times the time of the write) are closed, one after the other until what they hold suffices. A connection whose caller takes less than 64 KiB in 10 s during a write is closed; what its host has acknowledged counts, not what the socket has accepted. A request that is partly received while its connection is not read is not refused as late.

Nothing takes holds for responses yet, so the account is never scarce in a daemon.

--- a/cornelweir/src/http/limits.h
+++ b/cornelweir/src/http/limits.h
@@ -24,6 +24,16 @@
 // buffers at a time. The smallest hosts give a daemon 160 MB.
 inline constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{16} << 20;
 inline constexpr std::size_t kMaxTotalBufferedBodyBytes = std::size_t{32} << 20;
+// No further request of a connection is dispatched while its responses that are not written exceed
+// this, so that a caller that reads little holds a bounded part of the memory.
+inline constexpr std::size_t kMaxConnectionResponseBytes = std::size_t{1} << 20;
+// A caller that takes less than this (or all that is left) in this time while a response is being
+// written is too slow. It would hold the response for minutes.
+inline constexpr std::size_t kMinWriteProgressBytes = std::size_t{64} << 10;
+inline constexpr kernel::milliseconds kWriteProgressTime{10'000};
+// While memory is scarce, the responses that have been written for longer than this may be given
+// up. A caller inside its limits takes its response within this time.
+inline constexpr kernel::milliseconds kMinSlowReadTime{1'000};
 // The connection is closed if a server sends more interim (1xx) responses than this to one request.
 inline constexpr int kMaxInterimResponses = 8;
 // The same for late responses to earlier requests.
--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -1,5 +1,8 @@
 #include "cornelweir/src/http/pipeline_connection.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -70,12 +73,17 @@
   if (!intake_.open()) input_ = {};
 }
 
+bool pipeline_connection::MayDispatch() const {
+  return pending_.size() < kMaxPipelinedRequests &&
+         unwritten_bytes_ <= core_->limits.connection_response_bytes;
+}
+
 void pipeline_connection::RecordActivity() { used_at_ = core_->Now(); }
 
 void pipeline_connection::AwaitBytes() {
   if (read_wait_pending_ || closed_) return;
   // Applies backpressure to the caller. A disconnect is then detected only by a failed write.
-  if (pending_.size() >= kMaxPipelinedRequests) return;
+  if (!MayDispatch()) return;
   read_wait_pending_ = true;
   socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](const error_code& error) {
@@ -103,7 +111,7 @@
 
 void pipeline_connection::Parse() {
   const auto self = shared_from_this();
-  while (!closed_ && intake_.open() && !input_.empty() && pending_.size() < kMaxPipelinedRequests) {
+  while (!closed_ && intake_.open() && !input_.empty() && MayDispatch()) {
     if (!parser_) {
       parser_ = std::make_unique<parser>();
       parser_->header_limit(static_cast<std::uint32_t>(core_->limits.header_bytes));
@@ -211,6 +219,12 @@
   refused->Respond(core_->build_refusal(status, reason));
 }
 
+void pipeline_connection::OnAnswered(const pipeline_request& answered) {
+  unwritten_bytes_ += answered.response_.body.size();
+  if (!writing_) progress_.Begin(core_->Now(), TakenBytes());
+  Flush();
+}
+
 void pipeline_connection::Flush() {
   if (writing_ || closed_ || pending_.empty() || !pending_.front()->answered_) return;
   const std::shared_ptr<pipeline_request> answered = pending_.front();
@@ -222,23 +236,36 @@
 
 void pipeline_connection::Write(pipeline_request& answered, bool last) {
   writing_ = true;
+  write_began_at_ = core_->Now();
+  accepted_bytes_ = 0;
+  output_bytes_ = answered.response_.body.size();
+  output_hold_ = std::move(answered.response_.hold);
   output_head_ = SerializeHead(answered.response_, last);
   if (!answered.is_head_request_) output_body_ = std::move(answered.response_.body);
   RecordActivity();
   const std::array<boost::asio::const_buffer, 2> output{boost::asio::buffer(output_head_),
                                                         boost::asio::buffer(output_body_)};
-  boost::asio::async_write(socket_, output,
-                           [self = shared_from_this(), last](const error_code& error, std::size_t) {
-                             self->writing_ = false;
-                             if (error) return self->Close();
-                             self->OnWritten(last);
-                           });
+  boost::asio::async_write(
+      socket_, output,
+      [self = shared_from_this(), completion = boost::asio::transfer_all()](
+          const error_code& error, std::size_t accepted) mutable {
+        self->accepted_bytes_ = accepted;
+        return completion(error, accepted);
+      },
+      [self = shared_from_this(), last](const error_code& error, std::size_t) {
+        self->writing_ = false;
+        if (error) return self->Close();
+        self->OnWritten(last);
+      });
 }
 
 void pipeline_connection::OnWritten(bool last) {
   if (closed_) return;
+  unwritten_bytes_ -= output_bytes_;
+  earlier_bytes_ += std::exchange(accepted_bytes_, 0);
   output_head_ = {};
   output_body_ = {};
+  output_hold_.reset();
   RecordActivity();
   if (last) return Linger();
   Flush();
@@ -255,12 +282,33 @@
   AwaitBytes();
 }
 
+std::uint64_t pipeline_connection::TakenBytes() {
+  int queued = 0;
+  if (::ioctl(socket_.native_handle(), SIOCOUTQ, &queued) != 0) queued = 0;
+  const std::uint64_t accepted = earlier_bytes_ + accepted_bytes_;
+  return accepted - std::min(accepted, static_cast<std::uint64_t>(queued));
+}
+
+kernel::microseconds pipeline_connection::WriteAge(kernel::time_point now) const {
+  if (!writing_) return kernel::microseconds::zero();
+  return std::chrono::duration_cast<kernel::microseconds>(now - write_began_at_);
+}
+
 void pipeline_connection::CheckTimeouts(kernel::time_point now) {
   if (lingering_) {
     if (now - used_at_ > kLingerTimeout) Close();
     return;
   }
-  if (parser_ && !parser_->is_header_done()) {
+  if (writing_ && progress_.IsTooSlow(now, TakenBytes(), core_->limits.write_progress_bytes,
+                                      core_->limits.write_progress_time)) {
+    ++core_->slow_readers.no_progress;
+    return Close();
+  }
+  if (parser_ && !MayDispatch()) {
+    // Nothing is read meanwhile, so the caller can't be late. The time of a write is limited above.
+    RecordActivity();
+    head_started_at_ = now;
+  } else if (parser_ && !parser_->is_header_done()) {
     if (now - head_started_at_ > core_->limits.header_timeout) {
       Refuse(408, "the request header took too long");
     }
@@ -296,7 +344,10 @@
   const auto unfinished = std::exchange(pending_, {});
   core_->Remove(self);
   for (const auto& request : unfinished) {
-    if (request->answered_) continue;
+    if (request->answered_) {
+      request->response_ = {};
+      continue;
+    }
     request->answered_ = true;
     if (const auto callback = std::exchange(request->on_caller_gone_, nullptr)) callback();
   }
--- a/cornelweir/src/http/pipeline_connection.h
+++ b/cornelweir/src/http/pipeline_connection.h
@@ -5,6 +5,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <string>
@@ -12,6 +13,7 @@
 #include "cornelweir/src/http/buffered_bytes.h"
 #include "cornelweir/src/http/pipeline_server.h"
 #include "cornelweir/src/http/request_check.h"
+#include "cornelweir/src/http/write_progress.h"
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/shutdown/connection_intake.h"
 
@@ -25,8 +27,8 @@
   pipeline_connection(std::shared_ptr<pipeline_core> core, boost::asio::ip::tcp::socket socket);
 
   void Start();
-  // Writes the available responses in request order.
-  void Flush();
+  // Counts a response that has become available, and writes those whose turn it is.
+  void OnAnswered(const pipeline_request& answered);
   // Takes one more request at most, and closes the connection with the response to the last one.
   void BeginStop();
   // Closes the connection if no request is in progress. A new connection whose first request may
@@ -36,6 +38,10 @@
   void CheckTimeouts(kernel::time_point now);
   void Close();
 
+  // Time since the response that is being written began to be written; zero if none is.
+  kernel::microseconds WriteAge(kernel::time_point now) const;
+  // Bytes of the responses that are available and not completely written.
+  std::size_t unwritten_bytes() const { return unwritten_bytes_; }
   bool idle() const { return pending_.empty() && !parser_ && !writing_; }
 
  private:
@@ -50,8 +56,14 @@
   void Dispatch();
   void SendContinue();
   void Refuse(int status, std::string_view reason);
+  // Writes the available responses in request order.
+  void Flush();
   void Write(pipeline_request& answered, bool last);
   void OnWritten(bool last);
+  // Whether a further request may be dispatched. Otherwise input stays in the socket buffer.
+  bool MayDispatch() const;
+  // Bytes that the host of the caller has acknowledged since the connection was opened.
+  std::uint64_t TakenBytes();
   void Linger();
   void RecordActivity();
 
@@ -66,6 +78,16 @@
   std::deque<std::shared_ptr<pipeline_request>> pending_;
   std::string output_head_;
   std::string output_body_;
+  std::shared_ptr<memory::memory_hold> output_hold_;
+  // Bytes of the body of the response that is being written.
+  std::size_t output_bytes_ = 0;
+  // Bytes that the socket has accepted: of the response that is being written, and of earlier ones.
+  std::size_t accepted_bytes_ = 0;
+  std::uint64_t earlier_bytes_ = 0;
+  // Bytes of the bodies of responses that are available and not completely written.
+  std::size_t unwritten_bytes_ = 0;
+  write_progress progress_;
+  kernel::time_point write_began_at_;
   kernel::time_point used_at_;
   kernel::time_point head_started_at_;
   bool read_wait_pending_ = false;
--- a/cornelweir/src/http/pipeline_core.cc
+++ b/cornelweir/src/http/pipeline_core.cc
@@ -1,5 +1,6 @@
 #include "cornelweir/src/http/pipeline_core.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -47,6 +48,30 @@
                                                                connections_.end());
   const kernel::time_point now = Now();
   for (const auto& connection : open) connection->CheckTimeouts(now);
+  CloseSlowReaders(now);
+}
+
+// The memory of a closed connection is returned once its aborted write has ended, so what has been
+// given up is counted here.
+void pipeline_core::CloseSlowReaders(kernel::time_point now) {
+  if (account == nullptr || !account->IsScarce()) return;
+  std::vector<std::pair<double, std::shared_ptr<pipeline_connection>>> slow;
+  for (const auto& connection : connections_) {
+    const kernel::microseconds age = connection->WriteAge(now);
+    if (age <= limits.slow_read_time || connection->unwritten_bytes() == 0) continue;
+    slow.emplace_back(
+        static_cast<double>(connection->unwritten_bytes()) * static_cast<double>(age.count()),
+        connection);
+  }
+  std::sort(slow.begin(), slow.end(),
+            [](const auto& left, const auto& right) { return left.first > right.first; });
+  std::int64_t excess = account->ExcessBytes().value();
+  for (const auto& [score, connection] : slow) {
+    if (excess <= 0) return;
+    excess -= static_cast<std::int64_t>(connection->unwritten_bytes());
+    ++slow_readers.scarce_memory;
+    connection->Close();
+  }
 }
 
 void pipeline_core::Remove(const std::shared_ptr<pipeline_connection>& connection) {
--- a/cornelweir/src/http/pipeline_core.h
+++ b/cornelweir/src/http/pipeline_core.h
@@ -38,12 +38,16 @@
   // Bytes of requests that are being read and of the bodies of those that are not answered, over
   // all connections.
   const std::shared_ptr<buffered_total> buffered = std::make_shared<buffered_total>();
+  // Null if the responses are not counted.
+  std::shared_ptr<const memory::memory_account> account;
+  slow_reader_counts slow_readers;
   // Shared buffer for reads; each connection copies what it has read.
   std::array<char, std::size_t{64} << 10> read_buffer;
 
  private:
   void Accept(boost::asio::ip::tcp::socket socket);
   void CheckTimeouts();
+  void CloseSlowReaders(kernel::time_point now);
 
   loop::event_loop& loop_;
   kernel::steady_clock_source clock_;
--- a/cornelweir/src/http/pipeline_server.cc
+++ b/cornelweir/src/http/pipeline_server.cc
@@ -12,7 +12,7 @@
   answered_ = true;
   on_caller_gone_ = nullptr;
   response_ = std::move(response);
-  if (const auto connection = connection_.lock()) connection->Flush();
+  if (const auto connection = connection_.lock()) connection->OnAnswered(*this);
 }
 
 pipeline_server::pipeline_server(loop::event_loop& loop, handler handle_request,
@@ -34,6 +34,12 @@
 
 void pipeline_server::BeginDrain(std::function<void()> done) { core_->BeginDrain(std::move(done)); }
 
+void pipeline_server::UseMemory(std::shared_ptr<const memory::memory_account> account) {
+  core_->account = std::move(account);
+}
+
+const slow_reader_counts& pipeline_server::slow_readers() const { return core_->slow_readers; }
+
 std::size_t pipeline_server::connections() const { return core_->connections(); }
 
 }  // namespace cornelweir::http
--- a/cornelweir/src/http/pipeline_server.h
+++ b/cornelweir/src/http/pipeline_server.h
@@ -12,6 +12,7 @@
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/kernel/quantity.h"
 #include "cornelweir/src/loop/event_loop.h"
+#include "cornelweir/src/memory/memory_account.h"
 
 namespace cornelweir::http {
 
@@ -28,12 +29,30 @@
   // yet.
   std::uint64_t body_bytes = kMaxBufferedBodyBytes;
   std::size_t total_body_bytes = kMaxTotalBufferedBodyBytes;
+  // Largest sum of the responses of one connection that are not written yet, above which no further
+  // request of it is dispatched.
+  std::size_t connection_response_bytes = kMaxConnectionResponseBytes;
+  // The least progress of a caller that a response is written to, in a time.
+  std::size_t write_progress_bytes = kMinWriteProgressBytes;
+  kernel::milliseconds write_progress_time = kWriteProgressTime;
+  // Age of a write from which its connection may be closed because memory is scarce.
+  kernel::milliseconds slow_read_time = kMinSlowReadTime;
   kernel::milliseconds header_timeout{10'000};
   // Longest time between two pieces of a body.
   kernel::milliseconds body_timeout{10'000};
   kernel::milliseconds idle_timeout{60'000};
 };
 
+// Connections that a server has closed because their callers read too slowly.
+struct slow_reader_counts {
+  // Because memory was scarce, and they held most for longest.
+  std::uint64_t scarce_memory = 0;
+  // Because they took too few bytes in a time.
+  std::uint64_t no_progress = 0;
+
+  std::uint64_t total() const { return scarce_memory + no_progress; }
+};
+
 // One request of a caller, to be answered once. A response to a disconnected caller is dropped.
 class pipeline_request : public std::enable_shared_from_this<pipeline_request> {
  public:
@@ -92,6 +111,12 @@
   // Stops accepting, closes idle connections and calls done once every request is answered.
   void BeginDrain(std::function<void()> done);
 
+  // Sets the account that the holds of the responses belong to. While it is scarce, the connections
+  // that hold most for longest are closed.
+  void UseMemory(std::shared_ptr<const memory::memory_account> account);
+  // Connections closed since construction.
+  const slow_reader_counts& slow_readers() const;
+
   std::size_t connections() const;
 
  private:
--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -73,7 +73,8 @@
   X(kQuotaExceeded, 4010, kWarning, "quota of a workspace used up")                          \
   X(kQuotaMet, 4011, kInfo, "workspace within its quota again")                              \
   X(kRequestQuarantined, 4012, kWarning, "request quarantined, it crashes upstreams")        \
-  X(kQuarantineReleased, 4013, kInfo, "quarantine released by an operator")
+  X(kQuarantineReleased, 4013, kInfo, "quarantine released by an operator")                  \
+  X(kSlowReadersClosed, 4014, kWarning, "connections of slow callers closed")
 
 enum class event_id : std::uint16_t {
 // An enumerator can't stand in parentheses.
--- a/cornelweir/src/memory/memory_account.h
+++ b/cornelweir/src/memory/memory_account.h
@@ -29,7 +29,11 @@
   // How often a hold for this use was refused.
   std::uint64_t refusals(memory_use use) const { return uses_[Index(use)].refusals; }
   // Whether those who hold most for longest should give way.
-  bool IsScarce() const { return taken_.value() > limit_.value() * kScarcePercent / 100; }
+  bool IsScarce() const { return ExcessBytes() > kernel::byte_count(0); }
+  // How much must be returned until the account is not scarce any more; not positive if it is not.
+  kernel::byte_count ExcessBytes() const {
+    return kernel::byte_count(taken_.value() - limit_.value() * kScarcePercent / 100);
+  }
   // Whether a hold of this size could be taken now.
   bool HasRoom(memory_use use, kernel::byte_count bytes) const {
     return MayGrow(use, kernel::byte_count(0), bytes);
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -89,6 +89,7 @@
   dispatcher_.UseQuarantine(quarantine_);
   peer_server_.UseQuarantine(quarantine_);
   router_.UseQuarantine(quarantine_);
+  callers_.UseMemory(context_.memory);
   readiness_.Handle(http::method::get, dialect_.readiness_path,
                     [this](const http::admin_request&, http::admin_reply reply) {
                       http::admin_response response;
@@ -182,6 +183,21 @@
       static_cast<double>(callers_.connections()));
   set("cornelweir_upstream_connections_opened", "Connections opened to the upstream",
       static_cast<double>(dispatcher_.connections_opened()));
+  ReportSlowReaders();
+}
+
+void sidecar_node::ReportSlowReaders() {
+  const http::slow_reader_counts& closed = callers_.slow_readers();
+  const std::uint64_t added = closed.total() - slow_readers_.total();
+  context_.metrics
+      .Counter("cornelweir_slow_readers_closed_total",
+               "Connections closed because their callers read too slowly", {})
+      .Increment(added);
+  if (added == 0) return;
+  logging::event(logging::event_id::kSlowReadersClosed)
+      .With("scarce_memory", closed.scarce_memory - slow_readers_.scarce_memory)
+      .With("no_progress", closed.no_progress - slow_readers_.no_progress);
+  slow_readers_ = closed;
 }
 
 // Reports not ready at once, so that callers stop sending requests. Every connection takes one more
--- a/plugins/sidecar/sidecar_node.h
+++ b/plugins/sidecar/sidecar_node.h
@@ -46,6 +46,7 @@
   void StopAccepting();
   void Finish();
   void ReportMetrics();
+  void ReportSlowReaders();
 
   daemon_context& context_;
   dialect_functions dialect_;
@@ -64,6 +65,8 @@
   loop::timer shutdown_timer_;
   loop::timer metrics_timer_;
   shutdown::stop_sequence stop_;
+  // Those that were reported.
+  http::slow_reader_counts slow_readers_;
   bool was_ready_ = false;
   bool probe_started_ = false;
   std::function<void()> done_;
--- a/tests/http_pipeline_test.cc
+++ b/tests/http_pipeline_test.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "cornelweir/memory.h"
+#include "cornelweir/src/http/write_progress.h"
 #include "tests/http_test_support.h"
 
 namespace cornelweir::http {
@@ -302,5 +304,154 @@
   AwaitRequests(2);
 }
 
+// Guards against unbounded memory for the responses of a caller that sends requests but reads
+// nothing.
+TEST_F(pipeline, DispatchesNoRequestWhileItsCallerReadsTooLittle) {
+  constexpr std::size_t kBodyBytes = std::size_t{16} << 20;
+  caller_->paused = true;
+  Send(Get("/1"));
+  AwaitRequests(1);
+  requests_[0]->Respond({200, {}, std::string(kBodyBytes, 'x')});
+  Send(Get("/unread"));
+  RunUntil(loop_, [&] { return caller_->sent == (Get("/1") + Get("/unread")).size(); });
+  // The server has handled earlier input when it serves a later connection.
+  const auto other = raw_peer::Connect(loop_, server_.local_endpoint());
+  other->Send(Get("/other"));
+  AwaitRequests(2);
+  ASSERT_EQ(requests_[1]->message.target, "/other");
+  requests_[1]->Respond({200, {}, "served"});
+  RunUntil(loop_, [&] { return other->received.find("served") != std::string::npos; });
+  EXPECT_EQ(requests_.size(), 2U);
+  caller_->paused = false;
+  caller_->Read();
+  AwaitRequests(3);
+  EXPECT_EQ(requests_[2]->message.target, "/unread");
+  RunUntil(loop_, [&] { return caller_->received.size() > kBodyBytes; });
+}
+
+// Guards against unbounded memory for responses that wait until an earlier request is answered.
+TEST_F(pipeline, CountsResponsesThatWaitBehindAnother) {
+  pipeline_limits limits;
+  limits.connection_response_bytes = 100'000;
+  server_.SetLimits(limits);
+  Send(Get("/1") + Get("/2"));
+  AwaitRequests(2);
+  requests_[1]->Respond({200, {}, std::string(150'000, 'x')});
+  Send(Get("/behind"));
+  RunUntil(loop_, [&] { return caller_->sent == (Get("/1") + Get("/2") + Get("/behind")).size(); });
+  const auto other = raw_peer::Connect(loop_, server_.local_endpoint());
+  other->Send(Get("/other"));
+  AwaitRequests(3);
+  ASSERT_EQ(requests_[2]->message.target, "/other");
+  requests_[2]->Respond({200, {}, "served"});
+  RunUntil(loop_, [&] { return other->received.find("served") != std::string::npos; });
+  EXPECT_EQ(requests_.size(), 3U);
+  requests_[0]->Respond({200, {}, "first"});
+  AwaitRequests(4);
+  EXPECT_EQ(requests_[3]->message.target, "/behind");
+}
+
+// Guards against a request that is refused as late because its connection is not read: its caller
+// has not taken an earlier response.
+TEST_F(pipeline, GivesARequestItsTimeWhileItsConnectionIsNotRead) {
+  constexpr std::size_t kBodyBytes = std::size_t{16} << 20;
+  const std::string half = "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab";
+  pipeline_limits limits;
+  limits.body_timeout = kernel::milliseconds(100);
+  server_.SetLimits(limits);
+  caller_->paused = true;
+  Send(Get("/1") + half);
+  AwaitRequests(1);
+  requests_[0]->Respond({200, {}, std::string(kBodyBytes, 'x')});
+  const auto other = raw_peer::Connect(loop_, server_.local_endpoint());
+  other->Send(half);
+  RunUntil(loop_, [&] { return other->received.find("HTTP/1.1 408") != std::string::npos; });
+  Send("cd");
+  caller_->paused = false;
+  caller_->Read();
+  AwaitRequests(2);
+  EXPECT_EQ(requests_[1]->message.body, "abcd");
+}
+
+// Returns a response of this size, with its hold.
+whole_response HeldResponse(const std::shared_ptr<memory::memory_account>& account,
+                            std::size_t bytes) {
+  whole_response response{200, {}, std::string(bytes, 'x')};
+  response.hold =
+      std::make_shared<memory::memory_hold>(account, memory::memory_use::kCallerResponses);
+  EXPECT_TRUE(response.hold->Resize(kernel::byte_count(static_cast<std::int64_t>(bytes))));
+  return response;
+}
+
+// Guards against slow readers that keep all memory from ordinary callers, and against closing more
+// connections than needed, or those that hold less.
+TEST_F(pipeline, ClosesTheSlowReaderThatHoldsMostWhileMemoryIsScarce) {
+  constexpr std::size_t kMost = 28'000'000;
+  constexpr std::size_t kLess = 15'000'000;
+  const auto account = std::make_shared<memory::memory_account>(kernel::byte_count(60'000'000));
+  server_.UseMemory(account);
+  pipeline_limits limits;
+  limits.slow_read_time = kernel::milliseconds(0);
+  server_.SetLimits(limits);
+  caller_->paused = true;
+  Send(Get("/most"));
+  AwaitRequests(1);
+  requests_[0]->Respond(HeldResponse(account, kMost));
+  const auto other = raw_peer::Connect(loop_, server_.local_endpoint());
+  other->paused = true;
+  other->Send(Get("/less"));
+  AwaitRequests(2);
+  requests_[1]->Respond(HeldResponse(account, kLess));
+  ASSERT_TRUE(account->IsScarce());
+  RunUntil(loop_, [&] { return server_.connections() == 1 && !account->IsScarce(); });
+  EXPECT_EQ(account->taken(), kernel::byte_count(kLess));
+  EXPECT_EQ(server_.slow_readers().scarce_memory, 1U);
+  other->paused = false;
+  other->Read();
+  RunUntil(loop_, [&] { return other->received.size() > kLess; });
+  EXPECT_EQ(server_.connections(), 1U);
+}
+
+// Guards against a hold that outlives the bytes that it stands for.
+TEST_F(pipeline, ReturnsHoldsWhenResponsesAreWrittenOrDropped) {
+  const auto account = std::make_shared<memory::memory_account>(kernel::byte_count(60'000'000));
+  Send(Get("/1") + Get("/2") + Get("/3"));
+  AwaitRequests(3);
+  requests_[0]->Respond(HeldResponse(account, 1'000));
+  RunUntil(loop_, [&] { return account->taken() == kernel::byte_count(0); });
+  requests_[2]->Respond(HeldResponse(account, 1'000));
+  EXPECT_EQ(account->taken(), kernel::byte_count(1'000));
+  caller_->Close();
+  RunUntil(loop_, [&] { return account->taken() == kernel::byte_count(0); });
+}
+
+// Guards against a caller that holds a response without taking any of it.
+TEST_F(pipeline, ClosesAConnectionWhoseCallerTakesTooLittle) {
+  pipeline_limits limits;
+  limits.write_progress_time = kernel::milliseconds(100);
+  server_.SetLimits(limits);
+  caller_->paused = true;
+  Send(Get("/1"));
+  AwaitRequests(1);
+  requests_[0]->Respond({200, {}, std::string(std::size_t{16} << 20, 'x')});
+  RunUntil(loop_, [&] { return server_.connections() == 0; });
+  EXPECT_EQ(server_.slow_readers().no_progress, 1U);
+}
+
+// Guards against a time limit that a caller renews with each byte it takes, and against one that
+// closes a caller that takes enough.
+TEST(WriteProgress, IsMeasuredInBytesInATime) {
+  constexpr kernel::milliseconds kTime{10'000};
+  constexpr std::size_t kBytes = 1'000;
+  const kernel::time_point start{std::chrono::seconds(100)};
+  internal::write_progress progress;
+  progress.Begin(start, 5'000);
+  EXPECT_FALSE(progress.IsTooSlow(start + kTime, 5'999, kBytes, kTime));
+  EXPECT_TRUE(progress.IsTooSlow(start + kTime + kernel::milliseconds(1), 5'999, kBytes, kTime));
+  EXPECT_FALSE(progress.IsTooSlow(start + kTime + kernel::milliseconds(1), 6'000, kBytes, kTime));
+  EXPECT_FALSE(progress.IsTooSlow(start + 2 * kTime, 6'999, kBytes, kTime));
+  EXPECT_TRUE(progress.IsTooSlow(start + 3 * kTime, 6'999, kBytes, kTime));
+}
+
 }  // namespace
 }  // namespace cornelweir::http
