Read a response of the upstream only while there is memory for it

Cause: the bodies that were being read from the upstream had a fixed bound of 32 MiB, above which one response was broken because of others, and a response was not counted any more once it was complete.

Change: the connection takes the Content-Length of a response from the account before the parser allocates its body; without a length the hold doubles with the buffer, before the bytes are read. While there is no room the connection does not read, so that the upstream waits, and asks again every 20 ms until the deadline of the exchange, which then ends as a timeout. The hold leaves with the response. Until the header is complete no more than its limit is read.

--- a/cornelweir/src/http/upstream_client.h
+++ b/cornelweir/src/http/upstream_client.h
@@ -11,6 +11,7 @@
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/kernel/quantity.h"
 #include "cornelweir/src/loop/event_loop.h"
+#include "cornelweir/src/memory/memory_account.h"
 
 namespace cornelweir::http {
 
@@ -52,9 +53,8 @@
   kernel::milliseconds idle_timeout{4'000};
   kernel::milliseconds connect_timeout{500};
   std::size_t header_bytes = kMaxHeaderBytes;
-  // Largest body of a response, and of all responses that are being read together.
+  // Largest body of a response.
   std::size_t body_bytes = kMaxBufferedBodyBytes;
-  std::size_t total_body_bytes = kMaxTotalBufferedBodyBytes;
 };
 
 class upstream_client;
@@ -79,10 +79,13 @@
 };
 
 // Sends requests to one upstream over persistent connections, one request at a time on each, and
-// buffers whole responses. Truncated responses and unexpected bytes close the connection.
+// buffers whole responses. Truncated responses and unexpected bytes close the connection. The body
+// of a response is taken from the account before it is read; while there is no room, it is not
+// read, and the exchange may time out.
 class upstream_client {
  public:
-  upstream_client(loop::event_loop& loop, upstream_limits limits);
+  upstream_client(loop::event_loop& loop, upstream_limits limits,
+                  std::shared_ptr<memory::memory_account> account);
   upstream_client(const upstream_client&) = delete;
   upstream_client& operator=(const upstream_client&) = delete;
   // Throws only if memory is exhausted, which terminates the process.
@@ -101,8 +104,6 @@
                                           upstream_exchange::match_callback match,
                                           upstream_exchange::done_callback done);
 
-  // Bytes of the responses that are being read.
-  std::size_t buffered_bytes() const;
   // Number of connections opened since construction.
   std::uint64_t opened_connections() const;
 
--- a/cornelweir/src/http/upstream_connection.cc
+++ b/cornelweir/src/http/upstream_connection.cc
@@ -18,6 +18,11 @@
 namespace {
 
 constexpr kernel::milliseconds kIdleCheckPeriod{500};
+// How often a connection whose response has no room in the account asks again.
+constexpr kernel::milliseconds kRoomCheckPeriod{20};
+// Least size of the hold of a body whose length is not known in advance. It doubles from there, as
+// the buffer of the body does.
+constexpr std::size_t kFirstHoldBytes = std::size_t{64} << 10;
 
 std::string Serialize(const whole_request& request) {
   std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
@@ -45,8 +50,12 @@
 
 }  // namespace
 
-upstream_pool::upstream_pool(loop::event_loop& loop, upstream_limits connection_limits)
-    : limits(connection_limits), loop_(loop), idle_timer_(loop) {
+upstream_pool::upstream_pool(loop::event_loop& loop, upstream_limits connection_limits,
+                             std::shared_ptr<memory::memory_account> memory_account)
+    : limits(connection_limits),
+      account(std::move(memory_account)),
+      loop_(loop),
+      idle_timer_(loop) {
   idle_timer_.StartPeriodic(kIdleCheckPeriod, [this] { CloseExpired(); });
 }
 
@@ -96,7 +105,7 @@
       socket_(pool->event_loop().context()),
       deadline_timer_(pool->event_loop()),
       connect_timer_(pool->event_loop()),
-      buffered_(pool->buffered) {}
+      room_timer_(pool->event_loop()) {}
 
 bool upstream_connection::IsUsable() {
   return !closed_ && connected_ && Peek(socket_) == socket_state::kEmpty;
@@ -156,8 +165,10 @@
   parser_ = std::make_unique<parser>();
   parser_->header_limit(static_cast<std::uint32_t>(pool->limits.header_bytes));
   parser_->body_limit(pool->limits.body_bytes);
-  parser_->eager(true);
+  // Stops after the header, since the parser allocates the body with its first byte.
+  parser_->eager(false);
   parser_->skip(is_head_request_);
+  hold_.reset();
 }
 
 void upstream_connection::AwaitBytes() {
@@ -176,7 +187,10 @@
   // No bytes are expected on an idle connection: it was closed, or holds stray bytes.
   if (!exchange_) return Close();
   error_code error;
-  const std::size_t size = socket_.read_some(boost::asio::buffer(pool->read_buffer), error);
+  // Bytes that follow a header have not been taken from the account.
+  const std::size_t wanted =
+      parser_->is_header_done() ? pool->read_buffer.size() : pool->limits.header_bytes;
+  const std::size_t size = socket_.read_some(boost::asio::buffer(pool->read_buffer, wanted), error);
   if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
     return AwaitBytes();
   }
@@ -185,20 +199,27 @@
   input_.append(pool->read_buffer.data(), size);
   const auto self = shared_from_this();
   Parse(false);
-  if (!closed_) AwaitBytes();
+  if (!closed_ && !room_timer_.running()) AwaitBytes();
 }
 
 void upstream_connection::Parse(bool at_eof) {
+  const auto pool = pool_.lock();
+  if (!pool) return;
   error_code error;
   while (exchange_ && !input_.empty() && !parser_->is_done()) {
+    if (parser_->is_header_done()) {
+      if (!TakeRoom()) return AwaitRoom();
+      parser_->eager(true);
+    }
     const std::size_t consumed = parser_->put(boost::asio::buffer(input_), error);
     input_.erase(0, consumed);
-    if (!IsWithinBufferLimit()) return End(upstream_status::kBroken, {});
-    if (error == beast_http::error::need_more) break;
-    if (error) return End(upstream_status::kBroken, {});
+    if (error && error != beast_http::error::need_more) return End(upstream_status::kBroken, {});
     if (parser_->is_done()) {
       OnResponse();
-    } else if (consumed == 0) {
+    } else if (error || consumed == 0) {
+      // The parser consumes a body at once. It leaves only an incomplete header, or the header of a
+      // chunk, whose size it does not limit.
+      if (input_.size() > pool->limits.header_bytes) return End(upstream_status::kBroken, {});
       break;
     }
   }
@@ -211,14 +232,39 @@
   OnResponse();
 }
 
-bool upstream_connection::IsWithinBufferLimit() {
+bool upstream_connection::TakeRoom() {
   const auto pool = pool_.lock();
   if (!pool) return false;
-  buffered_.Set(input_.size() + parser_->get().body().size());
-  // The parser consumes a body at once. It leaves only an incomplete header, or the header of a
-  // chunk, whose size it does not limit.
-  return input_.size() <= pool->limits.header_bytes &&
-         pool->buffered->bytes() <= pool->limits.total_body_bytes;
+  std::string& body = parser_->get().body();
+  const auto length = parser_->content_length();
+  const std::size_t needed =
+      length ? static_cast<std::size_t>(*length) : body.size() + input_.size();
+  const std::size_t held = hold_ ? static_cast<std::size_t>(hold_->bytes().value()) : 0;
+  // The parser refuses a body above the limit before it stores it.
+  if (needed <= held || held >= pool->limits.body_bytes) return true;
+  const std::size_t wanted =
+      length ? needed
+             : std::min(std::max({needed, 2 * held, kFirstHoldBytes}), pool->limits.body_bytes);
+  if (!hold_) {
+    hold_ = std::make_shared<memory::memory_hold>(pool->account,
+                                                  memory::memory_use::kUpstreamResponses);
+  }
+  const kernel::byte_count bytes(static_cast<std::int64_t>(wanted));
+  // A response that waits counts as refused once.
+  if (waits_for_room_ && !hold_->CanResize(bytes)) return false;
+  waits_for_room_ = !hold_->Resize(bytes);
+  if (waits_for_room_) return false;
+  if (!length) body.reserve(wanted);
+  return true;
+}
+
+void upstream_connection::AwaitRoom() {
+  if (room_timer_.running()) return;
+  room_timer_.Start(kRoomCheckPeriod, [this] {
+    const auto self = shared_from_this();
+    Parse(false);
+    if (!closed_ && !room_timer_.running()) AwaitBytes();
+  });
 }
 
 void upstream_connection::OnResponse() {
@@ -233,6 +279,7 @@
     response.headers.emplace_back(std::string(header.name_string()), std::string(header.value()));
   }
   response.body = std::move(message.body());
+  response.hold = std::move(hold_);
   keep_alive_ = parser_->keep_alive();
   switch (exchange_->match_(response)) {
     case response_match::kMatched:
@@ -252,7 +299,6 @@
   const auto exchange = std::exchange(exchange_, nullptr);
   deadline_timer_.Cancel();
   connect_timer_.Cancel();
-  buffered_.Set(0);
   if (status == upstream_status::kResponse) {
     if (const auto pool = pool_.lock()) {
       const std::int64_t keep_alive_seconds =
@@ -293,7 +339,8 @@
   closed_ = true;
   deadline_timer_.Cancel();
   connect_timer_.Cancel();
-  buffered_.Set(0);
+  room_timer_.Cancel();
+  hold_.reset();
   exchange_.reset();
   error_code ignored;
   socket_.close(ignored);
@@ -309,8 +356,9 @@
   if (const auto connection = connection_.lock()) connection->Close();
 }
 
-upstream_client::upstream_client(loop::event_loop& loop, upstream_limits limits)
-    : pool_(std::make_shared<internal::upstream_pool>(loop, limits)) {}
+upstream_client::upstream_client(loop::event_loop& loop, upstream_limits limits,
+                                 std::shared_ptr<memory::memory_account> account)
+    : pool_(std::make_shared<internal::upstream_pool>(loop, limits, std::move(account))) {}
 
 // NOLINTNEXTLINE(bugprone-exception-escape)
 upstream_client::~upstream_client() { pool_->Close(); }
@@ -335,8 +383,6 @@
   return exchange;
 }
 
-std::size_t upstream_client::buffered_bytes() const { return pool_->buffered->bytes(); }
-
 std::uint64_t upstream_client::opened_connections() const { return pool_->opened_connections; }
 
 }  // namespace cornelweir::http
--- a/cornelweir/src/http/upstream_connection.h
+++ b/cornelweir/src/http/upstream_connection.h
@@ -12,17 +12,19 @@
 #include <string>
 #include <vector>
 
-#include "cornelweir/src/http/buffered_bytes.h"
 #include "cornelweir/src/http/upstream_client.h"
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/loop/timer.h"
+#include "cornelweir/src/memory/memory_account.h"
+#include "cornelweir/src/memory/memory_hold.h"
 
 namespace cornelweir::http::internal {
 
 // The connections to one upstream and their shared state.
 class upstream_pool : public std::enable_shared_from_this<upstream_pool> {
  public:
-  upstream_pool(loop::event_loop& loop, upstream_limits limits);
+  upstream_pool(loop::event_loop& loop, upstream_limits limits,
+                std::shared_ptr<memory::memory_account> account);
 
   std::shared_ptr<upstream_connection> Acquire();
   void ReturnIdle(const std::shared_ptr<upstream_connection>& connection);
@@ -36,8 +38,7 @@
   const upstream_limits limits;
   boost::asio::ip::tcp::endpoint endpoint;
   std::uint64_t opened_connections = 0;
-  // Bytes of responses that are being read, over all connections.
-  const std::shared_ptr<buffered_total> buffered = std::make_shared<buffered_total>();
+  const std::shared_ptr<memory::memory_account> account;
   // Shared buffer for reads; each connection copies what it has read.
   std::array<char, std::size_t{64} << 10> read_buffer;
 
@@ -74,7 +75,11 @@
   void OnReadable();
   void BeginResponse();
   void Parse(bool at_eof);
-  bool IsWithinBufferLimit();
+  // Takes the bytes of the body from the account before the parser allocates them. Returns false if
+  // there is no room.
+  bool TakeRoom();
+  // Reads no further until there is room, so that the upstream has to wait.
+  void AwaitRoom();
   void OnResponse();
   void End(upstream_status status, whole_response response);
   void ReturnOrClose();
@@ -83,15 +88,17 @@
   boost::asio::ip::tcp::socket socket_;
   loop::timer deadline_timer_;
   loop::timer connect_timer_;
+  loop::timer room_timer_;
   std::shared_ptr<upstream_exchange> exchange_;
   std::string output_;
   std::string input_;
   std::unique_ptr<parser> parser_;
-  // Bytes of the response that is being read.
-  buffered_bytes buffered_;
+  // The bytes of the body that is being read; null if it has none so far.
+  std::shared_ptr<memory::memory_hold> hold_;
   // Responses to the current request that were skipped.
   int interim_count_ = 0;
   int stale_count_ = 0;
+  bool waits_for_room_ = false;
   bool is_head_request_ = false;
   bool connected_ = false;
   bool write_started_ = false;
--- a/cornelweir/src/memory/memory_hold.h
+++ b/cornelweir/src/memory/memory_hold.h
@@ -23,6 +23,8 @@
   kernel::byte_count bytes() const { return bytes_; }
   memory_use use() const { return use_; }
 
+  // Whether Resize() would succeed. Counts no refusal.
+  bool CanResize(kernel::byte_count bytes) const { return account_->MayGrow(use_, bytes_, bytes); }
   // Changes the size. Returns false, and leaves it as it is, if the account has no room; shrinking
   // always succeeds.
   bool Resize(kernel::byte_count bytes) {
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -30,7 +30,7 @@
       dialect_(dialect),
       bulk_(bulk),
       on_change_(std::move(on_change)),
-      client_(context.loop, http::upstream_limits()),
+      client_(context.loop, http::upstream_limits(), context.memory),
       queue_waits_(context.metrics),
       crashes_(context, {[this](const auto& suspects) { OnCrash(suspects); },
                          [this](admission::ticket id) { FinishHeld(id); }}),
