Keep memory for the response of a request that is sent on

Cause: requests were sent on whatever memory was left for their responses, and 32 requests of a connection at a time, so that 12 connections could ask for 384 MiB before the first response told how large they are.

Without room the request is refused at once as not run, with a time to come back. A response that does not fit is dropped and its request fails as one that may have run. The expected size counts for the share of the caller's connection, which is read on until it has input, so that its end is detected.

--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -75,6 +75,14 @@
 
 bool pipeline_connection::MayDispatch() const {
   return pending_.size() < kMaxPipelinedRequests &&
+         unwritten_bytes_ + expected_bytes_ <= core_->limits.connection_response_bytes;
+}
+
+// A connection that only waits for a large response is read until it has input, since its end is to
+// be detected.
+bool pipeline_connection::MayRead() const {
+  if (MayDispatch()) return true;
+  return pending_.size() < kMaxPipelinedRequests && input_.empty() && !parser_ &&
          unwritten_bytes_ <= core_->limits.connection_response_bytes;
 }
 
@@ -83,7 +91,7 @@
 void pipeline_connection::AwaitBytes() {
   if (read_wait_pending_ || closed_) return;
   // Applies backpressure to the caller. A disconnect is then detected only by a failed write.
-  if (!MayDispatch()) return;
+  if (!MayRead()) return;
   read_wait_pending_ = true;
   socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](const error_code& error) {
--- a/cornelweir/src/http/pipeline_connection.h
+++ b/cornelweir/src/http/pipeline_connection.h
@@ -27,6 +27,11 @@
   pipeline_connection(std::shared_ptr<pipeline_core> core, boost::asio::ip::tcp::socket socket);
 
   void Start();
+  // Counts the expected size of a response instead of an earlier one.
+  void OnExpected(std::size_t before, std::size_t bytes) {
+    expected_bytes_ += bytes;
+    expected_bytes_ -= before;
+  }
   // Counts a response that has become available, and writes those whose turn it is.
   void OnAnswered(const pipeline_request& answered);
   // Takes one more request at most, and closes the connection with the response to the last one.
@@ -60,8 +65,10 @@
   void Flush();
   void Write(pipeline_request& answered, bool last);
   void OnWritten(bool last);
-  // Whether a further request may be dispatched. Otherwise input stays in the socket buffer.
+  // Whether a further request may be dispatched.
   bool MayDispatch() const;
+  // Whether input is read. Otherwise it stays in the socket buffer.
+  bool MayRead() const;
   // Bytes that the host of the caller has acknowledged since the connection was opened.
   std::uint64_t TakenBytes();
   void Linger();
@@ -86,6 +93,8 @@
   std::uint64_t earlier_bytes_ = 0;
   // Bytes of the bodies of responses that are available and not completely written.
   std::size_t unwritten_bytes_ = 0;
+  // Expected bytes of the responses that are not available.
+  std::size_t expected_bytes_ = 0;
   write_progress progress_;
   kernel::time_point write_began_at_;
   kernel::time_point used_at_;
--- a/cornelweir/src/http/pipeline_server.cc
+++ b/cornelweir/src/http/pipeline_server.cc
@@ -9,12 +9,19 @@
 
 void pipeline_request::Respond(whole_response response) {
   if (answered_) return;
+  ExpectResponse(0);
   answered_ = true;
   on_caller_gone_ = nullptr;
   response_ = std::move(response);
   if (const auto connection = connection_.lock()) connection->OnAnswered(*this);
 }
 
+void pipeline_request::ExpectResponse(std::size_t bytes) {
+  if (answered_) return;
+  const std::size_t before = std::exchange(expected_bytes_, bytes);
+  if (const auto connection = connection_.lock()) connection->OnExpected(before, bytes);
+}
+
 pipeline_server::pipeline_server(loop::event_loop& loop, handler handle_request,
                                  refusal_builder build_refusal)
     : core_(std::make_shared<internal::pipeline_core>(loop, std::move(handle_request),
--- a/cornelweir/src/http/pipeline_server.h
+++ b/cornelweir/src/http/pipeline_server.h
@@ -29,8 +29,8 @@
   // yet.
   std::uint64_t body_bytes = kMaxBufferedBodyBytes;
   std::size_t total_body_bytes = kMaxTotalBufferedBodyBytes;
-  // Largest sum of the responses of one connection that are not written yet, above which no further
-  // request of it is dispatched.
+  // Largest sum of the responses of one connection that are expected or not written yet, above
+  // which no further request of it is dispatched.
   std::size_t connection_response_bytes = kMaxConnectionResponseBytes;
   // The least progress of a caller that a response is written to, in a time.
   std::size_t write_progress_bytes = kMinWriteProgressBytes;
@@ -68,6 +68,8 @@
   // Sends the response. Calls after the first have no effect.
   void Respond(whole_response response);
   bool answered() const { return answered_; }
+  // Counts the expected size of the response for the connection's share until it is answered.
+  void ExpectResponse(std::size_t bytes);
   // Calls callback at most once, if the caller disconnects before the request is answered.
   void OnCallerGone(std::function<void()> callback) { on_caller_gone_ = std::move(callback); }
 
@@ -80,6 +82,7 @@
   bool is_head_request_;
   // The handler may hold the body until it has answered.
   std::size_t body_bytes_;
+  std::size_t expected_bytes_ = 0;
   bool answered_ = false;
   whole_response response_;
 };
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -52,6 +52,7 @@
       quota_(quota),
       key_hash_seed_(context.random.NextU64()),
       metrics_(context.metrics),
+      room_(context.memory),
       deferred_timer_(context.loop),
       started_at_(context.clock.Now()) {}
 
@@ -281,6 +282,7 @@
            state->tried_peers.empty() ? "no upstream" : "no other upstream");
     return;
   }
+  if (!ReserveResponse(state, *chosen)) return;
   const kernel::time_point now = Now();
   const policy::route& route = *state->route;
   state->current_peer = chosen;
@@ -323,7 +325,7 @@
   if (result.response) {
     ++state->sent_count;
     state->may_have_run = true;
-    OnResponse(state, *std::move(result.response));
+    if (AdmitResponse(state, *result.response)) OnResponse(state, *std::move(result.response));
     return;
   }
   switch (result.failure) {
@@ -463,6 +465,7 @@
 
 void call_router::MarkFinished(const request_state_ptr& state) {
   state->finished = true;
+  state->reservation.reset();
   open_.erase(state);
   state->deadline_timer.Cancel();
 }
--- a/plugins/sidecar/call_router.h
+++ b/plugins/sidecar/call_router.h
@@ -24,6 +24,7 @@
 #include "plugins/sidecar/quota_client.h"
 #include "plugins/sidecar/request_dialect.h"
 #include "plugins/sidecar/request_metrics.h"
+#include "plugins/sidecar/response_room.h"
 
 namespace cornelweir::plugins::sidecar {
 
@@ -78,6 +79,11 @@
   bool Defer(const request_state_ptr& state);
   void QueueDeferred(const request_state_ptr& state);
   void RetryDeferred();
+  // Takes memory for the response of a request that is sent to a daemon. Returns false after it has
+  // refused a request for lack of it.
+  bool ReserveResponse(const request_state_ptr& state, const peer& chosen);
+  // Returns false after it has failed a request whose response does not fit into the memory.
+  bool AdmitResponse(const request_state_ptr& state, http::whole_response& response);
   void SendToPeer(const request_state_ptr& state);
   void OnResult(const request_state_ptr& state, run_result result);
   void RecordNesting(const request_state& state, const run_result& result);
@@ -112,6 +118,7 @@
   // Routes whose requests are calls of running upstreams, as the daemons that run them report.
   std::set<kernel::route_name> nested_routes_;
   request_metrics metrics_;
+  response_room room_;
   // The requests that are not finished.
   std::set<request_state_ptr> open_;
   kernel::time_point last_request_at_;
--- a/plugins/sidecar/call_router_state.h
+++ b/plugins/sidecar/call_router_state.h
@@ -40,6 +40,8 @@
   // The peer that has the request now, or null.
   std::shared_ptr<peer> current_peer;
   kernel::call_id run_id;
+  // Room for the response while another daemon has the request.
+  std::shared_ptr<memory::memory_hold> reservation;
   std::vector<std::shared_ptr<peer>> tried_peers;
   std::size_t refusals = 0;
   // Number of upstreams that may have received the request.
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "tests/http_test_support.h"
 #include "tests/sidecar_test_context.h"
@@ -49,6 +50,8 @@
     dialect_functions functions{};
     functions.decode_call = &DecodeCall;
     functions.reply = &Reply;
+    functions.encode_run = [](const protocol::run_request&, std::string, const kernel::upstream_id&,
+                              kernel::milliseconds) { return http::whole_request(); };
     return functions;
   }
 
@@ -262,5 +265,30 @@
   EXPECT_EQ(quota_requests_.size(), 1U);
 }
 
+// Guards against running a request whose response has no room, and against refusing it without a
+// time to come back or as one that may have run.
+TEST_F(CallRouterStartupTest, RefusesARequestWhoseResponseHasNoRoom) {
+  UseOneUpstream();
+  memory::memory_hold others(daemon_.context.memory, memory::memory_use::kLinkTransfers);
+  const std::int64_t limit = daemon_.context.memory->limit().value();
+  ASSERT_TRUE(others.Resize(kernel::byte_count(limit * 80 / 100)));
+  std::vector<std::unique_ptr<memory::memory_hold>> rest;
+  while (
+      daemon_.context.memory->HasRoom(memory::memory_use::kLinkTransfers, memory::kMaxSmallHold)) {
+    rest.push_back(std::make_unique<memory::memory_hold>(daemon_.context.memory,
+                                                         memory::memory_use::kLinkTransfers));
+    ASSERT_TRUE(rest.back()->Resize(memory::kMaxSmallHold));
+  }
+  const auto request = HandleRequest();
+  EXPECT_TRUE(request->answered());
+  EXPECT_EQ(last_reply.kind, reply_kind::kNotRun);
+  EXPECT_GT(last_reply.retry_after, kernel::milliseconds(0));
+  EXPECT_EQ(daemon_.context.memory->refusals(memory::memory_use::kCallerResponses), 1U);
+  EXPECT_FALSE(dispatcher_.busy());
+  rest.pop_back();
+  EXPECT_FALSE(HandleRequest()->answered());
+  EXPECT_TRUE(dispatcher_.busy());
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
--- a/tests/http_pipeline_test.cc
+++ b/tests/http_pipeline_test.cc
@@ -351,6 +351,32 @@
   EXPECT_EQ(requests_[3]->message.target, "/behind");
 }
 
+// Guards against many large responses of one connection that are requested at a time, and against a
+// connection whose end is not detected meanwhile.
+TEST_F(pipeline, DispatchesNoRequestWhileLargeResponsesAreExpected) {
+  pipeline_limits limits;
+  limits.connection_response_bytes = 100'000;
+  server_.SetLimits(limits);
+  Send(Get("/1"));
+  AwaitRequests(1);
+  requests_[0]->ExpectResponse(150'000);
+  Send(Get("/2"));
+  RunUntil(loop_, [&] { return caller_->sent == (Get("/1") + Get("/2")).size(); });
+  const auto other = raw_peer::Connect(loop_, server_.local_endpoint());
+  other->Send(Get("/other"));
+  AwaitRequests(2);
+  ASSERT_EQ(requests_[1]->message.target, "/other");
+  requests_[1]->ExpectResponse(150'000);
+  bool gone = false;
+  requests_[1]->OnCallerGone([&] { gone = true; });
+  other->Close();
+  RunUntil(loop_, [&] { return gone; });
+  EXPECT_EQ(requests_.size(), 2U);
+  requests_[0]->Respond({200, {}, "small"});
+  AwaitRequests(3);
+  EXPECT_EQ(requests_[2]->message.target, "/2");
+}
+
 // Guards against a request that is refused as late because its connection is not read: its caller
 // has not taken an earlier response.
 TEST_F(pipeline, GivesARequestItsTimeWhileItsConnectionIsNotRead) {
