Start no request whose response has no memory

Cause: the dispatcher sent a request to the upstream whatever memory was left, so that as many responses as the upstream has slots could wait for room until their deadlines, although none of the requests had to run.

Change: before a request starts, the dispatcher takes the largest recent size of a response of its route (response_room, as for callers). Without room the request is refused as not run (kNoCapacity) with a delay for a retry, and its slot goes to the next one. The reservation ends when the exchange ends.

--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -52,7 +52,7 @@
       quota_(quota),
       key_hash_seed_(context.random.NextU64()),
       metrics_(context.metrics),
-      room_(context.memory),
+      room_(context.memory, memory::memory_use::kCallerResponses),
       deferred_timer_(context.loop),
       started_at_(context.clock.Now()) {}
 
--- a/plugins/sidecar/response_room.cc
+++ b/plugins/sidecar/response_room.cc
@@ -14,13 +14,13 @@
 
 }  // namespace internal
 
-response_room::response_room(std::shared_ptr<memory::memory_account> account)
-    : account_(std::move(account)) {}
+response_room::response_room(std::shared_ptr<memory::memory_account> account,
+                             memory::memory_use use)
+    : account_(std::move(account)), use_(use) {}
 
 std::shared_ptr<memory::memory_hold> response_room::Reserve(const kernel::route_name& route) {
   const kernel::byte_count most(account_->limit().value() * internal::kMaxReservationPercent / 100);
-  auto reserved =
-      std::make_shared<memory::memory_hold>(account_, memory::memory_use::kCallerResponses);
+  auto reserved = std::make_shared<memory::memory_hold>(account_, use_);
   if (!reserved->Resize(std::min(sizes_.Expected(route), most))) return nullptr;
   return reserved;
 }
@@ -30,13 +30,12 @@
                           http::whole_response& response) {
   sizes_.OnResponse(route, response.body.size());
   if (response.hold) {
-    response.hold->MoveTo(memory::memory_use::kCallerResponses);
+    response.hold->MoveTo(use_);
     return true;
   }
   if (response.body.empty()) return true;
   if (!reservation) {
-    reservation =
-        std::make_shared<memory::memory_hold>(account_, memory::memory_use::kCallerResponses);
+    reservation = std::make_shared<memory::memory_hold>(account_, use_);
   }
   if (!reservation->Resize(kernel::byte_count(static_cast<std::int64_t>(response.body.size())))) {
     return false;
--- a/plugins/sidecar/response_room.h
+++ b/plugins/sidecar/response_room.h
@@ -10,10 +10,11 @@
 
 namespace cornelweir::plugins::sidecar {
 
-// Keeps memory for the responses of the requests that are sent on for callers.
+// Keeps memory for the responses of the requests that are sent on for callers, or started at the
+// upstream.
 class response_room {
  public:
-  explicit response_room(std::shared_ptr<memory::memory_account> account);
+  response_room(std::shared_ptr<memory::memory_account> account, memory::memory_use use);
 
   kernel::byte_count Expected(const kernel::route_name& route) const {
     return sizes_.Expected(route);
@@ -27,6 +28,7 @@
 
  private:
   std::shared_ptr<memory::memory_account> account_;
+  memory::memory_use use_;
   response_sizes sizes_;
 };
 
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -32,6 +32,7 @@
       on_change_(std::move(on_change)),
       client_(context.loop, http::upstream_limits(), context.memory),
       queue_waits_(context.metrics),
+      room_(context.memory, memory::memory_use::kUpstreamResponses),
       crashes_(context, {[this](const auto& suspects) { OnCrash(suspects); },
                          [this](admission::ticket id) { FinishHeld(id); }}),
       crash_count_(context.metrics.Counter("cornelweir_upstream_crashes_total",
@@ -279,7 +280,7 @@
 }
 
 void upstream_dispatcher::Start(admission::ticket id) {
-  if (RefuseAtStart(id)) return;
+  if (RefuseAtStart(id) || !ReserveResponse(id)) return;
   run& started = runs_.at(id);
   started.started_at = Now();
   started.upstream = announced_->id;
@@ -326,6 +327,10 @@
   if (result.status == http::upstream_status::kTimeout) RecordTimeout(found->second);
   run_result ended = TranslateResult(found->second, std::move(result));
   if (!ended.response) run_time.reset();
+  std::shared_ptr<memory::memory_hold> reserved = std::move(found->second.reservation);
+  if (ended.response) {
+    room_.Admit(found->second.request.route, std::move(reserved), *ended.response);
+  }
   RecordEvidence(found->second, ended);
   const bool may_be_crash = MayBeCrash(found->second, ended);
   if (ended.response) OnCompleted(found->second.request.fingerprint);
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -23,6 +23,7 @@
 #include "plugins/sidecar/quarantine_agent.h"
 #include "plugins/sidecar/queue_telemetry.h"
 #include "plugins/sidecar/request_dialect.h"
+#include "plugins/sidecar/response_room.h"
 #include "plugins/sidecar/run_result.h"
 
 namespace cornelweir::plugins::sidecar {
@@ -125,6 +126,8 @@
     bool was_suspect = false;
     kernel::upstream_id upstream;
     std::shared_ptr<http::upstream_exchange> exchange;
+    // Room for the response while the request runs.
+    std::shared_ptr<memory::memory_hold> reservation;
     // Valid once there is a response.
     upstream_response_kind response_kind = upstream_response_kind::kUnusable;
     bool result_wanted = true;
@@ -158,6 +161,9 @@
   std::optional<run_result> RefusalOf(const run& next) const;
   // Refuses a run that has a slot and returns true, if it must not start.
   bool RefuseAtStart(admission::ticket id);
+  // Takes memory for the response of a run that has a slot. Refuses the run and returns false if
+  // there is none.
+  bool ReserveResponse(admission::ticket id);
   bool RunsOtherSuspect(kernel::fingerprint request) const;
   // Whether the end of a run may have been that of the upstream.
   bool MayBeCrash(const run& ended, const run_result& result) const;
@@ -200,6 +206,7 @@
   admission::route_calls calls_;
   service_wait_source service_wait_;
   queue_wait_metrics queue_waits_;
+  response_room room_;
   crash_watch crashes_;
   metrics::counter& crash_count_;
   std::map<admission::ticket, run> runs_;
--- a/tests/response_room_test.cc
+++ b/tests/response_room_test.cc
@@ -25,7 +25,7 @@
 
   const std::shared_ptr<memory::memory_account> account_ =
       std::make_shared<memory::memory_account>(kernel::byte_count(kLimit));
-  response_room room_{account_};
+  response_room room_{account_, memory::memory_use::kCallerResponses};
 };
 
 // Guards against reservations that are far too small for a route, and against a single large
@@ -84,7 +84,7 @@
 TEST_F(ResponseRoomTest, HasRoomForTheLargestResponseBesideItsReservation) {
   const auto smallest =
       std::make_shared<memory::memory_account>(memory::memory_account::LimitFor(64));
-  response_room room(smallest);
+  response_room room(smallest, memory::memory_use::kCallerResponses);
   for (int i = 0; i < 2; ++i) {
     auto reserved = room.Reserve(kRoute);
     ASSERT_TRUE(reserved);
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -608,5 +608,50 @@
   dispatcher_.reset();
 }
 
+// Guards against running requests whose responses have no room, and against refusing them as ones
+// that may have run or without a time to come back.
+TEST_F(UpstreamDispatcherTest, RefusesARequestWhoseResponseHasNoRoom) {
+  AnnounceWithoutRateLimit();
+  const std::shared_ptr<memory::memory_account> account = daemon_.context.memory;
+  std::vector<std::unique_ptr<memory::memory_hold>> others;
+  const auto take = [&](kernel::byte_count bytes) {
+    others.push_back(
+        std::make_unique<memory::memory_hold>(account, memory::memory_use::kLinkTransfers));
+    return others.back()->Resize(bytes);
+  };
+  // Responses of the route are large from now on.
+  const std::string body(3'000'000, 'x');
+  run_responses_.push_back("HTTP/1.1 200 OK\r\nId: /run\r\nContent-Length: 3000000\r\n\r\n" + body);
+  RunOne(kLongTime);
+  http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
+  ASSERT_TRUE(latest_->response);
+  ASSERT_TRUE(latest_->response->hold);
+  EXPECT_EQ(account->taken(), kernel::byte_count(3'000'000)) << "the reservation has ended";
+  latest_.reset();
+  ASSERT_EQ(account->taken(), kernel::byte_count(0));
+  const std::int64_t limit = account->limit().value();
+  ASSERT_TRUE(take(kernel::byte_count(limit * 80 / 100)));
+  ASSERT_TRUE(take(memory::kMaxSmallHold));
+  ASSERT_TRUE(
+      account->HasRoom(memory::memory_use::kUpstreamResponses, kernel::byte_count(3'000'000)));
+  others.push_back(
+      std::make_unique<memory::memory_hold>(account, memory::memory_use::kCallerRequests));
+  ASSERT_TRUE(others.back()->Resize(kernel::byte_count(3'000'000)));
+  const int runs = runs_;
+  RunOne(kLongTime);
+  http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
+  EXPECT_EQ(latest_->failure, protocol::run_failure::kNoCapacity);
+  EXPECT_GT(latest_->retry_after, kernel::microseconds(0));
+  EXPECT_FALSE(dispatcher_->busy());
+  EXPECT_EQ(runs_, runs);
+  EXPECT_EQ(account->refusals(memory::memory_use::kUpstreamResponses), 1U);
+  others.clear();
+  latest_.reset();
+  run_responses_.push_back(Response(kNoHeader));
+  RunOne(kLongTime);
+  http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
+  EXPECT_TRUE(latest_->response);
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
