Share the text of a configuration among all responses to operators

admin_response::shared_body is sent without a copy. HoldText() takes room in the account for the one text, which is given back with the last response that contains it. Bodies that are not shared take room of their own; a GET for which there is none is answered 503. Other methods are answered even then: they have taken effect, and their responses are small.

An earlier text that is still being read stays in the account.

--- a/cornelweir/http.h
+++ b/cornelweir/http.h
@@ -13,6 +13,7 @@
 #include "cornelweir/src/http/exchange.h"
 #include "cornelweir/src/http/forward_result.h"
 #include "cornelweir/src/http/header_list.h"
+#include "cornelweir/src/http/held_text.h"
 #include "cornelweir/src/http/http_error.h"
 #include "cornelweir/src/http/http_result.h"
 #include "cornelweir/src/http/limits.h"
--- a/cornelweir/src/http/admin_server.cc
+++ b/cornelweir/src/http/admin_server.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
@@ -15,6 +17,7 @@
 
 #include "cornelweir/src/http/buffered_bytes.h"
 #include "cornelweir/src/http/listener.h"
+#include "cornelweir/src/memory/memory_hold.h"
 
 namespace cornelweir::http {
 namespace internal {
@@ -31,7 +34,9 @@
     admin_server::handler handle;
   };
 
-  admin_core(loop::event_loop& loop, admin_limits limits) : loop_(loop), limits_(limits) {}
+  admin_core(loop::event_loop& loop, admin_limits limits,
+             std::shared_ptr<memory::memory_account> memory)
+      : loop_(loop), limits_(limits), memory_(std::move(memory)) {}
 
   void Accept(boost::asio::ip::tcp::socket socket);
   void Dispatch(const admin_request& request, admin_reply reply);
@@ -41,6 +46,8 @@
 
   loop::event_loop& loop_;
   admin_limits limits_;
+  // Null if bodies of responses are not counted.
+  const std::shared_ptr<memory::memory_account> memory_;
   std::shared_ptr<listener> listener_;
   std::vector<route> routes_;
   std::unordered_set<std::shared_ptr<admin_session>> sessions_;
@@ -81,23 +88,22 @@
     if (replied_) return;
     replied_ = true;
     if (closed_) return;
+    if (!TakeBody(response)) {
+      response = admin_response{503, "text/plain", "too many responses are being sent\n"};
+      body_ = std::make_shared<const std::string>(std::move(response.body));
+    }
     response_ = {};
     response_.result(static_cast<unsigned>(response.status));
     response_.version(11);
     SetHeaders(response_, response.headers);
     response_.set(beast_http::field::content_type, response.content_type);
-    response_.body() = std::move(response.body);
+    response_.body() = {body_->data(), body_->size()};
     response_.keep_alive(keep_alive_ && !core_->draining_);
-    const bool head = parser_->get().method() == beast_http::verb::head;
     response_.prepare_payload();
-    if (head) response_.body().clear();
-    stream_.expires_after(core_->limits_.read_timeout);
-    beast_http::async_write(
-        stream_, response_,
-        [self = shared_from_this()](const beast::error_code& error, std::size_t) {
-          if (error || !self->response_.keep_alive()) return self->Close();
-          self->Read();
-        });
+    if (parser_->get().method() == beast_http::verb::head) response_.body() = {};
+    serializer_.emplace(response_);
+    StartWriteTimer();
+    WritePart();
   }
 
   // A request that has already arrived is served before the connection is closed.
@@ -117,6 +123,57 @@
   }
 
  private:
+  // Takes room for a body that is not shared. Returns false if there is none. Only reads are
+  // refused for it: other requests have taken effect, and their responses are small.
+  bool TakeBody(admin_response& response) {
+    if (response.shared_body) {
+      body_ = std::move(response.shared_body);
+      return true;
+    }
+    if (core_->memory_ && !response.body.empty()) {
+      hold_ = std::make_unique<memory::memory_hold>(core_->memory_,
+                                                    memory::memory_use::kOperatorResponses);
+      const auto bytes = static_cast<std::int64_t>(response.body.size());
+      const beast_http::verb method = parser_->get().method();
+      const bool is_read = method == beast_http::verb::get || method == beast_http::verb::head;
+      if (!hold_->Resize(kernel::byte_count(bytes)) && is_read) return false;
+    }
+    body_ = std::make_shared<const std::string>(std::move(response.body));
+    return true;
+  }
+
+  void StartWriteTimer() {
+    progress_bytes_ = 0;
+    stream_.expires_after(core_->limits_.write_progress_time);
+  }
+
+  // Writes in parts, since the client must take some bytes in a time.
+  void WritePart() {
+    beast_http::async_write_some(
+        stream_, *serializer_,
+        [self = shared_from_this()](const beast::error_code& error, std::size_t size) {
+          if (error) return self->Close();
+          if (self->serializer_->is_done()) return self->OnWritten();
+          self->progress_bytes_ += size;
+          if (self->progress_bytes_ >= kMinWriteProgressBytes) self->StartWriteTimer();
+          self->WritePart();
+        });
+  }
+
+  void OnWritten() {
+    const bool keep_alive = response_.keep_alive();
+    ReleaseBody();
+    if (!keep_alive) return Close();
+    Read();
+  }
+
+  void ReleaseBody() {
+    serializer_.reset();
+    response_ = {};
+    body_.reset();
+    hold_.reset();
+  }
+
   void ReadMessage() {
     busy_ = true;
     stream_.expires_after(core_->limits_.read_timeout);
@@ -178,7 +235,13 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   std::optional<beast_http::request_parser<beast_http::string_body>> parser_;
-  beast_http::response<beast_http::string_body> response_;
+  // The body of the response, to which response_ refers, and its bytes in the account.
+  std::shared_ptr<const std::string> body_;
+  std::unique_ptr<memory::memory_hold> hold_;
+  beast_http::response<beast_http::span_body<const char>> response_;
+  std::optional<beast_http::response_serializer<beast_http::span_body<const char>>> serializer_;
+  // Bytes written since the write timer was started.
+  std::size_t progress_bytes_ = 0;
   buffered_bytes buffered_;
   bool busy_ = false;
   bool keep_alive_ = false;
@@ -253,8 +316,9 @@
   if (session) session->Reply(std::move(response));
 }
 
-admin_server::admin_server(loop::event_loop& loop, admin_limits limits)
-    : core_(std::make_shared<internal::admin_core>(loop, limits)) {}
+admin_server::admin_server(loop::event_loop& loop, admin_limits limits,
+                           std::shared_ptr<memory::memory_account> memory)
+    : core_(std::make_shared<internal::admin_core>(loop, limits, std::move(memory))) {}
 
 // NOLINTNEXTLINE(bugprone-exception-escape)
 admin_server::~admin_server() { core_->Close(); }
--- a/cornelweir/src/http/admin_server.h
+++ b/cornelweir/src/http/admin_server.h
@@ -12,6 +12,7 @@
 #include "cornelweir/src/http/limits.h"
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/loop/event_loop.h"
+#include "cornelweir/src/memory/memory_account.h"
 
 namespace cornelweir::http {
 
@@ -32,6 +33,8 @@
   std::string content_type = "application/json";
   std::string body;
   header_list headers = {};
+  // Sent instead of the body if set. A large text is shared by all responses that contain it.
+  std::shared_ptr<const std::string> shared_body = nullptr;
 };
 
 namespace internal {
@@ -63,7 +66,10 @@
  public:
   using handler = std::function<void(const admin_request&, admin_reply)>;
 
-  explicit admin_server(loop::event_loop& loop, admin_limits limits = {});
+  // Bodies that responses do not share are counted in the account, if there is one. A body for
+  // which it has no room is not sent: the response is a 503.
+  explicit admin_server(loop::event_loop& loop, admin_limits limits = {},
+                        std::shared_ptr<memory::memory_account> memory = nullptr);
   admin_server(const admin_server&) = delete;
   admin_server& operator=(const admin_server&) = delete;
   // NOLINTNEXTLINE(bugprone-exception-escape)
--- a/plugins/control/control_plugin.h
+++ b/plugins/control/control_plugin.h
@@ -76,6 +76,7 @@
   const replica& local_replica() const { return replica_; }
   const membership::roster& roster() const { return feed_.roster(); }
   metrics::metrics_registry& metrics() const { return context_.metrics; }
+  const std::shared_ptr<memory::memory_account>& memory() const { return context_.memory; }
   // The bound address at which daemons and other control hosts connect.
   kernel::endpoint mesh_endpoint() const { return listener_->local_endpoint(); }
   codec::json StatusReport() const;
--- a/plugins/control/policy_api.cc
+++ b/plugins/control/policy_api.cc
@@ -13,6 +13,7 @@
 namespace internal {
 
 constexpr std::string_view kNotCurrent = "this host can't prove that its state is current";
+constexpr std::string_view kNoRoom = "too many responses with earlier policies are being sent";
 
 // Operators compare policies; they don't need the keys, and the interface has no authentication.
 codec::json WithoutKeys(policy::policy_table table) {
@@ -56,11 +57,16 @@
         .With("version", table->version);
     if (!is_current) return (*shared_reply)(internal::Unavailable(internal::kNotCurrent));
     if (table != encoded_table_) {
-      encoded_ = internal::Response(200, internal::WithoutKeys(*table)).body;
+      encoded_table_ = nullptr;
+      encoded_ = nullptr;
+      encoded_ = http::HoldText(owner_.memory(),
+                                internal::Response(200, internal::WithoutKeys(*table)).body);
+      // Responses with earlier policies that are still being sent take all the room.
+      if (!encoded_) return (*shared_reply)(internal::Unavailable(internal::kNoRoom));
       encoded_table_ = table;
     }
     http::admin_response response;
-    response.body = encoded_;
+    response.shared_body = encoded_;
     (*shared_reply)(std::move(response));
   });
 }
--- a/plugins/control/policy_api.h
+++ b/plugins/control/policy_api.h
@@ -28,9 +28,9 @@
 
   control_plugin& owner_;
   // The policy of the latest response, and the response's body: a large policy takes long to
-  // encode.
+  // encode. All responses share the body.
   std::shared_ptr<const policy::policy_table> encoded_table_;
-  std::string encoded_;
+  std::shared_ptr<const std::string> encoded_;
 };
 
 }  // namespace cornelweir::plugins::control
--- a/programs/cornelweird.cc
+++ b/programs/cornelweird.cc
@@ -56,7 +56,6 @@
  public:
   explicit daemon(const settings::daemon_settings& settings)
       : settings_(settings),
-        admin_(loop_),
         shutdown_timer_(loop_),
         log_timer_(loop_),
         pause_timer_(loop_),
@@ -163,8 +162,10 @@
   }
 
   const settings::daemon_settings& settings_;
+  const std::shared_ptr<memory::memory_account> memory_ = std::make_shared<memory::memory_account>(
+      memory::memory_account::LimitFor(settings_.memory_mb));
   loop::event_loop loop_;
-  http::admin_server admin_;
+  http::admin_server admin_{loop_, {}, memory_};
   loop::timer shutdown_timer_;
   loop::timer log_timer_;
   loop::timer pause_timer_;
@@ -173,16 +174,8 @@
   kernel::steady_clock_source clock_;
   loop::pause_tracker pauses_;
   transport::tls_context tls_;
-  plugins::daemon_context context_{loop_,
-                                   settings_,
-                                   admin_,
-                                   metrics_,
-                                   random_,
-                                   clock_,
-                                   pauses_,
-                                   nullptr,
-                                   std::make_shared<memory::memory_account>(
-                                       memory::memory_account::LimitFor(settings_.memory_mb))};
+  plugins::daemon_context context_{loop_,  settings_, admin_,  metrics_, random_,
+                                   clock_, pauses_,   nullptr, memory_};
   std::vector<kernel::plugin_handle> plugins_;
   std::size_t open_plugins_ = 0;
   bool shutting_down_ = false;
--- a/tests/http_admin_test.cc
+++ b/tests/http_admin_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -8,6 +9,7 @@
 
 #include "cornelweir/http.h"
 #include "cornelweir/loop.h"
+#include "cornelweir/memory.h"
 #include "tests/http_test_support.h"
 
 namespace cornelweir::http {
@@ -16,12 +18,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::int64_t kAccountBytes = 100'000'000;
+// More than the kernel buffers for a connection.
+constexpr std::size_t kLargeBytes = 40'000'000;
+
 // GoogleTest asks for names without underscores.
 // NOLINTNEXTLINE(readability-identifier-naming)
 class AdminTest : public testing::Test {
  protected:
   void StartServer(admin_limits limits = {}) {
-    server_.emplace(loop_, limits);
+    server_.emplace(loop_, limits, account_);
     server_->Handle(method::post, "/v1/edits", [](const admin_request& request, admin_reply reply) {
       reply({200, "text/plain", request.body + "|" + std::string(request.Header("X-Name"))});
     });
@@ -31,6 +37,15 @@
     ASSERT_TRUE(server_->Listen(kernel::endpoint("127.0.0.1:0")));
   }
 
+  // Connects a client that sends a request and reads no more than the first bytes of the response.
+  std::shared_ptr<raw_peer> AskWithoutReading(std::string_view target) {
+    auto peer = raw_peer::Connect(loop_, server_->local_endpoint());
+    peer->paused = true;
+    peer->Send("GET " + std::string(target) + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    RunUntil(loop_, [&] { return !peer->received.empty(); });
+    return peer;
+  }
+
   http_result<client_response> Request(method request_method, std::string_view target,
                                        std::string body) {
     std::optional<http_result<client_response>> answer;
@@ -41,6 +56,8 @@
   }
 
   loop::event_loop loop_;
+  std::shared_ptr<memory::memory_account> account_ =
+      std::make_shared<memory::memory_account>(kernel::byte_count(kAccountBytes));
   admin_client client_{loop_};
   std::optional<admin_reply> deferred_reply_;
   std::optional<admin_server> server_;
@@ -137,6 +154,90 @@
   EXPECT_EQ(Request(method::post, "/v1/edits", "a").value().status, 200);
 }
 
+// Guards against a copy of a large text for each client that reads it slowly.
+TEST_F(AdminTest, SharesOneTextAmongResponses) {
+  StartServer();
+  auto text = HoldText(account_, std::string(kLargeBytes, 'x'));
+  server_->Handle(method::get, "/v1/text", [&](const admin_request&, admin_reply reply) {
+    admin_response response;
+    response.shared_body = text;
+    reply(std::move(response));
+  });
+  const auto first = AskWithoutReading("/v1/text");
+  const auto second = AskWithoutReading("/v1/text");
+  EXPECT_EQ(account_->taken().value(), static_cast<std::int64_t>(kLargeBytes));
+  text = nullptr;
+  EXPECT_EQ(account_->taken().value(), static_cast<std::int64_t>(kLargeBytes));
+  first->Close();
+  second->Close();
+  RunUntil(loop_, [&] { return account_->taken().value() == 0; });
+}
+
+// Guards against a text that is kept although the account has no room for it.
+TEST_F(AdminTest, HoldsNoTextWithoutRoom) {
+  const auto first = HoldText(account_, std::string(kLargeBytes, 'x'));
+  EXPECT_TRUE(first);
+  const auto second = HoldText(account_, std::string(kLargeBytes, 'x'));
+  EXPECT_TRUE(second);
+  EXPECT_FALSE(HoldText(account_, std::string(kLargeBytes, 'x')));
+}
+
+// Guards against slow clients that together hold more responses than the process has memory for,
+// and against room that is not given back.
+TEST_F(AdminTest, RefusesAResponseWithoutRoom) {
+  StartServer();
+  server_->Handle(method::get, "/v1/own", [](const admin_request&, admin_reply reply) {
+    reply({200, "text/plain", std::string(kLargeBytes, 'x')});
+  });
+  const auto first = AskWithoutReading("/v1/own");
+  const auto second = AskWithoutReading("/v1/own");
+  EXPECT_EQ(account_->taken().value(), static_cast<std::int64_t>(2 * kLargeBytes));
+  const auto third = AskWithoutReading("/v1/own");
+  EXPECT_TRUE(third->received.starts_with("HTTP/1.1 503")) << third->received.substr(0, 20);
+  EXPECT_EQ(Request(method::post, "/v1/edits", "a").value().status, 200);
+  first->Close();
+  second->Close();
+  RunUntil(loop_, [&] { return account_->taken().value() == 0; });
+  EXPECT_TRUE(AskWithoutReading("/v1/own")->received.starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a client that keeps a response in memory by reading a few bytes now and then.
+TEST_F(AdminTest, ClosesAConnectionWithoutProgress) {
+  admin_limits limits;
+  limits.write_progress_time = milliseconds(100);
+  StartServer(limits);
+  server_->Handle(method::get, "/v1/own", [](const admin_request&, admin_reply reply) {
+    reply({200, "text/plain", std::string(kLargeBytes, 'x')});
+  });
+  const auto client = AskWithoutReading("/v1/own");
+  RunUntil(loop_, [&] { return account_->taken().value() == 0; });
+  client->paused = false;
+  client->Read();
+  RunUntil(loop_, [&] { return client->closed; });
+  EXPECT_LT(client->received.size(), kLargeBytes);
+}
+
+// Guards against a limit of the whole time of a response, which fails clients that read it steadily
+// over a slow line.
+TEST_F(AdminTest, ServesAClientThatMakesProgress) {
+  admin_limits limits;
+  limits.read_timeout = milliseconds(50);
+  StartServer(limits);
+  server_->Handle(method::get, "/v1/own", [](const admin_request&, admin_reply reply) {
+    reply({200, "text/plain", std::string(kLargeBytes, 'x')});
+  });
+  const auto client = AskWithoutReading("/v1/own");
+  loop::timer resume(loop_);
+  resume.Start(milliseconds(150), [&] {
+    client->paused = false;
+    client->Read();
+  });
+  RunUntil(loop_, [&] { return client->closed || client->received.size() >= kLargeBytes; });
+  RunUntil(loop_, [&] { return account_->taken().value() == 0; });
+  EXPECT_GE(client->received.size(), kLargeBytes);
+  EXPECT_FALSE(client->closed);
+}
+
 // Guards against a shutdown that loses the response to a request in progress.
 TEST_F(AdminTest, DrainsGracefully) {
   StartServer();
