End transfers to other daemons at their deadline and when memory is scarce

The hold of a response travels with its transfer; a response without one takes room in the account, or its request fails. A transfer ends at the deadline of its request. While the account is scarce, the transfers of the receiver that has been stalled for longest end, one receiver after the other. In each case the receiver is told with run_failed (kUpstreamError), since the request has run.

The check timer runs while responses wait, too: it stopped when all pieces on the way were overdue, so that nothing could have ended a late transfer.

The sum over the send queues of all links is not bounded yet.

--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -63,6 +63,7 @@
   X(kReadinessChanged, 3016, kInfo, "readiness changed")                                     \
   X(kPeerSilent, 3017, kWarning, "peer does not answer probes")                              \
   X(kNoHostCurrent, 3018, kWarning, "no control host current, or one again")                 \
+  X(kResponsesGivenUp, 3019, kWarning, "responses to another daemon given up")               \
   X(kRolloutApplied, 3020, kInfo, "rollout in force")                                        \
   X(kRolloutUnconfirmed, 3021, kWarning, "upstream closed, rollout not confirmed")           \
   X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress") \
--- a/plugins/sidecar/bulk_sender.cc
+++ b/plugins/sidecar/bulk_sender.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <string_view>
 #include <utility>
+#include <vector>
 
+#include "cornelweir/logging.h"
 #include "plugins/sidecar/data_frame.h"
 
 namespace cornelweir::plugins::sidecar {
@@ -12,23 +14,38 @@
 // A receiver that leaves a piece unacknowledged for this long is frozen or unreachable. Its pieces
 // no longer occupy the window, so that transfers to other receivers continue.
 constexpr kernel::milliseconds kStallTimeout{500};
-constexpr kernel::milliseconds kStallCheckPeriod{100};
+constexpr kernel::milliseconds kCheckPeriod{100};
 
 }  // namespace internal
 
-bulk_sender::bulk_sender(daemon_context& context) : context_(context), stall_timer_(context.loop) {}
+bulk_sender::bulk_sender(daemon_context& context) : context_(context), check_timer_(context.loop) {}
 
 bool bulk_sender::IsLarge(std::size_t bytes) { return bytes > admission::kMinPieceBytes; }
 
-void bulk_sender::Send(const std::shared_ptr<transport::link>& link, kernel::call_id id,
-                       std::string body) {
+bool bulk_sender::TakeRoom(response_body& body) {
+  if (body.hold) {
+    body.hold->MoveTo(memory::memory_use::kLinkTransfers);
+    return true;
+  }
+  body.hold =
+      std::make_shared<memory::memory_hold>(context_.memory, memory::memory_use::kLinkTransfers);
+  return body.hold->Resize(kernel::byte_count(static_cast<std::int64_t>(body.bytes.size())));
+}
+
+bool bulk_sender::Send(const std::shared_ptr<transport::link>& link, kernel::call_id id,
+                       response_body body) {
+  if (!TakeRoom(body)) return false;
   transfer& added = transfers_.emplace_back();
   added.link = link;
   added.id = id;
-  added.body = std::make_shared<const std::string>(std::move(body));
+  added.body = std::make_shared<const std::string>(std::move(body.bytes));
   added.allowed_bytes = added.body->size();
+  added.hold = std::move(body.hold);
+  added.deadline = body.deadline;
+  added.on_given_up = std::move(body.on_given_up);
   unsent_bytes_ += added.body->size();
   SendQueuedPieces();
+  return true;
 }
 
 void bulk_sender::SendOnCredit(const std::shared_ptr<transport::link>& link, kernel::call_id id,
@@ -74,7 +91,7 @@
     transfers_.erase(next);
     if (on_sent) on_sent();
   }
-  StartStallTimer();
+  StartCheckTimer();
 }
 
 void bulk_sender::SendPiece(transfer& next) {
@@ -113,6 +130,46 @@
   });
 }
 
+// The callbacks may use this object, so they are called when nothing refers to a transfer.
+template <class Predicate>
+void bulk_sender::GiveUpResponses(Predicate&& is_given_up) {
+  std::vector<std::function<void()>> given_up;
+  DropTransfers([&](const transfer& waiting) {
+    if (waiting.on_credit || !is_given_up(waiting)) return false;
+    given_up.push_back(waiting.on_given_up);
+    return true;
+  });
+  if (given_up.empty()) return;
+  logging::event(logging::event_id::kResponsesGivenUp).With("count", given_up.size());
+  context_.metrics
+      .Counter("cornelweir_transfers_given_up_total",
+               "Responses to other daemons that were given up before they were sent", {})
+      .Increment(given_up.size());
+  for (const std::function<void()>& on_given_up : given_up) on_given_up();
+}
+
+void bulk_sender::GiveUpLateResponses() {
+  const kernel::time_point now = Now();
+  GiveUpResponses([now](const transfer& waiting) { return waiting.deadline <= now; });
+}
+
+void bulk_sender::GiveUpStalledResponses() {
+  while (context_.memory->IsScarce()) {
+    const transfer* longest = nullptr;
+    for (const transfer& waiting : transfers_) {
+      const auto found = receivers_.find(waiting.link.get());
+      if (waiting.on_credit || found == receivers_.end() || !found->second.stalled) continue;
+      if (longest == nullptr ||
+          found->second.stalled_since < receivers_.at(longest->link.get()).stalled_since) {
+        longest = &waiting;
+      }
+    }
+    if (longest == nullptr) return;
+    GiveUpResponses(
+        [receiver = longest->link](const transfer& waiting) { return waiting.link == receiver; });
+  }
+}
+
 void bulk_sender::Cancel(const transport::link* link, kernel::call_id id) {
   DropTransfers(
       [&](const transfer& waiting) { return waiting.link.get() == link && waiting.id == id; });
@@ -136,16 +193,20 @@
     if (receiver.stalled || receiver.pieces.empty()) continue;
     if (now - receiver.pieces.front().sent_at < internal::kStallTimeout) continue;
     receiver.stalled = found_stalled = true;
+    receiver.stalled_since = receiver.pieces.front().sent_at;
     for (const piece& overdue : receiver.pieces) window_.OnLost(overdue.bytes);
   }
   if (found_stalled) SendQueuedPieces();
 }
 
-void bulk_sender::StartStallTimer() {
-  if (stall_timer_.running() || window_.outstanding() == 0) return;
-  stall_timer_.Start(internal::kStallCheckPeriod, [this] {
+// Runs while pieces may become overdue or responses late.
+void bulk_sender::StartCheckTimer() {
+  if (check_timer_.running() || (window_.outstanding() == 0 && unsent_bytes_ == 0)) return;
+  check_timer_.Start(internal::kCheckPeriod, [this] {
     DetectStalledReceivers();
-    StartStallTimer();
+    GiveUpLateResponses();
+    GiveUpStalledResponses();
+    StartCheckTimer();
   });
 }
 
--- a/plugins/sidecar/bulk_sender.h
+++ b/plugins/sidecar/bulk_sender.h
@@ -12,6 +12,7 @@
 #include "cornelweir/admission.h"
 #include "cornelweir/kernel.h"
 #include "cornelweir/loop.h"
+#include "cornelweir/memory.h"
 #include "cornelweir/transport.h"
 #include "plugins/daemon_context.h"
 
@@ -20,7 +21,9 @@
 // Sends large bodies to other daemons as pieces within a shared window, so that small messages do
 // not wait behind them on this host's network link. Request bodies are sent as far as their
 // receivers have granted credit, and before responses, since a receiver keeps its link free for the
-// bytes that it has granted. Receivers acknowledge each piece.
+// bytes that it has granted. Receivers acknowledge each piece. A response that can't be sent in
+// time is given up, and those for the receivers that have been stalled for longest are given up
+// while memory is scarce.
 class bulk_sender {
  public:
   explicit bulk_sender(daemon_context& context);
@@ -28,8 +31,20 @@
   // Whether a body of this size is sent in pieces.
   static bool IsLarge(std::size_t bytes);
 
-  // Queues the body of the response to request id for the link.
-  void Send(const std::shared_ptr<transport::link>& link, kernel::call_id id, std::string body);
+  // The body of a response, and what ends its transfer.
+  struct response_body {
+    std::string bytes;
+    // The bytes in the account of the process; if null, Send() takes them.
+    std::shared_ptr<memory::memory_hold> hold = nullptr;
+    // When the receiver stops waiting for it.
+    kernel::time_point deadline = kernel::time_point::max();
+    // Called if the transfer is given up before its last piece was sent. The link is open then.
+    std::function<void()> on_given_up = [] {};
+  };
+
+  // Queues the body of the response to request id for the link. Returns false if the account has no
+  // room for it.
+  bool Send(const std::shared_ptr<transport::link>& link, kernel::call_id id, response_body body);
   // Queues the body of request id for the link. on_sent is called when its last piece was handed to
   // the link.
   void SendOnCredit(const std::shared_ptr<transport::link>& link, kernel::call_id id,
@@ -59,6 +74,10 @@
     std::size_t allowed_bytes = 0;
     std::size_t sent_bytes = 0;
     std::function<void()> on_sent;
+    // Of a response.
+    std::shared_ptr<memory::memory_hold> hold;
+    kernel::time_point deadline = kernel::time_point::max();
+    std::function<void()> on_given_up;
   };
   struct piece {
     std::size_t bytes = 0;
@@ -71,6 +90,8 @@
     // The oldest piece is overdue. Nothing is sent to the receiver until it has acknowledged all
     // outstanding pieces.
     bool stalled = false;
+    // Since when the oldest piece has been unacknowledged, if stalled.
+    kernel::time_point stalled_since;
   };
 
   kernel::time_point Now() const { return context_.clock.Now(); }
@@ -80,8 +101,15 @@
   void SendPiece(transfer& next);
   template <class Predicate>
   void DropTransfers(Predicate&& is_dropped);
+  // Drops the responses that match, then calls on_given_up of each.
+  template <class Predicate>
+  void GiveUpResponses(Predicate&& is_given_up);
+  void GiveUpLateResponses();
+  // Gives up the responses of one stalled receiver after the other while memory is scarce.
+  void GiveUpStalledResponses();
+  bool TakeRoom(response_body& body);
   void DetectStalledReceivers();
-  void StartStallTimer();
+  void StartCheckTimer();
 
   daemon_context& context_;
   admission::transfer_window window_;
@@ -89,7 +117,7 @@
   // Unsent bytes of all responses.
   std::size_t unsent_bytes_ = 0;
   std::map<const transport::link*, receiver_state> receivers_;
-  loop::timer stall_timer_;
+  loop::timer check_timer_;
 };
 
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -109,6 +109,7 @@
   }
   added->second.request = message;
   added->second.arrived_at = dispatcher_.backlog().Arrival();
+  added->second.deadline = added->second.arrived_at + message.time_left;
   if (message.body_bytes > 0) {
     AnnounceBody(sender, message.id);
     return;
@@ -205,7 +206,11 @@
   const auto link = weak_link.lock();
   if (!link) return;
   const auto found = sessions_.find(link.get());
-  if (found == sessions_.end() || found->second.requests.erase(id) == 0) return;
+  if (found == sessions_.end()) return;
+  const auto ended = found->second.requests.find(id);
+  if (ended == found->second.requests.end()) return;
+  const kernel::time_point deadline = ended->second.deadline;
+  found->second.requests.erase(ended);
   if (!result.response) {
     SendData(*link, protocol::run_failed{id, result.failure, result.retry_after, Load(),
                                          result.nested, result.quarantined_for});
@@ -224,7 +229,23 @@
   }
   response.last = false;
   SendData(*link, std::move(response));
-  bulk_.Send(link, id, std::move(result.response->body));
+  SendBody(link, id,
+           {std::move(result.response->body), std::move(result.response->hold), deadline});
+}
+
+void peer_server::SendBody(const std::shared_ptr<transport::link>& link, kernel::call_id id,
+                           bulk_sender::response_body body) {
+  // The transfer ends with the link, so the link is still there.
+  body.on_given_up = [this, link = link.get(), id] { SendFailure(*link, id); };
+  if (!bulk_.Send(link, id, std::move(body))) SendFailure(*link, id);
+}
+
+void peer_server::SendFailure(transport::link& link, kernel::call_id id) {
+  protocol::run_failed message;
+  message.id = id;
+  message.failure = protocol::run_failure::kUpstreamError;
+  message.load = Load();
+  SendData(link, message);
 }
 
 // Cancels the requests received on the link, since their results cannot be sent.
--- a/plugins/sidecar/peer_server.h
+++ b/plugins/sidecar/peer_server.h
@@ -46,6 +46,7 @@
     std::string body;
     // When its first message may have arrived at the earliest.
     kernel::time_point arrived_at;
+    kernel::time_point deadline;
     bool complete = false;
   };
   struct session {
@@ -70,6 +71,10 @@
   void StartRun(session& sender, kernel::call_id id);
   void SendResult(const std::weak_ptr<transport::link>& weak_link, kernel::call_id id,
                   run_result result);
+  // Sends the body of a response in pieces, or reports that the request has run and failed.
+  void SendBody(const std::shared_ptr<transport::link>& link, kernel::call_id id,
+                bulk_sender::response_body body);
+  void SendFailure(transport::link& link, kernel::call_id id);
 
   daemon_context& context_;
   upstream_dispatcher& dispatcher_;
--- a/tests/peer_server_test.cc
+++ b/tests/peer_server_test.cc
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr std::size_t kBodyBytes = 200'000;
+constexpr std::size_t kLargeResponse = 8'000'000;
 
 http::whole_request EncodeRun(const protocol::run_request& run, std::string body,
                               const kernel::upstream_id&, kernel::milliseconds) {
@@ -112,6 +113,22 @@
     SendData(*link_, run);
   }
 
+  // Sends a request whose response is sent in pieces, which the test does not acknowledge.
+  void AskForLargeResponse(kernel::milliseconds time_left) {
+    upstream_.on_bytes = [](http::raw_peer& peer) {
+      if (!peer.received.ends_with("\r\n\r\n")) return;
+      peer.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kLargeResponse) +
+                "\r\n\r\n" + std::string(kLargeResponse, 'x'));
+    };
+    protocol::run_request run;
+    run.id = kernel::call_id(1);
+    run.service = kernel::service_name("forms");
+    run.method = "GET";
+    run.target = "/run";
+    run.time_left = run.objective_left = time_left;
+    SendData(*link_, run);
+  }
+
   sidecar_test_context daemon_;
   http::raw_server upstream_{daemon_.loop};
   dialect_functions dialect_{};
@@ -207,5 +224,19 @@
   EXPECT_EQ(dispatcher_->Load().queued, 0) << "the last request was taken";
 }
 
+// Guards against a response that is kept after its request's deadline for a daemon that takes
+// nothing, and against a daemon that is not told that the request has run.
+TEST_F(PeerServerTest, GivesUpAResponseAtTheDeadline) {
+  AskForLargeResponse(kernel::milliseconds(300));
+  http::RunUntil(daemon_.loop, [this] { return response_.has_value(); });
+  EXPECT_FALSE(response_->last);
+  EXPECT_FALSE(failed_);
+  http::RunUntil(daemon_.loop, [this] { return failed_.has_value(); });
+  EXPECT_EQ(failed_->failure, protocol::run_failure::kUpstreamError);
+  EXPECT_EQ(failed_->load.slots, 1);
+  EXPECT_TRUE(bulk_.idle());
+  EXPECT_FALSE(link_closed_);
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
