Count responses of other daemons before they arrive

A daemon kept what others sent it up to 32 MiB a link, uncounted, and closed the link beyond, so that the responses of some callers failed the requests of all others on it.

run_response states the size of the whole body (0 from older daemons). Room for it is taken when the first message arrives, by piece if the size is unknown, and leaves with whole_response::hold. Without room, or beyond 32 MiB, the request is cancelled at the other daemon and fails as one that may have run; the link stays open, and the failure does not count against the daemon. Counted in cornelweir_link_responses_dropped_total.

The test ClosesTheLinkOnAnEndlessBody becomes EndsARequestWithAnEndlessBody: the bound of the bytes is the same, and the test now also wants the request cancelled, nothing held afterwards, and other requests on the link answered.

--- a/cornelweir/src/memory/memory_use.h
+++ b/cornelweir/src/memory/memory_use.h
@@ -14,7 +14,7 @@
   kCallerRequests,
   // Responses that wait for their caller, and room kept for those of requests that were sent on.
   kCallerResponses,
-  // Responses that are being read from the upstream.
+  // Responses that are being read from the upstream or received from another daemon.
   kUpstreamResponses,
   // Responses that wait for the link to another daemon.
   kLinkTransfers,
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -165,6 +165,8 @@
   bool last = true;
   // Usual run time of the requests of its route at the upstream; 0 if unknown.
   kernel::microseconds route_run_time{};
+  // Size of the whole body if `last` is not set; 0 from older daemons.
+  std::uint64_t body_bytes = 0;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"i", &run_response::id},
@@ -173,7 +175,8 @@
                       kernel::field{"w", &run_response::load},
                       kernel::field{"n", &run_response::nested},
                       kernel::field{"e", &run_response::last},
-                      kernel::field{"t", &run_response::route_run_time}};
+                      kernel::field{"t", &run_response::route_run_time},
+                      kernel::field{"b", &run_response::body_bytes}};
   }
 };
 
--- a/cornelweir/src/protocol/limits.h
+++ b/cornelweir/src/protocol/limits.h
@@ -30,8 +30,8 @@
 // Largest sum of the parts of deflated bytes, such as a policy. It stays below the send queue of a
 // link and below the backlog of the leader's log.
 inline constexpr std::size_t kMaxPartedBytes = std::size_t{6} << 20;
-// Largest body of a request that is sent on credit, and largest sum of the bodies of the responses
-// that are being received on one link.
+// Largest body of a request that is sent on credit, and largest body of a response that is received
+// on a link.
 inline constexpr std::size_t kMaxLinkBodyBytes = std::size_t{32} << 20;
 // A link with pending requests is probed after kLinkProbeDelay without any message, and not used
 // for new requests after kLinkTimeout without any message. It is closed then if no results are
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -9,6 +9,7 @@
 
 #include "cornelweir/codec.h"
 #include "cornelweir/logging.h"
+#include "cornelweir/memory.h"
 #include "plugins/greeting.h"
 
 namespace cornelweir::plugins::sidecar {
@@ -134,7 +135,6 @@
   link_.reset();
   connected_ = false;
   silent_ = false;
-  response_bytes_ = 0;
   report_.reset();
   const auto abandoned = std::exchange(pending_, {});
   for (const auto& [id, call] : abandoned) call.done(internal::LostResult(call.body_unsent));
@@ -244,34 +244,62 @@
   response.headers = message.headers;
   found->second.nested = message.nested;
   RecordRunTime(found->second.route, message.route_run_time);
+  // An older daemon states no size; the room grows by piece then.
+  const std::uint64_t bytes = message.last ? payload.size() : message.body_bytes;
+  if (!TakeRoom(response, bytes)) return DropResponse(message.id);
+  response.body.reserve(bytes);
   OnBodyPiece({message.id, message.last}, payload);
 }
 
+bool peer::TakeRoom(http::whole_response& response, std::uint64_t bytes) {
+  if (bytes == 0) return true;
+  if (bytes > protocol::kMaxLinkBodyBytes) return false;
+  if (!response.hold) {
+    response.hold = std::make_shared<memory::memory_hold>(context_.memory,
+                                                          memory::memory_use::kUpstreamResponses);
+  }
+  const kernel::byte_count wanted(static_cast<std::int64_t>(bytes));
+  return wanted <= response.hold->bytes() || response.hold->Resize(wanted);
+}
+
 void peer::OnBodyPiece(const protocol::body_piece& message, std::string_view payload) {
   const auto found = pending_.find(message.id);
   if (found == pending_.end()) return;
-  response_bytes_ += payload.size();
-  if (response_bytes_ > protocol::kMaxLinkBodyBytes) {
-    link_->Close("response bodies too large");
-    return;
-  }
-  found->second.response.body.append(payload);
+  http::whole_response& response = found->second.response;
+  if (!TakeRoom(response, response.body.size() + payload.size())) return DropResponse(message.id);
+  response.body.append(payload);
   if (!message.last) return;
-  response_bytes_ -= found->second.response.body.size();
   run_result result;
-  result.response = std::exchange(found->second.response, {});
+  result.response = std::exchange(response, {});
   result.nested = found->second.nested;
   Finish(message.id, std::move(result));
 }
 
+// The link stays open for the responses to others.
+void peer::DropResponse(kernel::call_id id) {
+  context_.metrics
+      .Counter("cornelweir_link_responses_dropped_total",
+               "Responses of other daemons that were dropped for lack of memory", {})
+      .Increment();
+  SendData(*link_, protocol::cancel_request{id});
+  run_result result;
+  result.failure = protocol::run_failure::kUpstreamError;
+  result.nested = pending_.at(id).nested;
+  End(id, std::move(result));
+}
+
 void peer::Finish(kernel::call_id id, run_result result) {
+  if (!pending_.contains(id)) return;
+  RecordResult(result);
+  End(id, std::move(result));
+}
+
+void peer::End(kernel::call_id id, run_result result) {
   const auto found = pending_.find(id);
   if (found == pending_.end()) return;
   const pending ended = std::move(found->second);
   pending_.erase(found);
-  response_bytes_ -= ended.response.body.size();
   DropBody(id, ended);
-  RecordResult(result);
   ended.done(std::move(result));
 }
 
@@ -389,7 +417,6 @@
   if (found == pending_.end()) return;
   const admission::ticket ticket = found->second.ticket;
   DropBody(id, found->second);
-  response_bytes_ -= found->second.response.body.size();
   pending_.erase(found);
   if (dispatcher_ != nullptr) {
     dispatcher_->Cancel(ticket);
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -99,7 +99,13 @@
   void DropBody(kernel::call_id id, const pending& call);
   void DropAllBodies();
   void OnBodyPiece(const protocol::body_piece& message, std::string_view payload);
+  // Takes room for a response of which this many bytes are known. Returns false if there is none.
+  bool TakeRoom(http::whole_response& response, std::uint64_t bytes);
+  // Ends a request that has run, because there is no room for its response.
+  void DropResponse(kernel::call_id id);
   void Finish(kernel::call_id id, run_result result);
+  // Finish() without an effect on the failure rate of the peer.
+  void End(kernel::call_id id, run_result result);
   void RecordResult(const run_result& result);
   void RecordRunTime(const kernel::route_name& route, kernel::microseconds run_time);
   void OnNewLoad();
@@ -123,8 +129,6 @@
   kernel::time_point retry_at_;
   // Whether the daemon has not answered probes for some time. No requests are sent to it.
   bool silent_ = false;
-  // Size of the incomplete responses.
-  std::size_t response_bytes_ = 0;
   kernel::microseconds backoff_{};
   // When the load of report_ arrived, and what was sent to the daemon since then.
   kernel::time_point reported_at_;
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -228,6 +228,7 @@
     return;
   }
   response.last = false;
+  response.body_bytes = result.response->body.size();
   SendData(*link, std::move(response));
   SendBody(link, id,
            {std::move(result.response->body), std::move(result.response->hold), deadline});
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -1,5 +1,5 @@
-// Tests requests to another daemon that is silent for a while or sends endless bodies, and large
-// request bodies, which are sent on credit.
+// Tests requests to another daemon that is silent for a while or sends large or endless bodies, and
+// large request bodies, which are sent on credit.
 
 #include "plugins/sidecar/peer.h"
 
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "cornelweir/memory.h"
 #include "plugins/sidecar/data_frame.h"
 #include "tests/http_test_support.h"
 #include "tests/sidecar_test_context.h"
@@ -125,11 +126,14 @@
   EXPECT_FALSE(link_closed_);
 }
 
-// Guards against unbounded memory for the response of a daemon that never ends it.
-TEST_F(PeerTest, ClosesTheLinkOnAnEndlessBody) {
+// Guards against unbounded memory for the response of a daemon that never ends it, and against one
+// response that fails all others on its link.
+TEST_F(PeerTest, EndsARequestWithAnEndlessBody) {
   std::optional<run_result> result;
+  std::optional<run_result> other;
   Run(policy::retry_safety::kNonIdempotent, result);
-  http::RunUntil(daemon_.loop, [this] { return received_.size() == 1; });
+  const kernel::call_id other_id = Run(policy::retry_safety::kNonIdempotent, other);
+  http::RunUntil(daemon_.loop, [this] { return received_.size() == 2; });
   protocol::run_response response;
   response.id = received_[0];
   response.status = 200;
@@ -145,8 +149,83 @@
   });
   http::RunUntil(daemon_.loop, [&] { return result.has_value(); });
   EXPECT_FALSE(result->response);
+  EXPECT_EQ(result->failure, protocol::run_failure::kUpstreamError) << "it may have run";
   EXPECT_LT(sent, protocol::kMaxLinkBodyBytes + (std::size_t{16} << 20));
-  http::RunUntil(daemon_.loop, [&] { return link_closed_; });
+  EXPECT_EQ(daemon_.context.memory->taken(), kernel::byte_count(0));
+  http::RunUntil(daemon_.loop, [this] { return cancelled_.size() == 1; });
+  EXPECT_EQ(cancelled_[0], received_[0]);
+  // What is still sent of it is not kept.
+  const std::size_t sent_before = sent;
+  http::RunUntil(daemon_.loop, [&] { return sent > sent_before + (std::size_t{8} << 20); });
+  flood.Cancel();
+  EXPECT_EQ(daemon_.context.memory->taken(), kernel::byte_count(0));
+  response.id = other_id;
+  response.last = true;
+  SendData(*link_, response, "whole");
+  http::RunUntil(daemon_.loop, [&] { return other.has_value(); });
+  EXPECT_TRUE(other->response);
+  EXPECT_FALSE(link_closed_);
+}
+
+// Guards against a response that is received without room for it, against a request that is
+// reported as not run although it has, and against a link that is closed for it.
+TEST_F(PeerTest, DropsAResponseWithoutRoom) {
+  std::optional<run_result> large;
+  std::optional<run_result> small;
+  const kernel::call_id large_id = Run(policy::retry_safety::kNonIdempotent, large);
+  const kernel::call_id small_id = Run(policy::retry_safety::kNonIdempotent, small);
+  memory::memory_hold taken(daemon_.context.memory, memory::memory_use::kCallerResponses);
+  const std::int64_t limit = daemon_.context.memory->limit().value();
+  EXPECT_TRUE(taken.Resize(kernel::byte_count(limit * 75 / 100)));
+  protocol::run_response response;
+  response.id = large_id;
+  response.status = 200;
+  response.last = false;
+  response.body_bytes = std::size_t{15} << 20;
+  SendData(*link_, response);
+  http::RunUntil(daemon_.loop, [&] { return large.has_value(); });
+  EXPECT_FALSE(large->response);
+  EXPECT_EQ(large->failure, protocol::run_failure::kUpstreamError);
+  http::RunUntil(daemon_.loop, [this] { return !cancelled_.empty(); });
+  EXPECT_EQ(cancelled_, std::vector<kernel::call_id>{large_id});
+  EXPECT_EQ(daemon_.context.memory->refusals(memory::memory_use::kUpstreamResponses), 1U);
+  response.id = small_id;
+  response.last = true;
+  response.body_bytes = 0;
+  SendData(*link_, response, "small");
+  http::RunUntil(daemon_.loop, [&] { return small.has_value(); });
+  ASSERT_TRUE(small->response);
+  EXPECT_EQ(small->response->body, "small");
+  EXPECT_FALSE(link_closed_);
+}
+
+// Guards against a response whose bytes are not counted, before they arrive or after. A daemon of
+// an older version states no size, so its response is counted by piece.
+TEST_F(PeerTest, CountsTheBytesOfAResponse) {
+  using memory::memory_use;
+  for (const std::uint64_t stated : {std::uint64_t{100'000}, std::uint64_t{0}}) {
+    std::optional<run_result> result;
+    protocol::run_response response;
+    response.id = Run(policy::retry_safety::kNonIdempotent, result);
+    response.status = 200;
+    response.last = false;
+    response.body_bytes = stated;
+    SendData(*link_, response);
+    const auto taken = [this] {
+      return daemon_.context.memory->taken(memory_use::kUpstreamResponses).value();
+    };
+    if (stated > 0) http::RunUntil(daemon_.loop, [&] { return taken() == 100'000; });
+    SendData(*link_, protocol::body_piece{response.id, false}, std::string(60'000, 'x'));
+    if (stated == 0) http::RunUntil(daemon_.loop, [&] { return taken() == 60'000; });
+    SendData(*link_, protocol::body_piece{response.id, true}, std::string(40'000, 'x'));
+    http::RunUntil(daemon_.loop, [&] { return result.has_value(); });
+    ASSERT_TRUE(result->response);
+    EXPECT_EQ(result->response->body.size(), 100'000U);
+    ASSERT_TRUE(result->response->hold);
+    EXPECT_EQ(result->response->hold->bytes(), kernel::byte_count(100'000));
+    result.reset();
+    EXPECT_EQ(taken(), 0);
+  }
 }
 
 // Guards against bodies that are sent without credit, and against giving up a request as possibly
