--- a/cornelweir/src/http/admin_server.cc
+++ b/cornelweir/src/http/admin_server.cc
@@ -89,8 +89,10 @@
     replied_ = true;
     if (closed_) return;
     if (!TakeBody(response)) {
-      response = admin_response{503, "text/plain", "too many responses are being sent\n"};
-      body_ = std::make_shared<const std::string>(std::move(response.body));
+      response.status = 503;
+      response.content_type = "text/plain";
+      response.headers.clear();
+      body_ = std::make_shared<const std::string>("too many responses are being sent\n");
     }
     response_ = {};
     response_.result(static_cast<unsigned>(response.status));
