Bound the buffers of all requests that the proxy forwards

Each connection of a caller kept up to 64 KiB of its request's body for further attempts, also while it was idle: up to 256 MiB with 4,096 connections.

A request takes 16 KiB of the account (kCallerRequests) while it is in progress, and the bytes of its body that are retained. Without room for the body, the request is forwarded once and not sent again; without room for the rest it is answered 503, not run. The retained body is freed when the request is answered.

No limit of progress is added: the timeout of an attempt covers the whole response, and the write of a local response has one limit of 10 s, so a caller that takes some bytes now and then does not renew either.

The daemon was not run with this change.

--- a/cornelweir/src/http/caller_connection.cc
+++ b/cornelweir/src/http/caller_connection.cc
@@ -29,12 +29,28 @@
     : core_(std::move(core)),
       socket_(std::move(socket)),
       reader_(socket_, core_->limits().header_bytes),
-      timer_(core_->event_loop()) {}
+      timer_(core_->event_loop()) {
+  if (!core_->memory()) return;
+  hold_ =
+      std::make_unique<memory::memory_hold>(core_->memory(), memory::memory_use::kCallerRequests);
+}
 
 void caller_connection::Start() { AwaitRequest(); }
 
+bool caller_connection::TakeRoom(std::size_t retained_bytes) {
+  const std::size_t bytes = kForwardedRequestBytes + retained_bytes;
+  return !hold_ || hold_->Resize(kernel::byte_count(static_cast<std::int64_t>(bytes)));
+}
+
+void caller_connection::ReleaseRequest() {
+  retained_body_ = {};
+  retained_offset_ = 0;
+  if (hold_) hold_->Resize(kernel::byte_count(0));
+}
+
 void caller_connection::AwaitRequest() {
   phase_ = phase::kIdle;
+  ReleaseRequest();
   if (reader_.has_buffered_bytes()) return ReadHead();
   if (draining_ && Peek(socket_) != socket_state::kReadable) return Close();
   ArmTimer(core_->limits().idle_timeout);
@@ -85,6 +101,7 @@
   auto& parser = reader_.message();
   const request_fault fault = CheckRequestHead(parser.get());
   if (fault.status != 0) return RefuseAndClose(fault.status, fault.reason, false);
+  if (!TakeRoom(0)) return RefuseAndClose(503, "too many requests are in progress", false);
 
   timer_.Cancel();
   phase_ = phase::kExchange;
@@ -213,16 +230,20 @@
 
 void caller_connection::RetainBody(body_piece piece) {
   if (!retaining_body_) return;
-  if (retained_body_.size() + piece.bytes.size() > kMaxRetainedBodyBytes) {
-    retaining_body_ = false;
-    retained_body_ = {};
-    retained_offset_ = 0;
-    return;
-  }
+  const std::size_t bytes = retained_body_.size() + piece.bytes.size();
+  // Without room the request is still forwarded, but only once.
+  if (bytes > kMaxRetainedBodyBytes || !TakeRoom(bytes)) return StopRetaining();
   retained_body_.append(piece.bytes);
   retained_offset_ = retained_body_.size();
 }
 
+void caller_connection::StopRetaining() {
+  retaining_body_ = false;
+  retained_body_ = {};
+  retained_offset_ = 0;
+  TakeRoom(0);
+}
+
 void caller_connection::RefuseBody(const error_code& error, bool sent) {
   if (!CanAnswer()) return;
   const int status = StatusOfReadError(error);
@@ -337,6 +358,7 @@
   timer_.Cancel();
   error_code ignored;
   socket_.close(ignored);
+  if (hold_) hold_->Resize(kernel::byte_count(0));
   std::function<void()> on_caller_gone;
   if (const auto request = exchange_.lock()) on_caller_gone = request->on_caller_gone_;
   EndExchange();
--- a/cornelweir/src/http/caller_connection.h
+++ b/cornelweir/src/http/caller_connection.h
@@ -16,6 +16,7 @@
 #include "cornelweir/src/http/limits.h"
 #include "cornelweir/src/http/message_reader.h"
 #include "cornelweir/src/loop/timer.h"
+#include "cornelweir/src/memory/memory_hold.h"
 
 namespace cornelweir::http::internal {
 
@@ -81,6 +82,12 @@
   void Linger();
   void DiscardInput();
   void RetainBody(body_piece piece);
+  void StopRetaining();
+  // Takes room for a request of which this many bytes of the body are retained. Returns false if
+  // there is none.
+  bool TakeRoom(std::size_t retained_bytes);
+  // Frees what the last request has left.
+  void ReleaseRequest();
   void OnBodyPiece(const error_code& error, body_piece piece);
   bool CanAnswer() const;
   void ArmTimer(kernel::microseconds delay);
@@ -105,6 +112,8 @@
   std::string retained_body_;
   std::size_t retained_offset_ = 0;
   bool retaining_body_ = false;
+  // The bytes of the request in the account; null if they are not counted.
+  std::unique_ptr<memory::memory_hold> hold_;
   // Whether a read of the body is in progress. Its piece is passed to body_callback_, or kept in
   // undelivered_piece_ if the attempt that requested it has ended.
   bool reading_body_ = false;
--- a/cornelweir/src/http/limits.h
+++ b/cornelweir/src/http/limits.h
@@ -15,6 +15,9 @@
 inline constexpr std::size_t kStreamBufferBytes = std::size_t{16} << 10;
 // A request body up to this size is retained for further attempts.
 inline constexpr std::size_t kMaxRetainedBodyBytes = std::size_t{64} << 10;
+// Counted for the header and the stream buffers of each request in progress. The buffers are only
+// as large as what they contain, and most headers have less than 1 KiB.
+inline constexpr std::size_t kForwardedRequestBytes = std::size_t{16} << 10;
 // Largest copy of the start of a response body that a handler can request. Equal to the largest
 // body that is stored with an idempotency key.
 inline constexpr std::size_t kMaxBodyPrefixBytes = std::size_t{4} << 10;
--- a/cornelweir/src/http/proxy_core.cc
+++ b/cornelweir/src/http/proxy_core.cc
@@ -5,10 +5,12 @@
 namespace cornelweir::http::internal {
 
 proxy_core::proxy_core(loop::event_loop& loop, connection_pool& pool, proxy_limits limits,
-                       request_callback on_request, refusal_callback on_refusal)
+                       std::shared_ptr<memory::memory_account> memory, request_callback on_request,
+                       refusal_callback on_refusal)
     : loop_(loop),
       pool_(pool),
       limits_(limits),
+      memory_(std::move(memory)),
       on_request_(std::move(on_request)),
       on_refusal_(std::move(on_refusal)) {}
 
--- a/cornelweir/src/http/proxy_core.h
+++ b/cornelweir/src/http/proxy_core.h
@@ -12,6 +12,7 @@
 #include "cornelweir/src/http/exchange.h"
 #include "cornelweir/src/http/limits.h"
 #include "cornelweir/src/http/listener.h"
+#include "cornelweir/src/memory/memory_account.h"
 
 namespace cornelweir::http::internal {
 
@@ -23,7 +24,8 @@
   using refusal_callback = std::function<void(bool sent, header_list& headers)>;
 
   proxy_core(loop::event_loop& loop, connection_pool& pool, proxy_limits limits,
-             request_callback on_request, refusal_callback on_refusal);
+             std::shared_ptr<memory::memory_account> memory, request_callback on_request,
+             refusal_callback on_refusal);
 
   boost::leaf::result<void> Listen(const kernel::endpoint& endpoint);
   kernel::endpoint local_endpoint() const;
@@ -39,6 +41,8 @@
   loop::event_loop& event_loop() { return loop_; }
   connection_pool& pool() { return pool_; }
   const proxy_limits& limits() const { return limits_; }
+  // Null if the buffers of requests are not counted.
+  const std::shared_ptr<memory::memory_account>& memory() const { return memory_; }
   bool draining() const { return draining_; }
   std::size_t connections() const { return connections_.size(); }
 
@@ -48,6 +52,7 @@
   loop::event_loop& loop_;
   connection_pool& pool_;
   proxy_limits limits_;
+  std::shared_ptr<memory::memory_account> memory_;
   request_callback on_request_;
   refusal_callback on_refusal_;
   std::shared_ptr<listener> listener_;
--- a/cornelweir/src/http/proxy_server.h
+++ b/cornelweir/src/http/proxy_server.h
@@ -13,6 +13,7 @@
 #include "cornelweir/src/http/request_head.h"
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/loop/event_loop.h"
+#include "cornelweir/src/memory/memory_account.h"
 
 namespace cornelweir::http {
 
@@ -35,10 +36,12 @@
 template <request_handler Handler>
 class proxy_server {
  public:
+  // The buffers of requests are counted in the account, if there is one. A request without room is
+  // refused.
   proxy_server(loop::event_loop& loop, connection_pool& pool, Handler& handler,
-               proxy_limits limits = {})
+               proxy_limits limits = {}, std::shared_ptr<memory::memory_account> memory = nullptr)
       : core_(std::make_shared<internal::proxy_core>(
-            loop, pool, limits,
+            loop, pool, limits, std::move(memory),
             [&handler](const std::shared_ptr<exchange>& request) {
               handler.HandleRequest(request->head(), request);
             },
--- a/plugins/proxy/proxy_plugin.cc
+++ b/plugins/proxy/proxy_plugin.cc
@@ -59,7 +59,8 @@
               .publisher_contact = [this] { local_upstream_.OnPublisherContact(); }}),
       local_upstream_(context, control_client_, subscription_),
       router_(context, control_client_, subscription_, local_upstream_, pool_),
-      server_(context.loop, pool_, router_, internal::ServerLimits(*context.settings.proxy)),
+      server_(context.loop, pool_, router_, internal::ServerLimits(*context.settings.proxy),
+              context.memory),
       shutdown_timer_(context.loop),
       status_timer_(context.loop) {
   context_.admin.Handle(http::method::get, "/v1/proxy",
--- a/tests/http_proxy_test.cc
+++ b/tests/http_proxy_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +13,7 @@
 #include "cornelweir/http.h"
 #include "cornelweir/kernel.h"
 #include "cornelweir/loop.h"
+#include "cornelweir/memory.h"
 #include "tests/http_test_support.h"
 
 namespace cornelweir::http {
@@ -34,7 +36,7 @@
  protected:
   void StartProxy(proxy_limits limits = {}, pool_limits pool = {}) {
     pool_.emplace(loop_, pool);
-    proxy_.emplace(loop_, *pool_, handler_, limits);
+    proxy_.emplace(loop_, *pool_, handler_, limits, account_);
     handler_.handle = [this](const request_head&, const std::shared_ptr<exchange>& request) {
       Forward(request, server_.endpoint());
     };
@@ -54,6 +56,18 @@
     request->ForwardTo(endpoint, {}, timeout_, std::move(callbacks));
   }
 
+  // Takes holds of these sizes from the account for as long as they exist.
+  std::vector<std::unique_ptr<memory::memory_hold>> TakeBytes(
+      const std::vector<std::int64_t>& sizes) {
+    std::vector<std::unique_ptr<memory::memory_hold>> holds;
+    for (const std::int64_t size : sizes) {
+      holds.push_back(
+          std::make_unique<memory::memory_hold>(account_, memory::memory_use::kCallerResponses));
+      EXPECT_TRUE(holds.back()->Resize(kernel::byte_count(size)));
+    }
+    return holds;
+  }
+
   std::shared_ptr<raw_peer> Connect() { return raw_peer::Connect(loop_, proxy_->local_endpoint()); }
 
   // Answers each request that ends with a blank line.
@@ -84,6 +98,8 @@
   std::vector<forward_result> results_;
   kernel::microseconds timeout_ = seconds(30);
   loop::event_loop loop_;
+  std::shared_ptr<memory::memory_account> account_ =
+      std::make_shared<memory::memory_account>(kernel::byte_count(1'000'000));
   raw_server server_{loop_};
   test_handler handler_;
   std::optional<connection_pool> pool_;
@@ -653,6 +669,52 @@
   EXPECT_EQ(server_.peers.size(), 1U);
 }
 
+// Guards against requests that together take more memory than the process has, and against room
+// that is not given back.
+TEST_F(ProxyTest, RefusesARequestWithoutRoom) {
+  StartProxy();
+  AnswerWith(Answer("ok"));
+  const auto caller = Connect();
+  EXPECT_TRUE(Exchange(*caller, kGet).starts_with("HTTP/1.1 200"));
+  RunUntil([&] { return account_->taken() == kernel::byte_count(0); });
+  {
+    const auto taken = TakeBytes({800'000, 60'000, 60'000, 60'000, 10'000});
+    const auto refused = Connect();
+    EXPECT_TRUE(Exchange(*refused, kGet).starts_with("HTTP/1.1 503"));
+    RunUntil([&] { return refused->closed; });
+    EXPECT_EQ(results_.size(), 1U);
+  }
+  EXPECT_TRUE(Exchange(*caller, kGet).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against bodies that are retained without room for them. Their requests are forwarded once.
+TEST_F(ProxyTest, RetainsNoBodyWithoutRoom) {
+  StartProxy();
+  const std::string body = Pattern(60'000, 7);
+  std::string received;
+  server_.on_bytes = [&](raw_peer& peer) {
+    received = peer.received;
+    if (peer.received.ends_with(body)) peer.Send(Answer("ok"));
+  };
+  std::optional<bool> could_retry;
+  handler_.handle = [&](const request_head&, const std::shared_ptr<exchange>& request) {
+    forward_callbacks callbacks;
+    callbacks.accept_response = [&, request](int, const header_list&) {
+      could_retry = !request->RetainedBody().empty();
+      return true;
+    };
+    request->ForwardTo(server_.endpoint(), {}, timeout_, std::move(callbacks));
+  };
+  const auto caller = Connect();
+  EXPECT_TRUE(Exchange(*caller, Post(body)).starts_with("HTTP/1.1 200"));
+  EXPECT_EQ(could_retry, true);
+  could_retry.reset();
+  const auto taken = TakeBytes({800'000, 60'000, 60'000, 30'000});
+  EXPECT_TRUE(Exchange(*caller, Post(body)).starts_with("HTTP/1.1 200"));
+  EXPECT_EQ(could_retry, false);
+  EXPECT_TRUE(received.ends_with(body));
+}
+
 // Guards against the response of an upstream that refused a request reaching the caller although
 // another upstream could receive_upload it.
 TEST_F(ProxyTest, ForwardsToAnotherServerAfterADeclinedResponse) {
