--- a/cornelweir/src/http/limits.h
+++ b/cornelweir/src/http/limits.h
@@ -42,12 +42,6 @@
 // The same for late responses to earlier requests.
 inline constexpr int kMaxStaleResponses = 8;
 
-// A connection is closed if its client takes less than kMinWriteProgressBytes, or less than all
-// that is left, of a response in kWriteProgressTime. A limit of the time between two writes would
-// let a client that takes a few bytes now and then hold a response forever.
-inline constexpr std::size_t kMinWriteProgressBytes = std::size_t{64} << 10;
-inline constexpr std::chrono::seconds kWriteProgressTime{10};
-
 // Names a request. A server that returns it allows a proxy to tell whose response it has received.
 inline constexpr std::string_view kRequestIdHeader = "x-request-id";
 
--- a/plugins/metrics/metrics_plugin.cc
+++ b/plugins/metrics/metrics_plugin.cc
@@ -1,6 +1,8 @@
 #include <boost/leaf.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -23,6 +25,7 @@
       context.admin.Handle(http::method::get, path, std::move(handler));
     };
     get("/metrics", [this](const http::admin_request&, http::admin_reply reply) {
+      ReportMemory();
       http::admin_response response;
       response.content_type = "text/plain; version=0.0.4";
       response.body = context_.metrics.Render();
@@ -39,6 +42,24 @@
   void BeginShutdown(std::function<void()> done) { context_.loop.Post(std::move(done)); }
 
  private:
+  void ReportMemory() {
+    const memory::memory_account& account = *context_.memory;
+    metrics::metrics_registry& metrics = context_.metrics;
+    metrics
+        .Gauge("cornelweir_memory_limit_bytes", "Bytes that the process may hold for others", {})
+        .Set(static_cast<double>(account.limit().value()));
+    for (std::size_t i = 0; i < memory::kMemoryUses; ++i) {
+      const auto use = static_cast<memory::memory_use>(i);
+      const metrics::label_list labels{{"use", std::string(memory::UseName(use))}};
+      metrics.Gauge("cornelweir_memory_held_bytes", "Bytes that the process holds for others", labels)
+          .Set(static_cast<double>(account.taken(use).value()));
+      metrics
+          .Gauge("cornelweir_memory_refusals", "Times that there was no room, since the start",
+                 labels)
+          .Set(static_cast<double>(account.refusals(use)));
+    }
+  }
+
   daemon_context& context_;
 };
 
