--- a/plugins/metrics/metrics_plugin.cc
+++ b/plugins/metrics/metrics_plugin.cc
@@ -45,13 +45,13 @@
   void ReportMemory() {
     const memory::memory_account& account = *context_.memory;
     metrics::metrics_registry& metrics = context_.metrics;
-    metrics
-        .Gauge("cornelweir_memory_limit_bytes", "Bytes that the process may hold for others", {})
+    metrics.Gauge("cornelweir_memory_limit_bytes", "Bytes that the process may hold for others", {})
         .Set(static_cast<double>(account.limit().value()));
     for (std::size_t i = 0; i < memory::kMemoryUses; ++i) {
       const auto use = static_cast<memory::memory_use>(i);
       const metrics::label_list labels{{"use", std::string(memory::UseName(use))}};
-      metrics.Gauge("cornelweir_memory_held_bytes", "Bytes that the process holds for others", labels)
+      metrics
+          .Gauge("cornelweir_memory_held_bytes", "Bytes that the process holds for others", labels)
           .Set(static_cast<double>(account.taken(use).value()));
       metrics
           .Gauge("cornelweir_memory_refusals", "Times that there was no room, since the start",
