--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/http_test_support.h"
@@ -50,8 +51,12 @@
     dialect_functions functions{};
     functions.decode_call = &DecodeCall;
     functions.reply = &Reply;
-    functions.encode_run = [](const protocol::run_request&, std::string, const kernel::upstream_id&,
-                              kernel::milliseconds) { return http::whole_request(); };
+    functions.encode_run = [](const protocol::run_request&, std::string body,
+                              const kernel::upstream_id&, kernel::milliseconds) {
+      http::whole_request request;
+      request.body = std::move(body);
+      return request;
+    };
     return functions;
   }
 
--- a/tests/control_mesh_silence_test.cc
+++ b/tests/control_mesh_silence_test.cc
@@ -17,6 +17,7 @@
 // Guards against a group that stays without a leader until its processes restart: the link to a
 // host is open, and all that is sent on it is acknowledged, but it carries nothing any more in at
 // least one direction.
+// NOLINTNEXTLINE(readability-identifier-naming)
 class ControlMeshOnASilentLink : public testing::TestWithParam<tcp_relay::direction> {};
 
 TEST_P(ControlMeshOnASilentLink, ReplacesTheLink) {
--- a/tests/http_upstream_test.cc
+++ b/tests/http_upstream_test.cc
@@ -250,8 +250,9 @@
     ASSERT_TRUE(others->Resize(kernel::byte_count(32'000'000)));
     Request(id);
     const std::size_t sent_before = server_->sent;
-    server_->Send(has_length ? Response(id, body)
-                             : "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\n" + body);
+    std::string unframed = "HTTP/1.1 200 OK\r\nId: ";
+    unframed.append(id).append("\r\n\r\n").append(body);
+    server_->Send(has_length ? Response(id, body) : unframed);
     server_->CloseWhenSent();
     RunUntil(loop_,
              [&] { return account_->refusals(memory::memory_use::kUpstreamResponses) > refusals; });
