Ask the system for unacknowledged bytes in one place

The callers' connections and the links between control hosts each made the same system call with the same handling of its error. loop::UnacknowledgedBytes serves both.

--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -1,8 +1,5 @@
 #include "cornelweir/src/http/pipeline_connection.h"
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -11,6 +8,7 @@
 #include <utility>
 
 #include "cornelweir/src/http/pipeline_core.h"
+#include "cornelweir/src/loop/unacknowledged_bytes.h"
 
 namespace cornelweir::http::internal {
 
@@ -291,10 +289,8 @@
 }
 
 std::uint64_t pipeline_connection::TakenBytes() {
-  int queued = 0;
-  if (::ioctl(socket_.native_handle(), SIOCOUTQ, &queued) != 0) queued = 0;
   const std::uint64_t accepted = earlier_bytes_ + accepted_bytes_;
-  return accepted - std::min(accepted, static_cast<std::uint64_t>(queued));
+  return accepted - std::min<std::uint64_t>(accepted, loop::UnacknowledgedBytes(socket_));
 }
 
 kernel::microseconds pipeline_connection::WriteAge(kernel::time_point now) const {
--- a/cornelweir/src/transport/socket_stream.cc
+++ b/cornelweir/src/transport/socket_stream.cc
@@ -1,12 +1,11 @@
 #include "cornelweir/src/transport/socket_stream.h"
 
-#include <linux/sockios.h>
 #include <openssl/ssl.h>
 #include <openssl/x509.h>
-#include <sys/ioctl.h>
 
 #include <array>
 
+#include "cornelweir/src/loop/unacknowledged_bytes.h"
 #include "cornelweir/src/transport/limits.h"
 
 namespace cornelweir::transport::internal {
@@ -23,12 +22,7 @@
   return buffer;
 }
 
-std::size_t socket_stream::UnacknowledgedBytes() {
-  int bytes = 0;
-  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg)
-  if (::ioctl(tcp_socket().native_handle(), SIOCOUTQ, &bytes) != 0 || bytes < 0) return 0;
-  return static_cast<std::size_t>(bytes);
-}
+std::size_t socket_stream::UnacknowledgedBytes() { return loop::UnacknowledgedBytes(tcp_socket()); }
 
 std::string socket_stream::PeerRole() {
   if (!tls_stream_) return {};
