Test all readers of the daemons with broken responses that they refuse

Cause: each reader of responses (upstream client, proxy, client) has its own tests of a few broken responses, so a rule that one of them lacks does not show.

Change: one table of responses, broken and unusual but valid, through which the test of each reader runs. They pass without a change of the product.

--- a/tests/http_admin_test.cc
+++ b/tests/http_admin_test.cc
@@ -11,6 +11,7 @@
 #include "cornelweir/loop.h"
 #include "cornelweir/memory.h"
 #include "tests/http_test_support.h"
+#include "tests/response_cases.h"
 
 namespace cornelweir::http {
 namespace {
@@ -286,5 +287,32 @@
   EXPECT_EQ(failure(seconds(30)), (http_error{http_fault::kConnectFailed, false}));
 }
 
+// Guards against an invalid response that the client returns as a complete one, and against a valid
+// one that it refuses.
+TEST_F(AdminTest, ClientReturnsCompleteResponsesOnly) {
+  raw_server server(loop_);
+  std::string bytes;
+  server.on_bytes = [&bytes](raw_peer& peer) {
+    if (peer.closed) return;
+    peer.Send(bytes);
+    peer.CloseWhenSent();
+  };
+  const auto get = [&](const response_case& tested) {
+    bytes = tested.bytes;
+    std::optional<http_result<client_response>> answer;
+    client_.Request(server.endpoint(), method::get, "/", "", seconds(30),
+                    [&](http_result<client_response> result) { answer = std::move(result); });
+    RunUntil(loop_, [&] { return answer.has_value(); });
+    return *std::move(answer);
+  };
+  for (const response_case& broken : BrokenResponses()) EXPECT_FALSE(get(broken)) << broken.name;
+  for (const response_case& complete : CompleteResponses()) {
+    const auto answer = get(complete);
+    ASSERT_TRUE(answer) << complete.name;
+    EXPECT_EQ(answer.value().status, *complete.status) << complete.name;
+    EXPECT_EQ(answer.value().body, complete.body) << complete.name;
+  }
+}
+
 }  // namespace
 }  // namespace cornelweir::http
--- a/tests/http_proxy_test.cc
+++ b/tests/http_proxy_test.cc
@@ -15,6 +15,7 @@
 #include "cornelweir/loop.h"
 #include "cornelweir/memory.h"
 #include "tests/http_test_support.h"
+#include "tests/response_cases.h"
 
 namespace cornelweir::http {
 namespace {
@@ -455,6 +456,39 @@
   }
 }
 
+// Guards against an invalid response that is forwarded as a complete one, and against a valid one
+// that is refused.
+TEST_F(ProxyTest, ForwardsCompleteResponsesOnly) {
+  StartProxy();
+  std::string bytes;
+  server_.on_bytes = [&bytes](raw_peer& peer) {
+    if (peer.closed) return;
+    peer.Send(bytes);
+    peer.CloseWhenSent();
+  };
+  const auto forward = [&](const response_case& tested) {
+    bytes = tested.bytes;
+    results_.clear();
+    const auto caller = Connect();
+    caller->Send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    RunUntil([&] { return caller->closed; });
+    return caller->received;
+  };
+  for (const response_case& broken : BrokenResponses()) {
+    const std::string received = forward(broken);
+    ASSERT_EQ(results_.size(), 1U) << broken.name;
+    EXPECT_NE(results_[0].outcome, forward_status::kComplete) << broken.name;
+    EXPECT_FALSE(received.ends_with("0\r\n\r\n")) << broken.name;
+  }
+  for (const response_case& complete : CompleteResponses()) {
+    const std::string received = forward(complete);
+    ASSERT_EQ(results_.size(), 1U) << complete.name;
+    EXPECT_EQ(results_[0].outcome, forward_status::kComplete) << complete.name;
+    EXPECT_EQ(results_[0].status, *complete.status) << complete.name;
+    EXPECT_EQ(results_[0].body_prefix, complete.body) << complete.name;
+  }
+}
+
 // Guards against a request that may have run being reported as not sent, which can happen if the
 // server closes a new or a reused connection without a response.
 TEST_F(ProxyTest, ReportsAConnectionThatBreaksBeforeTheResponse) {
--- a/tests/http_upstream_test.cc
+++ b/tests/http_upstream_test.cc
@@ -9,6 +9,7 @@
 
 #include "cornelweir/memory.h"
 #include "tests/http_test_support.h"
+#include "tests/response_cases.h"
 
 namespace cornelweir::http {
 namespace {
@@ -54,6 +55,19 @@
            "\r\n\r\n" + body;
   }
 
+  // Sends a request to a server and returns its result, whatever the id of the response.
+  upstream_result Send(const raw_server& server, const std::string& method,
+                       const std::string& body = "") {
+    result_.reset();
+    client_.SetEndpoint(server.endpoint());
+    client_.Send(
+        {method, "/", {{"Host", "h"}}, body}, std::chrono::seconds(20),
+        [](const whole_response&) { return response_match::kMatched; },
+        [this](upstream_result result) { result_ = std::move(result); });
+    AwaitResult();
+    return *std::move(result_);
+  }
+
   // Sends a request to which the server answers with a prefix and then endless further bytes.
   // Expects that the connection is closed before the server has sent max_bytes.
   void ExpectBrokenByEndlessBytes(const std::string& prefix, const std::string& repeated,
@@ -160,10 +174,48 @@
   EXPECT_EQ(result_->status, upstream_status::kNotSent);
 }
 
+// Guards against an invalid response that is delivered, and against a valid one that is refused.
+TEST_F(upstream, DeliversCompleteResponsesOnly) {
+  raw_server server(loop_);
+  std::string bytes;
+  server.on_bytes = [&bytes](raw_peer& peer) {
+    if (peer.closed) return;
+    peer.Send(bytes);
+    peer.CloseWhenSent();
+  };
+  for (const response_case& broken : BrokenResponses()) {
+    bytes = broken.bytes;
+    EXPECT_EQ(Send(server, "GET").status, upstream_status::kBroken) << broken.name;
+  }
+  for (const response_case& complete : CompleteResponses()) {
+    bytes = complete.bytes;
+    const upstream_result result = Send(server, "GET");
+    ASSERT_EQ(result.status, upstream_status::kResponse) << complete.name;
+    EXPECT_EQ(result.response.status, *complete.status) << complete.name;
+    EXPECT_EQ(result.response.body, complete.body) << complete.name;
+  }
+}
+
 // Bytes that fit in the socket buffers of both sides of a loopback connection.
 constexpr std::size_t kSocketBufferBytes = std::size_t{12} << 20;
 const std::string kFiller(std::size_t{32} << 10, 'x');
 
+// Guards against the loss of a response without a length to an upload that was read.
+TEST_F(upstream, AcceptsAnUnframedResponseToAWholeUpload) {
+  const std::string body(2 * kSocketBufferBytes, 'x');
+  raw_server server(loop_);
+  server.on_bytes = [&body](raw_peer& peer) {
+    if (peer.closed) return;
+    const std::size_t head = peer.received.find("\r\n\r\n") + 4;
+    if (peer.received.size() < head + body.size()) return;
+    peer.Send("HTTP/1.1 200 OK\r\n\r\nall of it");
+    peer.CloseWhenSent();
+  };
+  const upstream_result result = Send(server, "POST", body);
+  ASSERT_EQ(result.status, upstream_status::kResponse);
+  EXPECT_EQ(result.response.body, "all of it");
+}
+
 // Guards against unbounded memory for a response header that never ends.
 TEST_F(upstream, ClosesOnAnEndlessHeader) {
   ExpectBrokenByEndlessBytes("HTTP/1.1 200 OK\r\nId: a\r\nFiller: ", kFiller,
