Refuse folded lines in the responses of upstreams

What callers saw: a field whose name begins with a blank or a tab is a folded line to the parser. The sidecar answered 200 with the line glued to the value of the field before it, be it the signature, and without a field such as Content-Length that the line was meant to be: the body was then all that came until the end of the connection.

Cause: the check of folding stood in message_reader and in the server of the sidecar, not in the reader of its upstream, which fed the parser with pieces of a header.

Change: message_parser takes each header as a whole and refuses a folded line before the bytes are interpreted. The reader of the sidecar and message_reader both use it, so the check can't be left out by one of them; the search for the end of a header stands there once, too.

--- a/cornelweir/src/http/message_reader.h
+++ b/cornelweir/src/http/message_reader.h
@@ -7,7 +7,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/optional.hpp>
 #include <cstdint>
 #include <optional>
@@ -16,6 +15,7 @@
 #include <vector>
 
 #include "cornelweir/src/http/limits.h"
+#include "cornelweir/src/http/message_parser.h"
 
 namespace cornelweir::http::internal {
 
@@ -27,7 +27,7 @@
 template <bool is_request>
 class message_reader {
  public:
-  using parser = boost::beast::http::parser<is_request, boost::beast::http::buffer_body>;
+  using parser = message_parser<is_request, boost::beast::http::buffer_body>;
 
   struct piece {
     std::string_view bytes;
@@ -43,11 +43,9 @@
   // Starts a message. A body larger than body_limit fails with error::body_limit. skip_body is for
   // responses to HEAD, which may announce a body but have none.
   void Begin(std::optional<std::uint64_t> body_limit, bool skip_body) {
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(header_bytes_));
+    parser_.emplace(header_bytes_);
     parser_->body_limit(body_limit ? boost::optional<std::uint64_t>(*body_limit) : boost::none);
     parser_->skip(skip_body);
-    scanned_bytes_ = 0;
   }
 
   // Calls done(error_code) when the header is parsed, or immediately if it is already buffered.
@@ -71,7 +69,7 @@
     body.data = bytes_.data();
     body.size = bytes_.size();
     parser_->eager(true);
-    const std::size_t consumed = parser_->put(buffer_.data(), error);
+    const std::size_t consumed = parser_->Put(buffered(), error);
     buffer_.consume(consumed);
     const piece found{{bytes_.data(), bytes_.size() - body.size}, parser_->is_done()};
     if (error == boost::beast::http::error::need_buffer ||
@@ -89,9 +87,7 @@
     if (const auto found = TakeBuffered(error)) return done(error, *found);
     ReadSome([this, done = std::move(done)](error_code read_error) mutable {
       if (read_error == boost::asio::error::eof) {
-        if (!parser_->need_eof()) return done(PartialMessage(), piece{});
-        // A response without a length is delimited by the end of the connection.
-        parser_->put_eof(read_error);
+        parser_->PutEnd(read_error);
         return done(read_error, piece{{}, true});
       }
       if (read_error) return done(read_error, piece{});
@@ -108,38 +104,16 @@
   void DiscardBuffered() { buffer_.clear(); }
 
  private:
-  static error_code PartialMessage() { return boost::beast::http::error::partial_message; }
-
-  // Whether the header uses line folding. RFC 9112 deprecates it, and parsers that disagree about
-  // it may see different requests (request smuggling).
-  static bool HasLineFolding(std::string_view head) {
-    return head.find("\n ") != std::string_view::npos ||
-           head.find("\n\t") != std::string_view::npos;
+  std::string_view buffered() const {
+    return {static_cast<const char*>(buffer_.data().data()), buffer_.size()};
   }
 
+  // Returns whether the header is complete, or sets error on failure.
   bool ParseHead(error_code& error) {
-    const std::string_view bytes(static_cast<const char*>(buffer_.data().data()), buffer_.size());
-    const std::size_t end = bytes.find("\r\n\r\n", scanned_bytes_ < 3 ? 0 : scanned_bytes_ - 3);
-    if (end == std::string_view::npos) {
-      scanned_bytes_ = bytes.size();
-      if (bytes.size() < header_bytes_) return false;
-      error = boost::beast::http::error::header_limit;
-      return true;
-    }
-    const std::string_view head = bytes.substr(0, end + 4);
-    if (head.size() > header_bytes_) {
-      error = boost::beast::http::error::header_limit;
-      return true;
-    }
-    if (HasLineFolding(head)) {
-      error = boost::beast::http::error::bad_value;
-      return true;
-    }
-    const std::size_t consumed =
-        parser_->put(boost::asio::const_buffer(head.data(), head.size()), error);
-    buffer_.consume(consumed);
-    if (!error && !parser_->is_header_done()) error = PartialMessage();
-    return true;
+    buffer_.consume(parser_->Put(buffered(), error));
+    if (error != boost::beast::http::error::need_more) return true;
+    error = {};
+    return false;
   }
 
   template <class Done>
@@ -158,7 +132,6 @@
   std::size_t header_bytes_;
   boost::beast::flat_buffer buffer_;
   std::optional<parser> parser_;
-  std::size_t scanned_bytes_ = 0;
   std::vector<char> bytes_;
 };
 
--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/status.hpp>
 #include <utility>
 
+#include "cornelweir/src/http/line_folding.h"
 #include "cornelweir/src/http/pipeline_core.h"
 #include "cornelweir/src/loop/unacknowledged_bytes.h"
 
@@ -29,12 +30,6 @@
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-// Whether the header uses line folding. RFC 9112 deprecates it, and parsers that disagree about it
-// may see different requests (request smuggling).
-bool HasLineFolding(std::string_view head) {
-  return head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos;
-}
-
 std::string SerializeHead(const whole_response& response, bool last) {
   std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ';
   head += beast_http::obsolete_reason(
--- a/cornelweir/src/http/upstream_connection.cc
+++ b/cornelweir/src/http/upstream_connection.cc
@@ -162,8 +162,7 @@
 void upstream_connection::BeginResponse() {
   const auto pool = pool_.lock();
   if (!pool) return;
-  parser_ = std::make_unique<parser>();
-  parser_->header_limit(static_cast<std::uint32_t>(pool->limits.header_bytes));
+  parser_ = std::make_unique<parser>(pool->limits.header_bytes);
   parser_->body_limit(pool->limits.body_bytes);
   // Stops after the header, since the parser allocates the body with its first byte.
   parser_->eager(false);
@@ -211,22 +210,20 @@
       if (!TakeRoom()) return AwaitRoom();
       parser_->eager(true);
     }
-    const std::size_t consumed = parser_->put(boost::asio::buffer(input_), error);
+    const std::size_t consumed = parser_->Put(input_, error);
     input_.erase(0, consumed);
     if (error && error != beast_http::error::need_more) return End(upstream_status::kBroken, {});
     if (parser_->is_done()) {
       OnResponse();
     } else if (error || consumed == 0) {
-      // The parser consumes a body at once. It leaves only an incomplete header, or the header of a
-      // chunk, whose size it does not limit.
+      // The parser consumes a body at once. It leaves only an incomplete header, which it limits,
+      // or the header of a chunk, which it does not.
       if (input_.size() > pool->limits.header_bytes) return End(upstream_status::kBroken, {});
       break;
     }
   }
   if (!at_eof || !exchange_) return;
-  // Only a response without a length ends with the connection; any other one is truncated.
-  if (!parser_->is_header_done() || !parser_->need_eof()) return End(upstream_status::kBroken, {});
-  parser_->put_eof(error);
+  parser_->PutEnd(error);
   if (error) return End(upstream_status::kBroken, {});
   keep_alive_ = false;
   OnResponse();
--- a/cornelweir/src/http/upstream_connection.h
+++ b/cornelweir/src/http/upstream_connection.h
@@ -3,7 +3,6 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <functional>
@@ -12,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "cornelweir/src/http/message_parser.h"
 #include "cornelweir/src/http/upstream_client.h"
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/loop/timer.h"
@@ -67,7 +67,7 @@
   kernel::time_point idle_until;
 
  private:
-  using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using parser = message_parser<false, boost::beast::http::string_body>;
 
   void Connect();
   void Write();
--- a/tests/response_cases.h
+++ b/tests/response_cases.h
@@ -75,6 +75,24 @@
   return cases;
 }
 
+// A line that begins with a blank continues the value of the line before it.
+inline response_cases FoldedLines() {
+  response_cases cases;
+  for (const std::string blank : {" ", "\t"}) {
+    const std::string after = blank == " " ? " after a blank" : " after a tab";
+    const auto add = [&](const std::string& what, const std::string& lines) {
+      cases.push_back({what + after, "HTTP/1.1 200 OK\r\n" + lines + "\r\nok"});
+    };
+    add("folded value", "X: a\r\n" + blank + "b\r\nContent-Length: 2\r\n");
+    add("folded last line", "Content-Length: 2\r\nX: a\r\n" + blank + "b\r\n");
+    add("folded first line", blank + "X: a\r\nContent-Length: 2\r\n");
+    add("folded Content-Length", "X: a\r\n" + blank + "Content-Length: 2\r\n");
+    cases.push_back({"folded line of an interim response" + after,
+                     "HTTP/1.1 102 Processing\r\nX: a\r\n" + blank + "b\r\n\r\n" + kOkResponse});
+  }
+  return cases;
+}
+
 inline response_cases AmbiguousLengths() {
   const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
   response_cases cases = {
@@ -112,8 +130,8 @@
 // Responses that are invalid, or whose end or meaning is not known for certain.
 inline response_cases BrokenResponses() {
   response_cases all;
-  for (const response_cases& cases :
-       {MalformedStatusLines(), InvalidNames(), AmbiguousLengths(), TruncatedResponses()}) {
+  for (const response_cases& cases : {MalformedStatusLines(), InvalidNames(), FoldedLines(),
+                                      AmbiguousLengths(), TruncatedResponses()}) {
     all.insert(all.end(), cases.begin(), cases.end());
   }
   return all;
