Take the end of a reset connection for no end of a response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a whole body, with status 200 and the signature.

Cause: the kernel reports a reset once, to whichever call comes first. The write of the upload took the error and its handler dropped it; the read that followed saw an ordinary end of the connection, which completes a response without a length. An upstream that closes before it has the whole request resets the connection in the same way.

With a length or chunks, or with no request left to write, the truncation was noticed before.

Change: response_parser::PutEnd decides for all readers that the end of the connection completes a response only if it has no length and the request was written as a whole; else something else may have taken the error. Each reader tells it so; the flags that they kept for the reuse of the connection are gone. That also closes an upstream's connection after a request whose write failed: its flag was overwritten by the response's.

A response without a length to an upload that was read still arrives (AcceptsAnUnframedResponseToAWholeUpload).

--- a/cornelweir/src/http/client.cc
+++ b/cornelweir/src/http/client.cc
@@ -50,6 +50,7 @@
 
   void Write() {
     connection_->reader.Begin(max_body_bytes_, request_.method() == beast_http::verb::head);
+    connection_->reader.SetRequestProgress(request_progress::kPartlyWritten);
     // From here on part of the request may have been sent, unless the write fails with 0 bytes.
     sent_ = true;
     beast_http::async_write(connection_->socket, request_,
@@ -65,7 +66,7 @@
     }
     // A server may respond and close before it has read the whole body, so after a partial write
     // the read determines the result.
-    written_ = !error;
+    if (!error) connection_->reader.SetRequestProgress(request_progress::kWritten);
     ReadHead();
   }
 
@@ -96,7 +97,7 @@
             return self->Fail(http_fault::kTooLarge);
           }
           if (!piece.last) return self->ReadBody();
-          const bool reusable = self->written_ && self->connection_->reader.message().keep_alive();
+          const bool reusable = self->connection_->reader.IsReusable();
           self->Finish(std::move(self->response_), reusable);
         });
   }
@@ -137,7 +138,6 @@
   client_response response_;
   int interims_ = 0;
   bool sent_ = false;
-  bool written_ = false;
   bool finished_ = false;
 };
 
--- a/cornelweir/src/http/forward_operation.cc
+++ b/cornelweir/src/http/forward_operation.cc
@@ -58,6 +58,7 @@
   connection_ = std::move(acquired);
   started_at_ = clock_.Now();
   connection_->reader.Begin(std::nullopt, is_head_request_);
+  connection_->reader.SetRequestProgress(request_progress::kPartlyWritten);
   error_code error;
   const auto piece = caller_->TakeBufferedBody(error);
   if (error) return FailRequestBody(error);
@@ -110,7 +111,7 @@
   // A server may respond and close before it has read the whole body: the read decides the result.
   if (failed) return;
   if (!request_.body().more) {
-    request_done_ = true;
+    connection_->reader.SetRequestProgress(request_progress::kWritten);
     return;
   }
   ReadRequestBody();
@@ -293,11 +294,9 @@
   deadline_.Cancel();
   pool_.Cancel(acquire_id_);
   if (connection_) {
-    const auto& reader = connection_->reader;
     const bool exchange_complete =
         status == forward_status::kComplete || status == forward_status::kDeclined;
-    const bool reusable = exchange_complete && request_done_ && reader.done() &&
-                          connection_->reader.message().keep_alive();
+    const bool reusable = exchange_complete && connection_->reader.IsReusable();
     pool_.Release(endpoint_, connection_, reusable);
     if (result_.status == 0 && result_.sent) result_.latency = clock_.Now() - started_at_;
   }
--- a/cornelweir/src/http/forward_operation.h
+++ b/cornelweir/src/http/forward_operation.h
@@ -73,7 +73,6 @@
   std::optional<boost::beast::http::request_serializer<boost::beast::http::buffer_body>>
       request_serializer_;
   bool writing_request_ = false;
-  bool request_done_ = false;
   // The read failed during a write; the result of the write tells whether bytes were sent.
   bool read_failed_ = false;
   error_code body_error_;
--- a/cornelweir/src/http/message_parser.h
+++ b/cornelweir/src/http/message_parser.h
@@ -42,15 +42,6 @@
     return PutHead(bytes, error);
   }
 
-  // Ends the message with its connection. Only a response without a length is complete then.
-  void PutEnd(boost::system::error_code& error) {
-    if (!is_header_done() || !base::need_eof()) {
-      error = boost::beast::http::error::partial_message;
-      return;
-    }
-    base::put_eof(error);
-  }
-
  private:
   std::size_t PutHead(std::string_view bytes, boost::system::error_code& error) {
     namespace beast_http = boost::beast::http;
--- a/cornelweir/src/http/message_reader.h
+++ b/cornelweir/src/http/message_reader.h
@@ -11,11 +11,13 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
 #include "cornelweir/src/http/limits.h"
 #include "cornelweir/src/http/message_parser.h"
+#include "cornelweir/src/http/response_parser.h"
 
 namespace cornelweir::http::internal {
 
@@ -27,7 +29,9 @@
 template <bool is_request>
 class message_reader {
  public:
-  using parser = message_parser<is_request, boost::beast::http::buffer_body>;
+  using body_type = boost::beast::http::buffer_body;
+  using parser =
+      std::conditional_t<is_request, message_parser<true, body_type>, response_parser<body_type>>;
 
   struct piece {
     std::string_view bytes;
@@ -48,6 +52,15 @@
     parser_->skip(skip_body);
   }
 
+  // Sets how far the request was written whose response is read. Stays over interim responses.
+  void SetRequestProgress(request_progress progress) requires(!is_request) {
+    request_progress_ = progress;
+  }
+  // Whether the exchange is complete and the connection can take another request.
+  bool IsReusable() const requires(!is_request) {
+    return request_progress_ == request_progress::kWritten && done() && parser_->keep_alive();
+  }
+
   // Calls done(error_code) when the header is parsed, or immediately if it is already buffered.
   template <class Done>
   void ReadHead(Done done) {
@@ -87,7 +100,7 @@
     if (const auto found = TakeBuffered(error)) return done(error, *found);
     ReadSome([this, done = std::move(done)](error_code read_error) mutable {
       if (read_error == boost::asio::error::eof) {
-        parser_->PutEnd(read_error);
+        PutEnd(read_error);
         return done(read_error, piece{{}, true});
       }
       if (read_error) return done(read_error, piece{});
@@ -116,6 +129,15 @@
     return false;
   }
 
+  // The connection has ended within a body. A request always states the length of its body.
+  void PutEnd(error_code& error) {
+    if constexpr (is_request) {
+      error = boost::beast::http::error::partial_message;
+    } else {
+      parser_->PutEnd(request_progress_, error);
+    }
+  }
+
   template <class Done>
   void ReadSome(Done done) {
     const std::size_t free_space = buffer_.max_size() - buffer_.size();
@@ -132,6 +154,7 @@
   std::size_t header_bytes_;
   boost::beast::flat_buffer buffer_;
   std::optional<parser> parser_;
+  request_progress request_progress_ = request_progress::kPartlyWritten;
   std::vector<char> bytes_;
 };
 
--- /dev/null
+++ b/cornelweir/src/http/response_parser.h
@@ -0,0 +1,41 @@
+#ifndef CORNELWEIR_SRC_HTTP_RESPONSE_PARSER_H_
+#define CORNELWEIR_SRC_HTTP_RESPONSE_PARSER_H_
+
+#include <boost/beast/http/error.hpp>
+#include <boost/system/error_code.hpp>
+#include <cstdint>
+
+#include "cornelweir/src/http/message_parser.h"
+
+namespace cornelweir::http {
+
+// How far the request that a response belongs to was written.
+enum class request_progress : std::uint8_t {
+  // Not written as a whole: it is being written, or its write has failed.
+  kPartlyWritten,
+  kWritten,
+};
+
+// Parses one response. It decides for all readers what a valid and complete response is.
+template <class Body>
+class response_parser : public internal::message_parser<false, Body> {
+  using base = internal::message_parser<false, Body>;
+
+ public:
+  using base::base;
+
+  // Ends the response with its connection. Only a response without a length is complete then, and
+  // only if the request was written as a whole: the kernel reports a reset once, so if the write
+  // gets the error, the read sees an ordinary end.
+  void PutEnd(request_progress request, boost::system::error_code& error) {
+    if (!this->is_header_done() || !this->need_eof() || request != request_progress::kWritten) {
+      error = boost::beast::http::error::partial_message;
+      return;
+    }
+    this->put_eof(error);
+  }
+};
+
+}  // namespace cornelweir::http
+
+#endif  // CORNELWEIR_SRC_HTTP_RESPONSE_PARSER_H_
--- a/cornelweir/src/http/upstream_connection.cc
+++ b/cornelweir/src/http/upstream_connection.cc
@@ -118,6 +118,7 @@
   output_ = Serialize(request);
   is_head_request_ = request.method == "HEAD";
   write_started_ = false;
+  request_progress_ = request_progress::kPartlyWritten;
   interim_count_ = stale_count_ = 0;
   BeginResponse();
   deadline_timer_.Start(timeout, [this] {
@@ -149,12 +150,11 @@
 // whole request.
 void upstream_connection::Write() {
   write_started_ = true;
-  writing_ = true;
   boost::asio::async_write(socket_, boost::asio::buffer(output_),
                            [self = shared_from_this()](const error_code& error, std::size_t) {
-                             self->writing_ = false;
-                             // A response may still arrive; the read determines the result.
-                             if (error) self->keep_alive_ = false;
+                             // After a failure, a response may still arrive; the read determines
+                             // the result.
+                             if (!error) self->request_progress_ = request_progress::kWritten;
                            });
   AwaitBytes();
 }
@@ -223,9 +223,8 @@
     }
   }
   if (!at_eof || !exchange_) return;
-  parser_->PutEnd(error);
+  parser_->PutEnd(request_progress_, error);
   if (error) return End(upstream_status::kBroken, {});
-  keep_alive_ = false;
   OnResponse();
 }
 
@@ -322,7 +321,8 @@
   const auto pool = pool_.lock();
   // Bytes after a complete response belong to no request, and a request that is not fully written
   // would have the next request inserted in it.
-  if (!pool || !keep_alive_ || writing_ || !input_.empty()) return Close();
+  const bool written = request_progress_ == request_progress::kWritten;
+  if (!pool || !keep_alive_ || !written || !input_.empty()) return Close();
   output_ = {};
   input_ = {};
   parser_.reset();
--- a/cornelweir/src/http/upstream_connection.h
+++ b/cornelweir/src/http/upstream_connection.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "cornelweir/src/http/message_parser.h"
+#include "cornelweir/src/http/response_parser.h"
 #include "cornelweir/src/http/upstream_client.h"
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/loop/timer.h"
@@ -67,7 +67,7 @@
   kernel::time_point idle_until;
 
  private:
-  using parser = message_parser<false, boost::beast::http::string_body>;
+  using parser = response_parser<boost::beast::http::string_body>;
 
   void Connect();
   void Write();
@@ -95,6 +95,7 @@
   std::unique_ptr<parser> parser_;
   // The bytes of the body that is being read; null if it has none so far.
   std::shared_ptr<memory::memory_hold> hold_;
+  request_progress request_progress_ = request_progress::kPartlyWritten;
   // Responses to the current request that were skipped.
   int interim_count_ = 0;
   int stale_count_ = 0;
@@ -102,7 +103,6 @@
   bool is_head_request_ = false;
   bool connected_ = false;
   bool write_started_ = false;
-  bool writing_ = false;
   bool read_wait_pending_ = false;
   bool keep_alive_ = false;
   bool closed_ = false;
--- a/tests/http_admin_test.cc
+++ b/tests/http_admin_test.cc
@@ -314,5 +314,22 @@
   }
 }
 
+// Guards against a part of a body that the client returns as a whole one: if the write of the
+// request gets the error of a reset, the read sees an ordinary end of the connection.
+TEST_F(AdminTest, ClientRefusesAnUnframedResponseWhoseConnectionIsReset) {
+  raw_server server(loop_);
+  server.on_bytes = [](raw_peer& peer) {
+    if (!peer.paused) peer.SendAndReset(kUnframedPart);
+  };
+  for (const std::size_t bytes : {0, 300'000, 24'000'000}) {
+    std::optional<http_result<client_response>> answer;
+    client_.Request(server.endpoint(), method::post, "/", std::string(bytes, 'x'), seconds(30),
+                    [&](http_result<client_response> result) { answer = std::move(result); });
+    RunUntil(loop_, [&] { return answer.has_value(); });
+    ASSERT_FALSE(*answer) << bytes;
+    EXPECT_EQ(answer->error(), (http_error{http_fault::kConnectionBroken, true})) << bytes;
+  }
+}
+
 }  // namespace
 }  // namespace cornelweir::http
--- a/tests/http_proxy_test.cc
+++ b/tests/http_proxy_test.cc
@@ -489,6 +489,24 @@
   }
 }
 
+// Guards against a part of a body that is forwarded as a whole one: if the write of the request
+// gets the error of a reset, the read sees an ordinary end of the connection.
+TEST_F(ProxyTest, BreaksAnUnframedResponseWhoseConnectionIsReset) {
+  StartProxy();
+  server_.on_bytes = [](raw_peer& peer) {
+    if (!peer.paused) peer.SendAndReset(kUnframedPart);
+  };
+  for (const std::size_t bytes : {0, 300'000, 24'000'000}) {
+    results_.clear();
+    const auto caller = Connect();
+    caller->Send(Post(std::string(bytes, 'x')));
+    RunUntil([&] { return caller->closed; });
+    ASSERT_EQ(results_.size(), 1U);
+    EXPECT_EQ(results_[0].outcome, forward_status::kBrokenDuringResponse) << bytes;
+    EXPECT_FALSE(caller->received.ends_with("0\r\n\r\n")) << bytes;
+  }
+}
+
 // Guards against a request that may have run being reported as not sent, which can happen if the
 // server closes a new or a reused connection without a response.
 TEST_F(ProxyTest, ReportsAConnectionThatBreaksBeforeTheResponse) {
--- a/tests/http_test_support.h
+++ b/tests/http_test_support.h
@@ -75,9 +75,18 @@
 
   void Close() {
     boost::system::error_code ignored;
+    if (reset_at_close_) socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
   }
 
+  // Stops reading, sends the bytes and then resets the connection.
+  void SendAndReset(std::string bytes) {
+    paused = true;
+    reset_at_close_ = true;
+    Send(std::move(bytes));
+    CloseWhenSent();
+  }
+
   // Removes the next whole response with a content length from what was received.
   std::string TakeResponse() {
     const std::size_t end = received.find("\r\n\r\n");
@@ -124,6 +133,7 @@
   std::array<char, 65536> buffer_;
   std::deque<std::string> outgoing_;
   bool close_when_sent_ = false;
+  bool reset_at_close_ = false;
 };
 
 // A server whose connections a test drives byte by byte.
--- a/tests/http_upstream_test.cc
+++ b/tests/http_upstream_test.cc
@@ -200,6 +200,34 @@
 constexpr std::size_t kSocketBufferBytes = std::size_t{12} << 20;
 const std::string kFiller(std::size_t{32} << 10, 'x');
 
+// Guards against a part of a body that is delivered as a whole one: the kernel reports a reset
+// once, and if the write of the request gets the error, the read sees an ordinary end of the
+// connection.
+TEST_F(upstream, RefusesAnUnframedResponseWhoseConnectionIsReset) {
+  raw_server server(loop_);
+  server.on_bytes = [](raw_peer& peer) {
+    if (!peer.paused) peer.SendAndReset(kUnframedPart);
+  };
+  for (const std::size_t bytes : {std::size_t{0}, std::size_t{300'000}, 2 * kSocketBufferBytes}) {
+    const upstream_result result = Send(server, "POST", std::string(bytes, 'x'));
+    EXPECT_EQ(result.status, upstream_status::kBroken) << "upload of " << bytes << " bytes";
+  }
+}
+
+// Guards against a part of a body that is delivered as a whole one, if a server closes its
+// connection before it has read the request.
+TEST_F(upstream, RefusesAnUnframedResponseThatEndsBeforeTheRequest) {
+  raw_server server(loop_);
+  server.on_bytes = [](raw_peer& peer) {
+    if (peer.paused) return;
+    peer.paused = true;
+    peer.Send(kUnframedPart);
+    peer.CloseWhenSent();
+  };
+  EXPECT_EQ(Send(server, "POST", std::string(2 * kSocketBufferBytes, 'x')).status,
+            upstream_status::kBroken);
+}
+
 // Guards against the loss of a response without a length to an upload that was read.
 TEST_F(upstream, AcceptsAnUnframedResponseToAWholeUpload) {
   const std::string body(2 * kSocketBufferBytes, 'x');
