Refuse responses with an invalid status wherever they are read

What callers saw: an upstream in trouble answered with status 000 (or 001, 099, 600, 999, also after an upload). The caller got it as an answer, signature and all: "HTTP/1.1 0 Continue".

Cause: the parser takes any three digits, no reader checked them, and 0 also stood for "no response yet". A daemon that received a response with status 0 in parts from another one, which then stopped, reported the request as not run although it had run, so it could run again.

Change: status_code holds 100 to 599 only (RFC 9110, section 15), has no value for "none", and is the type of the status of every response that is received; what may be missing is an optional. CheckResponseHead, which response_parser calls for interim and final responses, refuses the others and 101, since no request asks for an upgrade. A response of another daemon is checked in the same way: its request ends as one that may have run, and the link stays open for the others. Refusals of requests that can't be read use the type, too. FaultOfReadError names the reason of a failed read in one place for the proxy and the client.

--- a/cornelweir/http.h
+++ b/cornelweir/http.h
@@ -21,6 +21,8 @@
 #include "cornelweir/src/http/pipeline_server.h"
 #include "cornelweir/src/http/proxy_server.h"
 #include "cornelweir/src/http/request_head.h"
+#include "cornelweir/src/http/response_parser.h"
+#include "cornelweir/src/http/status_code.h"
 #include "cornelweir/src/http/upstream_client.h"
 #include "cornelweir/src/http/whole_message.h"
 
--- a/cornelweir/src/http/caller_connection.cc
+++ b/cornelweir/src/http/caller_connection.cc
@@ -94,13 +94,13 @@
   if (phase_ != phase::kHead) return;
   is_head_request_ = false;
   if (error) {
-    const int status = StatusOfReadError(error);
-    if (status == 0) return Close();
-    return RefuseAndClose(status, "the request header can't be read", false);
+    const auto status = StatusOfReadError(error);
+    if (!status) return Close();
+    return RefuseAndClose(*status, "the request header can't be read", false);
   }
   auto& parser = reader_.message();
   const request_fault fault = CheckRequestHead(parser.get());
-  if (fault.status != 0) return RefuseAndClose(fault.status, fault.reason, false);
+  if (fault.status) return RefuseAndClose(*fault.status, fault.reason, false);
   if (!TakeRoom(0)) return RefuseAndClose(503, "too many requests are in progress", false);
 
   timer_.Cancel();
@@ -246,10 +246,10 @@
 
 void caller_connection::RefuseBody(const error_code& error, bool sent) {
   if (!CanAnswer()) return;
-  const int status = StatusOfReadError(error);
-  if (status == 0) return Close();
+  const auto status = StatusOfReadError(error);
+  if (!status) return Close();
   EndExchange();
-  RefuseAndClose(status, "the request body can't be read", sent);
+  RefuseAndClose(*status, "the request body can't be read", sent);
 }
 
 bool caller_connection::CanKeepAlive() const { return keep_alive_ && !draining_ && reader_.done(); }
@@ -261,9 +261,9 @@
   Linger();
 }
 
-void caller_connection::RefuseAndClose(int status, std::string_view reason, bool sent) {
+void caller_connection::RefuseAndClose(status_code status, std::string_view reason, bool sent) {
   local_response response;
-  response.status = status;
+  response.status = status.value();
   response.body = std::string(reason) + "\n";
   core_->AddRefusalHeaders(sent, response.headers);
   WriteResponse(std::move(response), false);
--- a/cornelweir/src/http/caller_connection.h
+++ b/cornelweir/src/http/caller_connection.h
@@ -15,6 +15,7 @@
 #include "cornelweir/src/http/exchange.h"
 #include "cornelweir/src/http/limits.h"
 #include "cornelweir/src/http/message_reader.h"
+#include "cornelweir/src/http/status_code.h"
 #include "cornelweir/src/loop/timer.h"
 #include "cornelweir/src/memory/memory_hold.h"
 
@@ -77,7 +78,7 @@
   void ReadHead();
   void OnHead(const error_code& error);
   void OnTimeout();
-  void RefuseAndClose(int status, std::string_view reason, bool sent);
+  void RefuseAndClose(status_code status, std::string_view reason, bool sent);
   void WriteResponse(local_response response, bool keep_alive);
   void Linger();
   void DiscardInput();
--- a/cornelweir/src/http/client.cc
+++ b/cornelweir/src/http/client.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "cornelweir/src/loop/timer.h"
@@ -73,16 +74,15 @@
   void ReadHead() {
     connection_->reader.ReadHead([self = shared_from_this()](const error_code& error) {
       if (self->finished_) return;
-      if (error) return self->FailReading(error);
-      const auto& head = self->connection_->reader.message().get();
-      if (self->connection_->reader.is_interim()) {
+      if (error) return self->Fail(FaultOfReadError(error));
+      auto& message = self->connection_->reader.message();
+      if (message.status().is_interim()) {
         if (++self->interims_ > kMaxInterimResponses) return self->Fail(http_fault::kMalformed);
         self->connection_->reader.Begin(self->max_body_bytes_,
                                         self->request_.method() == beast_http::verb::head);
         return self->ReadHead();
       }
-      self->response_.status = static_cast<int>(head.result_int());
-      self->response_.headers = head.base();
+      self->response_.emplace(client_response{message.status(), std::move(message.get().base())});
       self->ReadBody();
     });
   }
@@ -91,28 +91,17 @@
     connection_->reader.ReadPiece(
         [self = shared_from_this()](const error_code& error, message_reader<false>::piece piece) {
           if (self->finished_) return;
-          if (error) return self->FailReading(error);
-          self->response_.body.append(piece.bytes);
-          if (self->response_.body.size() > self->max_body_bytes_) {
+          if (error) return self->Fail(FaultOfReadError(error));
+          self->response_->body.append(piece.bytes);
+          if (self->response_->body.size() > self->max_body_bytes_) {
             return self->Fail(http_fault::kTooLarge);
           }
           if (!piece.last) return self->ReadBody();
           const bool reusable = self->connection_->reader.IsReusable();
-          self->Finish(std::move(self->response_), reusable);
+          self->Finish(*std::move(self->response_), reusable);
         });
   }
 
-  void FailReading(const error_code& error) {
-    if (error == beast_http::error::body_limit || error == beast_http::error::header_limit) {
-      return Fail(http_fault::kTooLarge);
-    }
-    const bool parser_error =
-        error.category() == beast_http::make_error_code(beast_http::error::bad_version).category();
-    Fail(parser_error && error != beast_http::error::partial_message
-             ? http_fault::kMalformed
-             : http_fault::kConnectionBroken);
-  }
-
   void Fail(http_fault fault) { Finish(http_error{fault, sent_}, false); }
 
   void Finish(http_result<client_response> result, bool reusable) {
@@ -135,7 +124,7 @@
   connection_pool::acquire_id acquire_id_;
   connection_ptr connection_;
   beast_http::request<beast_http::string_body> request_;
-  client_response response_;
+  std::optional<client_response> response_;
   int interims_ = 0;
   bool sent_ = false;
   bool finished_ = false;
--- a/cornelweir/src/http/client.h
+++ b/cornelweir/src/http/client.h
@@ -11,6 +11,7 @@
 #include "cornelweir/src/http/header_list.h"
 #include "cornelweir/src/http/http_result.h"
 #include "cornelweir/src/http/limits.h"
+#include "cornelweir/src/http/status_code.h"
 #include "cornelweir/src/kernel/ids.h"
 #include "cornelweir/src/kernel/quantity.h"
 #include "cornelweir/src/loop/event_loop.h"
@@ -30,9 +31,9 @@
 // Moving headers copies (and may throw) only between unequal allocators, which are not used here.
 // NOLINTNEXTLINE(bugprone-exception-escape)
 struct client_response {
-  int status = 0;
-  header_list headers;
-  std::string body;
+  status_code status;
+  header_list headers = {};
+  std::string body = {};
 };
 
 // Sends requests over pooled connections and buffers whole responses. A truncated one is an error.
--- a/cornelweir/src/http/forward_operation.cc
+++ b/cornelweir/src/http/forward_operation.cc
@@ -134,7 +134,7 @@
 void forward_operation::OnResponseHead(const error_code& error) {
   if (finished_) return;
   if (error) {
-    result_.fault = http_fault::kConnectionBroken;
+    result_.fault = FaultOfReadError(error);
     if (!writing_request_) return FailBeforeResponse(result_.fault);
     read_failed_ = true;
     connection_->Close();
@@ -143,9 +143,9 @@
   if (!HasUsableFraming() || HasOtherRequestId()) {
     return FailBeforeResponse(http_fault::kMalformed);
   }
-  if (connection_->reader.is_interim()) return RelayInterimResponse();
+  if (connection_->reader.message().status().is_interim()) return RelayInterimResponse();
   result_.latency = clock_.Now() - started_at_;
-  result_.status = static_cast<int>(connection_->reader.message().get().result_int());
+  result_.status = connection_->reader.message().status();
   BeginResponse();
 }
 
@@ -169,11 +169,7 @@
 
 void forward_operation::RelayInterimResponse() {
   const auto& head = connection_->reader.message().get();
-  // No upgrade was requested, since the request was sent without its hop-by-hop headers.
-  if (head.result() == beast_http::status::switching_protocols ||
-      ++interim_count_ > kMaxInterimResponses) {
-    return FailBeforeResponse(http_fault::kMalformed);
-  }
+  if (++interim_count_ > kMaxInterimResponses) return FailBeforeResponse(http_fault::kMalformed);
   const bool relayed = head.result() != beast_http::status::continue_;
   if (relayed) {
     interim_response_ = {};
@@ -200,7 +196,7 @@
       std::move(static_cast<header_list&>(reader.message().get()));
   RemoveHopByHopHeaders(response_);
   result_.headers = response_;
-  if (callbacks_.accept_response && !callbacks_.accept_response(result_.status, response_)) {
+  if (callbacks_.accept_response && !callbacks_.accept_response(*result_.status, response_)) {
     if (finished_) return;
     // Consumes a body that has already arrived, so that the connection can be reused.
     error_code error;
@@ -213,9 +209,9 @@
   const auto piece = reader.TakeBuffered(error);
   if (error) return FailBeforeResponse(http_fault::kMalformed);
 
-  response_.result(static_cast<unsigned>(result_.status));
+  response_.result(static_cast<unsigned>(result_.status->value()));
   response_.version(11);
-  const bool bodiless = is_head_request_ || result_.status == 204 || result_.status == 304;
+  const bool bodiless = is_head_request_ || *result_.status == 204 || *result_.status == 304;
   if (!bodiless) {
     if (const auto length = reader.message().content_length()) {
       response_.content_length(*length);
@@ -225,7 +221,7 @@
   }
   result_.responded = true;
   caller_->BeginResponse();
-  if (callbacks_.on_response_head) callbacks_.on_response_head(result_.status, response_);
+  if (callbacks_.on_response_head) callbacks_.on_response_head(*result_.status, response_);
   if (finished_) return;
   caller_keep_alive_ = caller_->CanKeepAlive();
   response_.keep_alive(caller_keep_alive_);
@@ -298,7 +294,7 @@
         status == forward_status::kComplete || status == forward_status::kDeclined;
     const bool reusable = exchange_complete && connection_->reader.IsReusable();
     pool_.Release(endpoint_, connection_, reusable);
-    if (result_.status == 0 && result_.sent) result_.latency = clock_.Now() - started_at_;
+    if (!result_.status && result_.sent) result_.latency = clock_.Now() - started_at_;
   }
   result_.outcome = status;
   result_.body_prefix_is_whole =
--- a/cornelweir/src/http/forward_result.h
+++ b/cornelweir/src/http/forward_result.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "cornelweir/src/http/header_list.h"
 #include "cornelweir/src/http/http_error.h"
+#include "cornelweir/src/http/status_code.h"
 #include "cornelweir/src/kernel/quantity.h"
 
 namespace cornelweir::http {
@@ -43,8 +45,8 @@
   bool responded = false;
   // Why there was no response; for kNotSent, kBrokenBeforeResponse and kTimeout.
   http_fault fault = http_fault::kConnectionBroken;
-  // Status and headers of the upstream's response; 0 and empty without a response.
-  int status = 0;
+  // Status and headers of the upstream's response; empty without a response.
+  std::optional<status_code> status;
   header_list headers;
   // Time from the first byte written to the upstream to its response header, or to the end of the
   // attempt if there was none.
@@ -58,10 +60,10 @@
 struct forward_callbacks {
   // Decides whether a response is sent to the caller. If it returns false, the attempt ends with
   // kDeclined, and the handler must respond or forward again. If empty, all responses are accepted.
-  std::function<bool(int status, const header_list& headers)> accept_response;
+  std::function<bool(status_code status, const header_list& headers)> accept_response;
   // Called before the response header is sent to the caller. Headers that it sets replace those of
   // the upstream; it must not change headers that frame the body.
-  std::function<void(int status, header_list& headers)> on_response_head;
+  std::function<void(status_code status, header_list& headers)> on_response_head;
   std::function<void(const forward_result&)> on_done;
   // Number of bytes of the response body to copy to body_prefix, at most kMaxBodyPrefixBytes.
   std::size_t body_prefix_bytes = 0;
--- a/cornelweir/src/http/message_reader.h
+++ b/cornelweir/src/http/message_reader.h
@@ -109,9 +109,6 @@
   }
 
   parser& message() { return *parser_; }
-  // Whether a final response follows this one. Tests the number, since the library's status enum
-  // does not cover all codes.
-  bool is_interim() const requires(!is_request) { return parser_->get().result_int() / 100 == 1; }
   bool done() const { return parser_ && parser_->is_done(); }
   bool has_buffered_bytes() const { return buffer_.size() > 0; }
   void DiscardBuffered() { buffer_.clear(); }
--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -31,15 +31,15 @@
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string SerializeHead(const whole_response& response, bool last) {
-  std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ';
+  std::string head = "HTTP/1.1 " + std::to_string(response.status.value()) + ' ';
   head += beast_http::obsolete_reason(
-      beast_http::int_to_status(static_cast<unsigned>(std::clamp(response.status, 100, 599))));
+      beast_http::int_to_status(static_cast<unsigned>(response.status.value())));
   head += "\r\n";
   for (const auto& [name, value] : response.headers) {
     head.append(name).append(": ").append(value).append("\r\n");
   }
   const bool may_have_body =
-      response.status >= 200 && response.status != 204 && response.status != 304;
+      !response.status.is_interim() && response.status != 204 && response.status != 304;
   if (may_have_body) head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
   if (last) head += "Connection: close\r\n";
   head += "\r\n";
@@ -127,7 +127,7 @@
       input_.erase(0, consumed);
       if (!CheckBufferLimit()) return;
       if (error == beast_http::error::need_more) break;
-      if (error) return Refuse(StatusOfReadError(error), "the request can't be read");
+      if (error) return RefuseUnreadable(error, "the request can't be read");
       if (consumed == 0) break;
     }
     if (!parser_->is_done()) break;
@@ -155,13 +155,13 @@
     parser_->eager(true);
   }
   if (error && error != beast_http::error::need_more) {
-    Refuse(StatusOfReadError(error), "the request header can't be read");
+    RefuseUnreadable(error, "the request header can't be read");
     return false;
   }
   input_.erase(0, size);
   const request_fault fault = CheckRequestHead(parser_->get());
-  if (fault.status != 0) {
-    Refuse(fault.status, fault.reason);
+  if (fault.status) {
+    Refuse(*fault.status, fault.reason);
     return false;
   }
   if (!parser_->is_done() && parser_->get().count(beast_http::field::expect) > 0) SendContinue();
@@ -209,8 +209,13 @@
   if (core_->handle_request) core_->handle_request(accepted);
 }
 
-void pipeline_connection::Refuse(int status, std::string_view reason) {
-  if (status == 0) return Close();
+void pipeline_connection::RefuseUnreadable(const error_code& error, std::string_view reason) {
+  const auto status = StatusOfReadError(error);
+  if (!status) return Close();
+  Refuse(*status, reason);
+}
+
+void pipeline_connection::Refuse(status_code status, std::string_view reason) {
   intake_.Close();
   parser_.reset();
   input_ = {};
@@ -221,7 +226,7 @@
 }
 
 void pipeline_connection::OnAnswered(const pipeline_request& answered) {
-  unwritten_bytes_ += answered.response_.body.size();
+  unwritten_bytes_ += answered.response_->body.size();
   if (!writing_) progress_.Begin(core_->Now(), TakenBytes());
   Flush();
 }
@@ -239,10 +244,10 @@
   writing_ = true;
   write_began_at_ = core_->Now();
   accepted_bytes_ = 0;
-  output_bytes_ = answered.response_.body.size();
-  output_hold_ = std::move(answered.response_.hold);
-  output_head_ = SerializeHead(answered.response_, last);
-  if (!answered.is_head_request_) output_body_ = std::move(answered.response_.body);
+  output_bytes_ = answered.response_->body.size();
+  output_hold_ = std::move(answered.response_->hold);
+  output_head_ = SerializeHead(*answered.response_, last);
+  if (!answered.is_head_request_) output_body_ = std::move(answered.response_->body);
   RecordActivity();
   const std::array<boost::asio::const_buffer, 2> output{boost::asio::buffer(output_head_),
                                                         boost::asio::buffer(output_body_)};
@@ -344,7 +349,7 @@
   core_->Remove(self);
   for (const auto& request : unfinished) {
     if (request->answered_) {
-      request->response_ = {};
+      request->response_.reset();
       continue;
     }
     request->answered_ = true;
--- a/cornelweir/src/http/pipeline_connection.h
+++ b/cornelweir/src/http/pipeline_connection.h
@@ -60,7 +60,9 @@
   bool CheckBufferLimit();
   void Dispatch();
   void SendContinue();
-  void Refuse(int status, std::string_view reason);
+  // Refuses a request with the status for the error, or closes the connection if there is none.
+  void RefuseUnreadable(const boost::system::error_code& error, std::string_view reason);
+  void Refuse(status_code status, std::string_view reason);
   // Writes the available responses in request order.
   void Flush();
   void Write(pipeline_request& answered, bool last);
--- a/cornelweir/src/http/pipeline_server.h
+++ b/cornelweir/src/http/pipeline_server.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "cornelweir/src/http/limits.h"
 #include "cornelweir/src/http/whole_message.h"
@@ -84,7 +85,7 @@
   std::size_t body_bytes_;
   std::size_t expected_bytes_ = 0;
   bool answered_ = false;
-  whole_response response_;
+  std::optional<whole_response> response_;
 };
 
 // Serves callers that pipeline requests. Requests are dispatched as they arrive, and responses are
@@ -93,7 +94,8 @@
  public:
   using handler = std::function<void(const std::shared_ptr<pipeline_request>&)>;
   // Builds the response to a request that can't be served.
-  using refusal_builder = std::function<whole_response(int status, std::string_view reason)>;
+  using refusal_builder =
+      std::function<whole_response(status_code status, std::string_view reason)>;
 
   pipeline_server(loop::event_loop& loop, handler handle_request, refusal_builder build_refusal);
   pipeline_server(const pipeline_server&) = delete;
--- a/cornelweir/src/http/response_parser.h
+++ b/cornelweir/src/http/response_parser.h
@@ -4,8 +4,10 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstdint>
+#include <string_view>
 
 #include "cornelweir/src/http/message_parser.h"
+#include "cornelweir/src/http/response_check.h"
 
 namespace cornelweir::http {
 
@@ -24,6 +26,19 @@
  public:
   using base::base;
 
+  // As message_parser::Put(). A response that can't be used is an error once its header is there.
+  std::size_t Put(std::string_view bytes, boost::system::error_code& error) {
+    const bool in_head = !this->is_header_done();
+    const std::size_t consumed = base::Put(bytes, error);
+    if (in_head && this->is_header_done() && !error) {
+      error = internal::CheckResponseHead(this->get());
+    }
+    return consumed;
+  }
+
+  // Requires that the header was taken without an error.
+  status_code status() const { return status_code::Parse(this->get().result_int()).value(); }
+
   // Ends the response with its connection. Only a response without a length is complete then, and
   // only if the request was written as a whole: the kernel reports a reset once, so if the write
   // gets the error, the read sees an ordinary end.
--- a/cornelweir/src/http/upstream_client.h
+++ b/cornelweir/src/http/upstream_client.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "cornelweir/src/http/limits.h"
 #include "cornelweir/src/http/whole_message.h"
@@ -41,10 +42,10 @@
   kTimeout,
 };
 
-// The result of an exchange. response is set only if status is kResponse.
+// The result of an exchange. response is set if and only if status is kResponse.
 struct upstream_result {
   upstream_status status = upstream_status::kNotSent;
-  whole_response response;
+  std::optional<whole_response> response;
 };
 
 // Limits of the connections to one upstream.
--- a/cornelweir/src/http/upstream_connection.cc
+++ b/cornelweir/src/http/upstream_connection.cc
@@ -122,7 +122,7 @@
   interim_count_ = stale_count_ = 0;
   BeginResponse();
   deadline_timer_.Start(timeout, [this] {
-    End(write_started_ ? upstream_status::kTimeout : upstream_status::kNotSent, {});
+    End(write_started_ ? upstream_status::kTimeout : upstream_status::kNotSent, std::nullopt);
   });
   if (connected_) return Write();
   Connect();
@@ -132,12 +132,12 @@
   const auto pool = pool_.lock();
   if (!pool) return;
   connect_timer_.Start(pool->limits.connect_timeout, [this] {
-    if (!connected_) End(upstream_status::kNotSent, {});
+    if (!connected_) End(upstream_status::kNotSent, std::nullopt);
   });
   socket_.async_connect(pool->endpoint, [self = shared_from_this()](const error_code& error) {
     if (self->closed_) return;
     self->connect_timer_.Cancel();
-    if (error) return self->End(upstream_status::kNotSent, {});
+    if (error) return self->End(upstream_status::kNotSent, std::nullopt);
     error_code ignored;
     self->socket_.non_blocking(true, ignored);
     loop::ConfigureTcpSocket(self->socket_, kTcpKeepaliveOptions);
@@ -194,7 +194,7 @@
     return AwaitBytes();
   }
   if (error == boost::asio::error::eof) return Parse(true);
-  if (error) return End(upstream_status::kBroken, {});
+  if (error) return End(upstream_status::kBroken, std::nullopt);
   input_.append(pool->read_buffer.data(), size);
   const auto self = shared_from_this();
   Parse(false);
@@ -212,19 +212,21 @@
     }
     const std::size_t consumed = parser_->Put(input_, error);
     input_.erase(0, consumed);
-    if (error && error != beast_http::error::need_more) return End(upstream_status::kBroken, {});
+    if (error && error != beast_http::error::need_more)
+      return End(upstream_status::kBroken, std::nullopt);
     if (parser_->is_done()) {
       OnResponse();
     } else if (error || consumed == 0) {
       // The parser consumes a body at once. It leaves only an incomplete header, which it limits,
       // or the header of a chunk, which it does not.
-      if (input_.size() > pool->limits.header_bytes) return End(upstream_status::kBroken, {});
+      if (input_.size() > pool->limits.header_bytes)
+        return End(upstream_status::kBroken, std::nullopt);
       break;
     }
   }
   if (!at_eof || !exchange_) return;
   parser_->PutEnd(request_progress_, error);
-  if (error) return End(upstream_status::kBroken, {});
+  if (error) return End(upstream_status::kBroken, std::nullopt);
   OnResponse();
 }
 
@@ -264,17 +266,15 @@
 }
 
 void upstream_connection::OnResponse() {
-  auto& message = parser_->get();
-  if (message.result_int() / 100 == 1) {
-    if (++interim_count_ > kMaxInterimResponses) return End(upstream_status::kBroken, {});
+  if (parser_->status().is_interim()) {
+    if (++interim_count_ > kMaxInterimResponses) return End(upstream_status::kBroken, std::nullopt);
     return BeginResponse();
   }
-  whole_response response;
-  response.status = static_cast<int>(message.result_int());
-  for (const auto& header : message) {
+  whole_response response{parser_->status()};
+  for (const auto& header : parser_->get()) {
     response.headers.emplace_back(std::string(header.name_string()), std::string(header.value()));
   }
-  response.body = std::move(message.body());
+  response.body = std::move(parser_->get().body());
   response.hold = std::move(hold_);
   keep_alive_ = parser_->keep_alive();
   switch (exchange_->match_(response)) {
@@ -282,23 +282,23 @@
       return End(upstream_status::kResponse, std::move(response));
     case response_match::kStale:
       if (!keep_alive_ || ++stale_count_ > kMaxStaleResponses) {
-        return End(upstream_status::kBroken, {});
+        return End(upstream_status::kBroken, std::nullopt);
       }
       return BeginResponse();
     case response_match::kUnusable:
-      return End(upstream_status::kBroken, {});
+      return End(upstream_status::kBroken, std::nullopt);
   }
 }
 
-void upstream_connection::End(upstream_status status, whole_response response) {
+void upstream_connection::End(upstream_status status, std::optional<whole_response> response) {
   const auto self = shared_from_this();
   const auto exchange = std::exchange(exchange_, nullptr);
   deadline_timer_.Cancel();
   connect_timer_.Cancel();
-  if (status == upstream_status::kResponse) {
+  if (response) {
     if (const auto pool = pool_.lock()) {
       const std::int64_t keep_alive_seconds =
-          KeepAliveSeconds(FindHeader(response.headers, "keep-alive"));
+          KeepAliveSeconds(FindHeader(response->headers, "keep-alive"));
       // The server's idle timer started earlier; half of its timeout leaves a margin for that.
       const kernel::milliseconds idle_timeout =
           keep_alive_seconds > 0
@@ -312,8 +312,10 @@
   }
   if (!exchange || exchange->finished_) return;
   exchange->finished_ = true;
-  std::erase_if(response.headers,
-                [](const auto& header) { return IsHopByHopHeader(header.first); });
+  if (response) {
+    std::erase_if(response->headers,
+                  [](const auto& header) { return IsHopByHopHeader(header.first); });
+  }
   exchange->done_({status, std::move(response)});
 }
 
--- a/cornelweir/src/http/upstream_connection.h
+++ b/cornelweir/src/http/upstream_connection.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -81,7 +82,7 @@
   // Reads no further until there is room, so that the upstream has to wait.
   void AwaitRoom();
   void OnResponse();
-  void End(upstream_status status, whole_response response);
+  void End(upstream_status status, std::optional<whole_response> response);
   void ReturnOrClose();
 
   std::weak_ptr<upstream_pool> pool_;
--- a/cornelweir/src/http/whole_message.h
+++ b/cornelweir/src/http/whole_message.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "cornelweir/src/http/status_code.h"
 #include "cornelweir/src/memory/memory_hold.h"
 
 namespace cornelweir::http {
@@ -30,9 +31,9 @@
 
 // A response with its complete body.
 struct whole_response {
-  int status = 0;
-  header_pairs headers;
-  std::string body;
+  status_code status;
+  header_pairs headers = {};
+  std::string body = {};
   // The bytes of the body in the account of the process; null if they are not counted.
   std::shared_ptr<memory::memory_hold> hold = nullptr;
 };
--- a/plugins/proxy/request_router.cc
+++ b/plugins/proxy/request_router.cc
@@ -135,7 +135,7 @@
   }
   const auto remaining = local_run.deadline.ForNextHop(now).RemainingMs(now);
   SetHeader(local_run.extra_headers, kTimeoutHeader, std::to_string(remaining.count()));
-  local_run.callbacks.on_response_head = [](int, http::header_list& headers) {
+  local_run.callbacks.on_response_head = [](http::status_code, http::header_list& headers) {
     SetHeader(headers, kOutcomeHeader, outcome::OutcomeName(outcome::request_outcome::kRan));
   };
   local_run.callbacks.on_done = [exchange](const http::forward_result& result) {
@@ -209,7 +209,7 @@
 void request_router::CompleteClaim(const request_ptr& request, const http::forward_result& result) {
   if (!request->claimed) return;
   claims::stored_response response;
-  response.status = claims::response_status(result.status);
+  response.status = claims::response_status(result.status->value());
   response.content_type = std::string(http::HeaderValue(result.headers, "content-type"));
   response.body_omitted = !result.body_prefix_is_whole;
   if (!response.body_omitted) response.body.bytes = result.body_prefix;
@@ -257,7 +257,7 @@
 http::forward_callbacks request_router::MakeForwardCallbacks(const request_ptr& request,
                                                              const kernel::upstream_id& upstream) {
   http::forward_callbacks callbacks;
-  callbacks.on_response_head = [](int, http::header_list& headers) {
+  callbacks.on_response_head = [](http::status_code, http::header_list& headers) {
     if (!http::HeaderValue(headers, kOutcomeHeader).empty()) return;
     SetHeader(headers, kOutcomeHeader, outcome::OutcomeName(outcome::request_outcome::kRan));
   };
@@ -289,7 +289,7 @@
   http::header_list headers = ExtraHeaders(*request);
   SetHeader(headers, kHopHeader, "1");
   http::forward_callbacks callbacks = MakeForwardCallbacks(request, upstream);
-  callbacks.accept_response = [](int, const http::header_list& response_headers) {
+  callbacks.accept_response = [](http::status_code, const http::header_list& response_headers) {
     return !internal::IsNotRun(response_headers);
   };
   request->exchange->ForwardTo(daemon, headers, request->deadline.Remaining(Now()),
@@ -307,8 +307,8 @@
       const auto outcome_header = http::HeaderValue(result.headers, kOutcomeHeader);
       const bool unknown =
           outcome_header == outcome::OutcomeName(outcome::request_outcome::kUnknown);
-      report_finish(result.status >= 500 ? routing::finish_kind::kFailure
-                                         : routing::finish_kind::kSuccess);
+      report_finish(result.status->is_server_error() ? routing::finish_kind::kFailure
+                                                     : routing::finish_kind::kSuccess);
       RecordOutcome(*request, unknown ? "unknown" : "ran");
       if (!unknown) CompleteClaim(request, result);
       return;
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -22,7 +22,6 @@
 // Bounds of the retry delay sent to callers.
 constexpr kernel::milliseconds kMaxRetryAfter{1'000};
 constexpr kernel::milliseconds kMinRetryAfter{20};
-constexpr int kFirstServerError = 500;
 // Time after the daemon's start within which its policy and peers usually arrive.
 constexpr kernel::milliseconds kStartupTime{3'000};
 // A request waits for them for at most this time and this fraction of its caller's timeout.
@@ -371,7 +370,7 @@
 }
 
 void call_router::OnResponse(const request_state_ptr& state, http::whole_response response) {
-  const bool failed = response.status >= internal::kFirstServerError;
+  const bool failed = response.status.is_server_error();
   if (failed && policy::IsIdempotent(state->route->retry_safety) && CanResend(state)) {
     state->failed_response = std::move(response);
     return Resend(state, "upstream returned a server error");
@@ -483,7 +482,7 @@
       .With("upstream_daemon", state->tried_peers.empty()
                                    ? std::string()
                                    : state->tried_peers.back()->entry().daemon.value())
-      .With("status", response.status)
+      .With("status", response.status.value())
       .With("outcome", outcome)
       .With("refusals", state->refusals)
       .With("sent", state->sent_count)
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -206,7 +206,7 @@
   const std::set<kernel::call_id> taken(message.taken.begin(), message.taken.end());
   std::vector<kernel::call_id> not_taken;
   for (const auto& [id, call] : pending_) {
-    if (!taken.contains(id) && call.response.status == 0) not_taken.push_back(id);
+    if (!taken.contains(id) && !call.response) not_taken.push_back(id);
   }
   run_result result;
   result.failure = protocol::run_failure::kNoUpstream;
@@ -239,10 +239,12 @@
   UpdateLoad(message.load);
   const auto found = pending_.find(message.id);
   if (found == pending_.end()) return;
-  http::whole_response& response = found->second.response;
-  response.status = message.status;
-  response.headers = message.headers;
   found->second.nested = message.nested;
+  // A daemon of another version may pass on what its upstream sent.
+  const auto status = http::status_code::Parse(message.status);
+  if (!status || status->is_interim()) return RefuseResponse(message.id);
+  http::whole_response& response =
+      found->second.response.emplace(http::whole_response{*status, message.headers});
   RecordRunTime(found->second.route, message.route_run_time);
   // An older daemon states no size; the room grows by piece then.
   const std::uint64_t bytes = message.last ? payload.size() : message.body_bytes;
@@ -265,16 +267,25 @@
 void peer::OnBodyPiece(const protocol::body_piece& message, std::string_view payload) {
   const auto found = pending_.find(message.id);
   if (found == pending_.end()) return;
-  http::whole_response& response = found->second.response;
+  if (!found->second.response) return RefuseResponse(message.id);
+  http::whole_response& response = *found->second.response;
   if (!TakeRoom(response, response.body.size() + payload.size())) return DropResponse(message.id);
   response.body.append(payload);
   if (!message.last) return;
   run_result result;
-  result.response = std::exchange(response, {});
+  result.response = std::move(response);
   result.nested = found->second.nested;
   Finish(message.id, std::move(result));
 }
 
+void peer::RefuseResponse(kernel::call_id id) {
+  SendData(*link_, protocol::cancel_request{id});
+  run_result result;
+  result.failure = protocol::run_failure::kUpstreamError;
+  result.nested = pending_.at(id).nested;
+  Finish(id, std::move(result));
+}
+
 // The link stays open for the responses to others.
 void peer::DropResponse(kernel::call_id id) {
   context_.metrics
@@ -320,8 +331,7 @@
   const bool refused = !result.response && (result.failure == protocol::run_failure::kNoCapacity ||
                                             result.failure == protocol::run_failure::kNoUpstream);
   if (refused) return;
-  constexpr int kServerError = 500;
-  const bool failed = !result.response || result.response->status >= kServerError;
+  const bool failed = !result.response || result.response->status.is_server_error();
   failure_rate_ += internal::kSampleWeight * ((failed ? 1.0 : 0.0) - failure_rate_);
 }
 
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -82,7 +82,8 @@
     // A part of the body has not been sent, so the request has not run.
     bool body_unsent = false;
     admission::ticket ticket;
-    http::whole_response response;
+    // Empty until the response begins to arrive.
+    std::optional<http::whole_response> response;
     bool nested = false;
   };
 
@@ -101,6 +102,8 @@
   void OnBodyPiece(const protocol::body_piece& message, std::string_view payload);
   // Takes room for a response of which this many bytes are known. Returns false if there is none.
   bool TakeRoom(http::whole_response& response, std::uint64_t bytes);
+  // Ends a request that has run, because its response is invalid.
+  void RefuseResponse(kernel::call_id id);
   // Ends a request that has run, because there is no room for its response.
   void DropResponse(kernel::call_id id);
   void Finish(kernel::call_id id, run_result result);
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -218,7 +218,7 @@
   }
   protocol::run_response response;
   response.id = id;
-  response.status = result.response->status;
+  response.status = result.response->status.value();
   response.headers = std::move(result.response->headers);
   response.load = Load();
   response.nested = result.nested;
--- a/plugins/sidecar/request_dialect.h
+++ b/plugins/sidecar/request_dialect.h
@@ -70,7 +70,7 @@
 // Function table of a dialect, so that code that uses it is not a template.
 struct dialect_functions {
   std::variant<call, http::whole_response> (*decode_call)(http::whole_request);
-  http::whole_response (*reject_unreadable)(int status, std::string_view reason);
+  http::whole_response (*reject_unreadable)(http::status_code status, std::string_view reason);
   http::whole_response (*reply)(const call&, reply_kind, kernel::milliseconds retry_after,
                                 std::string_view reason);
   http::whole_request (*encode_run)(const protocol::run_request&, std::string body,
--- a/plugins/sidecar/upstream_announcements.cc
+++ b/plugins/sidecar/upstream_announcements.cc
@@ -132,16 +132,15 @@
 
 void upstream_dispatcher::OnProbeResponse(const std::string& health_path,
                                           const http::upstream_result& result) {
-  const kernel::upstream_id id = result.status == http::upstream_status::kResponse
-                                     ? dialect_.healthy_upstream(result.response)
-                                     : kernel::upstream_id();
+  const kernel::upstream_id id =
+      result.response ? dialect_.healthy_upstream(*result.response) : kernel::upstream_id();
   if (!id.value().empty() && !announced_) {
     announced_.emplace();
     announced_->id = id;
     announced_->address = context_.settings.sidecar->upstream;
     announced_->service = context_.settings.sidecar->service;
     announced_->slots = internal::kAssumedSlots;
-    const upstream_notice notice = dialect_.read_notice(result.response);
+    const upstream_notice notice = dialect_.read_notice(*result.response);
     announced_->draining = notice.leaving;
     // Only that the process runs already is known. A later one with the same id has a later start.
     announced_->started_at =
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -322,7 +322,7 @@
   std::optional<kernel::microseconds> run_time;
   if (result.status == http::upstream_status::kResponse) {
     run_time = Now() - found->second.started_at;
-    OnNotice(found->second, dialect_.read_notice(result.response));
+    OnNotice(found->second, dialect_.read_notice(*result.response));
   }
   if (result.status == http::upstream_status::kTimeout) RecordTimeout(found->second);
   run_result ended = TranslateResult(found->second, std::move(result));
@@ -350,10 +350,9 @@
 // Runs that did not reach the upstream, or that an earlier upstream ended, are no evidence.
 void upstream_dispatcher::RecordEvidence(const run& ended, const run_result& result) {
   if (guard_ == nullptr || !announced_ || announced_->id != ended.upstream) return;
-  constexpr int kFirstServerError = 500;
   rollout::run_end end = rollout::run_end::kSuccess;
   if (result.response) {
-    if (result.response->status >= kFirstServerError) end = rollout::run_end::kServerError;
+    if (result.response->status.is_server_error()) end = rollout::run_end::kServerError;
   } else if (result.failure == protocol::run_failure::kUpstreamError) {
     end = rollout::run_end::kBroken;
   } else if (result.failure == protocol::run_failure::kTimeout) {
--- a/programs/cornelweir_load/load_report.cc
+++ b/programs/cornelweir_load/load_report.cc
@@ -33,11 +33,12 @@
                            kernel::microseconds latency) {
   ++answered_;
   latencies_.Add(latency);
-  ++statuses_[std::to_string(response.status)];
+  ++statuses_[std::to_string(response.status.value())];
   std::string outcome(http::HeaderValue(response.headers, "x-cornelweir-outcome"));
   if (outcome.empty()) outcome = "none";
   ++outcomes_[outcome];
-  const bool from_upstream = outcome == "ran" || (outcome == "none" && response.status < 300);
+  const bool from_upstream =
+      outcome == "ran" || (outcome == "none" && response.status.is_success());
   if (from_upstream) {
     request.state = run_state::kRan;
   } else if (outcome != "not-run") {
--- a/tests/call_router_stop_test.cc
+++ b/tests/call_router_stop_test.cc
@@ -34,7 +34,7 @@
                            std::string_view) {
   last_reply = kind;
   last_retry_after = retry_after;
-  return {};
+  return {503};
 }
 
 http::whole_request EncodeRun(const protocol::run_request& run, std::string body,
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -41,7 +41,7 @@
 http::whole_response Reply(const call&, reply_kind kind, kernel::milliseconds retry_after,
                            std::string_view) {
   last_reply = {kind, retry_after};
-  return {};
+  return {503};
 }
 
 // NOLINTNEXTLINE(readability-identifier-naming)
@@ -179,7 +179,7 @@
   stated_timeout = kernel::milliseconds(5'000);
   http::pipeline_server callers(
       daemon_.loop, [this](const auto& request) { router_.Handle(request); },
-      [](int, std::string_view) { return http::whole_response(); });
+      [](http::status_code status, std::string_view) { return http::whole_response{status}; });
   ASSERT_TRUE(callers.Listen(kernel::endpoint("127.0.0.1:0")));
   const auto caller = http::raw_peer::Connect(daemon_.loop, callers.local_endpoint());
   http::RunUntil(daemon_.loop, [&] { return callers.connections() == 1; });
--- a/tests/http_pipeline_test.cc
+++ b/tests/http_pipeline_test.cc
@@ -18,7 +18,7 @@
   pipeline()
       : server_(
             loop_, [this](const auto& request) { requests_.push_back(request); },
-            [](int status, std::string_view reason) {
+            [](status_code status, std::string_view reason) {
               return whole_response{status, {}, std::string(reason)};
             }) {
     EXPECT_TRUE(server_.Listen(kernel::endpoint("127.0.0.1:0")));
--- a/tests/http_proxy_test.cc
+++ b/tests/http_proxy_test.cc
@@ -46,7 +46,7 @@
 
   void Forward(const std::shared_ptr<exchange>& request, const kernel::endpoint& endpoint) {
     forward_callbacks callbacks;
-    callbacks.on_response_head = [](int, header_list& headers) {
+    callbacks.on_response_head = [](status_code, header_list& headers) {
       headers.set("x-cornelweir-outcome", "ran");
     };
     callbacks.body_prefix_bytes = kMaxBodyPrefixBytes;
@@ -751,7 +751,7 @@
   std::optional<bool> could_retry;
   handler_.handle = [&](const request_head&, const std::shared_ptr<exchange>& request) {
     forward_callbacks callbacks;
-    callbacks.accept_response = [&, request](int, const header_list&) {
+    callbacks.accept_response = [&, request](status_code, const header_list&) {
       could_retry = !request->RetainedBody().empty();
       return true;
     };
@@ -776,7 +776,9 @@
   second.on_bytes = [](raw_peer& peer) { peer.Send(Answer("second")); };
   handler_.handle = [&](const request_head&, const std::shared_ptr<exchange>& request) {
     forward_callbacks callbacks;
-    callbacks.accept_response = [](int status, const header_list&) { return status != 503; };
+    callbacks.accept_response = [](status_code status, const header_list&) {
+      return status != 503;
+    };
     callbacks.on_done = [&, request](const forward_result& result) {
       EXPECT_EQ(result.outcome, forward_status::kDeclined);
       EXPECT_EQ(result.status, 503);
--- a/tests/http_upstream_test.cc
+++ b/tests/http_upstream_test.cc
@@ -99,11 +99,11 @@
   Request("a");
   server_->Send(Response("a", "one"));
   AwaitResult();
-  EXPECT_EQ(result_->response.body, "one");
+  EXPECT_EQ(result_->response->body, "one");
   Request("b");
   server_->Send(Response("b", "two"));
   AwaitResult();
-  EXPECT_EQ(result_->response.body, "two");
+  EXPECT_EQ(result_->response->body, "two");
   EXPECT_EQ(accepted_, 1);
 }
 
@@ -112,7 +112,7 @@
   Request("b");
   server_->Send(Response("a", "late") + Response("b", "right"));
   AwaitResult();
-  EXPECT_EQ(result_->response.body, "right");
+  EXPECT_EQ(result_->response->body, "right");
 }
 
 // Guards against bytes after a response that are parsed as the next response.
@@ -120,12 +120,12 @@
   Request("a");
   server_->Send(Response("a", "one") + Response("a", "again"));
   AwaitResult();
-  EXPECT_EQ(result_->response.body, "one");
+  EXPECT_EQ(result_->response->body, "one");
   Request("b");
   EXPECT_EQ(accepted_, 2);
   server_->Send(Response("b", "two"));
   AwaitResult();
-  EXPECT_EQ(result_->response.body, "two");
+  EXPECT_EQ(result_->response->body, "two");
 }
 
 // Guards against a truncated response that is reported as complete.
@@ -144,7 +144,7 @@
   server_->Close();
   AwaitResult();
   EXPECT_EQ(result_->status, upstream_status::kResponse);
-  EXPECT_EQ(result_->response.body, "all of it");
+  EXPECT_EQ(result_->response->body, "all of it");
 }
 
 // Guards against malformed bytes that are accepted as a response.
@@ -191,8 +191,8 @@
     bytes = complete.bytes;
     const upstream_result result = Send(server, "GET");
     ASSERT_EQ(result.status, upstream_status::kResponse) << complete.name;
-    EXPECT_EQ(result.response.status, *complete.status) << complete.name;
-    EXPECT_EQ(result.response.body, complete.body) << complete.name;
+    EXPECT_EQ(result.response->status, *complete.status) << complete.name;
+    EXPECT_EQ(result.response->body, complete.body) << complete.name;
   }
 }
 
@@ -241,7 +241,7 @@
   };
   const upstream_result result = Send(server, "POST", body);
   ASSERT_EQ(result.status, upstream_status::kResponse);
-  EXPECT_EQ(result.response.body, "all of it");
+  EXPECT_EQ(result.response->body, "all of it");
 }
 
 // Guards against unbounded memory for a response header that never ends.
@@ -349,7 +349,7 @@
     others->Resize(kernel::byte_count(0));
     AwaitResult();
     EXPECT_EQ(result_->status, upstream_status::kResponse);
-    EXPECT_EQ(result_->response.body, body);
+    EXPECT_EQ(result_->response->body, body);
     result_.reset();
     RunUntil(loop_, [&] { return server_->closed; });
     server_.reset();
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -306,5 +306,28 @@
   EXPECT_EQ(partly_received->failure, protocol::run_failure::kUpstreamError);
 }
 
+// Guards against a response with an invalid status that a daemon, perhaps of another version,
+// passes on: it must not reach the caller, and its request has run, also if the daemon stops then.
+TEST_F(PeerTest, RefusesAResponseWithAnInvalidStatus) {
+  for (const std::int32_t status : {-1, 0, 99, 600, 65736}) {
+    for (const bool last : {false, true}) {
+      std::optional<run_result> result;
+      Run(policy::retry_safety::kNonIdempotent, result);
+      http::RunUntil(daemon_.loop, [this] { return !received_.empty(); });
+      protocol::run_response response;
+      response.id = received_.back();
+      response.status = status;
+      response.last = last;
+      SendData(*link_, response, "part");
+      if (!last) SendData(*link_, protocol::link_closing{});
+      http::RunUntil(daemon_.loop, [&] { return result.has_value(); });
+      EXPECT_FALSE(result->response) << status;
+      EXPECT_EQ(result->failure, protocol::run_failure::kUpstreamError) << status;
+      received_.clear();
+    }
+  }
+  EXPECT_FALSE(link_closed_) << "other requests on the link would fail too";
+}
+
 }  // namespace
 }  // namespace cornelweir::plugins::sidecar
--- a/tests/platform_format_test.cc
+++ b/tests/platform_format_test.cc
@@ -97,7 +97,7 @@
 // Guards against returning a response to the caller of another request, and against reporting a
 // request that ran as not run.
 TEST(PlatformDialect, ClassifiesResponses) {
-  const auto classify = [](int status, http::header_pairs headers) {
+  const auto classify = [](http::status_code status, http::header_pairs headers) {
     return sidecar_dialect::ClassifyResponse(RunWithId("1"), {status, std::move(headers), ""});
   };
   EXPECT_EQ(classify(200, {{"Attempt-Id", "1"}, {"Server-Seal", "s"}}),
--- a/tests/response_cases.h
+++ b/tests/response_cases.h
@@ -37,6 +37,17 @@
           {"no response", "garbage garbage\r\n\r\n"}};
 }
 
+// RFC 9110, section 15: only 100 to 599 are valid.
+inline response_cases InvalidStatuses() {
+  response_cases cases;
+  for (const std::string status : {"000", "001", "099", "600", "999"}) {
+    const std::string line = "HTTP/1.1 " + status + " Any\r\n";
+    cases.push_back({"status " + status, line + "Content-Length: 2\r\n\r\nok"});
+    cases.push_back({"interim with status " + status, line + "\r\n" + kOkResponse});
+  }
+  return cases;
+}
+
 // Names of fields in the first and last line, in an interim response, and of those that frame the
 // body.
 inline response_cases InvalidNames() {
@@ -130,8 +141,8 @@
 // Responses that are invalid, or whose end or meaning is not known for certain.
 inline response_cases BrokenResponses() {
   response_cases all;
-  for (const response_cases& cases : {MalformedStatusLines(), InvalidNames(), FoldedLines(),
-                                      AmbiguousLengths(), TruncatedResponses()}) {
+  for (const response_cases& cases : {MalformedStatusLines(), InvalidStatuses(), InvalidNames(),
+                                      FoldedLines(), AmbiguousLengths(), TruncatedResponses()}) {
     all.insert(all.end(), cases.begin(), cases.end());
   }
   return all;
--- a/tests/response_room_test.cc
+++ b/tests/response_room_test.cc
@@ -63,7 +63,7 @@
   ASSERT_TRUE(room_.Admit(kRoute, std::move(reserved), held));
   EXPECT_EQ(taken(), 1'500'000);
   EXPECT_EQ(account_->taken(memory::memory_use::kCallerResponses), kernel::byte_count(1'500'000));
-  response = held = {};
+  response = held = Response(0);
   EXPECT_EQ(taken(), 0);
 }
 
--- a/tests/upload_cancel_test.cc
+++ b/tests/upload_cancel_test.cc
@@ -34,7 +34,7 @@
 }
 
 http::whole_response Reply(const call&, reply_kind, kernel::milliseconds, std::string_view) {
-  return {};
+  return {503};
 }
 
 http::whole_request EncodeRun(const protocol::run_request& run, std::string body,
@@ -162,8 +162,9 @@
   peer_set peers_{*entry_.context, *entry_.dispatcher, *entry_.bulk};
   quota_client quota_{*entry_.context, [](const quota::quota_request&) { return false; }};
   call_router router_{*entry_.context, entry_.dialect, peers_, *entry_.dispatcher, quota_};
-  http::pipeline_server callers_{loop_, [this](const auto& request) { router_.Handle(request); },
-                                 [](int, std::string_view) { return http::whole_response(); }};
+  http::pipeline_server callers_{
+      loop_, [this](const auto& request) { router_.Handle(request); },
+      [](http::status_code status, std::string_view) { return http::whole_response{status}; }};
   std::size_t received_by_upstream_ = 0;
 };
 
