Refuse responses with a transfer coding that would be lost

What callers saw: an upstream answered with "Transfer-Encoding: gzip" or "xchunked", without a length. The caller got 200 with the coded bytes and no field that says so. "gzip, chunked" lost its gzip in the same way.

Cause: Transfer-Encoding is a hop-by-hop header, which is not passed on, and the parser undoes chunked alone. Only the proxy refused the others.

--- a/cornelweir/src/http/forward_operation.cc
+++ b/cornelweir/src/http/forward_operation.cc
@@ -1,13 +1,11 @@
 #include "cornelweir/src/http/forward_operation.h"
 
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
 namespace cornelweir::http::internal {
 
-namespace beast = boost::beast;
 namespace beast_http = boost::beast::http;
 
 forward_operation::forward_operation(loop::event_loop& loop, connection_pool& pool,
@@ -140,25 +138,13 @@
     connection_->Close();
     return;
   }
-  if (!HasUsableFraming() || HasOtherRequestId()) {
-    return FailBeforeResponse(http_fault::kMalformed);
-  }
+  if (HasOtherRequestId()) return FailBeforeResponse(http_fault::kMalformed);
   if (connection_->reader.message().status().is_interim()) return RelayInterimResponse();
   result_.latency = clock_.Now() - started_at_;
   result_.status = connection_->reader.message().status();
   BeginResponse();
 }
 
-// Whether the body can be forwarded unchanged. Transfer encodings other than chunked would be lost,
-// since Transfer-Encoding is a hop-by-hop header.
-bool forward_operation::HasUsableFraming() const {
-  const auto& head = connection_->reader.message().get();
-  const std::size_t encodings = head.count(beast_http::field::transfer_encoding);
-  const std::size_t lengths = head.count(beast_http::field::content_length);
-  if (encodings + lengths > 1) return false;
-  return encodings == 0 || beast::iequals(head[beast_http::field::transfer_encoding], "chunked");
-}
-
 // Whether the response belongs to another request, as far as the ids tell: a server may send a
 // second copy of a response after the connection was used again.
 bool forward_operation::HasOtherRequestId() const {
--- a/cornelweir/src/http/forward_operation.h
+++ b/cornelweir/src/http/forward_operation.h
@@ -42,7 +42,6 @@
   void ReadRequestBody();
   void ReadResponseHead();
   void OnResponseHead(const error_code& error);
-  bool HasUsableFraming() const;
   bool HasOtherRequestId() const;
   void RelayInterimResponse();
   void BeginResponse();
--- a/cornelweir/src/http/response_check.h
+++ b/cornelweir/src/http/response_check.h
@@ -23,6 +23,13 @@
   const auto status = status_code::Parse(message.result_int());
   // No request asks for an upgrade, so the bytes after such a response have no meaning.
   if (!status || *status == kSwitchingProtocols) return error::bad_status;
+  const auto lengths = message.count(field::content_length);
+  const auto encodings = message.count(field::transfer_encoding);
+  if (lengths + encodings > 1) return error::multiple_content_length;
+  // Another coding would be lost, since Transfer-Encoding is a hop-by-hop header.
+  if (encodings == 1 && !beast::iequals(message[field::transfer_encoding], "chunked")) {
+    return error::bad_transfer_encoding;
+  }
   return {};
 }
 
--- a/tests/response_cases.h
+++ b/tests/response_cases.h
@@ -104,6 +104,20 @@
   return cases;
 }
 
+// Codings that the recipient would have to undo. They would be lost, since Transfer-Encoding is a
+// hop-by-hop field.
+inline response_cases UnsupportedCodings() {
+  const std::string field = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+  response_cases cases;
+  for (const std::string coding : {"gzip", "xchunked", "identity"}) {
+    cases.push_back({"coding '" + coding + "'", field + coding + "\r\n\r\nok"});
+  }
+  for (const std::string coding : {"gzip, chunked", "chunked, chunked"}) {
+    cases.push_back({"coding '" + coding + "'", field + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n"});
+  }
+  return cases;
+}
+
 inline response_cases AmbiguousLengths() {
   const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
   response_cases cases = {
@@ -141,8 +155,9 @@
 // Responses that are invalid, or whose end or meaning is not known for certain.
 inline response_cases BrokenResponses() {
   response_cases all;
-  for (const response_cases& cases : {MalformedStatusLines(), InvalidStatuses(), InvalidNames(),
-                                      FoldedLines(), AmbiguousLengths(), TruncatedResponses()}) {
+  for (const response_cases& cases :
+       {MalformedStatusLines(), InvalidStatuses(), InvalidNames(), FoldedLines(),
+        UnsupportedCodings(), AmbiguousLengths(), TruncatedResponses()}) {
     all.insert(all.end(), cases.begin(), cases.end());
   }
   return all;
