Keep trailer fields out of the header of a response

What callers saw: a field behind the last chunk of an upstream's response arrived as a field of its header, so a trailer could stand for a signature or a request id that the header did not have. RFC 9110, section 6.5.1, forbids to merge them.

Cause: the parser appends trailers to the fields of the message, and the reader of the sidecar read those only at the end. The proxy and the client took them before the body.

Found while the readers were compared; no user has reported it.

Trailers are dropped, as before in the proxy.

--- a/cornelweir/src/http/client.cc
+++ b/cornelweir/src/http/client.cc
@@ -82,7 +82,7 @@
                                         self->request_.method() == beast_http::verb::head);
         return self->ReadHead();
       }
-      self->response_.emplace(client_response{message.status(), std::move(message.get().base())});
+      self->response_.emplace(client_response{message.status(), std::move(message.head())});
       self->ReadBody();
     });
   }
--- a/cornelweir/src/http/forward_operation.cc
+++ b/cornelweir/src/http/forward_operation.cc
@@ -149,12 +149,12 @@
 // second copy of a response after the connection was used again.
 bool forward_operation::HasOtherRequestId() const {
   const auto expected = request_[kRequestIdHeader];
-  const auto received = connection_->reader.message().get()[kRequestIdHeader];
+  const auto received = connection_->reader.message().head()[kRequestIdHeader];
   return !expected.empty() && !received.empty() && expected != received;
 }
 
 void forward_operation::RelayInterimResponse() {
-  const auto& head = connection_->reader.message().get();
+  const auto& head = connection_->reader.message().head();
   if (++interim_count_ > kMaxInterimResponses) return FailBeforeResponse(http_fault::kMalformed);
   const bool relayed = head.result() != beast_http::status::continue_;
   if (relayed) {
@@ -179,7 +179,7 @@
 void forward_operation::BeginResponse() {
   auto& reader = connection_->reader;
   static_cast<header_list&>(response_) =
-      std::move(static_cast<header_list&>(reader.message().get()));
+      std::move(static_cast<header_list&>(reader.message().head()));
   RemoveHopByHopHeaders(response_);
   result_.headers = response_;
   if (callbacks_.accept_response && !callbacks_.accept_response(*result_.status, response_)) {
--- a/cornelweir/src/http/upstream_connection.cc
+++ b/cornelweir/src/http/upstream_connection.cc
@@ -271,7 +271,7 @@
     return BeginResponse();
   }
   whole_response response{parser_->status()};
-  for (const auto& header : parser_->get()) {
+  for (const auto& header : parser_->head()) {
     response.headers.emplace_back(std::string(header.name_string()), std::string(header.value()));
   }
   response.body = std::move(parser_->get().body());
--- a/tests/http_upstream_test.cc
+++ b/tests/http_upstream_test.cc
@@ -196,6 +196,19 @@
   }
 }
 
+// Guards against trailer fields that pass for fields of the header, such as a signature.
+TEST_F(upstream, DoesNotMergeTrailersIntoTheHeader) {
+  raw_server server(loop_);
+  server.on_bytes = [](raw_peer& peer) {
+    if (peer.closed) return;
+    peer.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: a\r\n\r\n");
+  };
+  const upstream_result result = Send(server, "GET");
+  ASSERT_EQ(result.status, upstream_status::kResponse);
+  EXPECT_EQ(result.response->body, "ok");
+  EXPECT_EQ(FindHeader(result.response->headers, "X"), "");
+}
+
 // Bytes that fit in the socket buffers of both sides of a loopback connection.
 constexpr std::size_t kSocketBufferBytes = std::size_t{12} << 20;
 const std::string kFiller(std::size_t{32} << 10, 'x');
