Read answers in cornelweirctl with the parser of the daemons

What operators could see: cornelweirctl took a response with an invalid status, with folded lines or with a lost transfer coding for an answer of a control host, and an interim response for the final one.

Change: http_exchange reads with response_parser and skips interim responses. ctl_exchange_test runs through the table of responses; ctl_test, ctl_tls_test and ctl_check_test pass.

--- a/programs/cornelweirctl/api_client.cc
+++ b/programs/cornelweirctl/api_client.cc
@@ -12,7 +12,7 @@
 
 namespace cornelweir::ctl {
 
-namespace http = boost::beast::http;
+namespace beast_http = boost::beast::http;
 using plain_stream = boost::beast::tcp_stream;
 using tls_stream = boost::beast::ssl_stream<boost::beast::tcp_stream>;
 
@@ -39,13 +39,13 @@
 }
 
 boost::leaf::result<api_reply> api_client::Get(const std::string& target) {
-  return Exchange(request(http::verb::get, target, 11));
+  return Exchange(request(beast_http::verb::get, target, 11));
 }
 
 boost::leaf::result<api_reply> api_client::Post(const std::string& target,
                                                 const codec::json& body) {
-  request message(http::verb::post, target, 11);
-  message.set(http::field::content_type, "application/json");
+  request message(beast_http::verb::post, target, 11);
+  message.set(beast_http::field::content_type, "application/json");
   try {
     message.body() = body.dump();
   } catch (const codec::json::exception&) {
@@ -58,7 +58,7 @@
 boost::leaf::result<api_reply> api_client::GetFrom(const kernel::endpoint& host,
                                                    const std::string& target) {
   api_reply reply;
-  const std::string reason = Attempt(host, request(http::verb::get, target, 11), reply);
+  const std::string reason = Attempt(host, request(beast_http::verb::get, target, 11), reply);
   if (reason.empty()) return reply;
   return boost::leaf::new_error(ctl_error{exit_code::kUnavailable, reason});
 }
@@ -102,8 +102,8 @@
   const auto address = settings::ParseEndpoint(host.value());
   if (!address) return "not an IP address and port";
   request message = original;
-  message.set(http::field::host, host.value());
-  message.set(http::field::user_agent, "cornelweirctl");
+  message.set(beast_http::field::host, host.value());
+  message.set(beast_http::field::user_agent, "cornelweirctl");
   message.keep_alive(false);
   message.prepare_payload();
   const auto outcome = std::make_shared<attempt>();
--- a/programs/cornelweirctl/http_exchange.h
+++ b/programs/cornelweirctl/http_exchange.h
@@ -8,9 +8,12 @@
 #include <boost/beast/http.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
+#include "cornelweir/http.h"
 #include "cornelweir/src/kernel/quantity.h"
 #include "programs/cornelweirctl/limits.h"
 
@@ -38,9 +41,7 @@
 
   template <class... Arguments>
   explicit http_exchange(Arguments&&... stream_arguments)
-      : stream_(std::forward<Arguments>(stream_arguments)...) {
-    parser_.body_limit(kMaxReplyBytes);
-  }
+      : stream_(std::forward<Arguments>(stream_arguments)...) {}
 
   void Start(const boost::asio::ip::tcp::endpoint& host, request message,
              kernel::milliseconds time_limit, handler done) {
@@ -74,21 +75,66 @@
   }
 
   void Write() {
-    boost::beast::http::async_write(stream_, message_, Next([this] { Read(); }));
+    boost::beast::http::async_write(stream_, message_, Next([this] {
+                                      BeginAnswer();
+                                      Read();
+                                    }));
+  }
+
+  void BeginAnswer() {
+    parser_.emplace(http::kMaxHeaderBytes);
+    parser_->body_limit(kMaxReplyBytes);
+    parser_->eager(true);
   }
 
   void Read() {
-    boost::beast::http::async_read(stream_, buffer_, parser_, Next([this] {
-                                     auto& answer = parser_.get();
-                                     done_({}, {answer.result_int(), std::move(answer.body())});
-                                   }));
+    stream_.async_read_some(
+        buffer_.prepare(http::kStreamBufferBytes),
+        [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+          self->buffer_.commit(size);
+          self->OnRead(error);
+        });
+  }
+
+  void OnRead(boost::system::error_code error) {
+    if (error == boost::asio::error::eof) {
+      parser_->PutEnd(http::request_progress::kWritten, error);
+    } else if (!error) {
+      Parse(error);
+    }
+    if (error) return done_(error, {});
+    if (!parser_->is_done()) return Read();
+    auto& answer = parser_->get();
+    done_({}, {answer.result_int(), std::move(answer.body())});
+  }
+
+  // Parses what has arrived. Interim responses are skipped.
+  void Parse(boost::system::error_code& error) {
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+      const auto bytes = buffer_.cdata();
+      const std::size_t consumed =
+          parser_->Put({static_cast<const char*>(bytes.data()), bytes.size()}, error);
+      buffer_.consume(consumed);
+      if (error == boost::beast::http::error::need_more) {
+        error = {};
+        return;
+      }
+      if (error) return;
+      if (!parser_->is_done() || !parser_->status().is_interim()) continue;
+      if (++interim_count_ > http::kMaxInterimResponses) {
+        error = boost::beast::http::error::bad_status;
+        return;
+      }
+      BeginAnswer();
+    }
   }
 
   Stream stream_;
   request message_;
   handler done_;
   boost::beast::flat_buffer buffer_;
-  boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
+  std::optional<http::response_parser<boost::beast::http::string_body>> parser_;
+  int interim_count_ = 0;
 };
 
 }  // namespace cornelweir::ctl
