Play broken answers of upstreams with real processes

Cause: the tests of the readers show what one reader makes of a response, not what a caller of a deployment gets.

The stand-in target can send prepared bytes, also before it has read a body.

--- a/tests/stand_ins/target.py
+++ b/tests/stand_ins/target.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import struct
 import threading
 import time
 
@@ -12,7 +13,11 @@
 
 class Target:
     """Serves on one address until stop(). work(request) tells how to run a request: a dictionary
-    with any of `seconds` (how long it works), `status`, `body` and `headers`."""
+    with any of `seconds` (how long it works), `status`, `body` and `headers`, or with `raw` (the
+    whole answer in bytes) and `reset` (whether the connection is reset then, not closed).
+
+    answer_early(method, path, headers) may return such a dictionary with `raw` to answer before the
+    body is read, after `read` bytes of it and `delay` seconds."""
 
     def __init__(self, ident, service, zone, address, slots, record, work):
         self.ident = ident
@@ -22,6 +27,7 @@
         self.slots = slots
         self.record = record
         self.work = work
+        self.answer_early = lambda method, path, headers: None
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.sequence = 0
@@ -47,12 +53,31 @@
             while not self.stopped.is_set():
                 try:
                     line, headers, rest = http1.read_head(sock, buffered)
-                    body, buffered = http1.read_body(sock, headers, rest)
                     method, path, _ = line.split(" ", 2)
+                    early = self.answer_early(method, path, headers)
+                    if early is not None:
+                        return self._answer_early(sock, path, headers, len(rest), early)
+                    body, buffered = http1.read_body(sock, headers, rest)
                     self._answer(sock, method, path, headers, body)
                 except (OSError, ValueError, http1.Closed):
                     return
 
+    def _answer_early(self, sock, path, headers, buffered, plan):
+        ident = headers.get("attempt-id", "")
+        self.record("run", target=self.ident, id=ident, path=path,
+                    caller_service=headers.get("caller-service"))
+        while buffered < plan.get("read", 0):
+            buffered += len(sock.recv(65536)) or plan["read"]
+        self._send_raw(sock, plan)
+
+    def _send_raw(self, sock, plan):
+        """Sends the bytes and ends the connection."""
+        sock.sendall(plan["raw"])
+        time.sleep(plan.get("delay", 0))
+        if plan.get("reset"):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+
     def _send(self, sock, status, headers, body=b""):
         lines = [f"HTTP/1.1 {status} Answer"] + [f"{n}: {v}" for n, v in headers.items()]
         lines.append(f"Content-Length: {len(body)}")
@@ -85,6 +110,8 @@
         finally:
             with self.lock:
                 self.running -= 1
+        if "raw" in plan:
+            return self._send_raw(sock, plan)
         return self._send(sock, plan.get("status", 200), echo, answer)
 
     def check_in(self, control_plane, **changes):
