--- a/cornelweir/src/http/request_check.h
+++ b/cornelweir/src/http/request_check.h
@@ -44,8 +44,9 @@
 // disconnected.
 inline std::optional<status_code> StatusOfReadError(const boost::system::error_code& error) {
   using parser_error = boost::beast::http::error;
-  if (error == parser_error::header_limit || error == parser_error::buffer_overflow)
+  if (error == parser_error::header_limit || error == parser_error::buffer_overflow) {
     return status_code(431);
+  }
   if (error == parser_error::body_limit) return status_code(413);
   if (error == boost::asio::error::timed_out) return status_code(408);
   if (error == parser_error::partial_message || !IsParserError(error)) return std::nullopt;
--- a/cornelweir/src/http/status_code.h
+++ b/cornelweir/src/http/status_code.h
@@ -1,6 +1,7 @@
 #ifndef CORNELWEIR_SRC_HTTP_STATUS_CODE_H_
 #define CORNELWEIR_SRC_HTTP_STATUS_CODE_H_
 
+#include <cstdint>
 #include <optional>
 
 namespace cornelweir::http {
@@ -14,7 +15,7 @@
   consteval status_code(int value) : status_code(Parse(value).value()) {}
 
   // Returns nullopt if the code, as received, is invalid.
-  static constexpr std::optional<status_code> Parse(long value) {
+  static constexpr std::optional<status_code> Parse(std::int64_t value) {
     if (value < kMin || value > kMax) return std::nullopt;
     return status_code(checked{static_cast<int>(value)});
   }
@@ -32,8 +33,8 @@
   struct checked {
     int value;
   };
-  static constexpr long kMin = 100;
-  static constexpr long kMax = 599;
+  static constexpr std::int64_t kMin = 100;
+  static constexpr std::int64_t kMax = 599;
 
   constexpr explicit status_code(checked code) : value_(code.value) {}
 
--- a/cornelweir/src/http/upstream_connection.cc
+++ b/cornelweir/src/http/upstream_connection.cc
@@ -212,15 +212,17 @@
     }
     const std::size_t consumed = parser_->Put(input_, error);
     input_.erase(0, consumed);
-    if (error && error != beast_http::error::need_more)
+    if (error && error != beast_http::error::need_more) {
       return End(upstream_status::kBroken, std::nullopt);
+    }
     if (parser_->is_done()) {
       OnResponse();
     } else if (error || consumed == 0) {
       // The parser consumes a body at once. It leaves only an incomplete header, which it limits,
       // or the header of a chunk, which it does not.
-      if (input_.size() > pool->limits.header_bytes)
+      if (input_.size() > pool->limits.header_bytes) {
         return End(upstream_status::kBroken, std::nullopt);
+      }
       break;
     }
   }
--- a/tests/response_cases.h
+++ b/tests/response_cases.h
@@ -43,7 +43,7 @@
   for (const std::string status : {"000", "001", "099", "600", "999"}) {
     const std::string line = "HTTP/1.1 " + status + " Any\r\n";
     cases.push_back({"status " + status, line + "Content-Length: 2\r\n\r\nok"});
-    cases.push_back({"interim with status " + status, line + "\r\n" + kOkResponse});
+    cases.push_back({"interim with status " + status, (line + "\r\n").append(kOkResponse)});
   }
   return cases;
 }
@@ -71,7 +71,7 @@
     cases.push_back(
         {"last name has " + what, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line + "\r\nok"});
     cases.push_back({"name in an interim response has " + what,
-                     "HTTP/1.1 102 Processing\r\n" + line + "\r\n" + kOkResponse});
+                     ("HTTP/1.1 102 Processing\r\n" + line + "\r\n").append(kOkResponse)});
   }
   for (const std::string name : {"Content Length", "Content-Length ", "Content-\1Length"}) {
     cases.push_back(
@@ -98,8 +98,9 @@
     add("folded last line", "Content-Length: 2\r\nX: a\r\n" + blank + "b\r\n");
     add("folded first line", blank + "X: a\r\nContent-Length: 2\r\n");
     add("folded Content-Length", "X: a\r\n" + blank + "Content-Length: 2\r\n");
-    cases.push_back({"folded line of an interim response" + after,
-                     "HTTP/1.1 102 Processing\r\nX: a\r\n" + blank + "b\r\n\r\n" + kOkResponse});
+    cases.push_back(
+        {"folded line of an interim response" + after,
+         ("HTTP/1.1 102 Processing\r\nX: a\r\n" + blank + "b\r\n\r\n").append(kOkResponse)});
   }
   return cases;
 }
