Share the servers that answer and end the connection among the tests

The same two lambdas stood in the tests of four readers; raw_server has AnswerAndClose and AnswerAndReset now. The tests check what they checked. The fixture of ctl_exchange_test gets a name without an underscore.

--- a/tests/ctl_exchange_test.cc
+++ b/tests/ctl_exchange_test.cc
@@ -15,7 +15,8 @@
 
 namespace beast_http = boost::beast::http;
 
-class control_host : public ::testing::Test {
+// NOLINTNEXTLINE(readability-identifier-naming)
+class ControlHostTest : public ::testing::Test {
  protected:
   // Sends a request to the server and returns the answer, or nothing if the exchange failed.
   std::optional<http_reply> Send(beast_http::verb method, std::string body) {
@@ -40,19 +41,13 @@
 };
 
 // Guards against an invalid answer that is used, and against a valid one that is refused.
-TEST_F(control_host, AnswersWithCompleteResponsesOnly) {
-  std::string bytes;
-  server_.on_bytes = [&bytes](http::raw_peer& peer) {
-    if (peer.closed) return;
-    peer.Send(bytes);
-    peer.CloseWhenSent();
-  };
+TEST_F(ControlHostTest, AnswersWithCompleteResponsesOnly) {
   for (const http::response_case& broken : http::BrokenResponses()) {
-    bytes = broken.bytes;
+    server_.AnswerAndClose(broken.bytes);
     EXPECT_FALSE(Send(beast_http::verb::get, "")) << broken.name;
   }
   for (const http::response_case& complete : http::CompleteResponses()) {
-    bytes = complete.bytes;
+    server_.AnswerAndClose(complete.bytes);
     const auto answer = Send(beast_http::verb::get, "");
     ASSERT_TRUE(answer) << complete.name;
     EXPECT_EQ(static_cast<int>(answer->status), *complete.status) << complete.name;
@@ -61,10 +56,8 @@
 }
 
 // Guards against a part of an answer that is used as a whole one.
-TEST_F(control_host, IsNotBelievedIfItResetsTheConnection) {
-  server_.on_bytes = [](http::raw_peer& peer) {
-    if (!peer.paused) peer.SendAndReset(http::kUnframedPart);
-  };
+TEST_F(ControlHostTest, IsNotBelievedIfItResetsTheConnection) {
+  server_.AnswerAndReset(http::kUnframedPart);
   for (const std::size_t bytes : {0, 300'000, 24'000'000}) {
     EXPECT_FALSE(Send(beast_http::verb::post, std::string(bytes, 'x'))) << bytes;
   }
--- a/tests/http_admin_test.cc
+++ b/tests/http_admin_test.cc
@@ -291,14 +291,8 @@
 // one that it refuses.
 TEST_F(AdminTest, ClientReturnsCompleteResponsesOnly) {
   raw_server server(loop_);
-  std::string bytes;
-  server.on_bytes = [&bytes](raw_peer& peer) {
-    if (peer.closed) return;
-    peer.Send(bytes);
-    peer.CloseWhenSent();
-  };
   const auto get = [&](const response_case& tested) {
-    bytes = tested.bytes;
+    server.AnswerAndClose(tested.bytes);
     std::optional<http_result<client_response>> answer;
     client_.Request(server.endpoint(), method::get, "/", "", seconds(30),
                     [&](http_result<client_response> result) { answer = std::move(result); });
@@ -318,9 +312,7 @@
 // request gets the error of a reset, the read sees an ordinary end of the connection.
 TEST_F(AdminTest, ClientRefusesAnUnframedResponseWhoseConnectionIsReset) {
   raw_server server(loop_);
-  server.on_bytes = [](raw_peer& peer) {
-    if (!peer.paused) peer.SendAndReset(kUnframedPart);
-  };
+  server.AnswerAndReset(kUnframedPart);
   for (const std::size_t bytes : {0, 300'000, 24'000'000}) {
     std::optional<http_result<client_response>> answer;
     client_.Request(server.endpoint(), method::post, "/", std::string(bytes, 'x'), seconds(30),
--- a/tests/http_proxy_test.cc
+++ b/tests/http_proxy_test.cc
@@ -460,14 +460,8 @@
 // that is refused.
 TEST_F(ProxyTest, ForwardsCompleteResponsesOnly) {
   StartProxy();
-  std::string bytes;
-  server_.on_bytes = [&bytes](raw_peer& peer) {
-    if (peer.closed) return;
-    peer.Send(bytes);
-    peer.CloseWhenSent();
-  };
   const auto forward = [&](const response_case& tested) {
-    bytes = tested.bytes;
+    server_.AnswerAndClose(tested.bytes);
     results_.clear();
     const auto caller = Connect();
     caller->Send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
@@ -493,9 +487,7 @@
 // gets the error of a reset, the read sees an ordinary end of the connection.
 TEST_F(ProxyTest, BreaksAnUnframedResponseWhoseConnectionIsReset) {
   StartProxy();
-  server_.on_bytes = [](raw_peer& peer) {
-    if (!peer.paused) peer.SendAndReset(kUnframedPart);
-  };
+  server_.AnswerAndReset(kUnframedPart);
   for (const std::size_t bytes : {0, 300'000, 24'000'000}) {
     results_.clear();
     const auto caller = Connect();
--- a/tests/http_test_support.h
+++ b/tests/http_test_support.h
@@ -146,6 +146,21 @@
 
   kernel::endpoint endpoint() const { return FormatEndpoint(acceptor_.local_endpoint()); }
 
+  // Answers each later connection's first bytes with these bytes and closes it.
+  void AnswerAndClose(std::string bytes) {
+    on_bytes = [bytes = std::move(bytes)](raw_peer& peer) {
+      if (peer.closed) return;
+      peer.Send(bytes);
+      peer.CloseWhenSent();
+    };
+  }
+  // The same, but reads no further and resets the connection.
+  void AnswerAndReset(std::string bytes) {
+    on_bytes = [bytes = std::move(bytes)](raw_peer& peer) {
+      if (!peer.paused) peer.SendAndReset(bytes);
+    };
+  }
+
   std::function<void(raw_peer&)> on_bytes;
   std::vector<std::shared_ptr<raw_peer>> peers;
 
--- a/tests/http_upstream_test.cc
+++ b/tests/http_upstream_test.cc
@@ -177,18 +177,12 @@
 // Guards against an invalid response that is delivered, and against a valid one that is refused.
 TEST_F(upstream, DeliversCompleteResponsesOnly) {
   raw_server server(loop_);
-  std::string bytes;
-  server.on_bytes = [&bytes](raw_peer& peer) {
-    if (peer.closed) return;
-    peer.Send(bytes);
-    peer.CloseWhenSent();
-  };
   for (const response_case& broken : BrokenResponses()) {
-    bytes = broken.bytes;
+    server.AnswerAndClose(broken.bytes);
     EXPECT_EQ(Send(server, "GET").status, upstream_status::kBroken) << broken.name;
   }
   for (const response_case& complete : CompleteResponses()) {
-    bytes = complete.bytes;
+    server.AnswerAndClose(complete.bytes);
     const upstream_result result = Send(server, "GET");
     ASSERT_EQ(result.status, upstream_status::kResponse) << complete.name;
     EXPECT_EQ(result.response->status, *complete.status) << complete.name;
@@ -218,9 +212,7 @@
 // connection.
 TEST_F(upstream, RefusesAnUnframedResponseWhoseConnectionIsReset) {
   raw_server server(loop_);
-  server.on_bytes = [](raw_peer& peer) {
-    if (!peer.paused) peer.SendAndReset(kUnframedPart);
-  };
+  server.AnswerAndReset(kUnframedPart);
   for (const std::size_t bytes : {std::size_t{0}, std::size_t{300'000}, 2 * kSocketBufferBytes}) {
     const upstream_result result = Send(server, "POST", std::string(bytes, 'x'));
     EXPECT_EQ(result.status, upstream_status::kBroken) << "upload of " << bytes << " bytes";
