Show that a check-in of another writer changes Caller-Service

The daemon accepts a check-in with a service that no configuration has. Its requests then carry that service, and the check-ins of its own target are refused as outdated.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule of claim.txt was broken, with 0 if it held, and with 2 if the case could
+# not run. With TROUBLE=0 it does the same without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONDONTWRITEBYTECODE=1 python3 review/8/case.py
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
