--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,16 +1,13 @@
 #!/usr/bin/env python3
-"""The address of a crashed target goes to a target of another service. Then all processes of the
-system are killed at the same moment and start again, and a check-in of the crashed target arrives
-late. Fails if a target runs a request whose `Caller-Service` is not the service of the machine where
-the request began.
+"""A version removes the last route of a host and keeps the host. Fails if a control host reads back
+an acknowledged version whose hosts or routes are not those that were sent.
 
-TROUBLE=0 does the same, but the processes keep running."""
+TROUBLE=0 does the same, but the version removes the host as well."""
 
+import json
 import os
 import pathlib
-import socket
 import sys
-import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -18,139 +15,76 @@
 
 import fleet as fleets  # noqa: E402
 import http1  # noqa: E402
-from target import Target  # noqa: E402
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-REUSE_AFTER_S = 2.0
-HEARTBEAT_S = 1.5
-DOWN_S = 0.7
-CALLS_PER_S = 60
-OLD_SERVICE, NEW_SERVICE = "intake", "forms"
+PARTNERS = "partners.example"
+CONTACT_WINDOW_S = 3.0
 
 
 class Case:
     def __init__(self, record):
         self.record = record
-        self.over = threading.Event()
-        self.fleet = fleets.Fleet(record, {"forms": 3, "intake": 3}, heartbeat_s=HEARTBEAT_S)
-        self.machine = self.fleet.sidecars[4]
-        self.former = self.fleet.targets[self.machine.name]
+        self.fleet = fleets.Fleet(record, {"forms": 1, "intake": 1})
 
-    def start(self):
+    def config(self, version, partner_routes):
+        """The routes of callers, and a second host with these routes; None leaves it out."""
         fleet = self.fleet
-        fleet.start()
-        routes = [fleet.route("view", "forms"), fleet.route("submit", "intake", "unsafe")]
-        return (fleet.put_config(routes) and fleet.wait_ready() and http1.wait_for(
-            lambda: all(fleets.call(self.record, m, "/view/first")[1] == 200
-                        for m in fleet.sidecars), 20))
-
-    def call_regularly(self):
-        """Callers of the machine whose target is replaced."""
-        while not self.over.wait(1 / CALLS_PER_S):
-            threading.Thread(target=fleets.call, daemon=True, args=(
-                self.record, self.machine, "/view/form")).start()
-
-    def replace_target(self):
-        """The target crashes, and its address goes to a target of the other service. Returns the
-        last check-in of the former one, which is still on its way."""
-        former = self.former
-        former.check_in = lambda *_, **__: None
-        former.sequence += 1
-        late = {
-            "address": former.address,
-            "info": {"service": OLD_SERVICE, "version": "v1", "zone": former.zone,
-                     "max_concurrency": former.slots},
-            "status": {"state": "ready", "sequence": former.sequence, "warmup_remaining": "0ms"},
-            "born": former.born,
-        }
-        self.record("crash", target=former.ident)
-        end(former)
-        time.sleep(REUSE_AFTER_S)
-        successor = http1.wait_for(self.start_successor, 5)
-        self.fleet.targets[self.machine.name] = successor
-        # The settings of the next start name the service that the machine has now.
-        self.machine.service = NEW_SERVICE
-        successor.check_in_regularly(self.machine.control_plane, HEARTBEAT_S)
-        self.record("registered", target=successor.ident, service=NEW_SERVICE)
-        return late
-
-    def start_successor(self):
-        try:
-            return Target("i-successor", NEW_SERVICE, self.machine.zone, self.machine.app_address,
-                          self.former.slots, self.record, lambda request: {})
-        except OSError:
-            return None
-
-    def kill_all(self):
-        processes = [each.process for each in self.fleet.controls + self.fleet.sidecars]
-        for process in processes:
-            process.kill()
-        for process in processes:
-            process.wait()
-        self.record("killed", processes=len(processes))
-        time.sleep(DOWN_S)
-        for each in self.fleet.controls + self.fleet.sidecars:
-            each.start()
+        config = fleet.config(version, [fleet.route("view", "forms"),
+                                        fleet.route("submit", "intake", "unsafe")])
+        if partner_routes is not None:
+            config["virtual_hosts"].append({"host": PARTNERS, "host_routes": partner_routes})
+        return config
+
+    def put(self, base, config):
+        """Sends the configuration until a control host acknowledges it."""
+
+        def attempt():
+            for machine in self.fleet.controls:
+                status, _, _ = machine.request(
+                    "PUT", headers={"If-Match": f"{base:08x}", "Content-Type": "application/json"},
+                    body=json.dumps(config).encode(), timeout=1.0)
+                self.record("config", at=machine.name, version=config["version"], status=status)
+                if status == 200:
+                    return True
+            return False
+
+        return http1.wait_for(attempt, 15.0, 0.2)
 
     def run(self):
-        late = self.replace_target()
-        # Until the daemon has passed on what the new target is.
-        time.sleep(2 * HEARTBEAT_S)
-        began_at = time.monotonic() - self.record.started
-        threading.Thread(target=self.call_regularly, daemon=True).start()
-        time.sleep(1.0)
-        if TROUBLE:
-            self.kill_all()
-        status = http1.wait_for(
-            lambda: self.former.send_check_in(self.machine.control_plane, late), 5)
-        self.record("late-check-in", target=self.former.ident, status=status)
-        time.sleep(6.0)
-        self.over.set()
-        time.sleep(3.0)
-        return self.judge(began_at)
-
-    def judge(self, began_at):
-        sent = {fields["id"] for at, fields in self.record.of("sent", at=self.machine.name)
-                if at > began_at}
-        runs = [fields for _, fields in self.record.of("run") if fields["id"] in sent]
-        wrong = [fields for fields in runs if fields["caller_service"] != NEW_SERVICE]
-        self.record("judged", runs=len(runs), with_a_wrong_caller_service=len(wrong))
-        if not runs:
+        self.fleet.start()
+        summary = self.fleet.route("summary", "forms")
+        sent = self.config(2, [] if TROUBLE else None)
+        if not (self.put(0, self.config(1, [summary])) and self.put(1, sent)):
             return COULD_NOT_RUN
-        return BROKEN if wrong else HELD
-
-
-def end(target):
-    """The process of the target ends: its listener and its connections are closed."""
-    target.stopped.set()
-    for sock in [target.listener, *target.connections]:
-        try:
-            sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass  # Closed already.
-    target.listener.close()
-
-
-def serve_known(target, sock, serve=Target._serve):
-    """Target._serve(), which also keeps the connection for end()."""
-    target.__dict__.setdefault("connections", []).append(sock)
-    serve(target, sock)
-
-
-Target.connections = ()
-Target._serve = serve_known
+        time.sleep(CONTACT_WINDOW_S)
+        self.record("sent", version=sent["version"], hosts=hosts_of(sent))
+        different = []
+        for machine in self.fleet.controls:
+            status, _, body = machine.request("GET")
+            if status != 200:
+                return COULD_NOT_RUN
+            read = json.loads(body)
+            self.record("read", at=machine.name, version=read["version"], hosts=hosts_of(read))
+            if read["version"] != sent["version"] or hosts_of(read) != hosts_of(sent):
+                different.append(machine.name)
+        self.record("judged", different=",".join(different) or "none")
+        return BROKEN if different else HELD
+
+
+def hosts_of(config):
+    return {entry["host"]: [route["name"] for route in entry["host_routes"]]
+            for entry in config["virtual_hosts"]}
 
 
 def main():
     case = Case(fleets.Record(HERE / "record.txt"))
     try:
-        code = case.run() if case.start() else COULD_NOT_RUN
+        code = case.run()
     except Exception as error:  # The case could not run to its end.
         case.record("error", error=repr(error))
         code = COULD_NOT_RUN
     finally:
-        case.over.set()
         case.fleet.stop()
     print({HELD: "held", BROKEN: "broken", COULD_NOT_RUN: "could not run"}[code])
     sys.exit(code)
