--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,6 +3,8 @@
 # not run. With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 PYTHONDONTWRITEBYTECODE=1 python3 review/8/case.py
-code=$?
-[ "$code" -le 1 ] && exit "$code"
-exit 2
+case $? in
+  0) exit 0 ;;
+  3) exit 1 ;;
+  *) exit 2 ;;
+esac
