Judge the times of a route by what the document says

An operator's configuration with a timeout of 600000.4 ms was acknowledged although it is above the bound of ten minutes. The other way round, an objective of 61000.5 ms beside a timeout of 1000.6 ms, and an objective of 0.4 ms, were refused although they are valid.

Cause: times were rounded to the nearest millisecond when they were read, and checked afterwards.

The test PlatformFormat.JudgesTimesAsTheyWereWritten guards both directions.

--- a/cornelweir/src/kernel/quantity.h
+++ b/cornelweir/src/kernel/quantity.h
@@ -10,6 +10,7 @@
 
 using milliseconds = std::chrono::milliseconds;
 using microseconds = std::chrono::microseconds;
+using nanoseconds = std::chrono::nanoseconds;
 
 // Converts a duration to whole milliseconds, rounded towards zero.
 constexpr milliseconds ToMilliseconds(microseconds duration) {
--- a/cornelweir/src/policy/limits.h
+++ b/cornelweir/src/policy/limits.h
@@ -21,6 +21,10 @@
 // The latency objective of a route must be less than its timeout plus this.
 inline constexpr kernel::milliseconds kMaxObjectiveExcess{60'000};
 
+constexpr bool IsObjectiveTooLong(kernel::nanoseconds objective, kernel::nanoseconds timeout) {
+  return objective >= timeout + kMaxObjectiveExcess;
+}
+
 }  // namespace cornelweir::policy
 
 #endif  // CORNELWEIR_SRC_POLICY_LIMITS_H_
--- a/cornelweir/src/policy/policy_errors.cc
+++ b/cornelweir/src/policy/policy_errors.cc
@@ -115,7 +115,7 @@
     errors.Check(entry.timeout.count() > 0 && entry.timeout <= kMaxTimeout, entry,
                  "the timeout must be above 0 and at most 10 minutes");
     errors.Check(entry.latency_objective.count() > 0 &&
-                     entry.latency_objective < entry.timeout + kMaxObjectiveExcess,
+                     !IsObjectiveTooLong(entry.latency_objective, entry.timeout),
                  entry, "the latency objective must be above 0 and near the timeout");
     errors.Check(entry.attempts >= 1, entry, "attempts must be at least 1");
     CheckDestination(entry, services, errors);
--- a/tests/platform_format_test.cc
+++ b/tests/platform_format_test.cc
@@ -71,6 +71,27 @@
   EXPECT_EQ(serialized["virtual_hosts"][0]["host_routes"][1]["public"], false);
 }
 
+// Guards against rounding that hides that a policy is invalid, or makes a valid one invalid.
+TEST(PlatformFormat, JudgesTimesAsTheyWereWritten) {
+  struct times {
+    std::string timeout;
+    std::string objective;
+    bool is_valid;
+  };
+  for (const times& drawn : {times{"600000ms", "600ms", true}, times{"600000.4ms", "600ms", false},
+                             times{"1000.4ms", "61000.4ms", false},
+                             times{"1000.6ms", "61000.5ms", true}, times{"0.5ms", "0.5ms", true},
+                             times{"1.2s", "0.4ms", true}, times{"0ms", "600ms", false}}) {
+    json document = json::parse(kPolicy);
+    json& route = document["virtual_hosts"][0]["host_routes"][0];
+    route["timeout"] = drawn.timeout;
+    route["target_latency"] = drawn.objective;
+    const auto table = ParsePolicy(document.dump());
+    EXPECT_EQ(table && policy::Validate(table.value()).empty(), drawn.is_valid)
+        << drawn.timeout << ", " << drawn.objective;
+  }
+}
+
 // Guards against accepting a policy with a malformed member.
 TEST(PlatformFormat, RejectsAMalformedPolicy) {
   const auto is_accepted_with = [](const std::string& from, const std::string& to) {
