--- a/tests/platform_format_test.cc
+++ b/tests/platform_format_test.cc
@@ -92,6 +92,15 @@
   }
 }
 
+// Guards against a limit that is so low that it is rounded to none.
+TEST(PlatformFormat, KeepsTheLowestLimit) {
+  json document = json::parse(kPolicy);
+  document["tenants"] = json::parse(R"([{"name": "w1", "api_keys": [], "rate_per_s": 0.0004}])");
+  const auto table = ParsePolicy(document.dump());
+  ASSERT_TRUE(table);
+  EXPECT_TRUE(table->workspaces.at(0).HasQuota());
+}
+
 // Guards against accepting a policy with a malformed member.
 TEST(PlatformFormat, RejectsAMalformedPolicy) {
   const auto is_accepted_with = [](const std::string& from, const std::string& to) {
