Refuse a configuration in which an object has a member twice

Such a configuration was acknowledged, the last of the two members was enforced, and the first one was lost.

Cause: the JSON library keeps the last one and says nothing, and a reader of the document may take the other.

The test PlatformFormat.RefusesARepeatedMember guards it.

--- a/tests/platform_format_test.cc
+++ b/tests/platform_format_test.cc
@@ -101,6 +101,13 @@
   EXPECT_TRUE(table->workspaces.at(0).HasQuota());
 }
 
+// Guards against putting one of two contradicting members in force.
+TEST(PlatformFormat, RefusesARepeatedMember) {
+  std::string text(kPolicy);
+  text.insert(text.find("\"priority\""), "\"priority\": 7, ");
+  EXPECT_FALSE(ParsePolicy(text));
+}
+
 // Guards against accepting a policy with a malformed member.
 TEST(PlatformFormat, RejectsAMalformedPolicy) {
   const auto is_accepted_with = [](const std::string& from, const std::string& to) {
