Share the command line of tests that play with real processes

broken_answers_test had its own; two further tests need the same options, record and clean-up. tests/stand_ins/play.py has them once. No check changes: the test still ends with 1 if there are failures or the fleet does not become ready.

--- a/tests/broken_answers_test.py
+++ b/tests/broken_answers_test.py
@@ -11,15 +11,14 @@
 import dataclasses
 import pathlib
 import random
-import shutil
 import sys
-import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests" / "stand_ins"))
 
 import fleet as fleets  # noqa: E402
 import http1  # noqa: E402
+import play as plays  # noqa: E402
 
 SERVICE = "forms"
 DEADLINE_MS = 5000
@@ -108,6 +107,7 @@
 class Play:
     def __init__(self, record, seed):
         self.record = record
+        self.seed = seed
         self.random = random.Random(seed)
         self.cases = [*invalid_heads(), *parts_of_bodies(), *valid_answers()]
         self.failures = []
@@ -156,7 +156,9 @@
         if method != "GET" and runs > 0 and status in NOT_RUN:
             self.fail(case, method, f"status {status} says that it did not run")
 
-    def run(self):
+    def play(self):
+        if not self.start():
+            sys.exit("the fleet did not become ready")
         requests = [(number, method) for number, case in enumerate(self.cases)
                     for method in (("POST",) if case.upload else ("GET", "POST"))]
         self.random.shuffle(requests)
@@ -170,35 +172,13 @@
         for machine in self.fleet.controls + self.fleet.sidecars:
             if not machine.is_running():
                 self.failures.append(f"the process of {machine.name} has ended")
-        return len(requests)
+        return f"seed {self.seed}: {len(requests)} answers"
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.split("\n", 1)[0])
-    parser.add_argument("--daemon", required=True)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--logs", type=pathlib.Path, help="keeps the record and the logs there")
-    arguments = parser.parse_args()
-    folder = arguments.logs or pathlib.Path(tempfile.mkdtemp(prefix="broken-answers-"))
-    folder.mkdir(parents=True, exist_ok=True)
-    play = Play(fleets.Record(folder / "record.txt"), arguments.seed)
-    daemon = str(pathlib.Path(arguments.daemon).resolve())
-    for role in play.fleet.deploy["roles"].values():
-        role["run"] = daemon
-    try:
-        if not play.start():
-            sys.exit("the fleet did not become ready")
-        count = play.run()
-        for machine in play.fleet.controls + play.fleet.sidecars if arguments.logs else []:
-            (folder / f"{machine.name}.log").write_text(machine.log(), encoding="utf-8")
-    finally:
-        play.fleet.stop()
-        if not arguments.logs:
-            shutil.rmtree(folder, ignore_errors=True)
-    for failure in play.failures:
-        print(f"FAILED: {failure}")
-    print(f"seed {arguments.seed}: {count} answers, {len(play.failures)} failures")
-    sys.exit(1 if play.failures else 0)
+    plays.main(parser, lambda record, arguments: Play(record, arguments.seed))
 
 
 if __name__ == "__main__":
