Read a configuration back as it was sent

Cause: a document was read into the table that daemons enforce, only the table was replicated, and reads wrote a document anew from it.

Daemons still get the table only. Two documents with the same table and version are two changes, so resends are recognized by the digest of the document's content; what an earlier version accepted, by that of its table.

--- a/cornelweir/policy.h
+++ b/cornelweir/policy.h
@@ -14,6 +14,7 @@
 #include "cornelweir/src/policy/policy_delta.h"       // IWYU pragma: export
 #include "cornelweir/src/policy/policy_report.h"      // IWYU pragma: export
 #include "cornelweir/src/policy/policy_table.h"       // IWYU pragma: export
+#include "cornelweir/src/policy/policy_text.h"        // IWYU pragma: export
 #include "cornelweir/src/policy/replace_keys.h"       // IWYU pragma: export
 #include "cornelweir/src/policy/request_resolver.h"   // IWYU pragma: export
 #include "cornelweir/src/policy/route.h"              // IWYU pragma: export
--- a/cornelweir/src/control/commands.h
+++ b/cornelweir/src/control/commands.h
@@ -190,11 +190,15 @@
   static constexpr std::string_view kType = "replace_policy";
 
   policy::policy_delta delta;
+  // Of the encoded table.
   kernel::policy_digest digest;
+  // Empty if a host of an earlier version proposed the command.
+  std::optional<policy::policy_text> text;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"delta", &replace_policy_command::delta},
-                      kernel::field{"digest", &replace_policy_command::digest}};
+                      kernel::field{"digest", &replace_policy_command::digest},
+                      kernel::field{"text", &replace_policy_command::text}};
   }
 };
 
--- a/cornelweir/src/control/state_machine.cc
+++ b/cornelweir/src/control/state_machine.cc
@@ -153,7 +153,7 @@
 }
 
 outcome state_machine::Run(const replace_policy_command& command, apply_context& context) {
-  const policy_outcome result = policy_.Replace(command.delta, command.digest);
+  const policy_outcome result = policy_.Replace(command);
   context.effects.policy_changed = result.changed;
   return result;
 }
--- a/plugins/control/policy_service.cc
+++ b/plugins/control/policy_service.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,8 +16,8 @@
 namespace cornelweir::plugins::control {
 namespace internal {
 
-kernel::policy_digest ComputeDigest(std::string_view encoded_table) {
-  return kernel::policy_digest(XXH3_64bits(encoded_table.data(), encoded_table.size()));
+kernel::policy_digest ComputeDigest(std::string_view bytes) {
+  return kernel::policy_digest(XXH3_64bits(bytes.data(), bytes.size()));
 }
 
 // Whether the whole table can be sent to a daemon that has no policy. Most tables are small enough
@@ -52,9 +53,9 @@
 
 policy_port policy_service::MakePort() {
   policy_port port;
-  port.replace = [this](kernel::policy_version base, policy::policy_table table,
+  port.replace = [this](kernel::policy_version base, policy_submission submission,
                         const policy_port::replace_callback& callback) {
-    Replace(base, std::make_shared<const policy::policy_table>(std::move(table)), callback);
+    Replace(base, std::move(submission), callback);
   };
   port.read = [this](const policy_port::read_callback& callback) { Read(callback); };
   return port;
@@ -62,39 +63,44 @@
 
 void policy_service::Read(const policy_port::read_callback& callback) {
   owner_.local_replica().Read([this, callback](bool is_current) {
-    const auto& newest = owner_.local_replica().machine().policy().current();
+    const cornelweir::control::policy_store& store = owner_.local_replica().machine().policy();
     logging::event(logging::event_id::kPolicyRead)
         .With("current", is_current)
-        .With("version", newest->version);
-    callback(is_current ? newest : nullptr);
+        .With("version", store.current()->version);
+    callback(is_current ? policy_reading{store.current(), store.text()} : policy_reading());
   });
 }
 
-void policy_service::Replace(kernel::policy_version base, const shared_table& table,
+void policy_service::Replace(kernel::policy_version base, policy_submission submission,
                              const policy_port::replace_callback& callback) {
+  const kernel::policy_version version = submission.table.version;
   if (!owner_.CanStore()) {
-    internal::LogOutcome(table->version, base, kernel::policy_version(), "not-stored");
+    internal::LogOutcome(version, base, kernel::policy_version(), "not-stored");
     callback(policy_answer::kNotStored);
     return;
   }
-  owner_.local_replica().Read([this, base, table, callback](bool is_current) {
+  // Shared, since the callback must be copyable.
+  const auto shared = std::make_shared<const policy_submission>(std::move(submission));
+  owner_.local_replica().Read([this, base, version, shared, callback](bool is_current) {
     if (!is_current) {
-      internal::LogOutcome(table->version, base, kernel::policy_version(), "not-proved-current");
+      internal::LogOutcome(version, base, kernel::policy_version(), "not-proved-current");
       callback(policy_answer::kUnknown);
       return;
     }
-    Submit(base, *table, callback);
+    Submit(base, *shared, callback);
   });
 }
 
-void policy_service::Submit(kernel::policy_version base, const policy::policy_table& table,
+void policy_service::Submit(kernel::policy_version base, const policy_submission& submission,
                             const policy_port::replace_callback& callback) {
   const cornelweir::control::policy_store& store = owner_.local_replica().machine().policy();
   const policy::policy_table& current = *store.current();
+  const policy::policy_table& table = submission.table;
   const kernel::policy_version version = table.version;
   const std::string encoded = codec::EncodeDirectly(table);
   const kernel::policy_digest digest = internal::ComputeDigest(encoded);
-  if (store.WasAccepted(version, digest)) {
+  const kernel::policy_digest text_digest = internal::ComputeDigest(submission.normalized_text);
+  if (store.WasAccepted({version, digest, text_digest})) {
     internal::LogOutcome(version, base, current.version, "accepted-before");
     callback(policy_answer::kAccepted);
     return;
@@ -109,7 +115,9 @@
     callback(policy_answer::kTooLarge);
     return;
   }
-  cornelweir::control::replace_policy_command command{policy::Diff(current, table), digest};
+  cornelweir::control::replace_policy_command command{
+      policy::Diff(current, table), digest,
+      policy::policy_text{{codec::Deflate(submission.text)}, text_digest}};
   const policy::change_counts changes = policy::CountByKind(policy::Compare(current, table));
   owner_.Submit(std::move(command), [version, base, changes, callback](const auto& outcome) {
     const auto* refused =
--- a/plugins/control/policy_service.h
+++ b/plugins/control/policy_service.h
@@ -19,11 +19,9 @@
   policy_port MakePort();
 
  private:
-  using shared_table = std::shared_ptr<const policy::policy_table>;
-
-  void Replace(kernel::policy_version base, const shared_table& table,
+  void Replace(kernel::policy_version base, policy_submission submission,
                const policy_port::replace_callback& callback);
-  void Submit(kernel::policy_version base, const policy::policy_table& table,
+  void Submit(kernel::policy_version base, const policy_submission& submission,
               const policy_port::replace_callback& callback);
   void Read(const policy_port::read_callback& callback);
 
--- a/plugins/policy_port.h
+++ b/plugins/policy_port.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "cornelweir/kernel.h"
 #include "cornelweir/policy.h"
@@ -24,15 +25,30 @@
   kUnknown,
 };
 
+// A policy as operators submit it.
+struct policy_submission {
+  // Must be valid.
+  policy::policy_table table;
+  // The text from which the table was read.
+  std::string text;
+  // The same for texts that differ only in layout. Resends are recognized by it.
+  std::string normalized_text;
+};
+
+// The newest accepted policy. The table is null if it can't be determined for certain, and the text
+// if a host of an earlier version proposed the policy.
+struct policy_reading {
+  std::shared_ptr<const policy::policy_table> table;
+  std::shared_ptr<const policy::policy_text> text;
+};
+
 // The functions that the control plug-in offers to the plug-ins that serve operators.
 struct policy_port {
   using replace_callback = std::function<void(policy_answer)>;
-  // Gets null if the newest policy can't be determined for certain.
-  using read_callback = std::function<void(std::shared_ptr<const policy::policy_table>)>;
+  using read_callback = std::function<void(const policy_reading&)>;
 
-  // Replaces the policy whose version is base by the table, which must be valid.
-  std::function<void(kernel::policy_version base, policy::policy_table table, replace_callback)>
-      replace;
+  // Replaces the policy whose version is base.
+  std::function<void(kernel::policy_version base, policy_submission, replace_callback)> replace;
   // Reads the newest accepted policy.
   std::function<void(read_callback)> read;
 };
--- a/tests/control_plugin_test.cc
+++ b/tests/control_plugin_test.cc
@@ -23,6 +23,7 @@
 #include "plugins/greeting.h"
 #include "tests/control_host_test.h"
 #include "tests/logged_lines.h"
+#include "tests/policy_submission_of.h"
 
 namespace cornelweir::plugins::control {
 namespace {
@@ -110,7 +111,8 @@
 
   void Replace(const policy::policy_table& table, kernel::policy_version base = {}) {
     answer_.reset();
-    context_.policy.replace(base, table, [this](policy_answer answer) { answer_ = answer; });
+    context_.policy.replace(base, SubmissionOf(table),
+                            [this](policy_answer answer) { answer_ = answer; });
   }
 
   // Connects as a sidecar daemon and reports that it enforces no policy.
@@ -458,9 +460,9 @@
                           [&](rollout_answer answer) { rollout = answer; });
   EXPECT_EQ(rollout, rollout_answer::kNotStored);
   bool was_read = false;
-  context_.policy.read([&](const auto& table) {
+  context_.policy.read([&](const policy_reading& reading) {
     was_read = true;
-    EXPECT_EQ(table, nullptr);
+    EXPECT_EQ(reading.table, nullptr);
   });
   EXPECT_TRUE(was_read);
   EXPECT_FALSE(plugin_->local_replica().node().IsLeader());
@@ -544,10 +546,11 @@
   mesh.Start();
   http::RunUntil(loop_, [&] { return mesh.IsConnected(settings_.host); });
   const policy::policy_table table = LargePolicy(6'000, 10'000);
-  mesh.Submit(settings_.host,
-              cornelweir::control::replace_policy_command{
-                  policy::Diff(policy::policy_table(), table), kernel::policy_digest(1)},
-              [](const auto&) {});
+  mesh.Submit(
+      settings_.host,
+      cornelweir::control::replace_policy_command{policy::Diff(policy::policy_table(), table),
+                                                  kernel::policy_digest(1), std::nullopt},
+      [](const auto&) {});
   const auto& store = plugin_->local_replica().machine().policy();
   http::RunUntil(loop_, [&] { return store.current()->version == table.version; });
   EXPECT_EQ(*store.current(), table);
--- a/tests/ctl_check_test.cc
+++ b/tests/ctl_check_test.cc
@@ -186,8 +186,8 @@
       policy::FindWarnings(read.table);
       const bool is_valid = policy::FindErrors(read.table).empty();
       RC_ASSERT(is_valid == policy::Validate(read.table).empty());
-      const auto again = platform::ParsePolicy(platform::SerializePolicy(read.table));
-      RC_ASSERT(again && again.value() == read.table);
+      const auto again = platform::ReadPolicy(platform::SerializePolicy(read.table));
+      RC_ASSERT(again.errors.empty() && again.table == read.table);
     }
     const exit_code code = Run({Write(text)});
     RC_ASSERT(code == exit_code{0} || code == exit_code{2} || text.empty());
--- a/tests/direct_cbor_test.cc
+++ b/tests/direct_cbor_test.cc
@@ -48,7 +48,11 @@
   const policy::policy_table table = AnyTable();
   control::log_record record{
       *rc::gen::arbitrary<std::int64_t>(),
-      control::replace_policy_command{policy::Diff(policy::policy_table(), table), {}}};
+      control::replace_policy_command{policy::Diff(policy::policy_table(), table), {}, {}}};
+  if (*rc::gen::arbitrary<bool>()) {
+    std::get<control::replace_policy_command>(record.body).text = policy::policy_text{
+        {AnyText()}, kernel::policy_digest(*rc::gen::arbitrary<std::uint64_t>())};
+  }
   if (*rc::gen::arbitrary<bool>()) {
     control::complete_command complete;
     complete.response.body.bytes = AnyText();
--- a/tests/platform_format_test.cc
+++ b/tests/platform_format_test.cc
@@ -2,8 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include "platform/json_fields.h"
 #include "platform/policy_format.h"
@@ -32,6 +36,12 @@
     {"name": "r2", "path_prefix": "/q/", "route_type": "unsafe", "timeout": "1500ms",
      "target_latency": "800ms", "priority": 1, "attempts": 1, "service": "b"}]}]})";
 
+std::optional<policy::policy_table> ParsePolicy(std::string_view text) {
+  policy_document read = ReadPolicy(text);
+  if (!read.errors.empty()) return std::nullopt;
+  return std::move(read.table);
+}
+
 // Guards against a policy that changes when it is serialized and parsed again.
 TEST(PlatformFormat, SerializesAndParsesAPolicyUnchanged) {
   const auto table = ParsePolicy(std::string(kPolicy));
@@ -87,7 +97,7 @@
     route["timeout"] = drawn.timeout;
     route["target_latency"] = drawn.objective;
     const auto table = ParsePolicy(document.dump());
-    EXPECT_EQ(table && policy::Validate(table.value()).empty(), drawn.is_valid)
+    EXPECT_EQ(table && policy::Validate(*table).empty(), drawn.is_valid)
         << drawn.timeout << ", " << drawn.objective;
   }
 }
@@ -108,12 +118,25 @@
   EXPECT_FALSE(ParsePolicy(text));
 }
 
+// Guards against taking two policies for the same because their tables are.
+TEST(PlatformFormat, NormalizedTextIgnoresOnlyTheLayout) {
+  const auto normalized = [](const json& document) {
+    return ReadPolicy(document.dump(2)).normalized_text;
+  };
+  json document = json::parse(kPolicy);
+  const std::string original = ReadPolicy(kPolicy).normalized_text;
+  EXPECT_FALSE(original.empty());
+  EXPECT_EQ(normalized(document), original);
+  document["virtual_hosts"].push_back({{"host", "y.example"}, {"host_routes", json::array()}});
+  EXPECT_NE(normalized(document), original);
+}
+
 // Guards against accepting a policy with a malformed member.
 TEST(PlatformFormat, RejectsAMalformedPolicy) {
   const auto is_accepted_with = [](const std::string& from, const std::string& to) {
     std::string text(kPolicy);
     text.replace(text.find(from), from.size(), to);
-    return static_cast<bool>(ParsePolicy(text));
+    return ParsePolicy(text).has_value();
   };
   EXPECT_FALSE(ParsePolicy(std::string(kPolicy.substr(0, kPolicy.size() / 2))));
   EXPECT_FALSE(is_accepted_with("\"safe\"", "\"often\""));
--- a/tests/rollout_group_test.cc
+++ b/tests/rollout_group_test.cc
@@ -13,6 +13,7 @@
 
 #include "plugins/control/control_plugin.h"
 #include "tests/http_test_support.h"
+#include "tests/policy_submission_of.h"
 
 namespace cornelweir::plugins::control {
 namespace {
@@ -102,7 +103,7 @@
     std::optional<policy_answer> answer = policy_answer::kUnknown;
     while (answer == policy_answer::kUnknown) {
       answer.reset();
-      Leader().context.policy.replace(kernel::policy_version(), table,
+      Leader().context.policy.replace(kernel::policy_version(), SubmissionOf(table),
                                       [&](policy_answer decided) { answer = decided; });
       http::RunUntil(loop_, [&] { return answer.has_value(); });
     }
--- a/tests/rollout_service_test.cc
+++ b/tests/rollout_service_test.cc
@@ -14,6 +14,7 @@
 #include "cornelweir/codec.h"
 #include "plugins/greeting.h"
 #include "tests/control_host_test.h"
+#include "tests/policy_submission_of.h"
 
 namespace cornelweir::plugins::control {
 namespace {
@@ -30,7 +31,7 @@
     table.version = kernel::policy_version(1);
     table.services = {{kService, "/health", 1, "h1", false}};
     std::optional<policy_answer> answer;
-    context_.policy.replace(kernel::policy_version(), table,
+    context_.policy.replace(kernel::policy_version(), SubmissionOf(table),
                             [&](policy_answer decided) { answer = decided; });
     http::RunUntil(loop_, [&] { return answer.has_value(); });
   }
