Warn of parts of a configuration that have no effect

'cornelweirctl check' said nothing of a member that isn't known or of a host without routes. Such parts are accepted and read back, so an operator may believe that they are in force.

Cause: the readers of the document looked only for the members that they know. The test PlatformFormat.WarnsOfPartsWithoutEffect guards it; it needs a member of the result that did not exist before.

--- a/programs/cornelweirctl/verbs/check.cc
+++ b/programs/cornelweirctl/verbs/check.cc
@@ -33,6 +33,13 @@
   std::vector<policy_change> changes;
 };
 
+void Append(std::vector<finding> added, std::vector<finding>& warnings) {
+  for (finding& warning : added) {
+    if (warnings.size() >= policy::kMaxFindings) break;
+    warnings.push_back(std::move(warning));
+  }
+}
+
 boost::leaf::result<check_report> Check(verb_context& context) {
   std::optional<comparison_base> base;
   if (context.Has("against")) {
@@ -47,12 +54,10 @@
   // The table of a malformed document is incomplete, so further findings could be wrong.
   if (!report.errors.empty()) return report;
   report.errors = policy::FindErrors(document.table);
-  report.warnings = policy::FindWarnings(document.table);
+  report.warnings = std::move(document.warnings);
+  Append(policy::FindWarnings(document.table), report.warnings);
   if (!base) return report;
-  for (finding& warning : policy::FindDeploymentWarnings(document.table, base->services)) {
-    if (report.warnings.size() >= policy::kMaxFindings) break;
-    report.warnings.push_back(std::move(warning));
-  }
+  Append(policy::FindDeploymentWarnings(document.table, base->services), report.warnings);
   report.against = base->table.version;
   if (base->has_key_digests) policy::ReplaceKeys(document.table, codec::Sha256Hex);
   report.changes = policy::Compare(base->table, document.table);
--- a/tests/platform_format_test.cc
+++ b/tests/platform_format_test.cc
@@ -131,6 +131,21 @@
   EXPECT_NE(normalized(document), original);
 }
 
+// Guards against parts of a document that are without effect and of which operators hear nothing.
+TEST(PlatformFormat, WarnsOfPartsWithoutEffect) {
+  EXPECT_TRUE(ReadPolicy(kPolicy).warnings.empty());
+  json document = json::parse(kPolicy);
+  document["owner"] = "team-a";
+  document["virtual_hosts"][0]["host_routes"][1]["note"] = 1;
+  document["virtual_hosts"].push_back({{"host", "y.example"}, {"host_routes", json::array()}});
+  const policy_document read = ReadPolicy(document.dump());
+  EXPECT_TRUE(read.errors.empty());
+  std::vector<std::string> places;
+  for (const policy::finding& warning : read.warnings) places.push_back(warning.place);
+  EXPECT_EQ(places, (std::vector<std::string>{"virtual_hosts[0].host_routes[1].note",
+                                              "virtual_hosts[1].host_routes", "owner"}));
+}
+
 // Guards against accepting a policy with a malformed member.
 TEST(PlatformFormat, RejectsAMalformedPolicy) {
   const auto is_accepted_with = [](const std::string& from, const std::string& to) {
