Use an upstream that may have left only after a health response

All processes were killed and started again.

Cause: who has left was known only to the process of the daemon that had acknowledged it, and to control hosts in memory. A daemon without that memory took any announcement for the present. That DELETE of an unknown id is not stored explains this case and not the cause: the same happened when DELETE or 'draining' had been acknowledged before the kill.

A daemon now uses an upstream only once it has answered a health probe that was sent after its announcement, if the upstream may have left before the daemon started, or while the daemon did not know its id. So nothing about departures has to be remembered, replicated or timed across hosts. Event 3022 tells that an announced upstream is not used yet, which no log line showed.

Tests that announced an upstream to a new daemon now let it answer a probe first; their checks are the same.

--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -67,6 +67,7 @@
   X(kResponsesGivenUp, 3019, kWarning, "responses to another daemon given up")               \
   X(kRolloutApplied, 3020, kInfo, "rollout in force")                                        \
   X(kRolloutUnconfirmed, 3021, kWarning, "upstream closed, rollout not confirmed")           \
+  X(kUpstreamUnproven, 3022, kInfo, "upstream announced, health response awaited")           \
   X(kUpstreamCrashed, 4001, kWarning, "upstream connection broke with requests in progress") \
   X(kRequestEnded, 4002, kInfo, "request ended")                                             \
   X(kRequestSentAgain, 4003, kInfo, "request sent again")                                    \
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "cornelweir/logging.h"
@@ -87,6 +88,8 @@
   peers_.UseRollouts(rollouts_.table());
   peers_.OnPeerOpened([this](peer& daemon) { OnPeerOpened(daemon); });
   dispatcher_.UseQuarantine(quarantine_);
+  dispatcher_.SetHealthPathSource(
+      [this](const kernel::service_name& service) { return HealthPathOf(service); });
   peer_server_.UseQuarantine(quarantine_);
   router_.UseQuarantine(quarantine_);
   callers_.UseMemory(context_.memory);
@@ -126,11 +129,15 @@
   router_.SetPolicy(control_client_.policy());
   callers_.SetLimits(internal::ToPipelineLimits(control_client_.policy()->limits));
   LogReadinessChange();
-  for (const policy::service& service : control_client_.policy()->services) {
-    if (service.name != dispatcher_.service() || probe_started_) continue;
-    probe_started_ = true;
-    dispatcher_.ProbeUntilAnnounced(service.health_path);
-  }
+  dispatcher_.StartProbing();
+}
+
+std::string sidecar_node::HealthPathOf(const kernel::service_name& service) const {
+  if (!control_client_.policy()) return {};
+  const auto& services = control_client_.policy()->services;
+  const auto found = std::find_if(services.begin(), services.end(),
+                                  [&](const auto& candidate) { return candidate.name == service; });
+  return found == services.end() ? std::string() : found->health_path;
 }
 
 void sidecar_node::OnUpstreamChanged() {
--- a/plugins/sidecar/sidecar_node.h
+++ b/plugins/sidecar/sidecar_node.h
@@ -3,6 +3,7 @@
 
 #include <boost/leaf.hpp>
 #include <functional>
+#include <string>
 
 #include "cornelweir/http.h"
 #include "cornelweir/kernel.h"
@@ -35,6 +36,8 @@
 
  private:
   void OnPolicyChanged();
+  // Empty if the policy is unknown or does not contain the service.
+  std::string HealthPathOf(const kernel::service_name& service) const;
   void OnUpstreamChanged();
   // Tells a daemon which requests to refuse before it gets any.
   void OnPeerOpened(peer& daemon);
@@ -68,7 +71,6 @@
   // Those that were reported.
   http::slow_reader_counts slow_readers_;
   bool was_ready_ = false;
-  bool probe_started_ = false;
   std::function<void()> done_;
 };
 
--- a/plugins/sidecar/upstream_announcements.cc
+++ b/plugins/sidecar/upstream_announcements.cc
@@ -1,21 +1,24 @@
 // The part of upstream_dispatcher that learns which upstream to use, and within which limits.
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <tuple>
 #include <utility>
 
+#include "cornelweir/logging.h"
 #include "plugins/sidecar/upstream_dispatcher.h"
 #include "plugins/wall_clock.h"
 
 namespace cornelweir::plugins::sidecar {
 namespace internal {
 
-// An upstream that has not announced itself is probed for this long after the daemon's start, at
-// this period.
+// An upstream that has not announced itself is probed for this long after the daemon's start.
 constexpr kernel::milliseconds kMaxProbeTime{1'600};
-constexpr kernel::milliseconds kProbePeriod{150};
 constexpr kernel::milliseconds kProbeTimeout{500};
+// The period between probes grows to this once kMaxProbeTime has passed.
+constexpr kernel::milliseconds kMaxProbePeriod{1'000};
 // Number of slots of an upstream that a probe found and whose number is not known yet. A full
 // upstream may reset the connection of a request, whose outcome is then unknown.
 constexpr std::int64_t kAssumedSlots = 1;
@@ -36,6 +39,12 @@
 
 // Announcements may arrive late and in any order, also from an earlier process with the same id.
 bool upstream_dispatcher::IsOutdated(const membership::upstream_announcement& announcement) const {
+  const auto order = [](const membership::upstream_announcement& state) {
+    return std::tuple(state.started_at, state.sequence);
+  };
+  if (unproven_ && unproven_->id == announcement.id && order(announcement) < order(*unproven_)) {
+    return true;
+  }
   if (HasLeft(announced_, announcement) && !announcement.draining) return true;
   if (!last_announced_) return false;
   if (announcement.started_at != last_announced_->started_at) {
@@ -83,6 +92,40 @@
     return announcement_result::kRefused;
   }
   if (IsOutdated(announcement)) return announcement_result::kOutdated;
+  if (NeedsHealthResponse(announcement)) {
+    AwaitHealthResponse(announcement);
+  } else {
+    Use(announcement);
+  }
+  return announcement_result::kAccepted;
+}
+
+bool upstream_dispatcher::NeedsHealthResponse(
+    const membership::upstream_announcement& announcement) const {
+  if (announcement.draining || (announced_ && IsSameProcess(announcement))) return false;
+  return !trust_.Suffices(context_.pauses.InputArrival(Now()));
+}
+
+void upstream_dispatcher::AwaitHealthResponse(
+    const membership::upstream_announcement& announcement) {
+  const bool is_new = !unproven_ || unproven_->id != announcement.id ||
+                      unproven_->started_at != announcement.started_at;
+  unproven_ = announcement;
+  unproven_heard_at_ = Now();
+  if (is_new) {
+    logging::event(logging::event_id::kUpstreamUnproven)
+        .With("upstream", announcement.id)
+        .With("service", announcement.service)
+        .With("sequence", announcement.sequence);
+    // An earlier probe may have been answered before the upstream left.
+    DiscardProbe();
+    probe_period_ = kMinProbePeriod;
+  }
+  StartProbing();
+}
+
+void upstream_dispatcher::Use(const membership::upstream_announcement& announcement) {
+  if (unproven_ && (!announcement.draining || unproven_->id == announcement.id)) unproven_.reset();
   const bool is_first = !announced_ && !last_announced_;
   const bool replaced = !announced_ || announced_->id != announcement.id ||
                         announced_->started_at != announcement.started_at;
@@ -107,15 +150,31 @@
     SetRateLimit(std::nullopt);
   }
   if (changed) OnStateChanged(replaced ? "announced" : "state");
-  return announcement_result::kAccepted;
 }
 
 // When only the daemon restarts, its upstream keeps running and may not announce itself for a
 // while. The health response contains the upstream's id, so requests need not wait for the
 // announcement. The service from the settings is reliable only shortly after the start; later
 // another upstream may have the address.
-void upstream_dispatcher::ProbeUntilAnnounced(const std::string& health_path) {
-  if (announced_ || shutting_down_ || Now() - started_at_ > internal::kMaxProbeTime) return;
+std::optional<kernel::service_name> upstream_dispatcher::ServiceToProbe() const {
+  if (shutting_down_) return std::nullopt;
+  // An upstream that is silent for this long has ended.
+  if (unproven_ && Now() - unproven_heard_at_ <= announcement_trust::kMaxAnnouncementDelay) {
+    return unproven_->service;
+  }
+  if (announced_ || Now() - started_at_ > internal::kMaxProbeTime) return std::nullopt;
+  return context_.settings.sidecar->service;
+}
+
+void upstream_dispatcher::StartProbing() {
+  if (!probing_) SendProbe();
+}
+
+void upstream_dispatcher::SendProbe() {
+  const auto service = ServiceToProbe();
+  const std::string health_path = service && health_path_ ? health_path_(*service) : std::string();
+  probing_ = !health_path.empty();
+  if (!probing_) return;
   const http::whole_request probe{
       "GET", health_path, {{"Host", context_.settings.sidecar->upstream.value()}}, ""};
   client_.Send(
@@ -125,46 +184,89 @@
         return dialect_.has_request_id(response) ? http::response_match::kStale
                                                  : http::response_match::kMatched;
       },
-      [this, health_path](const http::upstream_result& result) {
-        OnProbeResponse(health_path, result);
+      [this, number = ++probe_number_](const http::upstream_result& result) {
+        if (number == probe_number_) OnProbeResult(result);
       });
 }
 
-void upstream_dispatcher::OnProbeResponse(const std::string& health_path,
-                                          const http::upstream_result& result) {
+void upstream_dispatcher::DiscardProbe() {
+  ++probe_number_;
+  probe_timer_.Cancel();
+  probing_ = false;
+}
+
+void upstream_dispatcher::ScheduleProbe() {
+  probing_ = true;
+  probe_timer_.Start(probe_period_, [this] { SendProbe(); });
+  if (Now() - started_at_ > internal::kMaxProbeTime) {
+    probe_period_ = std::min(2 * probe_period_, internal::kMaxProbePeriod);
+  }
+}
+
+void upstream_dispatcher::OnProbeResult(const http::upstream_result& result) {
   const kernel::upstream_id id =
       result.response ? dialect_.healthy_upstream(*result.response) : kernel::upstream_id();
-  if (!id.value().empty() && !announced_) {
-    announced_.emplace();
-    announced_->id = id;
-    announced_->address = context_.settings.sidecar->upstream;
-    announced_->service = context_.settings.sidecar->service;
-    announced_->slots = internal::kAssumedSlots;
-    const upstream_notice notice = dialect_.read_notice(*result.response);
-    announced_->draining = notice.leaving;
-    // Only that the process runs already is known. A later one with the same id has a later start.
-    announced_->started_at =
-        kernel::incarnation(static_cast<std::uint64_t>(SinceEpochMs().count()));
-    // An upstream that has announced its end may not repeat it in its health response.
-    if (last_announced_ && last_announced_->id == id) {
-      last_announced_->draining |= announced_->draining;
-      announced_->started_at = last_announced_->started_at;
-      announced_->slots = last_announced_->slots;
-      announced_->draining = last_announced_->draining;
-      announced_->version = last_announced_->version;
-    } else {
-      rate_limit_known_ = notice.rate_limit.has_value();
-      SetRateLimit(notice.rate_limit);
-    }
-    OnStateChanged("healthy");
+  if (!id.value().empty()) OnHealthResponse(id, dialect_.read_notice(*result.response));
+  ScheduleProbe();
+}
+
+void upstream_dispatcher::OnHealthResponse(const kernel::upstream_id& id,
+                                           const upstream_notice& notice) {
+  trust_.OnHealthResponse();
+  // If another process has the address, the announcement was late.
+  const auto proven = std::exchange(unproven_, std::nullopt);
+  if (!proven || proven->id != id) {
+    if (!announced_) UseWithoutAnnouncement(id, notice);
+    return;
+  }
+  membership::upstream_announcement announcement = *proven;
+  announcement.draining |= notice.leaving;
+  Use(announcement);
+  if (!notice.rate_limit) return;
+  rate_limit_known_ = true;
+  SetRateLimit(notice.rate_limit);
+}
+
+void upstream_dispatcher::UseWithoutAnnouncement(const kernel::upstream_id& id,
+                                                 const upstream_notice& notice) {
+  if (Now() - started_at_ > internal::kMaxProbeTime + internal::kProbeTimeout) return;
+  announced_.emplace();
+  announced_->id = id;
+  announced_->address = context_.settings.sidecar->upstream;
+  announced_->service = context_.settings.sidecar->service;
+  announced_->slots = internal::kAssumedSlots;
+  announced_->draining = notice.leaving;
+  // Only that the process runs already is known. A later one with the same id has a later start.
+  announced_->started_at = kernel::incarnation(static_cast<std::uint64_t>(SinceEpochMs().count()));
+  // An upstream that has announced its end may not repeat it in its health response.
+  if (last_announced_ && last_announced_->id == id) {
+    last_announced_->draining |= announced_->draining;
+    announced_->started_at = last_announced_->started_at;
+    announced_->slots = last_announced_->slots;
+    announced_->draining = last_announced_->draining;
+    announced_->version = last_announced_->version;
+  } else {
+    rate_limit_known_ = notice.rate_limit.has_value();
+    SetRateLimit(notice.rate_limit);
   }
-  probe_timer_.Start(internal::kProbePeriod,
-                     [this, health_path] { ProbeUntilAnnounced(health_path); });
+  OnStateChanged("healthy");
 }
 
 void upstream_dispatcher::Withdraw(const kernel::upstream_id& id, std::string_view reason) {
-  if (last_announced_ && last_announced_->id == id) last_announced_->draining = true;
-  if (!announced_ || announced_->id != id || announced_->draining) return;
+  const auto has_id = [&](const auto& known) { return known && known->id == id; };
+  if (has_id(unproven_)) {
+    // The process is remembered, so that its further announcements are outdated.
+    membership::upstream_announcement left = *unproven_;
+    left.draining = true;
+    Use(left);
+  } else if (!has_id(announced_) && !has_id(last_announced_)) {
+    trust_.OnUnknownLeft(Now());
+    // It may have been answered before the upstream left.
+    DiscardProbe();
+    ScheduleProbe();
+  }
+  if (has_id(last_announced_)) last_announced_->draining = true;
+  if (!has_id(announced_) || announced_->draining) return;
   announced_->draining = true;
   crashes_.OnLeaving();
   OnStateChanged(reason);
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -38,8 +38,10 @@
       crash_count_(context.metrics.Counter("cornelweir_upstream_crashes_total",
                                            "Ends of the upstream with requests in progress", {})),
       backlog_(context, [this] { StartHeld(); }),
+      trust_(context.clock.Now()),
       queue_timer_(context.loop),
       probe_timer_(context.loop),
+      probe_period_(kMinProbePeriod),
       started_at_(context.clock.Now()),
       started_at_ms_(static_cast<std::uint64_t>(SinceEpochMs().count())) {
   client_.SetEndpoint(context.settings.sidecar->upstream);
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cornelweir/admission.h"
@@ -17,6 +18,7 @@
 #include "cornelweir/protocol.h"
 #include "cornelweir/rollout.h"
 #include "plugins/daemon_context.h"
+#include "plugins/sidecar/announcement_trust.h"
 #include "plugins/sidecar/bulk_sender.h"
 #include "plugins/sidecar/crash_watch.h"
 #include "plugins/sidecar/input_backlog.h"
@@ -34,6 +36,8 @@
 class upstream_dispatcher {
  public:
   using service_wait_source = std::function<kernel::microseconds(const kernel::service_name&)>;
+  // Returns an empty path if the service is unknown.
+  using health_path_source = std::function<std::string(const kernel::service_name&)>;
 
   upstream_dispatcher(daemon_context& context, const dialect_functions& dialect,
                       const bulk_sender& bulk, std::function<void()> on_change);
@@ -45,8 +49,10 @@
   // otherwise runs to its end.
   void Cancel(admission::ticket id);
 
+  // Uses the upstream, unless it may have left already: then it is used once it has answered a
+  // health probe.
   announcement_result Announce(const membership::upstream_announcement& announcement);
-  // Stops sending requests to the upstream.
+  // Stops sending requests to the upstream, whether or not it is known.
   void Withdraw(const kernel::upstream_id& id, std::string_view reason);
   // Restores what this daemon knew of its upstream before it restarted. Announcements and health
   // responses of the same upstream process do not undo it.
@@ -55,9 +61,10 @@
   // restored. A rate limit that is unknown looks like none: a daemon that restarts again before
   // the first response takes it for that.
   std::optional<membership::announced_upstream> LastAnnounced() const;
-  // Probes the health of the upstream until it announces itself, for a limited time after the
-  // start.
-  void ProbeUntilAnnounced(const std::string& health_path);
+  void SetHealthPathSource(health_path_source source) { health_path_ = std::move(source); }
+  // Probes the health of an upstream that is needed to use it, or that has not announced itself
+  // shortly after the start. To be called when health paths may have become known.
+  void StartProbing();
   // Refuses all further requests whose time limits end later: the process may end before they do,
   // and other daemons can still run them.
   void RefuseRunsBeyond(kernel::time_point finish_at) { finish_at_ = finish_at; }
@@ -144,9 +151,15 @@
     std::size_t response_bytes = 0;
   };
 
+  // The period between health probes shortly after the start.
+  static constexpr kernel::milliseconds kMinProbePeriod{150};
+
   kernel::time_point Now() const { return context_.clock.Now(); }
   bool IsOutdated(const membership::upstream_announcement& announcement) const;
   bool IsSameProcess(const membership::upstream_announcement& announcement) const;
+  bool NeedsHealthResponse(const membership::upstream_announcement& announcement) const;
+  void Use(const membership::upstream_announcement& announcement);
+  void AwaitHealthResponse(const membership::upstream_announcement& announcement);
   bool IsOpen() const;
   bool EndsInTime(const run& added) const;
   admission::slot_request SlotRequest(admission::ticket id, run& added);
@@ -185,7 +198,15 @@
   void Finish(admission::ticket id, run_result result);
   void RefuseAll(const std::vector<admission::ticket>& ids, protocol::run_failure failure);
   void OnConnectFailure();
-  void OnProbeResponse(const std::string& health_path, const http::upstream_result& result);
+  // The service whose health path is probed; empty if no probe is needed.
+  std::optional<kernel::service_name> ServiceToProbe() const;
+  void SendProbe();
+  void OnProbeResult(const http::upstream_result& result);
+  void OnHealthResponse(const kernel::upstream_id& id, const upstream_notice& notice);
+  void UseWithoutAnnouncement(const kernel::upstream_id& id, const upstream_notice& notice);
+  // Discards the result of a probe that has been sent.
+  void DiscardProbe();
+  void ScheduleProbe();
   // Refuses the queued requests if the upstream has been closed by the passing of time, as after a
   // pause of this process.
   void RefuseQueuedIfClosed();
@@ -217,6 +238,11 @@
   // The upstream in use: the one that announced itself last, or that a probe found.
   std::optional<membership::upstream_announcement> announced_;
   std::optional<membership::announced_upstream> last_announced_;
+  announcement_trust trust_;
+  // An upstream that has announced itself and is not used before it answers a probe, and when it
+  // announced itself last.
+  std::optional<membership::upstream_announcement> unproven_;
+  kernel::time_point unproven_heard_at_;
   kernel::time_point warmed_up_at_;
   // When a response last stated a rate limit.
   kernel::time_point rate_limited_at_;
@@ -236,7 +262,13 @@
   std::size_t running_ = 0;
   std::size_t running_repeated_ = 0;
   loop::timer queue_timer_;
+  health_path_source health_path_;
   loop::timer probe_timer_;
+  kernel::milliseconds probe_period_;
+  // A probe has been sent or is scheduled.
+  bool probing_ = false;
+  // Identifies the probe whose result is awaited.
+  std::uint64_t probe_number_ = 0;
   kernel::time_point started_at_;
   // The same start in the time of announcements.
   kernel::incarnation started_at_ms_;
--- a/tests/call_router_stop_test.cc
+++ b/tests/call_router_stop_test.cc
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "plugins/sidecar/call_router.h"
+#include "tests/healthy_upstream.h"
 #include "tests/http_test_support.h"
 #include "tests/sidecar_test_context.h"
 
@@ -49,6 +50,7 @@
   CallRouterStopTest() {
     daemon_.settings.sidecar->upstream = upstream_.endpoint();
     dialect_.decode_call = &DecodeCall;
+    ReadHealthResponses(dialect_);
     dialect_.reply = &Reply;
     dialect_.encode_run = &EncodeRun;
     dispatcher_ = std::make_unique<upstream_dispatcher>(daemon_.context, dialect_, bulk_, [] {});
@@ -60,7 +62,7 @@
     announcement.address = upstream_.endpoint();
     announcement.service = kernel::service_name("forms");
     announcement.slots = 4;
-    EXPECT_EQ(dispatcher_->Announce(announcement), announcement_result::kAccepted);
+    AnnounceHealthy(daemon_.loop, *dispatcher_, upstream_, announcement);
   }
 
   // Sets a policy with one route, to the upstream on this host.
--- a/tests/call_router_test.cc
+++ b/tests/call_router_test.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "tests/healthy_upstream.h"
 #include "tests/http_test_support.h"
 #include "tests/sidecar_test_context.h"
 
@@ -49,6 +50,7 @@
  protected:
   static dialect_functions Dialect() {
     dialect_functions functions{};
+    ReadHealthResponses(functions);
     functions.decode_call = &DecodeCall;
     functions.reply = &Reply;
     functions.encode_run = [](const protocol::run_request&, std::string body,
@@ -69,7 +71,14 @@
     return request;
   }
 
+  std::unique_ptr<http::raw_server> StartUpstream() {
+    auto upstream = std::make_unique<http::raw_server>(daemon_.loop);
+    daemon_.settings.sidecar->upstream = upstream->endpoint();
+    return upstream;
+  }
+
   sidecar_test_context daemon_;
+  std::unique_ptr<http::raw_server> upstream_ = StartUpstream();
   dialect_functions dialect_ = Dialect();
   bulk_sender bulk_{daemon_.context};
   upstream_dispatcher dispatcher_{daemon_.context, dialect_, bulk_, [] {}};
@@ -106,7 +115,9 @@
     announcement.address = daemon_.settings.sidecar->upstream;
     announcement.service = route.service;
     announcement.slots = 1;
-    ASSERT_EQ(dispatcher_.Announce(announcement), announcement_result::kAccepted);
+    AnnounceHealthy(daemon_.loop, dispatcher_, *upstream_, announcement);
+    // It refuses connections from here on.
+    upstream_.reset();
   }
 
   // Answers the latest request for tokens.
--- a/tests/peer_server_test.cc
+++ b/tests/peer_server_test.cc
@@ -13,6 +13,7 @@
 
 #include "plugins/greeting.h"
 #include "plugins/sidecar/data_frame.h"
+#include "tests/healthy_upstream.h"
 #include "tests/http_test_support.h"
 #include "tests/sidecar_test_context.h"
 
@@ -31,8 +32,6 @@
   return upstream_response_kind::kResponse;
 }
 
-upstream_notice ReadNotice(const http::whole_response&) { return {}; }
-
 // NOLINTNEXTLINE(readability-identifier-naming)
 class PeerServerTest : public ::testing::Test {
  protected:
@@ -41,7 +40,7 @@
     daemon_.settings.sidecar->peers_listen = kernel::endpoint("127.0.0.1:0");
     dialect_.encode_run = &EncodeRun;
     dialect_.classify_response = &ClassifyResponse;
-    dialect_.read_notice = &ReadNotice;
+    ReadHealthResponses(dialect_);
     upstream_.on_bytes = [this](http::raw_peer& peer) {
       received_by_upstream_ = peer.received;
       if (!peer.received.ends_with(Body())) return;
@@ -56,7 +55,7 @@
     announcement.address = upstream_.endpoint();
     announcement.service = kernel::service_name("forms");
     announcement.slots = 1;
-    EXPECT_EQ(dispatcher_->Announce(announcement), announcement_result::kAccepted);
+    AnnounceHealthy(daemon_.loop, *dispatcher_, upstream_, announcement);
     transport::link_handlers handlers;
     handlers.message = [this](const std::shared_ptr<transport::link>&, std::string_view bytes) {
       OnMessage(bytes);
--- a/tests/rollout_agent_test.cc
+++ b/tests/rollout_agent_test.cc
@@ -14,6 +14,7 @@
 #include "plugins/sidecar/data_frame.h"
 #include "plugins/sidecar/peer_set.h"
 #include "plugins/sidecar/upstream_dispatcher.h"
+#include "tests/healthy_upstream.h"
 #include "tests/http_test_support.h"
 #include "tests/sidecar_test_context.h"
 
@@ -100,11 +101,19 @@
     announcement.version = kernel::software_version(version);
     announcement.slots = 1;
     announcement.sequence = ++sequence_;
-    ASSERT_EQ(dispatcher_.Announce(announcement), announcement_result::kAccepted);
+    AnnounceHealthy(daemon_.loop, dispatcher_, upstream_, announcement);
+  }
+
+  dialect_functions Dialect() {
+    daemon_.settings.sidecar->upstream = upstream_.endpoint();
+    dialect_functions functions{};
+    ReadHealthResponses(functions);
+    return functions;
   }
 
   sidecar_test_context daemon_;
-  dialect_functions dialect_{};
+  http::raw_server upstream_{daemon_.loop};
+  dialect_functions dialect_ = Dialect();
   bulk_sender bulk_{daemon_.context};
   upstream_dispatcher dispatcher_{daemon_.context, dialect_, bulk_,
                                   [this] { agent_.OnUpstreamChanged(); }};
--- a/tests/upload_cancel_test.cc
+++ b/tests/upload_cancel_test.cc
@@ -15,6 +15,7 @@
 #include "plugins/sidecar/call_router.h"
 #include "plugins/sidecar/peer_server.h"
 #include "plugins/sidecar/peer_set.h"
+#include "tests/healthy_upstream.h"
 #include "tests/http_test_support.h"
 
 namespace cornelweir::plugins::sidecar {
@@ -46,15 +47,13 @@
   return upstream_response_kind::kResponse;
 }
 
-upstream_notice ReadNotice(const http::whole_response&) { return {}; }
-
 dialect_functions Dialect() {
   dialect_functions functions{};
   functions.decode_call = &DecodeCall;
   functions.reply = &Reply;
   functions.encode_run = &EncodeRun;
   functions.classify_response = &ClassifyResponse;
-  functions.read_notice = &ReadNotice;
+  ReadHealthResponses(functions);
   return functions;
 }
 
@@ -106,7 +105,7 @@
     announcement.address = upstream_.endpoint();
     announcement.service = kernel::service_name("forms");
     announcement.slots = 1;
-    EXPECT_EQ(remote_.dispatcher->Announce(announcement), announcement_result::kAccepted);
+    AnnounceHealthy(loop_, *remote_.dispatcher, upstream_, announcement);
     policy::policy_table table;
     policy::route route;
     route.host = "forms.example";
--- a/tests/upstream_dispatcher_test.cc
+++ b/tests/upstream_dispatcher_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "plugins/wall_clock.h"
+#include "tests/healthy_upstream.h"
 #include "tests/http_test_support.h"
 #include "tests/sidecar_test_context.h"
 
@@ -74,7 +75,7 @@
         }
       }
     };
-    dispatcher_ = std::make_unique<upstream_dispatcher>(daemon_.context, dialect_, bulk_, [] {});
+    Restart();
   }
 
   membership::upstream_announcement Announcement(std::uint64_t sequence) const {
@@ -96,8 +97,26 @@
     return announcement;
   }
 
+  // Starts the daemon, or starts it again without what it knew.
+  void Restart() {
+    dispatcher_ = std::make_unique<upstream_dispatcher>(daemon_.context, dialect_, bulk_, [] {});
+    dispatcher_->SetHealthPathSource([](const kernel::service_name&) { return "/health"; });
+  }
+
+  // Announces an upstream that this daemon does not know, and waits until it is used.
+  void AnnounceFirst(const membership::upstream_announcement& announcement) {
+    AnnounceHealthy(daemon_.loop, *dispatcher_, announcement);
+    probes_ = 0;
+  }
+
+  // Handles all events until this many more probes have been answered.
+  void AwaitProbes(int count) {
+    const int awaited = probes_ + count;
+    http::RunUntil(daemon_.loop, [&] { return probes_ >= awaited; });
+  }
+
   void Probe() {
-    dispatcher_->ProbeUntilAnnounced("/health");
+    dispatcher_->StartProbing();
     http::RunUntil(daemon_.loop, [this] { return dispatcher_->Report().upstream.value() == "u1"; });
   }
 
@@ -133,7 +152,7 @@
 
   // Announces an upstream whose responses state no rate limit.
   void AnnounceWithoutRateLimit() {
-    dispatcher_->Announce(Announcement(1));
+    AnnounceFirst(Announcement(1));
     RunToEnd({kNoHeader});
     http::RunUntil(daemon_.loop, [this] { return dispatcher_->Load().slots == 6; });
     runs_ = 0;
@@ -163,6 +182,8 @@
   static constexpr const char* kHighRateHeader = "Limit: 1000000\r\n";
   static constexpr const char* kLeavingHeader = "Leaving: 1\r\n";
   static constexpr const char* kNoHeader = "";
+  static constexpr const char* kUnhealthy =
+      "HTTP/1.1 503 Unavailable\r\nUpstream: u1\r\nContent-Length: 0\r\n\r\n";
 
   sidecar_test_context daemon_;
   http::raw_server server_{daemon_.loop};
@@ -232,7 +253,7 @@
 
 // Guards against running a request whose time ran out while this process was paused.
 TEST_F(UpstreamDispatcherTest, RefusesAnOverdueRequest) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceFirst(Announcement(1));
   Run(1, kernel::milliseconds(-100));
   http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
   EXPECT_EQ(latest_->failure, protocol::run_failure::kNoCapacity);
@@ -254,7 +275,7 @@
 // Guards against starting a request that waited unread during a pause of this process, when the
 // cancellation behind it is unread.
 TEST_F(UpstreamDispatcherTest, DoesNotStartARequestThatWasCancelledDuringThePause) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceFirst(Announcement(1));
   const admission::ticket waited = RunAfterAPause(kLongTime);
   dispatcher_->Cancel(waited);
   EXPECT_FALSE(dispatcher_->busy());
@@ -281,7 +302,7 @@
 // Guards against a slot that stays in use, and against starting a request whose deadline passes
 // while the input is read.
 TEST_F(UpstreamDispatcherTest, RefusesARequestWhoseDeadlinePassesAfterThePause) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceFirst(Announcement(1));
   RunAfterAPause(kernel::milliseconds(20));
   http::RunUntil(daemon_.loop, [this] { return latest_.has_value(); });
   EXPECT_EQ(latest_->failure, protocol::run_failure::kNoCapacity);
@@ -340,7 +361,7 @@
 
 // Guards against a nested request that waits or runs when its parent has already timed out.
 TEST_F(UpstreamDispatcherTest, ANestedRequestEndsWithItsParent) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceFirst(Announcement(1));
   protocol::run_request nested;
   nested.service = kernel::service_name("forms");
   nested.caller = kernel::service_name("planner");
@@ -370,7 +391,7 @@
 // Guards against an upstream that gets more requests than the limit that its responses state,
 // although it has free slots.
 TEST_F(UpstreamDispatcherTest, KeepsWithinTheRateLimitThatResponsesState) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceFirst(Announcement(1));
   RunToEnd({kSlowRateHeader});
   EXPECT_GE(QueuedOfTen(), 9);
   EXPECT_EQ(dispatcher_->Load().slots, 1);
@@ -380,7 +401,7 @@
 
 // Guards against a limit that the upstream no longer states.
 TEST_F(UpstreamDispatcherTest, LiftsTheRateLimitOnceALaterResponseStatesNone) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceFirst(Announcement(1));
   RunToEnd({kHighRateHeader});
   RunToEnd({kNoHeader});
   EXPECT_EQ(QueuedOfTen(), 4) << "there are six slots";
@@ -405,7 +426,7 @@
 
 // Guards against a limit of an upstream process that holds for its successor.
 TEST_F(UpstreamDispatcherTest, DropsTheRateLimitWithItsUpstream) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceFirst(Announcement(1));
   RunToEnd({kSlowRateHeader});
   membership::upstream_announcement successor = Announcement(1);
   successor.started_at = kernel::incarnation(2'000);
@@ -416,7 +437,7 @@
 // Guards against queued requests that are sent, addressed to the upstream that is gone, when its
 // successor has no limit.
 TEST_F(UpstreamDispatcherTest, SendsQueuedRequestsToTheSuccessor) {
-  dispatcher_->Announce(Announcement(1));
+  AnnounceFirst(Announcement(1));
   RunToEnd({kSlowRateHeader});
   ASSERT_EQ(QueuedOfTen(), 9);
   membership::upstream_announcement successor = Announcement(1);
@@ -445,7 +466,7 @@
   http::RunUntil(daemon_.loop, [this] { return runs_ == 6; });
   dispatcher_->Announce(Announcement(2));
   EXPECT_TRUE(dispatcher_->Serves(kernel::service_name("forms")));
-  server_.peers.front()->Send(Response(kLeavingHeader));
+  server_.peers.back()->Send(Response(kLeavingHeader));
   http::RunUntil(daemon_.loop, [this] { return latest_ && latest_->response; });
   EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
   http::RunUntil(daemon_.loop, [this] { return dispatcher_->Load().queued == 0; });
@@ -473,11 +494,11 @@
 // Guards against more requests than the upstream takes after a restart of the daemon of which no
 // control host knows the upstream: its limit is unknown until a response states it.
 TEST_F(UpstreamDispatcherTest, SendsOneRequestAtATimeWhileTheRateLimitIsUnknown) {
-  EXPECT_EQ(dispatcher_->Announce(Announcement(1)), announcement_result::kAccepted);
+  AnnounceFirst(Announcement(1));
   EXPECT_EQ(dispatcher_->Load().slots, 1);
   EXPECT_EQ(QueuedOfTen(), 9);
   http::RunUntil(daemon_.loop, [this] { return runs_ == 1; });
-  server_.peers.front()->Send(Response(kSlowRateHeader));
+  server_.peers.back()->Send(Response(kSlowRateHeader));
   http::RunUntil(daemon_.loop, [this] { return latest_ && latest_->response; });
   EXPECT_EQ(dispatcher_->LastAnnounced()->rate_limit, kSlowRate);
   EXPECT_GE(QueuedOfTen(), 9);
@@ -486,7 +507,7 @@
 // Guards against a daemon that never uses more than one slot of an upstream without a limit.
 TEST_F(UpstreamDispatcherTest, UsesAllSlotsOnceAResponseStatesNoRateLimit) {
   Probe();
-  dispatcher_->Announce(Announcement(1));
+  AnnounceFirst(Announcement(1));
   EXPECT_EQ(dispatcher_->Load().slots, 1);
   RunToEnd({kNoHeader});
   http::RunUntil(daemon_.loop, [this] { return dispatcher_->Load().slots == 6; });
@@ -495,7 +516,7 @@
 
 // Guards against one request at a time at an upstream that starts while its daemon runs.
 TEST_F(UpstreamDispatcherTest, UsesAllSlotsOfAnUpstreamThatStartsAfterTheDaemon) {
-  dispatcher_->Announce(LaterProcess());
+  AnnounceFirst(LaterProcess());
   EXPECT_EQ(dispatcher_->Load().slots, 6);
 }
 
@@ -533,6 +554,88 @@
   EXPECT_EQ(dispatcher_->Announce(Announcement(10)), announcement_result::kOutdated);
 }
 
+// Guards against requests to an upstream whose departure an earlier process of the daemon has
+// acknowledged: an announcement from before arrives late, and nobody remembers the departure.
+TEST_F(UpstreamDispatcherTest, DoesNotUseAnUpstreamThatLeftBeforeTheRestart) {
+  AnnounceFirst(Announcement(1));
+  dispatcher_->Withdraw(kernel::upstream_id("u1"), "withdrawn");
+  Restart();
+  probe_response_ = kUnhealthy;
+  EXPECT_EQ(dispatcher_->Announce(Announcement(2)), announcement_result::kAccepted);
+  AwaitProbes(2);
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// The same if the departure is the first thing that the daemon hears after its start. A later
+// process with the same id is used.
+TEST_F(UpstreamDispatcherTest, DoesNotUseAnUnknownUpstreamThatHasLeft) {
+  dispatcher_->Withdraw(kernel::upstream_id("u1"), "withdrawn");
+  probe_response_ = kUnhealthy;
+  EXPECT_EQ(dispatcher_->Announce(Announcement(2)), announcement_result::kAccepted);
+  AwaitProbes(2);
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  probe_response_ = HealthResponse("u1");
+  AnnounceFirst(LaterProcess());
+  EXPECT_TRUE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// The same if the upstream had answered a probe before it left, and the response comes after that.
+TEST_F(UpstreamDispatcherTest, IgnoresAHealthResponseFromBeforeTheDeparture) {
+  probe_response_.clear();
+  dispatcher_->StartProbing();
+  AwaitProbes(1);
+  dispatcher_->Withdraw(kernel::upstream_id("u1"), "withdrawn");
+  server_.peers.back()->Send(HealthResponse("u1"));
+  probe_response_ = kUnhealthy;
+  AwaitProbes(2);
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// Guards against announcements that are accepted after their process has left, because it was not
+// used yet.
+TEST_F(UpstreamDispatcherTest, RemembersTheDepartureOfAnUpstreamThatIsNotUsedYet) {
+  probe_response_ = kUnhealthy;
+  EXPECT_EQ(dispatcher_->Announce(Announcement(5)), announcement_result::kAccepted);
+  EXPECT_EQ(dispatcher_->Announce(Announcement(4)), announcement_result::kOutdated);
+  dispatcher_->Withdraw(kernel::upstream_id("u1"), "withdrawn");
+  EXPECT_EQ(dispatcher_->Announce(Announcement(6)), announcement_result::kOutdated);
+}
+
+// Guards against closing an upstream because another has left.
+TEST_F(UpstreamDispatcherTest, ServesOnWhenAnUnknownUpstreamLeaves) {
+  AnnounceFirst(Announcement(1));
+  dispatcher_->Withdraw(kernel::upstream_id("u7"), "withdrawn");
+  EXPECT_EQ(dispatcher_->Announce(Announcement(2)), announcement_result::kAccepted);
+  EXPECT_TRUE(dispatcher_->Serves(kernel::service_name("forms")));
+}
+
+// Guards against an upstream that is never used because it was full when it was probed first.
+TEST_F(UpstreamDispatcherTest, UsesAnUpstreamOnceItAnswersAProbe) {
+  probe_response_ = kUnhealthy;
+  EXPECT_EQ(dispatcher_->Announce(Announcement(1)), announcement_result::kAccepted);
+  AwaitProbes(2);
+  EXPECT_FALSE(dispatcher_->Serves(kernel::service_name("forms")));
+  probe_response_ = HealthResponse("u1");
+  http::RunUntil(daemon_.loop,
+                 [this] { return dispatcher_->Serves(kernel::service_name("forms")); });
+  EXPECT_EQ(dispatcher_->LastAnnounced()->slots, 6);
+}
+
+// Guards against an upstream that is never used because its health path fails, and against trusting
+// announcements that may be from before a departure.
+TEST(AnnouncementTrust, SufficesOnceAnnouncementsAreFromAfterTheDeparture) {
+  const kernel::time_point start = kernel::time_point(std::chrono::hours(1));
+  const auto delay = announcement_trust::kMaxAnnouncementDelay;
+  announcement_trust trust(start);
+  EXPECT_FALSE(trust.Suffices(start));
+  EXPECT_TRUE(trust.Suffices(start + delay));
+  trust.OnHealthResponse();
+  EXPECT_TRUE(trust.Suffices(start));
+  trust.OnUnknownLeft(start + delay);
+  EXPECT_FALSE(trust.Suffices(start + delay));
+  EXPECT_TRUE(trust.Suffices(start + 2 * delay));
+}
+
 // Guards against an upstream that stays closed during a rollout because its version was forgotten
 // when only the daemon restarted.
 TEST_F(UpstreamDispatcherTest, KnowsTheVersionAfterARestartOfTheDaemon) {
@@ -557,7 +660,7 @@
   dispatcher_->UseGuard(guard);
   membership::upstream_announcement announcement = Announcement(1);
   announcement.version = kernel::software_version("v2");
-  dispatcher_->Announce(announcement);
+  AnnounceFirst(announcement);
   RunToEnd({kNoHeader});
   EXPECT_TRUE(guard.counters().routes().empty()) << "no rollout runs";
   table.Apply({RunningRollout()}, daemon_.clock.Now());
@@ -597,11 +700,11 @@
   membership::upstream_announcement announcement = Announcement(1);
   announcement.version = record.target;
   announcement.slots = 1;
-  ASSERT_EQ(dispatcher_->Announce(announcement), announcement_result::kAccepted);
+  AnnounceFirst(announcement);
   Run(2, kLongTime);
   http::RunUntil(daemon_.loop, [this] { return runs_ == 1; });
   guard.OnConfirmed(now - rollout::kUnconfirmedCloseTime);
-  server_.peers.front()->Send(Response(kNoHeader));
+  server_.peers.back()->Send(Response(kNoHeader));
   http::RunUntil(daemon_.loop, [this] { return !dispatcher_->busy(); });
   EXPECT_EQ(latest_->failure, protocol::run_failure::kNoUpstream);
   EXPECT_EQ(runs_, 1);
