Do not replay a recorded response with an invalid status

A response that a daemon of a version before had recorded may have the status 000, and a caller that sent its request again got it as the response.

Cause: the replay took the recorded number as the status of its response, which was an int.

A response that a daemon makes or replays now has a status_code, which can hold none of these. A record without a valid final status is answered 502 with the outcome unknown, since the request has run but its result is lost.

--- a/cornelweir/src/http/caller_connection.cc
+++ b/cornelweir/src/http/caller_connection.cc
@@ -263,7 +263,7 @@
 
 void caller_connection::RefuseAndClose(status_code status, std::string_view reason, bool sent) {
   local_response response;
-  response.status = status.value();
+  response.status = status;
   response.body = std::string(reason) + "\n";
   core_->AddRefusalHeaders(sent, response.headers);
   WriteResponse(std::move(response), false);
@@ -273,7 +273,7 @@
   phase_ = phase::kResponding;
   response_ = {};
   response_.version(11);
-  response_.result(static_cast<unsigned>(response.status));
+  response_.result(static_cast<unsigned>(response.status.value()));
   SetHeaders(response_, response.headers);
   RemoveHopByHopHeaders(response_);
   const bool bodiless = response.status == 204 || response.status == 304;
--- a/cornelweir/src/http/exchange.cc
+++ b/cornelweir/src/http/exchange.cc
@@ -17,7 +17,7 @@
   if (connection_) on_caller_gone_ = std::move(callback);
 }
 
-void exchange::Refuse(int status, std::string body, header_list headers) {
+void exchange::Refuse(status_code status, std::string body, header_list headers) {
   Respond(local_response{status, std::move(headers), std::move(body)});
 }
 
--- a/cornelweir/src/http/exchange.h
+++ b/cornelweir/src/http/exchange.h
@@ -40,7 +40,7 @@
   void OnCallerGone(std::function<void()> callback);
 
   // Respond to the request without an upstream.
-  void Refuse(int status, std::string body, header_list headers);
+  void Refuse(status_code status, std::string body, header_list headers);
   void Respond(local_response response);
 
   // Forwards the request to a server and the response to the caller. extra_headers replace headers
--- a/cornelweir/src/http/local_response.h
+++ b/cornelweir/src/http/local_response.h
@@ -4,12 +4,13 @@
 #include <string>
 
 #include "cornelweir/src/http/header_list.h"
+#include "cornelweir/src/http/status_code.h"
 
 namespace cornelweir::http {
 
 // A complete response that this process generates or has stored, not one that is forwarded.
 struct local_response {
-  int status = 200;
+  status_code status = 200;
   header_list headers;
   std::string body;
 };
--- a/plugins/proxy/request_headers.cc
+++ b/plugins/proxy/request_headers.cc
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kMaxWorkspaceBytes = 64;
 
-int HttpStatus(outcome::refusal_reason reason) {
+http::status_code HttpStatus(outcome::refusal_reason reason) {
   switch (reason) {
     case outcome::refusal_reason::kNoRoute:
       return 404;
@@ -101,7 +101,7 @@
                  internal::OutcomeHeaders(kNotRun, text));
 }
 
-void RespondUnknown(http::exchange& request, int status, std::string_view reason) {
+void RespondUnknown(http::exchange& request, http::status_code status, std::string_view reason) {
   constexpr auto kUnknown = outcome::request_outcome::kUnknown;
   request.Refuse(status, internal::OutcomeBody(kUnknown, reason),
                  internal::OutcomeHeaders(kUnknown, reason));
--- a/plugins/proxy/request_headers.h
+++ b/plugins/proxy/request_headers.h
@@ -52,7 +52,7 @@
 void RespondNotRun(http::exchange& request, outcome::refusal_reason reason);
 
 // Responds that it is unknown whether the request ran.
-void RespondUnknown(http::exchange& request, int status, std::string_view reason);
+void RespondUnknown(http::exchange& request, http::status_code status, std::string_view reason);
 
 }  // namespace cornelweir::plugins::proxy
 
--- a/plugins/proxy/request_router.cc
+++ b/plugins/proxy/request_router.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "plugins/proxy/recorded_response.h"
 #include "plugins/proxy/request_headers.h"
 
 namespace cornelweir::plugins::proxy {
@@ -189,15 +190,14 @@
       Refuse(request, outcome::refusal_reason::kClaimUnavailable);
       return;
   }
+  std::optional<http::local_response> replay = ReplayOf(*result.response);
+  if (!replay) {
+    RecordOutcome(*request, "unknown");
+    RespondUnknown(*request->exchange, 502, "the recorded response is invalid");
+    return;
+  }
   RecordOutcome(*request, "replayed");
-  http::local_response replay;
-  const claims::stored_response& recorded = *result.response;
-  replay.status = recorded.status.value();
-  replay.body = recorded.body.bytes;
-  SetHeader(replay.headers, "content-type", recorded.content_type);
-  SetHeader(replay.headers, kOutcomeHeader, outcome::OutcomeName(outcome::request_outcome::kRan));
-  SetHeader(replay.headers, kReplayedHeader, recorded.body_omitted ? "body-omitted" : "true");
-  request->exchange->Respond(std::move(replay));
+  request->exchange->Respond(*std::move(replay));
 }
 
 void request_router::ReleaseClaim(const request_ptr& request) {
@@ -357,8 +357,8 @@
   if (!RetryIfAllowed(request, outcome::request_outcome::kNotRun, reason)) Refuse(request, reason);
 }
 
-void request_router::OnAttemptFailed(const request_ptr& request, bool sent, int status,
-                                     const char* reason) {
+void request_router::OnAttemptFailed(const request_ptr& request, bool sent,
+                                     http::status_code status, const char* reason) {
   const auto request_outcome =
       sent ? outcome::request_outcome::kUnknown : outcome::request_outcome::kNotRun;
   if (RetryIfAllowed(request, request_outcome, std::nullopt)) return;
--- a/plugins/proxy/request_router.h
+++ b/plugins/proxy/request_router.h
@@ -82,7 +82,8 @@
                         outcome::refusal_reason reason);
   void OnAttemptDone(const request_ptr& request, const kernel::upstream_id& upstream,
                      const http::forward_result& result);
-  void OnAttemptFailed(const request_ptr& request, bool sent, int status, const char* reason);
+  void OnAttemptFailed(const request_ptr& request, bool sent, http::status_code status,
+                       const char* reason);
   // Starts another attempt if the retry rules allow it. Returns whether it did.
   bool RetryIfAllowed(const request_ptr& request, outcome::request_outcome request_outcome,
                       std::optional<outcome::refusal_reason> refusal);
