--- a/plugins/sidecar/announcement_trust.h
+++ b/plugins/sidecar/announcement_trust.h
@@ -12,7 +12,8 @@
 // it did not know.
 class announcement_trust {
  public:
-  // An announcement that arrives later than this after it was sent may be believed wrongly.
+  // The longest time for which announcements are delayed. One that takes longer may be believed
+  // although its upstream has left.
   static constexpr kernel::milliseconds kMaxAnnouncementDelay{10'000};
 
   explicit announcement_trust(kernel::time_point started_at)
--- a/plugins/sidecar/upstream_announcements.cc
+++ b/plugins/sidecar/upstream_announcements.cc
@@ -117,7 +117,7 @@
         .With("upstream", announcement.id)
         .With("service", announcement.service)
         .With("sequence", announcement.sequence);
-    // An earlier probe may have been answered before the upstream left.
+    // A probe that is under way may have been answered before the upstream left.
     DiscardProbe();
     probe_period_ = kMinProbePeriod;
   }
@@ -261,7 +261,7 @@
     Use(left);
   } else if (!has_id(announced_) && !has_id(last_announced_)) {
     trust_.OnUnknownLeft(Now());
-    // It may have been answered before the upstream left.
+    // A probe that is under way may have been answered before the upstream left.
     DiscardProbe();
     ScheduleProbe();
   }
