Build a check-in of the stand-in target in one place

late_check_in_test wrote the content of a check-in again that Target.check_in() builds. Target.next_check_in() returns it now, to be sent at once or later.

--- a/tests/late_check_in_test.py
+++ b/tests/late_check_in_test.py
@@ -84,18 +84,6 @@
     def now(self):
         return time.monotonic() - self.record.started
 
-    def late_check_in(self, number):
-        """The last check-in before the target leaves, which arrives later."""
-        target = self.targets[number]
-        target.sequence += 1
-        return {
-            "address": target.address,
-            "info": {"service": target.service, "version": "v1", "zone": target.zone,
-                     "max_concurrency": target.slots},
-            "status": {"state": "ready", "sequence": target.sequence, "warmup_remaining": "0ms"},
-            "born": target.born,
-        }
-
     def leave(self, number, tell):
         """Health probes get 503 from now on, as of any target that leaves."""
         self.targets[number].state = "leaving"
@@ -115,7 +103,8 @@
         time.sleep(1.0)
         for target in self.targets:
             target.check_in = self.silenced(target)
-        late = [self.late_check_in(number) for number in range(len(self.targets))]
+        # The last check-ins before the targets leave, which arrive later.
+        late = [target.next_check_in() for target in self.targets]
         self.leave(DRAINING_BEFORE, self.drain)
         self.leave(DELETE_BEFORE, self.delete)
         self.kill(self.fleet.controls)
@@ -157,7 +146,7 @@
         target.state = "ready"
         target.born += 10_000
         target.sequence = 0
-        target.send_check_in(self.machines[REPLACED].control_plane, self.late_check_in(REPLACED))
+        target.send_check_in(self.machines[REPLACED].control_plane, target.next_check_in())
 
     def judge(self, bound):
         sent_at = {fields["id"]: at for at, fields in self.record.of("sent")}
--- a/tests/stand_ins/target.py
+++ b/tests/stand_ins/target.py
@@ -114,8 +114,8 @@
             return self._send_raw(sock, plan)
         return self._send(sock, plan.get("status", 200), echo, answer)
 
-    def check_in(self, control_plane, **changes):
-        """Sends one check-in and returns the status of its answer, or None."""
+    def next_check_in(self, **changes):
+        """The content of the next check-in, which send_check_in() sends now or later."""
         self.sequence += 1
         content = {
             "address": self.address,
@@ -126,7 +126,11 @@
         }
         content["info"].update(changes.get("info", {}))
         content["status"].update(changes.get("status", {}))
-        return self.send_check_in(control_plane, content)
+        return content
+
+    def check_in(self, control_plane, **changes):
+        """Sends one check-in and returns the status of its answer, or None."""
+        return self.send_check_in(control_plane, self.next_check_in(**changes))
 
     def send_check_in(self, control_plane, content):
         status, _, _ = http1.exchange(
