Log and count why requests get no slot, and what links carry of large bodies

Callers saw too little served, and the log could not tell why: `missed` of event 4009 was derived from the expected wait after the decision, its `priority` was the route's and not the queue's, and nothing counted slot time by route or the bytes of a link by outcome.

slot_queue now returns the rule that refused each request (deadline, objective, network, order), and the event states it with the queue's rank, the expected time of the transfer, and the load. cornelweir_upstream_refusals_total and cornelweir_upstream_slot_milliseconds_total count refusals and slot time by route, cornelweir_link_body_bytes_total the bytes of large bodies by how their transfers ended, and event 4015 tells window, acknowledgement delay and rate of each transfer. No decision changes.

--- a/cornelweir/admission.h
+++ b/cornelweir/admission.h
@@ -21,6 +21,7 @@
 #include "cornelweir/src/admission/run_time_estimate.h"
 #include "cornelweir/src/admission/share_member.h"
 #include "cornelweir/src/admission/slot_queue.h"
+#include "cornelweir/src/admission/slot_refusal.h"
 #include "cornelweir/src/admission/slot_request.h"
 #include "cornelweir/src/admission/ticket.h"
 #include "cornelweir/src/admission/transfer_id.h"
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -103,6 +103,12 @@
                          run_time_percent, now);
 }
 
+// The bound that a hopeless request would miss.
+slot_refusal_cause slot_queue::HopelessCause(const slot_request& request) {
+  if (request.transfer_time.count() > 0) return slot_refusal_cause::kNetwork;
+  return request.nested ? slot_refusal_cause::kDeadline : slot_refusal_cause::kObjective;
+}
+
 bool slot_queue::IsBelowMinimumShare(const slot_request& request, kernel::time_point now) const {
   return route_shares_.IsBelowMinimum(request.route, now) ||
          workspace_shares_.IsBelowMinimum(request.workspace, now);
@@ -142,7 +148,7 @@
 
 slot_decision slot_queue::Submit(const slot_request& request, kernel::time_point now) {
   using kind = slot_decision::kind;
-  if (WouldMissDeadline(request, now)) return {};
+  if (WouldMissDeadline(request, now)) return {kind::kRefuse, slot_refusal_cause::kDeadline, {}};
   const auto may_start = [now](const slot_request& waiting) {
     return !WouldMissDeadline(waiting, now) && !IsHeldBack(waiting, now);
   };
@@ -151,11 +157,11 @@
   });
   if (MayStart(now) && is_next && may_start(request)) {
     if (request.transfer_time.count() > 0 && IsHopeless(request, kPlannedRunTimePercent, now)) {
-      return {};
+      return {kind::kRefuse, HopelessCause(request), {}};
     }
     CountWork(request, WorkOf(request), now);
     Start(request.id, now);
-    return {kind::kRun, {}};
+    return {kind::kRun, {}, {}};
   }
   queued_request added;
   added.request = request;
@@ -166,8 +172,14 @@
   // Work counts from the start of the wait, so that the requests of a route or workspace that are
   // queued together do not exceed its minimum share together.
   CountWork(request, WorkOf(request), now);
-  slot_decision decision{kind::kQueue, RemoveLateRequests(request.id, now)};
-  if (std::erase(decision.displaced, request.id) > 0) decision.outcome = kind::kRefuse;
+  slot_decision decision{kind::kQueue, {}, RemoveLateRequests(request.id, now)};
+  const auto refused =
+      std::find_if(decision.displaced.begin(), decision.displaced.end(),
+                   [&](const slot_refusal& removed) { return removed.id == request.id; });
+  if (refused == decision.displaced.end()) return decision;
+  decision.outcome = kind::kRefuse;
+  decision.cause = refused->cause;
+  decision.displaced.erase(refused);
   return decision;
 }
 
@@ -206,18 +218,18 @@
 
 // Refuses queued requests early until those that remain are expected to end in time. Each round
 // defers, promotes or removes one request, and each request is deferred and promoted at most once.
-std::vector<ticket> slot_queue::RemoveLateRequests(ticket newest, kernel::time_point now) {
-  std::vector<ticket> removed;
-  const auto remove = [&](queue_position position) {
+std::vector<slot_refusal> slot_queue::RemoveLateRequests(ticket newest, kernel::time_point now) {
+  std::vector<slot_refusal> removed;
+  const auto remove = [&](queue_position position, slot_refusal_cause cause) {
     CountWork(position->request, -WorkOf(position->request), now);
-    removed.push_back(position->request.id);
+    removed.push_back({position->request.id, cause});
     queue_.erase(position);
   };
   while (true) {
     const auto late = FirstLateRequest(newest, now);
     if (late == queue_.end()) break;
     if (IsHopeless(late->request, kPlannedRunTimePercent, now)) {
-      remove(late);
+      remove(late, HopelessCause(late->request));
       continue;
     }
     const auto may_wait = [&](const queued_request& queued) {
@@ -239,7 +251,7 @@
       Reinsert(late);
       continue;
     }
-    remove(SelectVictim(late, now));
+    remove(SelectVictim(late, now), slot_refusal_cause::kOrder);
   }
   return removed;
 }
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cornelweir/src/admission/rate_limiter.h"
+#include "cornelweir/src/admission/slot_refusal.h"
 #include "cornelweir/src/admission/slot_request.h"
 #include "cornelweir/src/admission/ticket.h"
 #include "cornelweir/src/admission/work_shares.h"
@@ -21,7 +22,9 @@
 struct slot_decision {
   enum class kind : std::uint8_t { kRun, kQueue, kRefuse };
   kind outcome = kind::kRefuse;
-  std::vector<ticket> displaced;
+  // Why the new request is refused.
+  slot_refusal_cause cause = slot_refusal_cause::kDeadline;
+  std::vector<slot_refusal> displaced;
 };
 
 // Returns an exponential moving average updated with a sample. The average is zero before the first
@@ -106,6 +109,7 @@
                        std::int64_t run_time_percent, kernel::time_point now) const;
   bool IsHopeless(const slot_request& request, std::int64_t run_time_percent,
                   kernel::time_point now) const;
+  static slot_refusal_cause HopelessCause(const slot_request& request);
   bool IsBelowMinimumShare(const slot_request& request, kernel::time_point now) const;
   bool MayDefer(const slot_request& nested, const slot_request& other) const;
   void CountWork(const slot_request& request, kernel::microseconds work, kernel::time_point now);
@@ -115,7 +119,7 @@
   void Reinsert(queue_position changed);
   queue_position FirstLateRequest(ticket newest, kernel::time_point now);
   queue_position SelectVictim(queue_position late, kernel::time_point now);
-  std::vector<ticket> RemoveLateRequests(ticket newest, kernel::time_point now);
+  std::vector<slot_refusal> RemoveLateRequests(ticket newest, kernel::time_point now);
 
   std::int64_t slots_ = 0;
   rate_limiter starts_;
--- a/cornelweir/src/admission/transfer_window.cc
+++ b/cornelweir/src/admission/transfer_window.cc
@@ -22,6 +22,7 @@
 void transfer_window::OnAcknowledged(std::size_t bytes, kernel::microseconds delay,
                                      kernel::time_point now) {
   outstanding_ -= std::min(outstanding_, bytes);
+  last_delay_ = delay;
   UpdateRate(bytes, now);
   if (delay < kUncongestedDelay) {
     window_ = std::min(window_ + bytes, kMaxWindowBytes);
--- a/cornelweir/src/admission/transfer_window.h
+++ b/cornelweir/src/admission/transfer_window.h
@@ -35,6 +35,10 @@
   kernel::microseconds EstimatedTransferTime(std::size_t bytes) const;
   std::size_t outstanding() const { return outstanding_; }
   std::size_t window() const { return window_; }
+  // The delay of the last acknowledged piece.
+  kernel::microseconds last_delay() const { return last_delay_; }
+  // 0 if unknown.
+  double bytes_per_second() const { return bytes_per_second_; }
 
  private:
   void UpdateRate(std::size_t bytes, kernel::time_point now);
@@ -42,6 +46,7 @@
   std::size_t window_ = kInitialWindowBytes;
   std::size_t outstanding_ = 0;
   kernel::time_point last_decrease_;
+  kernel::microseconds last_delay_{};
   // Start of the current rate sample. Bytes were outstanding throughout the sample.
   kernel::time_point sample_start_;
   std::size_t sample_bytes_ = 0;
--- a/plugins/sidecar/bulk_sender.cc
+++ b/plugins/sidecar/bulk_sender.cc
@@ -18,7 +18,8 @@
 
 }  // namespace internal
 
-bulk_sender::bulk_sender(daemon_context& context) : context_(context), check_timer_(context.loop) {}
+bulk_sender::bulk_sender(daemon_context& context)
+    : context_(context), telemetry_(context.metrics), check_timer_(context.loop) {}
 
 bool bulk_sender::IsLarge(std::size_t bytes) { return bytes > admission::kMinPieceBytes; }
 
@@ -42,6 +43,7 @@
   added.allowed_bytes = added.body->size();
   added.hold = std::move(body.hold);
   added.deadline = body.deadline;
+  added.queued_at = Now();
   added.on_given_up = std::move(body.on_given_up);
   unsent_bytes_ += added.body->size();
   SendQueuedPieces();
@@ -56,6 +58,7 @@
   added.id = id;
   added.body = std::move(body);
   added.on_credit = true;
+  added.queued_at = Now();
   added.on_sent = std::move(on_sent);
 }
 
@@ -87,6 +90,7 @@
     if (next == transfers_.end()) break;
     SendPiece(*next);
     if (next->sent_bytes < next->body->size()) continue;
+    OnEnded(*next, transfer_end::kSent);
     const std::function<void()> on_sent = std::move(next->on_sent);
     transfers_.erase(next);
     if (on_sent) on_sent();
@@ -121,20 +125,27 @@
   SendQueuedPieces();
 }
 
+void bulk_sender::OnEnded(const transfer& ended, transfer_end end) {
+  telemetry_.OnEnded({ended.on_credit, ended.body->size(), ended.sent_bytes, end,
+                      Now() - ended.queued_at, unsent_bytes_, window_.window(),
+                      window_.last_delay(), window_.bytes_per_second()});
+}
+
 template <class Predicate>
-void bulk_sender::DropTransfers(Predicate&& is_dropped) {
+void bulk_sender::DropTransfers(transfer_end end, Predicate&& is_dropped) {
   std::erase_if(transfers_, [&](const transfer& waiting) {
     if (!is_dropped(waiting)) return false;
     if (!waiting.on_credit) unsent_bytes_ -= waiting.body->size() - waiting.sent_bytes;
+    OnEnded(waiting, end);
     return true;
   });
 }
 
 // The callbacks may use this object, so they are called when nothing refers to a transfer.
 template <class Predicate>
-void bulk_sender::GiveUpResponses(Predicate&& is_given_up) {
+void bulk_sender::GiveUpResponses(transfer_end end, Predicate&& is_given_up) {
   std::vector<std::function<void()>> given_up;
-  DropTransfers([&](const transfer& waiting) {
+  DropTransfers(end, [&](const transfer& waiting) {
     if (waiting.on_credit || !is_given_up(waiting)) return false;
     given_up.push_back(waiting.on_given_up);
     return true;
@@ -150,7 +161,8 @@
 
 void bulk_sender::GiveUpLateResponses() {
   const kernel::time_point now = Now();
-  GiveUpResponses([now](const transfer& waiting) { return waiting.deadline <= now; });
+  GiveUpResponses(transfer_end::kLate,
+                  [now](const transfer& waiting) { return waiting.deadline <= now; });
 }
 
 void bulk_sender::GiveUpStalledResponses() {
@@ -166,17 +178,20 @@
     }
     if (longest == nullptr) return;
     GiveUpResponses(
+        transfer_end::kMemoryScarce,
         [receiver = longest->link](const transfer& waiting) { return waiting.link == receiver; });
   }
 }
 
 void bulk_sender::Cancel(const transport::link* link, kernel::call_id id) {
-  DropTransfers(
-      [&](const transfer& waiting) { return waiting.link.get() == link && waiting.id == id; });
+  DropTransfers(transfer_end::kCancelled, [&](const transfer& waiting) {
+    return waiting.link.get() == link && waiting.id == id;
+  });
 }
 
 void bulk_sender::OnClosed(const transport::link* link) {
-  DropTransfers([&](const transfer& waiting) { return waiting.link.get() == link; });
+  DropTransfers(transfer_end::kLinkClosed,
+                [&](const transfer& waiting) { return waiting.link.get() == link; });
   const auto found = receivers_.find(link);
   if (found == receivers_.end()) return;
   if (!found->second.stalled) {
--- a/plugins/sidecar/bulk_sender.h
+++ b/plugins/sidecar/bulk_sender.h
@@ -15,6 +15,7 @@
 #include "cornelweir/memory.h"
 #include "cornelweir/transport.h"
 #include "plugins/daemon_context.h"
+#include "plugins/sidecar/transfer_telemetry.h"
 
 namespace cornelweir::plugins::sidecar {
 
@@ -73,6 +74,7 @@
     // Bytes of the body that may be sent.
     std::size_t allowed_bytes = 0;
     std::size_t sent_bytes = 0;
+    kernel::time_point queued_at;
     std::function<void()> on_sent;
     // Of a response.
     std::shared_ptr<memory::memory_hold> hold;
@@ -99,11 +101,12 @@
   // The transfer to send a piece of next; the end of transfers_ if there is none.
   std::deque<transfer>::iterator NextTransfer();
   void SendPiece(transfer& next);
+  void OnEnded(const transfer& ended, transfer_end end);
   template <class Predicate>
-  void DropTransfers(Predicate&& is_dropped);
+  void DropTransfers(transfer_end end, Predicate&& is_dropped);
   // Drops the responses that match, then calls on_given_up of each.
   template <class Predicate>
-  void GiveUpResponses(Predicate&& is_given_up);
+  void GiveUpResponses(transfer_end end, Predicate&& is_given_up);
   void GiveUpLateResponses();
   // Gives up the responses of one stalled receiver after the other while memory is scarce.
   void GiveUpStalledResponses();
@@ -113,6 +116,7 @@
 
   daemon_context& context_;
   admission::transfer_window window_;
+  transfer_telemetry telemetry_;
   std::deque<transfer> transfers_;
   // Unsent bytes of all responses.
   std::size_t unsent_bytes_ = 0;
--- a/plugins/sidecar/queue_telemetry.h
+++ b/plugins/sidecar/queue_telemetry.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <utility>
 
 #include "cornelweir/admission.h"
 #include "cornelweir/kernel.h"
@@ -11,37 +12,46 @@
 
 namespace cornelweir::plugins::sidecar {
 
-// A request that was refused at its upstream, and why.
+// A request that was refused a slot, and why.
 struct refusal_record {
   const protocol::run_request& request;
-  admission::request_rank rank;
-  kernel::time_point deadline;
-  bool nested = false;
+  // As the queue saw it. Its priority is the one that decided, and its transfer time is what the
+  // network was expected to need for the response.
+  const admission::slot_request& asked;
+  admission::slot_refusal_cause cause;
   // Time since the request arrived.
   kernel::microseconds waited{};
-  // Time that it was expected to wait further, and its mean run time.
+  // Time that it was expected to wait further.
   kernel::microseconds expected_wait{};
-  kernel::microseconds run_time{};
+  // Requests at the upstream, and those that wait for it.
+  std::int64_t running = 0;
+  std::int64_t queued = 0;
 };
 
-void LogRefusal(const refusal_record& refusal, kernel::time_point now);
-
-// Records the time from the arrival of requests to their start. Keeps the metric of each route and
+// Records how requests get the slots of an upstream: the time from their arrival to their start,
+// the time that they hold the slots, and the refusals. Keeps the metrics of each route and
 // workspace, as a look-up by labels costs more than an observation.
-class queue_wait_metrics {
+class queue_telemetry {
  public:
-  explicit queue_wait_metrics(metrics::metrics_registry& metrics) : metrics_(metrics) {}
+  explicit queue_telemetry(metrics::metrics_registry& metrics) : metrics_(metrics) {}
 
-  void Observe(const protocol::run_request& request, std::int32_t priority,
-               kernel::microseconds wait);
+  // Counts and logs a refusal.
+  void OnRefused(const refusal_record& refusal, kernel::time_point now);
+  // Records the end of a request that held a slot for this time.
+  void OnSlotFreed(const kernel::route_name& route, bool nested, kernel::microseconds held);
+  void ObserveWait(const protocol::run_request& request, std::int32_t priority,
+                   kernel::microseconds wait);
 
  private:
-  metrics::histogram& OfRoute(const kernel::route_name& route, std::int32_t priority);
-  metrics::histogram& OfWorkspace(const kernel::workspace_id& workspace);
+  metrics::histogram& WaitOfRoute(const kernel::route_name& route, std::int32_t priority);
+  metrics::histogram& WaitOfWorkspace(const kernel::workspace_id& workspace);
 
   metrics::metrics_registry& metrics_;
-  std::map<kernel::route_name, std::map<std::int32_t, metrics::histogram*>> by_route_;
-  std::map<kernel::workspace_id, metrics::histogram*> by_workspace_;
+  std::map<kernel::route_name, std::map<std::int32_t, metrics::histogram*>> waits_by_route_;
+  std::map<kernel::workspace_id, metrics::histogram*> waits_by_workspace_;
+  std::map<std::pair<kernel::route_name, bool>, metrics::counter*> slot_times_;
+  std::map<std::pair<kernel::route_name, admission::slot_refusal_cause>, metrics::counter*>
+      refusals_;
 };
 
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -31,7 +31,7 @@
       bulk_(bulk),
       on_change_(std::move(on_change)),
       client_(context.loop, http::upstream_limits(), context.memory),
-      queue_waits_(context.metrics),
+      telemetry_(context.metrics),
       room_(context.memory, memory::memory_use::kUpstreamResponses),
       crashes_(context, {[this](const auto& suspects) { OnCrash(suspects); },
                          [this](admission::ticket id) { FinishHeld(id); }}),
@@ -87,7 +87,7 @@
       .With("open", IsOpen())
       .With("rate_limit", RequestsPerSecond())
       .With("reason", reason);
-  if (!IsOpen()) RefuseAll(queue_.Clear(), protocol::run_failure::kNoUpstream);
+  if (!IsOpen()) RefuseAll(queue_.Clear());
   UpdateSlots();
   on_change_();
 }
@@ -132,12 +132,15 @@
   added.body = std::move(body);
   added.done = std::move(done);
   if (const auto refusal = RefusalOf(added)) {
-    context_.loop.Post([this, id, refused = *refusal] { Finish(id, refused); });
+    PostFinish(id, *refusal);
     return id;
   }
-  const bool serves_service = Serves(added.request.service) && EndsInTime(added);
-  admission::slot_decision decision;
-  if (serves_service) decision = queue_.Submit(SlotRequest(id, added), now);
+  if (!Serves(added.request.service) || !EndsInTime(added)) {
+    RefuseAll({id});
+    return id;
+  }
+  PrepareSlotRequest(id, added);
+  const admission::slot_decision decision = queue_.Submit(added.asked, now);
   switch (decision.outcome) {
     case admission::slot_decision::kind::kRun:
       StartOrHold(id);
@@ -146,20 +149,19 @@
       StartQueueTimer();
       break;
     case admission::slot_decision::kind::kRefuse:
-      RefuseAll({id}, serves_service ? protocol::run_failure::kNoCapacity
-                                     : protocol::run_failure::kNoUpstream);
+      RefuseSlot({id, decision.cause});
       break;
   }
-  RefuseAll(decision.displaced, protocol::run_failure::kNoCapacity);
+  for (const admission::slot_refusal& refusal : decision.displaced) RefuseSlot(refusal);
   return id;
 }
 
 // Describes a new request to the queue. A nested request gets the rank of its parent, and is of no
 // use after the deadline of its parent. Without a stated rank it goes before others, since refusing
 // it wastes the slot of its parent.
-admission::slot_request upstream_dispatcher::SlotRequest(admission::ticket id, run& added) {
+void upstream_dispatcher::PrepareSlotRequest(admission::ticket id, run& added) {
   const kernel::time_point now = Now();
-  admission::slot_request described;
+  admission::slot_request& described = added.asked;
   described.id = id;
   described.route = added.request.route;
   described.workspace = added.request.workspace;
@@ -185,7 +187,6 @@
   described.safe_run_time = history.run_time.Safe(history.time_limit, now);
   described.transfer_time = EstimateTransferTime(history);
   if (service_wait_) described.call_wait = calls_.ExpectedWait(described.route, service_wait_);
-  return described;
 }
 
 std::optional<protocol::parent_rank> upstream_dispatcher::RankOfCalls() const {
@@ -206,13 +207,13 @@
 
 void upstream_dispatcher::RefuseQueuedIfClosed() {
   if (queue_.queued() == 0 || IsOpen()) return;
-  RefuseAll(queue_.Clear(), protocol::run_failure::kNoUpstream);
+  RefuseAll(queue_.Clear());
 }
 
 void upstream_dispatcher::StartQueueTimer() {
   if (queue_timer_.running() || queue_.queued() == 0) return;
   queue_timer_.Start(internal::kQueueCheckPeriod, [this] {
-    RefuseAll(queue_.Expire(Now()), protocol::run_failure::kNoCapacity);
+    RefuseOverdue(queue_.Expire(Now()));
     UpdateCallWaits();
     RefuseQueuedIfClosed();
     StartAll(queue_.AdmitQueued(Now()));
@@ -220,24 +221,36 @@
   });
 }
 
-void upstream_dispatcher::RefuseAll(const std::vector<admission::ticket>& ids,
-                                    protocol::run_failure failure) {
-  const kernel::microseconds wait =
-      std::max(queue_.ExpectedWait(Now()), bulk_.EstimatedTransferTime(expected_bytes_));
+void upstream_dispatcher::PostFinish(admission::ticket id, const run_result& result) {
+  context_.loop.Post([this, id, result] { Finish(id, result); });
+}
+
+void upstream_dispatcher::RefuseAll(const std::vector<admission::ticket>& ids) {
+  run_result result;
+  result.failure = protocol::run_failure::kNoUpstream;
+  for (const admission::ticket& id : ids) PostFinish(id, result);
+}
+
+void upstream_dispatcher::RefuseOverdue(const std::vector<admission::ticket>& ids) {
   for (const admission::ticket& id : ids) {
-    run_result result;
-    result.failure = failure;
-    if (failure == protocol::run_failure::kNoCapacity) {
-      const run& refused = runs_.at(id);
-      result.retry_after =
-          service_wait_ ? wait + calls_.ExpectedWait(refused.request.route, service_wait_) : wait;
-      LogRefusal({refused.request, refused.rank, refused.deadline, refused.nested,
-                  Now() - refused.arrived_at, result.retry_after,
-                  history_[refused.request.route].run_time.mean()},
-                 Now());
-    }
-    context_.loop.Post([this, id, result] { Finish(id, result); });
+    RefuseSlot({id, admission::slot_refusal_cause::kDeadline});
+  }
+}
+
+void upstream_dispatcher::RefuseSlot(const admission::slot_refusal& refusal) {
+  const kernel::time_point now = Now();
+  const run& refused = runs_.at(refusal.id);
+  run_result result;
+  result.failure = protocol::run_failure::kNoCapacity;
+  result.retry_after =
+      std::max(queue_.ExpectedWait(now), bulk_.EstimatedTransferTime(expected_bytes_));
+  if (service_wait_) {
+    result.retry_after += calls_.ExpectedWait(refused.request.route, service_wait_);
   }
+  telemetry_.OnRefused({refused.request, refused.asked, refusal.cause, now - refused.arrived_at,
+                        result.retry_after, queue_.running(), queue_.queued()},
+                       now);
+  PostFinish(refusal.id, result);
 }
 
 void upstream_dispatcher::OnCallOfUpstream(const kernel::service_name& called) {
@@ -275,8 +288,7 @@
       Start(id);
       continue;
     }
-    RefuseAll({id},
-              IsOpen() ? protocol::run_failure::kNoCapacity : protocol::run_failure::kNoUpstream);
+    IsOpen() ? RefuseOverdue({id}) : RefuseAll({id});
     StartAll(queue_.Release(id, std::nullopt, now));
   }
 }
@@ -288,8 +300,8 @@
   started.upstream = announced_->id;
   started.was_suspect =
       quarantine_ != nullptr && quarantine_->IsSuspect(started.request.fingerprint);
-  queue_waits_.Observe(started.request, started.rank.priority,
-                       started.started_at - started.arrived_at);
+  telemetry_.ObserveWait(started.request, started.rank.priority,
+                         started.started_at - started.arrived_at);
   const std::size_t mean_bytes = history_[started.request.route].response_bytes;
   if (bulk_sender::IsLarge(mean_bytes)) started.expected_bytes = mean_bytes;
   expected_bytes_ += started.expected_bytes;
@@ -434,6 +446,7 @@
 
 void upstream_dispatcher::CountEnd(const run& ended) {
   if (!ended.exchange) return;
+  telemetry_.OnSlotFreed(ended.request.route, ended.nested, Now() - ended.started_at);
   expected_bytes_ -= ended.expected_bytes;
   --running_;
   if (ended.request.repeated) --running_repeated_;
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -128,6 +128,8 @@
     kernel::time_point deadline;
     // That of the parent if the request is nested.
     admission::request_rank rank;
+    // What the queue was asked.
+    admission::slot_request asked;
     kernel::time_point started_at;
     // The request had been in progress at a crash when it started.
     bool was_suspect = false;
@@ -162,7 +164,8 @@
   void AwaitHealthResponse(const membership::upstream_announcement& announcement);
   bool IsOpen() const;
   bool EndsInTime(const run& added) const;
-  admission::slot_request SlotRequest(admission::ticket id, run& added);
+  // Fills in the rank of the request and what the queue is asked.
+  void PrepareSlotRequest(admission::ticket id, run& added);
   void UpdateCallWaits();
   void Start(admission::ticket id);
   void StartAll(const std::vector<admission::ticket>& ids);
@@ -196,7 +199,14 @@
   // Takes a run that ends out of the counts of what runs. Does nothing if it was never started.
   void CountEnd(const run& ended);
   void Finish(admission::ticket id, run_result result);
-  void RefuseAll(const std::vector<admission::ticket>& ids, protocol::run_failure failure);
+  // Refuses requests because there is no upstream for them.
+  void RefuseAll(const std::vector<admission::ticket>& ids);
+  // Refuses a request that gets no slot.
+  void RefuseSlot(const admission::slot_refusal& refusal);
+  // Refuses requests that can no longer end before their deadlines.
+  void RefuseOverdue(const std::vector<admission::ticket>& ids);
+  // Finishes a request from the loop.
+  void PostFinish(admission::ticket id, const run_result& result);
   void OnConnectFailure();
   // The service whose health path is probed; empty if no probe is needed.
   std::optional<kernel::service_name> ServiceToProbe() const;
@@ -226,7 +236,7 @@
   admission::upstream_speed speed_;
   admission::route_calls calls_;
   service_wait_source service_wait_;
-  queue_wait_metrics queue_waits_;
+  queue_telemetry telemetry_;
   response_room room_;
   crash_watch crashes_;
   metrics::counter& crash_count_;
--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -171,7 +171,8 @@
   short_request.run_time = milliseconds(450);
   EXPECT_EQ(queue.Submit(short_request, kStart).outcome, kind::kRefuse);
   EXPECT_TRUE(queue.Submit(Request(4, 630), kStart).displaced.empty());
-  EXPECT_EQ(queue.Submit(Request(5, 620), kStart).displaced, std::vector{ticket(2)});
+  EXPECT_EQ(queue.Submit(Request(5, 620), kStart).displaced,
+            (std::vector{slot_refusal{ticket(2), slot_refusal_cause::kOrder}}));
 }
 
 // Guards against starting requests that time out because runs are slower at present than usual.
@@ -208,7 +209,7 @@
   EXPECT_EQ(queue.Submit(Request(2, 300, 2), kStart).outcome, kind::kQueue);
   const auto urgent = queue.Submit(Request(3, 300, 1), kStart);
   EXPECT_EQ(urgent.outcome, kind::kQueue);
-  EXPECT_EQ(urgent.displaced, std::vector{ticket(2)});
+  EXPECT_EQ(urgent.displaced, (std::vector{slot_refusal{ticket(2), slot_refusal_cause::kOrder}}));
 }
 
 // Guards against queued requests that are never answered when the upstream leaves, and against
