Accept every route at least half as often as all at an upstream

Callers saw a kind of request served a tenth as often as the others. At a service that had lost most of its upstreams, calls of running upstreams filled the slots of the last one; they are ranked as most urgent. The minimum share of slot_queue did not help: it is one of work, and requests of 290 ms had their share beside calls of 55 ms when a seventh of them was served.

served_ratios counts what each route asked for and what was accepted, and a late request of a route that is accepted less than half as often as the mean goes before the others.

--- a/cornelweir/src/admission/limits.h
+++ b/cornelweir/src/admission/limits.h
@@ -70,6 +70,10 @@
 // requests are protected below a higher fraction: with 0.25 it got 0.23, since requests that arrive
 // between two decisions are not protected.
 inline constexpr double kMinShareOfMean = 0.3;
+// A route is accepted at least this much as often as all requests at an upstream. The target is a
+// quarter of the mean of the whole mesh, which is above the mean of an upstream that is short of
+// slots: with 0.3, a route earned 0.252 of what its callers asked for, with 0.5 it earned 0.325.
+inline constexpr double kMinRatioOfMean = 0.5;
 // Decay times of the recent and the usual work of a route or workspace. The recent work covers a
 // few requests a second; the usual work outlasts bursts of 20 s.
 inline constexpr kernel::microseconds kRecentShareTime = std::chrono::seconds(2);
--- /dev/null
+++ b/cornelweir/src/admission/served_ratios.h
@@ -0,0 +1,78 @@
+#ifndef CORNELWEIR_SRC_ADMISSION_SERVED_RATIOS_H_
+#define CORNELWEIR_SRC_ADMISSION_SERVED_RATIOS_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstddef>
+#include <map>
+
+#include "cornelweir/src/admission/limits.h"
+#include "cornelweir/src/kernel/clock.h"
+#include "cornelweir/src/kernel/quantity.h"
+
+namespace cornelweir::admission {
+
+// How often the recent requests of each route were accepted, compared with all. The counts are
+// exponentially decayed. At most kMaxShares ids are kept apart; further ones share an entry.
+template <class Id>
+class served_ratios {
+ public:
+  void OnAsked(const Id& id, kernel::time_point now) { Add(id, 1, 0, now); }
+  void OnAccepted(const Id& id, kernel::time_point now) { Add(id, 0, 1, now); }
+  // Takes back an acceptance.
+  void OnRemoved(const Id& id, kernel::time_point now) { Add(id, 0, -1, now); }
+
+  // Whether id would have been accepted at most kMinRatioOfMean times as often as all, even if one
+  // more of its requests were accepted.
+  bool IsBelowMinimum(const Id& id, kernel::time_point now) const {
+    const auto found = counts_.find(KeyOf(id));
+    if (found == counts_.end() || total_.asked <= 0) return false;
+    const counts own = Decayed(found->second, now);
+    const double mean = total_.accepted / total_.asked;
+    return own.accepted + 1 <= kMinRatioOfMean * mean * own.asked;
+  }
+
+ private:
+  struct counts {
+    double asked = 0;
+    double accepted = 0;
+    kernel::time_point updated_at;
+  };
+
+  Id KeyOf(const Id& id) const {
+    return counts_.size() < kMaxShares || counts_.contains(id) ? id : Id();
+  }
+
+  static counts Decayed(const counts& old, kernel::time_point now) {
+    const double age = std::chrono::duration<double>(now - old.updated_at) /
+                       std::chrono::duration<double>(kRecentShareTime);
+    const double factor = std::exp(-age);
+    return {old.asked * factor, old.accepted * factor, now};
+  }
+
+  void Add(const Id& id, double asked, double accepted, kernel::time_point now) {
+    if (now - pruned_at_ >= kSharePrunePeriod) Prune(now);
+    for (counts* changed : {&counts_[KeyOf(id)], &total_}) {
+      *changed = Decayed(*changed, now);
+      changed->asked += asked;
+      changed->accepted = std::max(changed->accepted + accepted, 0.0);
+    }
+  }
+
+  // Drops the ids without recent requests.
+  void Prune(kernel::time_point now) {
+    pruned_at_ = now;
+    std::erase_if(counts_, [now](const auto& entry) {
+      return now - entry.second.updated_at >= kUsualShareTime;
+    });
+  }
+
+  std::map<Id, counts> counts_;
+  counts total_;
+  kernel::time_point pruned_at_;
+};
+
+}  // namespace cornelweir::admission
+
+#endif  // CORNELWEIR_SRC_ADMISSION_SERVED_RATIOS_H_
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -111,6 +111,7 @@
 
 bool slot_queue::IsBelowMinimumShare(const slot_request& request, kernel::time_point now) const {
   return route_shares_.IsBelowMinimum(request.route, now) ||
+         route_ratios_.IsBelowMinimum(request.route, now) ||
          workspace_shares_.IsBelowMinimum(request.workspace, now);
 }
 
@@ -121,10 +122,16 @@
   return WorkOf(other) <= WorkOf(nested) * kMaxDeferralWorkFactor;
 }
 
-void slot_queue::CountWork(const slot_request& request, kernel::microseconds work,
-                           kernel::time_point now) {
-  route_shares_.Add(request.route, work, now);
-  workspace_shares_.Add(request.workspace, work, now);
+void slot_queue::CountAccepted(const slot_request& request, kernel::time_point now) {
+  route_shares_.Add(request.route, WorkOf(request), now);
+  workspace_shares_.Add(request.workspace, WorkOf(request), now);
+  route_ratios_.OnAccepted(request.route, now);
+}
+
+void slot_queue::CountRemoved(const slot_request& request, kernel::time_point now) {
+  route_shares_.Add(request.route, -WorkOf(request), now);
+  workspace_shares_.Add(request.workspace, -WorkOf(request), now);
+  route_ratios_.OnRemoved(request.route, now);
 }
 
 bool slot_queue::IsBefore(const queued_request& first, const queued_request& second) {
@@ -149,6 +156,7 @@
 slot_decision slot_queue::Submit(const slot_request& request, kernel::time_point now) {
   using kind = slot_decision::kind;
   if (WouldMissDeadline(request, now)) return {kind::kRefuse, slot_refusal_cause::kDeadline, {}};
+  route_ratios_.OnAsked(request.route, now);
   const auto may_start = [now](const slot_request& waiting) {
     return !WouldMissDeadline(waiting, now) && !IsHeldBack(waiting, now);
   };
@@ -159,7 +167,7 @@
     if (request.transfer_time.count() > 0 && IsHopeless(request, kPlannedRunTimePercent, now)) {
       return {kind::kRefuse, HopelessCause(request), {}};
     }
-    CountWork(request, WorkOf(request), now);
+    CountAccepted(request, now);
     Start(request.id, now);
     return {kind::kRun, {}, {}};
   }
@@ -171,7 +179,7 @@
   Insert(std::move(added));
   // Work counts from the start of the wait, so that the requests of a route or workspace that are
   // queued together do not exceed its minimum share together.
-  CountWork(request, WorkOf(request), now);
+  CountAccepted(request, now);
   slot_decision decision{kind::kQueue, {}, RemoveLateRequests(request.id, now)};
   const auto refused =
       std::find_if(decision.displaced.begin(), decision.displaced.end(),
@@ -221,7 +229,7 @@
 std::vector<slot_refusal> slot_queue::RemoveLateRequests(ticket newest, kernel::time_point now) {
   std::vector<slot_refusal> removed;
   const auto remove = [&](queue_position position, slot_refusal_cause cause) {
-    CountWork(position->request, -WorkOf(position->request), now);
+    CountRemoved(position->request, now);
     removed.push_back({position->request.id, cause});
     queue_.erase(position);
   };
@@ -291,7 +299,7 @@
   std::vector<ticket> expired;
   std::erase_if(queue_, [&](const queued_request& queued) {
     if (!WouldMissDeadline(queued.request, now)) return false;
-    CountWork(queued.request, -WorkOf(queued.request), now);
+    CountRemoved(queued.request, now);
     expired.push_back(queued.request.id);
     return true;
   });
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cornelweir/src/admission/rate_limiter.h"
+#include "cornelweir/src/admission/served_ratios.h"
 #include "cornelweir/src/admission/slot_refusal.h"
 #include "cornelweir/src/admission/slot_request.h"
 #include "cornelweir/src/admission/ticket.h"
@@ -42,7 +43,8 @@
 // refused while their callers still have time to use another upstream: of those with the lowest
 // priority first the ones of workspaces that are above their usual rate, then the ones with the
 // longest run times, which lets the most requests meet their objectives. Routes and workspaces that
-// get less than a minimum share are served before all others instead. A request whose calls would
+// get less than a minimum share, and routes that are served much less often than the others, go
+// before all others instead. A request whose calls would
 // wait so long that it could not end before its deadline is held back until they are expected to be
 // faster. A late request gets a slot only if no other request needs it, and the network only if no
 // other response does.
@@ -112,7 +114,8 @@
   static slot_refusal_cause HopelessCause(const slot_request& request);
   bool IsBelowMinimumShare(const slot_request& request, kernel::time_point now) const;
   bool MayDefer(const slot_request& nested, const slot_request& other) const;
-  void CountWork(const slot_request& request, kernel::microseconds work, kernel::time_point now);
+  void CountAccepted(const slot_request& request, kernel::time_point now);
+  void CountRemoved(const slot_request& request, kernel::time_point now);
   static bool IsBefore(const queued_request& first, const queued_request& second);
   void Insert(queued_request added);
   // Moves an element to the place that its changed fields give it.
@@ -128,6 +131,7 @@
   std::vector<queued_request> queue_;
   work_shares<kernel::route_name> route_shares_;
   work_shares<kernel::workspace_id> workspace_shares_;
+  served_ratios<kernel::route_name> route_ratios_;
   std::uint64_t next_arrival_ = 0;
   // Moving average of the time that a request holds its slot.
   kernel::microseconds run_time_{};
