Let a route below its minimum share run past its objective

Callers saw no request of a kind served for six seconds while the last upstream of its service was slow, though seconds were left to their deadlines. RemoveLateRequests refused a request that would miss its objective even as the next to start before it looked at the share of its route. With 1.2 times the run time above the objective that was every request, so the route got nothing, and the mean run time got no sample that would have corrected it.

A late request is checked for its share first, and once promoted it is late only if it would miss its deadline. Large responses that the network delays are left out: going first does not speed the link.

--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -86,20 +86,28 @@
   }
 }
 
-// Whether a request that waits this long would end so late that an early refusal serves its caller
-// better. The parent of a nested request already holds a slot while it waits, so a nested request
-// may take until its deadline.
-bool slot_queue::WouldEndTooLate(const slot_request& request, kernel::microseconds wait,
-                                 std::int64_t run_time_percent, kernel::time_point now) const {
+// When the request has to end so that an early refusal would not serve its caller better. The
+// parent of a nested request already holds a slot while it waits, so a nested request may take
+// until its deadline. So may a promoted one: at a slow upstream, all requests of its route would
+// miss their objectives.
+kernel::time_point slot_queue::LatestEnd(const slot_request& request, bool promoted) {
+  const bool until_deadline = request.nested || (promoted && request.transfer_time.count() == 0);
+  return until_deadline ? request.deadline : request.objective;
+}
+
+// Whether a request that waits this long would end too late.
+bool slot_queue::WouldEndTooLate(const slot_request& request, bool promoted,
+                                 kernel::microseconds wait, std::int64_t run_time_percent,
+                                 kernel::time_point now) const {
   const kernel::microseconds run =
       request.run_time * run_time_percent / 100 + request.transfer_time;
-  return now + wait + run > (request.nested ? request.deadline : request.objective);
+  return now + wait + run > LatestEnd(request, promoted);
 }
 
 // Whether the request would end too late even if it were the next to start.
-bool slot_queue::IsHopeless(const slot_request& request, std::int64_t run_time_percent,
-                            kernel::time_point now) const {
-  return WouldEndTooLate(request, ExpectedWaitAt(0, kernel::microseconds::zero(), now),
+bool slot_queue::IsHopeless(const slot_request& request, bool promoted,
+                            std::int64_t run_time_percent, kernel::time_point now) const {
+  return WouldEndTooLate(request, promoted, ExpectedWaitAt(0, kernel::microseconds::zero(), now),
                          run_time_percent, now);
 }
 
@@ -115,6 +123,12 @@
          workspace_shares_.IsBelowMinimum(request.workspace, now);
 }
 
+// Whether a late request that goes before all others would end in time.
+bool slot_queue::MayPromote(const queued_request& late, kernel::time_point now) const {
+  return !late.promoted && IsBelowMinimumShare(late.request, now) &&
+         !IsHopeless(late.request, true, kPlannedRunTimePercent, now);
+}
+
 // Whether a nested request may wait for the run of another one. That costs the slot of its parent
 // for as long, so among requests of the same priority it waits for short runs only.
 bool slot_queue::MayDefer(const slot_request& nested, const slot_request& other) const {
@@ -164,7 +178,8 @@
     return may_start(other.request);
   });
   if (MayStart(now) && is_next && may_start(request)) {
-    if (request.transfer_time.count() > 0 && IsHopeless(request, kPlannedRunTimePercent, now)) {
+    if (request.transfer_time.count() > 0 &&
+        IsHopeless(request, false, kPlannedRunTimePercent, now)) {
       return {kind::kRefuse, HopelessCause(request), {}};
     }
     CountAccepted(request, now);
@@ -198,9 +213,14 @@
   return std::find_if(queue_.begin(), queue_.end(), [&](const queued_request& queued) {
     const kernel::microseconds wait = ExpectedWaitAt(position++, work, now);
     work += WorkOf(queued.request);
-    if (!WouldEndTooLate(queued.request, wait, kPlannedRunTimePercent, now)) return false;
-    return queued.request.id == newest || IsHopeless(queued.request, kMeanRunTimePercent, now) ||
-           !IsHopeless(queued.request, kPlannedRunTimePercent, now);
+    const auto is_hopeless = [&](std::int64_t run_time_percent) {
+      return IsHopeless(queued.request, queued.promoted, run_time_percent, now);
+    };
+    if (!WouldEndTooLate(queued.request, queued.promoted, wait, kPlannedRunTimePercent, now)) {
+      return false;
+    }
+    return queued.request.id == newest || is_hopeless(kMeanRunTimePercent) ||
+           !is_hopeless(kPlannedRunTimePercent);
   });
 }
 
@@ -233,11 +253,19 @@
     removed.push_back({position->request.id, cause});
     queue_.erase(position);
   };
+  const auto promote = [&](queue_position position) {
+    position->promoted = true;
+    Reinsert(position);
+  };
   while (true) {
     const auto late = FirstLateRequest(newest, now);
     if (late == queue_.end()) break;
-    if (IsHopeless(late->request, kPlannedRunTimePercent, now)) {
-      remove(late, HopelessCause(late->request));
+    if (IsHopeless(late->request, late->promoted, kPlannedRunTimePercent, now)) {
+      if (MayPromote(*late, now)) {
+        promote(late);
+      } else {
+        remove(late, HopelessCause(late->request));
+      }
       continue;
     }
     const auto may_wait = [&](const queued_request& queued) {
@@ -254,9 +282,8 @@
       Reinsert(deferrable);
       continue;
     }
-    if (late != queue_.begin() && !late->promoted && IsBelowMinimumShare(late->request, now)) {
-      late->promoted = true;
-      Reinsert(late);
+    if (late != queue_.begin() && MayPromote(*late, now)) {
+      promote(late);
       continue;
     }
     remove(SelectVictim(late, now), slot_refusal_cause::kOrder);
