Count the request that is decided once in served_ratios

A queued request counts as accepted when the queue decides on it, and IsBelowMinimum added it once more. A route with few requests was therefore protected one request too late.

--- a/cornelweir/src/admission/served_ratios.h
+++ b/cornelweir/src/admission/served_ratios.h
@@ -23,14 +23,14 @@
   // Takes back an acceptance.
   void OnRemoved(const Id& id, kernel::time_point now) { Add(id, 0, -1, now); }
 
-  // Whether id would have been accepted at most kMinRatioOfMean times as often as all, even if one
-  // more of its requests were accepted.
+  // Whether id was accepted at most kMinRatioOfMean times as often as all. A request that is being
+  // decided counts as accepted.
   bool IsBelowMinimum(const Id& id, kernel::time_point now) const {
     const auto found = counts_.find(KeyOf(id));
     if (found == counts_.end() || total_.asked <= 0) return false;
     const counts own = Decayed(found->second, now);
     const double mean = total_.accepted / total_.asked;
-    return own.accepted + 1 <= kMinRatioOfMean * mean * own.asked;
+    return own.accepted <= kMinRatioOfMean * mean * own.asked;
   }
 
  private:
