Take back the work of queued requests that are cancelled

A request that was cancelled while it was queued went on to count as work and as an accepted request of its route and workspace. A route whose callers cancel, or send their requests elsewhere, thus seemed to have its share although nothing of it ran, and its next requests were refused.

slot_queue_test, CancelledRequestsAreNotCountedAsServed: the last request was refused (kRefuse) before the change.

--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -317,9 +317,13 @@
   return AdmitQueued(now);
 }
 
-bool slot_queue::Cancel(ticket id) {
-  return std::erase_if(queue_,
-                       [&](const queued_request& queued) { return queued.request.id == id; }) > 0;
+bool slot_queue::Cancel(ticket id, kernel::time_point now) {
+  const auto cancelled = std::find_if(queue_.begin(), queue_.end(),
+                                      [&](const auto& queued) { return queued.request.id == id; });
+  if (cancelled == queue_.end()) return false;
+  CountRemoved(cancelled->request, now);
+  queue_.erase(cancelled);
+  return true;
 }
 
 std::vector<ticket> slot_queue::Expire(kernel::time_point now) {
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -70,7 +70,7 @@
   // their calls would wait for a shorter time.
   std::vector<ticket> AdmitQueued(kernel::time_point now);
   // Removes a queued request. Returns false if it is not queued.
-  bool Cancel(ticket id);
+  bool Cancel(ticket id, kernel::time_point now);
   // Removes and returns the queued requests that can no longer complete before their deadlines.
   std::vector<ticket> Expire(kernel::time_point now);
   // Removes and returns all queued requests.
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -467,7 +467,7 @@
   const auto found = runs_.find(id);
   if (found == runs_.end()) return;
   found->second.result_wanted = false;
-  if (queue_.Cancel(id) || crashes_.Cancel(id)) {
+  if (queue_.Cancel(id, Now()) || crashes_.Cancel(id)) {
     runs_.erase(found);
     return;
   }
--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -202,6 +202,23 @@
   EXPECT_EQ(queue.Expire(kStart + milliseconds(541)), std::vector{ticket(3)});
 }
 
+// Guards against a route that counts as served because its queued requests were cancelled: the
+// share of the work that they had asked for is not used.
+TEST(SlotQueue, CancelledRequestsAreNotCountedAsServed) {
+  slot_queue queue = Queue(1);
+  const auto of_route = [](slot_request request, const char* route) {
+    request.route = kernel::route_name(route);
+    return request;
+  };
+  ASSERT_EQ(queue.Submit(of_route(Request(1, 500), "busy"), kStart).outcome, kind::kRun);
+  for (std::uint64_t id = 10; id < 20; ++id) {
+    ASSERT_EQ(queue.Submit(of_route(Request(id, 500), "cancelled"), kStart).outcome, kind::kQueue);
+    ASSERT_TRUE(queue.Cancel(ticket(id), kStart));
+  }
+  ASSERT_EQ(queue.Submit(of_route(Request(2, 220), "busy"), kStart).outcome, kind::kQueue);
+  EXPECT_EQ(queue.Submit(of_route(Request(3, 230), "cancelled"), kStart).outcome, kind::kQueue);
+}
+
 // Guards against a less urgent request that stays queued although it would end too late.
 TEST(SlotQueue, DisplacesRequestsThatAMoreUrgentOneDelaysTooLong) {
   slot_queue queue = Queue(1);
@@ -219,8 +236,8 @@
   queue.Submit(Request(1, 500), kStart);
   queue.Submit(Request(2, 500), kStart);
   queue.Submit(Request(3, 500), kStart);
-  EXPECT_TRUE(queue.Cancel(ticket(2)));
-  EXPECT_FALSE(queue.Cancel(ticket(2)));
+  EXPECT_TRUE(queue.Cancel(ticket(2), kStart));
+  EXPECT_FALSE(queue.Cancel(ticket(2), kStart));
   EXPECT_EQ(queue.Expire(kStart + milliseconds(950)), std::vector{ticket(3)});
   EXPECT_TRUE(queue.Clear().empty());
   EXPECT_TRUE(queue.Release(ticket(1), std::nullopt, kStart).empty());
