Compare routes by the requests that no other upstream can serve

served_ratios counted each refusal, also of requests that the next upstream served.

Senders state has_alternative for all requests, not only for large bodies, and slot_queue counts and protects only requests without one.

slot_queue_test, PromotesARouteThatIsRefusedOftenOnlyWithoutAnAlternative.

--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -88,11 +88,12 @@
 
 // When the request has to end so that an early refusal would not serve its caller better. The
 // parent of a nested request already holds a slot while it waits, so a nested request may take
-// until its deadline. So may a promoted one: at a slow upstream, all requests of its route would
-// miss their objectives.
+// until its deadline. So may a promoted one that no other upstream can serve: at a slow upstream,
+// all requests of its route would miss their objectives.
 kernel::time_point slot_queue::LatestEnd(const slot_request& request, bool promoted) {
-  const bool until_deadline = request.nested || (promoted && request.transfer_time.count() == 0);
-  return until_deadline ? request.deadline : request.objective;
+  const bool may_be_late =
+      promoted && !request.has_alternative && request.transfer_time.count() == 0;
+  return request.nested || may_be_late ? request.deadline : request.objective;
 }
 
 // Whether a request that waits this long would end too late.
@@ -119,7 +120,7 @@
 
 bool slot_queue::IsBelowMinimumShare(const slot_request& request, kernel::time_point now) const {
   return route_shares_.IsBelowMinimum(request.route, now) ||
-         route_ratios_.IsBelowMinimum(request.route, now) ||
+         (!request.has_alternative && route_ratios_.IsBelowMinimum(request.route, now)) ||
          workspace_shares_.IsBelowMinimum(request.workspace, now);
 }
 
@@ -139,13 +140,13 @@
 void slot_queue::CountAccepted(const slot_request& request, kernel::time_point now) {
   route_shares_.Add(request.route, WorkOf(request), now);
   workspace_shares_.Add(request.workspace, WorkOf(request), now);
-  route_ratios_.OnAccepted(request.route, now);
+  if (!request.has_alternative) route_ratios_.OnAccepted(request.route, now);
 }
 
 void slot_queue::CountRemoved(const slot_request& request, kernel::time_point now) {
   route_shares_.Add(request.route, -WorkOf(request), now);
   workspace_shares_.Add(request.workspace, -WorkOf(request), now);
-  route_ratios_.OnRemoved(request.route, now);
+  if (!request.has_alternative) route_ratios_.OnRemoved(request.route, now);
 }
 
 bool slot_queue::IsBefore(const queued_request& first, const queued_request& second) {
@@ -170,7 +171,7 @@
 slot_decision slot_queue::Submit(const slot_request& request, kernel::time_point now) {
   using kind = slot_decision::kind;
   if (WouldMissDeadline(request, now)) return {kind::kRefuse, slot_refusal_cause::kDeadline, {}};
-  route_ratios_.OnAsked(request.route, now);
+  if (!request.has_alternative) route_ratios_.OnAsked(request.route, now);
   const auto may_start = [now](const slot_request& waiting) {
     return !WouldMissDeadline(waiting, now) && !IsHeldBack(waiting, now);
   };
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -133,6 +133,8 @@
   std::vector<queued_request> queue_;
   work_shares<kernel::route_name> route_shares_;
   work_shares<kernel::workspace_id> workspace_shares_;
+  // Of requests that no other upstream can serve. One that is refused here and accepted at the next
+  // upstream would make its route seem to be served less often than it is.
   served_ratios<kernel::route_name> route_ratios_;
   std::uint64_t next_arrival_ = 0;
   // Moving average of the time that a request holds its slot.
--- a/cornelweir/src/admission/slot_request.h
+++ b/cornelweir/src/admission/slot_request.h
@@ -16,6 +16,8 @@
   // Sent by an upstream as part of a request that is already running. Refusing it would waste the
   // slot that its parent holds, so it may wait until its deadline.
   bool nested = false;
+  // Its sender can still try another upstream if it is refused.
+  bool has_alternative = false;
   // 0 is the most urgent. A nested request has the priority of its parent.
   std::int32_t priority = 0;
   // The time by which the response should be sent to meet the target latency.
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -90,8 +90,7 @@
   std::uint64_t body_bytes = 0;
   // Set if the request may be a call of the upstream on the sender's host.
   std::optional<parent_rank> parent;
-  // The sender can try another daemon if this one can't meet the objective. Stated for a large body
-  // only.
+  // The sender can try another daemon if this one can't meet the objective.
   bool has_alternative = false;
   // Identifies what is asked, see quarantine::FingerprintOf(); 0 if unknown.
   kernel::fingerprint fingerprint;
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -305,8 +305,7 @@
     if (!state->policy->workspaces.empty()) run.parent = dispatcher_.RankOfCalls();
     if (state->tried_peers.size() == 1) dispatcher_.OnCallOfUpstream(state->service);
   }
-  run.has_alternative = bulk_sender::IsLarge(state->body->size()) &&
-                        state->refusals + 1 < internal::kMaxRefusals &&
+  run.has_alternative = state->refusals + 1 < internal::kMaxRefusals &&
                         peers_.HasOther(state->service, state->tried_peers);
   state->run_id = chosen->Run(std::move(run), state->body, [this, state](run_result result) {
     OnResult(state, std::move(result));
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -165,6 +165,7 @@
   described.id = id;
   described.route = added.request.route;
   described.workspace = added.request.workspace;
+  described.has_alternative = added.request.has_alternative;
   described.priority = added.request.priority;
   described.objective = added.rank.objective;
   described.deadline = added.deadline;
--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -202,6 +202,28 @@
   EXPECT_EQ(queue.Expire(kStart + milliseconds(541)), std::vector{ticket(3)});
 }
 
+// Guards against a route that goes before the calls of running upstreams, because its requests are
+// refused at this upstream and served by the next one.
+TEST(SlotQueue, PromotesARouteThatIsRefusedOftenOnlyWithoutAnAlternative) {
+  for (const bool has_alternative : {true, false}) {
+    slot_queue queue = Queue(1);
+    const auto long_request = [&](std::uint64_t id, int objective_ms) {
+      slot_request request = Request(id, objective_ms);
+      request.route = kernel::route_name("long");
+      request.has_alternative = has_alternative;
+      return request;
+    };
+    ASSERT_EQ(queue.Submit(Request(1, 500), kStart).outcome, kind::kRun);
+    for (std::uint64_t id = 10; id < 20; ++id) {
+      queue.Submit(long_request(id, 150), kStart);
+      queue.Cancel(ticket(id), kStart);
+    }
+    ASSERT_EQ(queue.Submit(Request(2, 220), kStart).outcome, kind::kQueue);
+    EXPECT_EQ(queue.Submit(long_request(3, 230), kStart).outcome,
+              has_alternative ? kind::kRefuse : kind::kQueue);
+  }
+}
+
 // Guards against a route that counts as served because its queued requests were cancelled: the
 // share of the work that they had asked for is not used.
 TEST(SlotQueue, CancelledRequestsAreNotCountedAsServed) {
