Keep the bounded table of routes and workspaces in one place

served_ratios had copied from work_shares how entries are keyed, bounded and dropped. Both use share_table now.

--- a/cornelweir/admission.h
+++ b/cornelweir/admission.h
@@ -21,6 +21,7 @@
 #include "cornelweir/src/admission/run_time_estimate.h"
 #include "cornelweir/src/admission/served_ratios.h"
 #include "cornelweir/src/admission/share_member.h"
+#include "cornelweir/src/admission/share_table.h"
 #include "cornelweir/src/admission/slot_queue.h"
 #include "cornelweir/src/admission/slot_refusal.h"
 #include "cornelweir/src/admission/slot_request.h"
--- a/cornelweir/src/admission/served_ratios.h
+++ b/cornelweir/src/admission/served_ratios.h
@@ -4,17 +4,16 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <cstddef>
-#include <map>
 
 #include "cornelweir/src/admission/limits.h"
+#include "cornelweir/src/admission/share_table.h"
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/kernel/quantity.h"
 
 namespace cornelweir::admission {
 
 // How often the recent requests of each route were accepted, compared with all. The counts are
-// exponentially decayed. At most kMaxShares ids are kept apart; further ones share an entry.
+// exponentially decayed.
 template <class Id>
 class served_ratios {
  public:
@@ -26,9 +25,9 @@
   // Whether id was accepted at most kMinRatioOfMean times as often as all. A request that is being
   // decided counts as accepted.
   bool IsBelowMinimum(const Id& id, kernel::time_point now) const {
-    const auto found = counts_.find(KeyOf(id));
-    if (found == counts_.end() || total_.asked <= 0) return false;
-    const counts own = Decayed(found->second, now);
+    const counts* const found = counts_.Find(id);
+    if (found == nullptr || total_.asked <= 0) return false;
+    const counts own = Decayed(*found, now);
     const double mean = total_.accepted / total_.asked;
     return own.accepted <= kMinRatioOfMean * mean * own.asked;
   }
@@ -40,10 +39,6 @@
     kernel::time_point updated_at;
   };
 
-  Id KeyOf(const Id& id) const {
-    return counts_.size() < kMaxShares || counts_.contains(id) ? id : Id();
-  }
-
   static counts Decayed(const counts& old, kernel::time_point now) {
     const double age = std::chrono::duration<double>(now - old.updated_at) /
                        std::chrono::duration<double>(kRecentShareTime);
@@ -52,25 +47,15 @@
   }
 
   void Add(const Id& id, double asked, double accepted, kernel::time_point now) {
-    if (now - pruned_at_ >= kSharePrunePeriod) Prune(now);
-    for (counts* changed : {&counts_[KeyOf(id)], &total_}) {
+    for (counts* changed : {&counts_.At(id, now), &total_}) {
       *changed = Decayed(*changed, now);
       changed->asked += asked;
       changed->accepted = std::max(changed->accepted + accepted, 0.0);
     }
   }
 
-  // Drops the ids without recent requests.
-  void Prune(kernel::time_point now) {
-    pruned_at_ = now;
-    std::erase_if(counts_, [now](const auto& entry) {
-      return now - entry.second.updated_at >= kUsualShareTime;
-    });
-  }
-
-  std::map<Id, counts> counts_;
+  share_table<Id, counts> counts_;
   counts total_;
-  kernel::time_point pruned_at_;
 };
 
 }  // namespace cornelweir::admission
--- a/cornelweir/src/admission/work_shares.h
+++ b/cornelweir/src/admission/work_shares.h
@@ -5,25 +5,23 @@
 #include <chrono>
 #include <cmath>
 #include <cstddef>
-#include <map>
 
 #include "cornelweir/src/admission/limits.h"
+#include "cornelweir/src/admission/share_table.h"
 #include "cornelweir/src/kernel/clock.h"
 #include "cornelweir/src/kernel/quantity.h"
 
 namespace cornelweir::admission {
 
 // The work that was admitted recently for each route or workspace, compared with what is usual for
-// it. Both are exponentially decayed sums. At most kMaxShares ids are kept apart; further ones
-// share an entry, so the size does not grow with the number of workspaces.
+// it. Both are exponentially decayed sums.
 template <class Id>
 class work_shares {
  public:
   // Adds admitted work of id, or takes it back if the work is negative.
   void Add(const Id& id, kernel::microseconds work, kernel::time_point now) {
-    if (now - pruned_at_ >= kSharePrunePeriod) Prune(now);
     const auto amount = static_cast<double>(work.count());
-    share& changed = shares_[KeyOf(id)];
+    share& changed = shares_.At(id, now);
     Decay(changed, now);
     Decay(total_, now);
     for (share* sum : {&changed, &total_}) {
@@ -36,11 +34,10 @@
   // the usual rate, 1 below the square of that, and so on. A rate that is usually small counts as
   // kMinShareOfMean of the mean, so that single requests of a small workspace are not above it.
   int ExcessLevel(const Id& id, kernel::time_point now) const {
-    const auto found = shares_.find(KeyOf(id));
-    if (found == shares_.end()) return 0;
-    const double usual =
-        std::max(UsualRate(found->second, now), MinShare() * UsualRate(total_, now));
-    const double recent = RecentRate(found->second, now);
+    const share* const found = shares_.Find(id);
+    if (found == nullptr) return 0;
+    const double usual = std::max(UsualRate(*found, now), MinShare() * UsualRate(total_, now));
+    const double recent = RecentRate(*found, now);
     return recent < usual * kExcessStep
                ? 0
                : static_cast<int>(std::log(recent / usual) / std::log(kExcessStep));
@@ -50,9 +47,9 @@
   bool IsBelowMinimum(const Id& id, kernel::time_point now) const {
     const double total = RecentRate(total_, now);
     if (total <= 0) return false;
-    const auto found = shares_.find(KeyOf(id));
-    if (found == shares_.end()) return !shares_.empty();
-    return RecentRate(found->second, now) < MinShare() * total;
+    const share* const found = shares_.Find(id);
+    if (found == nullptr) return shares_.size() > 0;
+    return RecentRate(*found, now) < MinShare() * total;
   }
 
  private:
@@ -63,10 +60,6 @@
     kernel::time_point started_at;
   };
 
-  Id KeyOf(const Id& id) const {
-    return shares_.size() < kMaxShares || shares_.contains(id) ? id : Id();
-  }
-
   double MinShare() const {
     return kMinShareOfMean / static_cast<double>(std::max<std::size_t>(shares_.size(), 1));
   }
@@ -101,17 +94,8 @@
     decayed.updated_at = now;
   }
 
-  // Drops the ids without recent work.
-  void Prune(kernel::time_point now) {
-    pruned_at_ = now;
-    std::erase_if(shares_, [now](const auto& entry) {
-      return now - entry.second.updated_at >= kUsualShareTime;
-    });
-  }
-
-  std::map<Id, share> shares_;
+  share_table<Id, share> shares_;
   share total_;
-  kernel::time_point pruned_at_;
 };
 
 }  // namespace cornelweir::admission
