Look up refusals and slot times by route without a copy of its name

The two maps of queue_telemetry were keyed by a pair with the name of the route, so each ended run and each refusal copied the name to look it up. They are nested maps now, as those of the waits are. refusal_record loses the request, since what the queue was asked has its route and workspace. Behaviour is the same.

--- a/plugins/sidecar/queue_telemetry.cc
+++ b/plugins/sidecar/queue_telemetry.cc
@@ -8,8 +8,8 @@
 namespace cornelweir::plugins::sidecar {
 
 void queue_telemetry::OnRefused(const refusal_record& refusal, kernel::time_point now) {
-  const kernel::route_name& route = refusal.request.route;
-  metrics::counter*& known = refusals_[{route, refusal.cause}];
+  const kernel::route_name& route = refusal.asked.route;
+  metrics::counter*& known = refusals_by_route_[route][refusal.cause];
   if (known == nullptr) {
     known = &metrics_.Counter(
         "cornelweir_upstream_refusals_total", "Requests that were refused a slot of the upstream",
@@ -21,7 +21,7 @@
   };
   logging::event(logging::event_id::kRequestRefused)
       .With("route", route)
-      .With("workspace", refusal.request.workspace)
+      .With("workspace", refusal.asked.workspace)
       .With("nested", refusal.asked.nested)
       .With("priority", refusal.asked.priority)
       .With("objective_ms", milliseconds_until(refusal.asked.objective))
@@ -37,7 +37,7 @@
 
 void queue_telemetry::OnSlotFreed(const kernel::route_name& route, bool nested,
                                   kernel::microseconds held) {
-  metrics::counter*& known = slot_times_[{route, nested}];
+  metrics::counter*& known = slot_times_by_route_[route][nested];
   if (known == nullptr) {
     known = &metrics_.Counter("cornelweir_upstream_slot_milliseconds_total",
                               "Time that requests held slots of the upstream",
--- a/plugins/sidecar/queue_telemetry.h
+++ b/plugins/sidecar/queue_telemetry.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <utility>
 
 #include "cornelweir/admission.h"
 #include "cornelweir/kernel.h"
@@ -14,7 +13,6 @@
 
 // A request that was refused a slot, and why.
 struct refusal_record {
-  const protocol::run_request& request;
   // As the queue saw it. Its priority is the one that decided, and its transfer time is what the
   // network was expected to need for the response.
   const admission::slot_request& asked;
@@ -49,9 +47,10 @@
   metrics::metrics_registry& metrics_;
   std::map<kernel::route_name, std::map<std::int32_t, metrics::histogram*>> waits_by_route_;
   std::map<kernel::workspace_id, metrics::histogram*> waits_by_workspace_;
-  std::map<std::pair<kernel::route_name, bool>, metrics::counter*> slot_times_;
-  std::map<std::pair<kernel::route_name, admission::slot_refusal_cause>, metrics::counter*>
-      refusals_;
+  // By whether the requests are nested.
+  std::map<kernel::route_name, std::map<bool, metrics::counter*>> slot_times_by_route_;
+  std::map<kernel::route_name, std::map<admission::slot_refusal_cause, metrics::counter*>>
+      refusals_by_route_;
 };
 
 }  // namespace cornelweir::plugins::sidecar
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -248,8 +248,8 @@
   if (service_wait_) {
     result.retry_after += calls_.ExpectedWait(refused.request.route, service_wait_);
   }
-  telemetry_.OnRefused({refused.request, refused.asked, refusal.cause, now - refused.arrived_at,
-                        result.retry_after, queue_.running(), queue_.queued()},
+  telemetry_.OnRefused({refused.asked, refusal.cause, now - refused.arrived_at, result.retry_after,
+                        queue_.running(), queue_.queued()},
                        now);
   PostFinish(refusal.id, result);
 }
