Return all refusals of a slot decision in one list

A decision had the refused queued requests in one list and the cause of the new one beside it, taken out of the list again, and the dispatcher refused the two in two places and computed the expected wait anew for each request. slot_decision::refused has them all, RefuseSlots takes them at once and walks the queue once for the wait. CountRemoved was CountAccepted with other signs; it is one function. The tests of slot_queue have the new name of the list and the same expectations.

--- a/cornelweir/src/admission/served_ratios.h
+++ b/cornelweir/src/admission/served_ratios.h
@@ -18,9 +18,8 @@
 class served_ratios {
  public:
   void OnAsked(const Id& id, kernel::time_point now) { Add(id, 1, 0, now); }
-  void OnAccepted(const Id& id, kernel::time_point now) { Add(id, 0, 1, now); }
-  // Takes back an acceptance.
-  void OnRemoved(const Id& id, kernel::time_point now) { Add(id, 0, -1, now); }
+  // Adds accepted requests, or takes them back if the change is negative.
+  void OnAccepted(const Id& id, int change, kernel::time_point now) { Add(id, 0, change, now); }
 
   // Whether id was accepted at most kMinRatioOfMean times as often as all. A request that is being
   // decided counts as accepted.
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -137,16 +137,10 @@
   return WorkOf(other) <= WorkOf(nested) * kMaxDeferralWorkFactor;
 }
 
-void slot_queue::CountAccepted(const slot_request& request, kernel::time_point now) {
-  route_shares_.Add(request.route, WorkOf(request), now);
-  workspace_shares_.Add(request.workspace, WorkOf(request), now);
-  if (!request.has_alternative) route_ratios_.OnAccepted(request.route, now);
-}
-
-void slot_queue::CountRemoved(const slot_request& request, kernel::time_point now) {
-  route_shares_.Add(request.route, -WorkOf(request), now);
-  workspace_shares_.Add(request.workspace, -WorkOf(request), now);
-  if (!request.has_alternative) route_ratios_.OnRemoved(request.route, now);
+void slot_queue::CountAccepted(const slot_request& request, int change, kernel::time_point now) {
+  route_shares_.Add(request.route, WorkOf(request) * change, now);
+  workspace_shares_.Add(request.workspace, WorkOf(request) * change, now);
+  if (!request.has_alternative) route_ratios_.OnAccepted(request.route, change, now);
 }
 
 bool slot_queue::IsBefore(const queued_request& first, const queued_request& second) {
@@ -170,7 +164,8 @@
 
 slot_decision slot_queue::Submit(const slot_request& request, kernel::time_point now) {
   using kind = slot_decision::kind;
-  if (WouldMissDeadline(request, now)) return {kind::kRefuse, slot_refusal_cause::kDeadline, {}};
+  if (WouldMissDeadline(request, now))
+    return {kind::kRefuse, {{request.id, slot_refusal_cause::kDeadline}}};
   if (!request.has_alternative) route_ratios_.OnAsked(request.route, now);
   const auto may_start = [now](const slot_request& waiting) {
     return !WouldMissDeadline(waiting, now) && !IsHeldBack(waiting, now);
@@ -181,11 +176,11 @@
   if (MayStart(now) && is_next && may_start(request)) {
     if (request.transfer_time.count() > 0 &&
         IsHopeless(request, false, kPlannedRunTimePercent, now)) {
-      return {kind::kRefuse, HopelessCause(request), {}};
+      return {kind::kRefuse, {{request.id, HopelessCause(request)}}};
     }
-    CountAccepted(request, now);
+    CountAccepted(request, 1, now);
     Start(request.id, now);
-    return {kind::kRun, {}, {}};
+    return {kind::kRun, {}};
   }
   queued_request added;
   added.request = request;
@@ -195,15 +190,12 @@
   Insert(std::move(added));
   // Work counts from the start of the wait, so that the requests of a route or workspace that are
   // queued together do not exceed its minimum share together.
-  CountAccepted(request, now);
-  slot_decision decision{kind::kQueue, {}, RemoveLateRequests(request.id, now)};
-  const auto refused =
-      std::find_if(decision.displaced.begin(), decision.displaced.end(),
-                   [&](const slot_refusal& removed) { return removed.id == request.id; });
-  if (refused == decision.displaced.end()) return decision;
-  decision.outcome = kind::kRefuse;
-  decision.cause = refused->cause;
-  decision.displaced.erase(refused);
+  CountAccepted(request, 1, now);
+  slot_decision decision{kind::kQueue, RemoveLateRequests(request.id, now)};
+  const bool is_refused =
+      std::any_of(decision.refused.begin(), decision.refused.end(),
+                  [&](const slot_refusal& refusal) { return refusal.id == request.id; });
+  if (is_refused) decision.outcome = kind::kRefuse;
   return decision;
 }
 
@@ -250,7 +242,7 @@
 std::vector<slot_refusal> slot_queue::RemoveLateRequests(ticket newest, kernel::time_point now) {
   std::vector<slot_refusal> removed;
   const auto remove = [&](queue_position position, slot_refusal_cause cause) {
-    CountRemoved(position->request, now);
+    CountAccepted(position->request, -1, now);
     removed.push_back({position->request.id, cause});
     queue_.erase(position);
   };
@@ -322,7 +314,7 @@
   const auto cancelled = std::find_if(queue_.begin(), queue_.end(),
                                       [&](const auto& queued) { return queued.request.id == id; });
   if (cancelled == queue_.end()) return false;
-  CountRemoved(cancelled->request, now);
+  CountAccepted(cancelled->request, -1, now);
   queue_.erase(cancelled);
   return true;
 }
@@ -331,7 +323,7 @@
   std::vector<ticket> expired;
   std::erase_if(queue_, [&](const queued_request& queued) {
     if (!WouldMissDeadline(queued.request, now)) return false;
-    CountRemoved(queued.request, now);
+    CountAccepted(queued.request, -1, now);
     expired.push_back(queued.request.id);
     return true;
   });
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -19,13 +19,12 @@
 
 namespace cornelweir::admission {
 
-// The decision on a new request, and the queued requests that are refused in favor of it.
+// The decision on a new request, and the requests that it refuses: queued ones in favor of the new
+// one, and the new one itself if that is the outcome.
 struct slot_decision {
   enum class kind : std::uint8_t { kRun, kQueue, kRefuse };
   kind outcome = kind::kRefuse;
-  // Why the new request is refused.
-  slot_refusal_cause cause = slot_refusal_cause::kDeadline;
-  std::vector<slot_refusal> displaced;
+  std::vector<slot_refusal> refused;
 };
 
 // Returns an exponential moving average updated with a sample. The average is zero before the first
@@ -116,8 +115,8 @@
   bool IsBelowMinimumShare(const slot_request& request, kernel::time_point now) const;
   bool MayPromote(const queued_request& late, kernel::time_point now) const;
   bool MayDefer(const slot_request& nested, const slot_request& other) const;
-  void CountAccepted(const slot_request& request, kernel::time_point now);
-  void CountRemoved(const slot_request& request, kernel::time_point now);
+  // Counts a request as accepted, or takes that back. change is 1 or -1.
+  void CountAccepted(const slot_request& request, int change, kernel::time_point now);
   static bool IsBefore(const queued_request& first, const queued_request& second);
   void Insert(queued_request added);
   // Moves an element to the place that its changed fields give it.
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -149,10 +149,9 @@
       StartQueueTimer();
       break;
     case admission::slot_decision::kind::kRefuse:
-      RefuseSlot({id, decision.cause});
       break;
   }
-  for (const admission::slot_refusal& refusal : decision.displaced) RefuseSlot(refusal);
+  RefuseSlots(decision.refused);
   return id;
 }
 
@@ -233,25 +232,29 @@
 }
 
 void upstream_dispatcher::RefuseOverdue(const std::vector<admission::ticket>& ids) {
+  std::vector<admission::slot_refusal> refusals;
   for (const admission::ticket& id : ids) {
-    RefuseSlot({id, admission::slot_refusal_cause::kDeadline});
+    refusals.push_back({id, admission::slot_refusal_cause::kDeadline});
   }
+  RefuseSlots(refusals);
 }
 
-void upstream_dispatcher::RefuseSlot(const admission::slot_refusal& refusal) {
+void upstream_dispatcher::RefuseSlots(const std::vector<admission::slot_refusal>& refusals) {
+  if (refusals.empty()) return;
   const kernel::time_point now = Now();
-  const run& refused = runs_.at(refusal.id);
-  run_result result;
-  result.failure = protocol::run_failure::kNoCapacity;
-  result.retry_after =
+  const kernel::microseconds wait =
       std::max(queue_.ExpectedWait(now), bulk_.EstimatedTransferTime(expected_bytes_));
-  if (service_wait_) {
-    result.retry_after += calls_.ExpectedWait(refused.request.route, service_wait_);
+  for (const admission::slot_refusal& refusal : refusals) {
+    const run& refused = runs_.at(refusal.id);
+    run_result result;
+    result.failure = protocol::run_failure::kNoCapacity;
+    result.retry_after =
+        service_wait_ ? wait + calls_.ExpectedWait(refused.request.route, service_wait_) : wait;
+    telemetry_.OnRefused({refused.asked, refusal.cause, now - refused.arrived_at,
+                          result.retry_after, queue_.running(), queue_.queued()},
+                         now);
+    PostFinish(refusal.id, result);
   }
-  telemetry_.OnRefused({refused.asked, refusal.cause, now - refused.arrived_at, result.retry_after,
-                        queue_.running(), queue_.queued()},
-                       now);
-  PostFinish(refusal.id, result);
 }
 
 void upstream_dispatcher::OnCallOfUpstream(const kernel::service_name& called) {
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -128,7 +128,7 @@
     kernel::time_point deadline;
     // That of the parent if the request is nested.
     admission::request_rank rank;
-    // What the queue was asked.
+    // What the queue was asked; without content until then.
     admission::slot_request asked;
     kernel::time_point started_at;
     // The request had been in progress at a crash when it started.
@@ -201,8 +201,8 @@
   void Finish(admission::ticket id, run_result result);
   // Refuses requests because there is no upstream for them.
   void RefuseAll(const std::vector<admission::ticket>& ids);
-  // Refuses a request that gets no slot.
-  void RefuseSlot(const admission::slot_refusal& refusal);
+  // Refuses requests that get no slot.
+  void RefuseSlots(const std::vector<admission::slot_refusal>& refusals);
   // Refuses requests that can no longer end before their deadlines.
   void RefuseOverdue(const std::vector<admission::ticket>& ids);
   // Finishes a request from the loop.
--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -147,7 +147,7 @@
   EXPECT_EQ(queue.Submit(Request(2, 220, 1, true), kStart).outcome, kind::kQueue);
   const auto other = queue.Submit(Request(3, 230), kStart);
   EXPECT_EQ(other.outcome, kind::kQueue);
-  EXPECT_TRUE(other.displaced.empty());
+  EXPECT_TRUE(other.refused.empty());
   EXPECT_EQ(queue.Release(ticket(1), milliseconds(100), kStart), std::vector{ticket(3)});
   EXPECT_EQ(queue.Release(ticket(3), milliseconds(100), kStart), std::vector{ticket(2)});
 }
@@ -170,8 +170,8 @@
   slot_request short_request = Request(3, 1'000);
   short_request.run_time = milliseconds(450);
   EXPECT_EQ(queue.Submit(short_request, kStart).outcome, kind::kRefuse);
-  EXPECT_TRUE(queue.Submit(Request(4, 630), kStart).displaced.empty());
-  EXPECT_EQ(queue.Submit(Request(5, 620), kStart).displaced,
+  EXPECT_TRUE(queue.Submit(Request(4, 630), kStart).refused.empty());
+  EXPECT_EQ(queue.Submit(Request(5, 620), kStart).refused,
             (std::vector{slot_refusal{ticket(2), slot_refusal_cause::kOrder}}));
 }
 
@@ -248,7 +248,7 @@
   EXPECT_EQ(queue.Submit(Request(2, 300, 2), kStart).outcome, kind::kQueue);
   const auto urgent = queue.Submit(Request(3, 300, 1), kStart);
   EXPECT_EQ(urgent.outcome, kind::kQueue);
-  EXPECT_EQ(urgent.displaced, (std::vector{slot_refusal{ticket(2), slot_refusal_cause::kOrder}}));
+  EXPECT_EQ(urgent.refused, (std::vector{slot_refusal{ticket(2), slot_refusal_cause::kOrder}}));
 }
 
 // Guards against queued requests that are never answered when the upstream leaves, and against
