--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -168,9 +168,8 @@
   described.priority = added.request.priority;
   described.objective = added.rank.objective;
   described.deadline = added.deadline;
-  added.nested = nested_routes_.Observe(added.request.route, added.request.caller);
-  described.nested = added.nested;
-  if (added.nested && added.request.parent) {
+  described.nested = nested_routes_.Observe(added.request.route, added.request.caller);
+  if (described.nested && added.request.parent) {
     const protocol::parent_rank& parent = *added.request.parent;
     added.rank = {parent.priority, now + parent.objective_left, now + parent.time_left};
     described.priority = parent.priority;
@@ -178,7 +177,7 @@
       described.objective = std::min(described.objective, added.rank.objective);
     }
     described.deadline = std::min(described.deadline, added.rank.deadline);
-  } else if (added.nested) {
+  } else if (described.nested) {
     described.priority = admission::kMostUrgent;
   }
   route_history& history = history_[added.request.route];
@@ -260,7 +259,7 @@
 void upstream_dispatcher::OnCallOfUpstream(const kernel::service_name& called) {
   std::vector<kernel::route_name> running;
   for (const auto& [id, run] : runs_) {
-    if (run.exchange && !run.nested) running.push_back(run.request.route);
+    if (run.exchange && !run.asked.nested) running.push_back(run.request.route);
   }
   calls_.OnCall(called, running);
 }
@@ -352,7 +351,7 @@
   RecordEvidence(found->second, ended);
   const bool may_be_crash = MayBeCrash(found->second, ended);
   if (ended.response) OnCompleted(found->second.request.fingerprint);
-  if (connected && !found->second.nested) calls_.OnRunEnded(found->second.request.route);
+  if (connected && !found->second.asked.nested) calls_.OnRunEnded(found->second.request.route);
   if (run_time) RecordRun(found->second.request.route, *run_time, ended.response->body.size());
   RefuseQueuedIfClosed();
   const std::vector<admission::ticket> next = queue_.Release(id, run_time, Now());
@@ -450,7 +449,7 @@
 
 void upstream_dispatcher::CountEnd(const run& ended) {
   if (!ended.exchange) return;
-  telemetry_.OnSlotFreed(ended.request.route, ended.nested, Now() - ended.started_at);
+  telemetry_.OnSlotFreed(ended.request.route, ended.asked.nested, Now() - ended.started_at);
   expected_bytes_ -= ended.expected_bytes;
   --running_;
   if (ended.request.repeated) --running_repeated_;
@@ -462,7 +461,7 @@
   CountEnd(found->second);
   run ended = std::move(found->second);
   runs_.erase(found);
-  result.nested = ended.nested;
+  result.nested = ended.asked.nested;
   result.route_run_time = UsualRunTime(ended.request.route);
   if (ended.result_wanted) ended.done(std::move(result));
 }
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -140,7 +140,6 @@
     // Valid once there is a response.
     upstream_response_kind response_kind = upstream_response_kind::kUnusable;
     bool result_wanted = true;
-    bool nested = false;
     // Share of expected_bytes_ of the dispatcher while the request runs.
     std::size_t expected_bytes = 0;
   };
