--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -164,8 +164,9 @@
 
 slot_decision slot_queue::Submit(const slot_request& request, kernel::time_point now) {
   using kind = slot_decision::kind;
-  if (WouldMissDeadline(request, now))
+  if (WouldMissDeadline(request, now)) {
     return {kind::kRefuse, {{request.id, slot_refusal_cause::kDeadline}}};
+  }
   if (!request.has_alternative) route_ratios_.OnAsked(request.route, now);
   const auto may_start = [now](const slot_request& waiting) {
     return !WouldMissDeadline(waiting, now) && !IsHeldBack(waiting, now);
