--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -232,6 +232,7 @@
 
 void upstream_dispatcher::RefuseOverdue(const std::vector<admission::ticket>& ids) {
   std::vector<admission::slot_refusal> refusals;
+  refusals.reserve(ids.size());
   for (const admission::ticket& id : ids) {
     refusals.push_back({id, admission::slot_refusal_cause::kDeadline});
   }
