Name the deadline as the bound that a promoted request misses

Callers saw nothing of it; a reader of event 4009 and cornelweir_upstream_refusals_total did: a promoted request that no other upstream can serve may run until its deadline, but when it could not end by then, the refusal was counted and logged as one for its objective.

MayMissObjective() now decides both, the latest end and the name of the bound. The test failed before (cause 1, objective) and passes now; which requests are refused does not change.

--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -86,14 +86,18 @@
   }
 }
 
-// When the request has to end so that an early refusal would not serve its caller better. The
-// parent of a nested request already holds a slot while it waits, so a nested request may take
-// until its deadline. So may a promoted one that no other upstream can serve: at a slow upstream,
-// all requests of its route would miss their objectives.
+// Whether the request may run past its objective. The parent of a nested request already holds a
+// slot while it waits, so a nested request may take until its deadline. So may a promoted one that
+// no other upstream can serve: at a slow upstream, all requests of its route would miss their
+// objectives.
+bool slot_queue::MayMissObjective(const slot_request& request, bool promoted) {
+  return request.nested ||
+         (promoted && !request.has_alternative && request.transfer_time.count() == 0);
+}
+
+// When the request has to end so that an early refusal would not serve its caller better.
 kernel::time_point slot_queue::LatestEnd(const slot_request& request, bool promoted) {
-  const bool may_be_late =
-      promoted && !request.has_alternative && request.transfer_time.count() == 0;
-  return request.nested || may_be_late ? request.deadline : request.objective;
+  return MayMissObjective(request, promoted) ? request.deadline : request.objective;
 }
 
 // Whether a request that waits this long would end too late.
@@ -113,9 +117,10 @@
 }
 
 // The bound that a hopeless request would miss.
-slot_refusal_cause slot_queue::HopelessCause(const slot_request& request) {
+slot_refusal_cause slot_queue::HopelessCause(const slot_request& request, bool promoted) {
   if (request.transfer_time.count() > 0) return slot_refusal_cause::kNetwork;
-  return request.nested ? slot_refusal_cause::kDeadline : slot_refusal_cause::kObjective;
+  return MayMissObjective(request, promoted) ? slot_refusal_cause::kDeadline
+                                             : slot_refusal_cause::kObjective;
 }
 
 bool slot_queue::IsBelowMinimumShare(const slot_request& request, kernel::time_point now) const {
@@ -177,7 +182,7 @@
   if (MayStart(now) && is_next && may_start(request)) {
     if (request.transfer_time.count() > 0 &&
         IsHopeless(request, false, kPlannedRunTimePercent, now)) {
-      return {kind::kRefuse, {{request.id, HopelessCause(request)}}};
+      return {kind::kRefuse, {{request.id, HopelessCause(request, false)}}};
     }
     CountAccepted(request, 1, now);
     Start(request.id, now);
@@ -258,7 +263,7 @@
       if (MayPromote(*late, now)) {
         promote(late);
       } else {
-        remove(late, HopelessCause(late->request));
+        remove(late, HopelessCause(late->request, late->promoted));
       }
       continue;
     }
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -106,12 +106,13 @@
   kernel::microseconds WorkOf(const slot_request& request) const;
   static bool IsHeldBack(const slot_request& request, kernel::time_point now);
   static bool WouldMissDeadline(const slot_request& request, kernel::time_point now);
+  static bool MayMissObjective(const slot_request& request, bool promoted);
   static kernel::time_point LatestEnd(const slot_request& request, bool promoted);
   bool WouldEndTooLate(const slot_request& request, bool promoted, kernel::microseconds wait,
                        std::int64_t run_time_percent, kernel::time_point now) const;
   bool IsHopeless(const slot_request& request, bool promoted, std::int64_t run_time_percent,
                   kernel::time_point now) const;
-  static slot_refusal_cause HopelessCause(const slot_request& request);
+  static slot_refusal_cause HopelessCause(const slot_request& request, bool promoted);
   bool IsBelowMinimumShare(const slot_request& request, kernel::time_point now) const;
   bool MayPromote(const queued_request& late, kernel::time_point now) const;
   bool MayDefer(const slot_request& nested, const slot_request& other) const;
--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -224,6 +224,26 @@
   }
 }
 
+// Guards against a log and metrics that name the objective as the missed bound of a promoted
+// request, which may run until its deadline.
+TEST(SlotQueue, NamesTheDeadlineAsTheBoundThatAPromotedRequestMisses) {
+  slot_queue queue = Queue(1);
+  const auto long_request = [](std::uint64_t id, int objective_ms) {
+    slot_request request = Request(id, objective_ms);
+    request.route = kernel::route_name("long");
+    return request;
+  };
+  ASSERT_EQ(queue.Submit(Request(1, 500), kStart).outcome, kind::kRun);
+  for (std::uint64_t id = 10; id < 20; ++id) {
+    queue.Submit(long_request(id, 150), kStart);
+    queue.Cancel(ticket(id), kStart);
+  }
+  ASSERT_EQ(queue.Submit(Request(2, 220), kStart).outcome, kind::kQueue);
+  ASSERT_EQ(queue.Submit(long_request(3, 230), kStart).outcome, kind::kQueue);
+  const auto last = queue.Submit(Request(4, 5'000, 1, false, 6'000), kStart + milliseconds(850));
+  EXPECT_EQ(last.refused, (std::vector{slot_refusal{ticket(3), slot_refusal_cause::kDeadline}}));
+}
+
 // Guards against a route that counts as served because its queued requests were cancelled: the
 // share of the work that they had asked for is not used.
 TEST(SlotQueue, CancelledRequestsAreNotCountedAsServed) {
