--- a/cornelweir/src/admission/slot_refusal.h
+++ b/cornelweir/src/admission/slot_refusal.h
@@ -15,8 +15,7 @@
   // It would end after its objective even if it were the next to start.
   kObjective,
   // Its response is large, and with the time to send it, it would end after its objective even if
-  // it
-  // were the next to start.
+  // it were the next to start.
   kNetwork,
   // It, or a request before it, would be late behind the others.
   kOrder,
