Share the setup of two slot queue tests

Two tests repeated the lines that fill the only slot, have a route refused ten times and queue a request of another route.

--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -28,6 +28,11 @@
   return request;
 }
 
+slot_request OfRoute(slot_request request, const char* route) {
+  request.route = kernel::route_name(route);
+  return request;
+}
+
 // Returns a queue with this many slots whose mean run time is 100 ms.
 slot_queue Queue(std::int64_t slots) {
   slot_queue queue;
@@ -202,24 +207,28 @@
   EXPECT_EQ(queue.Expire(kStart + milliseconds(541)), std::vector{ticket(3)});
 }
 
+// Occupies the only slot, submits ten requests of the route "long" that would be late and cancels
+// those that are queued, and queues a request of another route.
+void RefuseRouteOften(slot_queue& queue, bool has_alternative) {
+  ASSERT_EQ(queue.Submit(Request(1, 500), kStart).outcome, kind::kRun);
+  for (std::uint64_t id = 10; id < 20; ++id) {
+    slot_request late = OfRoute(Request(id, 150), "long");
+    late.has_alternative = has_alternative;
+    queue.Submit(late, kStart);
+    queue.Cancel(late.id, kStart);
+  }
+  ASSERT_EQ(queue.Submit(Request(2, 220), kStart).outcome, kind::kQueue);
+}
+
 // Guards against a route that goes before the calls of running upstreams, because its requests are
 // refused at this upstream and served by the next one.
 TEST(SlotQueue, PromotesARouteThatIsRefusedOftenOnlyWithoutAnAlternative) {
   for (const bool has_alternative : {true, false}) {
     slot_queue queue = Queue(1);
-    const auto long_request = [&](std::uint64_t id, int objective_ms) {
-      slot_request request = Request(id, objective_ms);
-      request.route = kernel::route_name("long");
-      request.has_alternative = has_alternative;
-      return request;
-    };
-    ASSERT_EQ(queue.Submit(Request(1, 500), kStart).outcome, kind::kRun);
-    for (std::uint64_t id = 10; id < 20; ++id) {
-      queue.Submit(long_request(id, 150), kStart);
-      queue.Cancel(ticket(id), kStart);
-    }
-    ASSERT_EQ(queue.Submit(Request(2, 220), kStart).outcome, kind::kQueue);
-    EXPECT_EQ(queue.Submit(long_request(3, 230), kStart).outcome,
+    RefuseRouteOften(queue, has_alternative);
+    slot_request request = OfRoute(Request(3, 230), "long");
+    request.has_alternative = has_alternative;
+    EXPECT_EQ(queue.Submit(request, kStart).outcome,
               has_alternative ? kind::kRefuse : kind::kQueue);
   }
 }
@@ -228,18 +237,8 @@
 // request, which may run until its deadline.
 TEST(SlotQueue, NamesTheDeadlineAsTheBoundThatAPromotedRequestMisses) {
   slot_queue queue = Queue(1);
-  const auto long_request = [](std::uint64_t id, int objective_ms) {
-    slot_request request = Request(id, objective_ms);
-    request.route = kernel::route_name("long");
-    return request;
-  };
-  ASSERT_EQ(queue.Submit(Request(1, 500), kStart).outcome, kind::kRun);
-  for (std::uint64_t id = 10; id < 20; ++id) {
-    queue.Submit(long_request(id, 150), kStart);
-    queue.Cancel(ticket(id), kStart);
-  }
-  ASSERT_EQ(queue.Submit(Request(2, 220), kStart).outcome, kind::kQueue);
-  ASSERT_EQ(queue.Submit(long_request(3, 230), kStart).outcome, kind::kQueue);
+  RefuseRouteOften(queue, false);
+  ASSERT_EQ(queue.Submit(OfRoute(Request(3, 230), "long"), kStart).outcome, kind::kQueue);
   const auto last = queue.Submit(Request(4, 5'000, 1, false, 6'000), kStart + milliseconds(850));
   EXPECT_EQ(last.refused, (std::vector{slot_refusal{ticket(3), slot_refusal_cause::kDeadline}}));
 }
@@ -248,17 +247,13 @@
 // share of the work that they had asked for is not used.
 TEST(SlotQueue, CancelledRequestsAreNotCountedAsServed) {
   slot_queue queue = Queue(1);
-  const auto of_route = [](slot_request request, const char* route) {
-    request.route = kernel::route_name(route);
-    return request;
-  };
-  ASSERT_EQ(queue.Submit(of_route(Request(1, 500), "busy"), kStart).outcome, kind::kRun);
+  ASSERT_EQ(queue.Submit(OfRoute(Request(1, 500), "busy"), kStart).outcome, kind::kRun);
   for (std::uint64_t id = 10; id < 20; ++id) {
-    ASSERT_EQ(queue.Submit(of_route(Request(id, 500), "cancelled"), kStart).outcome, kind::kQueue);
+    ASSERT_EQ(queue.Submit(OfRoute(Request(id, 500), "cancelled"), kStart).outcome, kind::kQueue);
     ASSERT_TRUE(queue.Cancel(ticket(id), kStart));
   }
-  ASSERT_EQ(queue.Submit(of_route(Request(2, 220), "busy"), kStart).outcome, kind::kQueue);
-  EXPECT_EQ(queue.Submit(of_route(Request(3, 230), "cancelled"), kStart).outcome, kind::kQueue);
+  ASSERT_EQ(queue.Submit(OfRoute(Request(2, 220), "busy"), kStart).outcome, kind::kQueue);
+  EXPECT_EQ(queue.Submit(OfRoute(Request(3, 230), "cancelled"), kStart).outcome, kind::kQueue);
 }
 
 // Guards against a less urgent request that stays queued although it would end too late.
