Name the cause of a refusal directly where it is known

Submit() asked HopelessCause() for the cause of a request whose transfer time it had just found to be above zero, which is always the network. A conditional expression in StartHeld() that was used as a statement is an if now, and a comment of slot_queue is reflowed.

--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -182,7 +182,7 @@
   if (MayStart(now) && is_next && may_start(request)) {
     if (request.transfer_time.count() > 0 &&
         IsHopeless(request, false, kPlannedRunTimePercent, now)) {
-      return {kind::kRefuse, {{request.id, HopelessCause(request, false)}}};
+      return {kind::kRefuse, {{request.id, slot_refusal_cause::kNetwork}}};
     }
     CountAccepted(request, 1, now);
     Start(request.id, now);
--- a/cornelweir/src/admission/slot_queue.h
+++ b/cornelweir/src/admission/slot_queue.h
@@ -43,10 +43,9 @@
 // priority first the ones of workspaces that are above their usual rate, then the ones with the
 // longest run times, which lets the most requests meet their objectives. Routes and workspaces that
 // get less than a minimum share, and routes that are served much less often than the others, go
-// before all others instead. A request whose calls would
-// wait so long that it could not end before its deadline is held back until they are expected to be
-// faster. A late request gets a slot only if no other request needs it, and the network only if no
-// other response does.
+// before all others instead. A request whose calls would wait so long that it could not end before
+// its deadline is held back until they are expected to be faster. A late request gets a slot only
+// if no other request needs it, and the network only if no other response does.
 class slot_queue {
  public:
   // Sets the number of slots. Returns the queued requests that run now.
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -292,7 +292,11 @@
       Start(id);
       continue;
     }
-    IsOpen() ? RefuseOverdue({id}) : RefuseAll({id});
+    if (IsOpen()) {
+      RefuseOverdue({id});
+    } else {
+      RefuseAll({id});
+    }
     StartAll(queue_.Release(id, std::nullopt, now));
   }
 }
