Count all bytes of a sidecar daemon by purpose and direction

A link that is full of other bytes looked the same as one that idles: only large bodies were counted. Adds cornelweir_host_traffic_bytes_total with messages between daemons by kind and all bytes of callers, and event 4016, which logs them every 2 s for each direction.

--- a/cornelweir/src/http/pipeline_connection.cc
+++ b/cornelweir/src/http/pipeline_connection.cc
@@ -102,6 +102,7 @@
     return AwaitBytes();
   }
   if (error) return Close();
+  core_->traffic.received += size;
   if (!lingering_ && intake_.open()) {
     RecordActivity();
     input_.append(core_->read_buffer.data(), size);
@@ -258,7 +259,8 @@
         self->accepted_bytes_ = accepted;
         return completion(error, accepted);
       },
-      [self = shared_from_this(), last](const error_code& error, std::size_t) {
+      [self = shared_from_this(), last](const error_code& error, std::size_t sent) {
+        self->core_->traffic.sent += sent;
         self->writing_ = false;
         if (error) return self->Close();
         self->OnWritten(last);
--- a/cornelweir/src/http/pipeline_core.h
+++ b/cornelweir/src/http/pipeline_core.h
@@ -41,6 +41,7 @@
   // Null if the responses are not counted.
   std::shared_ptr<const memory::memory_account> account;
   slow_reader_counts slow_readers;
+  byte_counts traffic;
   // Shared buffer for reads; each connection copies what it has read.
   std::array<char, std::size_t{64} << 10> read_buffer;
 
--- a/cornelweir/src/http/pipeline_server.cc
+++ b/cornelweir/src/http/pipeline_server.cc
@@ -47,6 +47,8 @@
 
 const slow_reader_counts& pipeline_server::slow_readers() const { return core_->slow_readers; }
 
+const byte_counts& pipeline_server::traffic() const { return core_->traffic; }
+
 std::size_t pipeline_server::connections() const { return core_->connections(); }
 
 }  // namespace cornelweir::http
--- a/cornelweir/src/http/pipeline_server.h
+++ b/cornelweir/src/http/pipeline_server.h
@@ -54,6 +54,12 @@
   std::uint64_t total() const { return scarce_memory + no_progress; }
 };
 
+// Bytes on the connections of a server since its construction.
+struct byte_counts {
+  std::uint64_t received = 0;
+  std::uint64_t sent = 0;
+};
+
 // One request of a caller, to be answered once. A response to a disconnected caller is dropped.
 class pipeline_request : public std::enable_shared_from_this<pipeline_request> {
  public:
@@ -121,6 +127,7 @@
   void UseMemory(std::shared_ptr<const memory::memory_account> account);
   // Connections closed since construction.
   const slow_reader_counts& slow_readers() const;
+  const byte_counts& traffic() const;
 
   std::size_t connections() const;
 
--- a/cornelweir/src/logging/event_id.h
+++ b/cornelweir/src/logging/event_id.h
@@ -78,7 +78,8 @@
   X(kRequestQuarantined, 4012, kWarning, "request quarantined, it crashes upstreams")        \
   X(kQuarantineReleased, 4013, kInfo, "quarantine released by an operator")                  \
   X(kSlowReadersClosed, 4014, kWarning, "connections of slow callers closed")                \
-  X(kTransferEnded, 4015, kInfo, "transfer of a large body ended")
+  X(kTransferEnded, 4015, kInfo, "transfer of a large body ended")                           \
+  X(kHostTraffic, 4016, kInfo, "bytes on the network of this host")
 
 enum class event_id : std::uint16_t {
 // An enumerator can't stand in parentheses.
--- a/plugins/sidecar/bulk_sender.cc
+++ b/plugins/sidecar/bulk_sender.cc
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "cornelweir/logging.h"
-#include "plugins/sidecar/data_frame.h"
+#include "plugins/sidecar/host_traffic.h"
 
 namespace cornelweir::plugins::sidecar {
 namespace internal {
@@ -106,7 +106,8 @@
   if (!next.on_credit) unsent_bytes_ -= bytes;
   receivers_[next.link.get()].pieces.push_back({bytes, Now(), next.on_credit});
   window_.OnSent(bytes, Now());
-  SendData(*next.link, protocol::body_piece{next.id, next.sent_bytes == next.body->size()}, piece);
+  SendCountedData(context_.metrics, *next.link,
+                  protocol::body_piece{next.id, next.sent_bytes == next.body->size()}, piece);
 }
 
 void bulk_sender::OnPieceAcknowledged(const transport::link* link) {
--- a/plugins/sidecar/inbound_bodies.cc
+++ b/plugins/sidecar/inbound_bodies.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "plugins/sidecar/data_frame.h"
+#include "plugins/sidecar/host_traffic.h"
 
 namespace cornelweir::plugins::sidecar {
 namespace internal {
@@ -31,7 +31,8 @@
 void inbound_bodies::SendCredit() {
   for (const admission::transfer_credit& credit : transfers_.Grant(Now())) {
     const sender& granted = senders_.at(credit.id);
-    SendData(*granted.link, protocol::body_credit{granted.id, credit.bytes});
+    SendCountedData(context_.metrics, *granted.link,
+                    protocol::body_credit{granted.id, credit.bytes});
   }
 }
 
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -102,7 +102,7 @@
       has_pending ? kernel::microseconds(protocol::kLinkProbeDelay) : idle_probe_period;
   if (silence_time >= period && now - probed_at_ >= period) {
     probed_at_ = now;
-    SendData(*link_, protocol::link_probe{kernel::nonce(next_probe_++)});
+    SendCountedData(context_.metrics, *link_, protocol::link_probe{kernel::nonce(next_probe_++)});
   }
 }
 
@@ -163,7 +163,7 @@
     if (call.idempotent || call.body_unsent) abandoned.emplace_back(id, call.body_unsent);
   }
   for (const auto& [id, body_unsent] : abandoned) {
-    SendData(*link_, protocol::cancel_request{id});
+    SendCountedData(context_.metrics, *link_, protocol::cancel_request{id});
     Finish(id, internal::LostResult(body_unsent));
   }
 }
@@ -171,7 +171,7 @@
 void peer::OnMessage(std::string_view payload) {
   last_received_at_ = Now();
   silent_ = false;
-  const auto frame = ReadData(payload);
+  const auto frame = ReadCountedData(context_.metrics, payload);
   if (!frame) {
     link_->Close("malformed message");
     return;
@@ -181,7 +181,7 @@
   } else if (const auto* response = std::get_if<protocol::run_response>(&frame->message)) {
     OnResponse(*response, frame->payload);
   } else if (const auto* piece = std::get_if<protocol::body_piece>(&frame->message)) {
-    SendData(*link_, protocol::body_piece_ack{piece->id});
+    SendCountedData(context_.metrics, *link_, protocol::body_piece_ack{piece->id});
     OnBodyPiece(*piece, frame->payload);
   } else if (const auto* credit = std::get_if<protocol::body_credit>(&frame->message)) {
     bulk_.AddCredit(link_.get(), credit->id, credit->bytes);
@@ -279,7 +279,7 @@
 }
 
 void peer::RefuseResponse(kernel::call_id id) {
-  SendData(*link_, protocol::cancel_request{id});
+  SendCountedData(context_.metrics, *link_, protocol::cancel_request{id});
   run_result result;
   result.failure = protocol::run_failure::kUpstreamError;
   result.nested = pending_.at(id).nested;
@@ -292,7 +292,7 @@
       .Counter("cornelweir_link_responses_dropped_total",
                "Responses of other daemons that were dropped for lack of memory", {})
       .Increment();
-  SendData(*link_, protocol::cancel_request{id});
+  SendCountedData(context_.metrics, *link_, protocol::cancel_request{id});
   run_result result;
   result.failure = protocol::run_failure::kUpstreamError;
   result.nested = pending_.at(id).nested;
@@ -409,13 +409,13 @@
   ++sent_since_report_;
   request.id = id;
   if (!bulk_sender::IsLarge(body->size())) {
-    SendData(*link_, std::move(request), *body);
+    SendCountedData(context_.metrics, *link_, std::move(request), *body);
     return id;
   }
   added.body_unsent = true;
   body_bytes_since_report_ += static_cast<std::int64_t>(body->size());
   request.body_bytes = body->size();
-  SendData(*link_, std::move(request));
+  SendCountedData(context_.metrics, *link_, std::move(request));
   bulk_.SendOnCredit(link_, id, std::move(body), [this, id] { OnBodySent(id); });
   return id;
 }
@@ -431,7 +431,7 @@
   if (dispatcher_ != nullptr) {
     dispatcher_->Cancel(ticket);
   } else if (link_ && connected_) {
-    SendData(*link_, protocol::cancel_request{id});
+    SendCountedData(context_.metrics, *link_, protocol::cancel_request{id});
   }
 }
 
--- a/plugins/sidecar/peer.h
+++ b/plugins/sidecar/peer.h
@@ -19,7 +19,7 @@
 #include "cornelweir/transport.h"
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/bulk_sender.h"
-#include "plugins/sidecar/data_frame.h"
+#include "plugins/sidecar/host_traffic.h"
 #include "plugins/sidecar/run_result.h"
 #include "plugins/sidecar/upstream_dispatcher.h"
 
@@ -67,7 +67,7 @@
 
   // Sends a message that is not about a request, if a link is open.
   void SendNotice(const protocol::data_message& notice) {
-    if (link_ && connected_) SendData(*link_, notice);
+    if (link_ && connected_) SendCountedData(context_.metrics, *link_, notice);
   }
   // Sets what is called when a link has opened, before any request is sent on it.
   void OnOpened(std::function<void(peer&)> opened) { opened_ = std::move(opened); }
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -7,7 +7,7 @@
 #include "cornelweir/codec.h"
 #include "cornelweir/logging.h"
 #include "plugins/greeting.h"
-#include "plugins/sidecar/data_frame.h"
+#include "plugins/sidecar/host_traffic.h"
 
 namespace cornelweir::plugins::sidecar {
 
@@ -42,7 +42,7 @@
     for (const auto& [id, inbound] : open.requests) {
       if (inbound.complete) closing.taken.push_back(id);
     }
-    SendData(*open.link, std::move(closing));
+    SendCountedData(context_.metrics, *open.link, std::move(closing));
   }
   listener_->CloseAfterDrain(std::move(done));
 }
@@ -58,10 +58,10 @@
     }
     sender.greeting_received = true;
     sender.link = link;
-    SendData(*link, Report());
+    SendCountedData(context_.metrics, *link, Report());
     return;
   }
-  const auto frame = ReadData(payload);
+  const auto frame = ReadCountedData(context_.metrics, payload);
   if (!frame) {
     logging::event(logging::event_id::kMessageRefused).With("reason", "malformed");
     link->Close("malformed message");
@@ -75,12 +75,12 @@
   if (const auto* run = std::get_if<protocol::run_request>(&message)) {
     OnRequest(sender, *run, payload);
   } else if (const auto* piece = std::get_if<protocol::body_piece>(&message)) {
-    SendData(*sender.link, protocol::body_piece_ack{piece->id});
+    SendCountedData(context_.metrics, *sender.link, protocol::body_piece_ack{piece->id});
     OnBodyPiece(sender, piece->id, payload);
   } else if (const auto* cancel = std::get_if<protocol::cancel_request>(&message)) {
     OnCancel(sender, cancel->id);
   } else if (const auto* probe = std::get_if<protocol::link_probe>(&message)) {
-    SendData(*sender.link, *probe);
+    SendCountedData(context_.metrics, *sender.link, *probe);
   } else if (std::holds_alternative<protocol::body_piece_ack>(message)) {
     bulk_.OnPieceAcknowledged(sender.link.get());
   } else if (quarantine_ != nullptr) {
@@ -146,7 +146,7 @@
     message.retry_after = std::max(bodies_.DrainTime(), dispatcher_.ExpectedSlotWait());
   }
   message.load = Load();
-  SendData(*sender.link, message);
+  SendCountedData(context_.metrics, *sender.link, message);
   context_.metrics
       .Counter("cornelweir_bodies_refused_total",
                "Large request bodies refused before they arrived", {})
@@ -212,7 +212,8 @@
   const kernel::time_point deadline = ended->second.deadline;
   found->second.requests.erase(ended);
   if (!result.response) {
-    SendData(*link, protocol::run_failed{id, result.failure, result.retry_after, Load(),
+    SendCountedData(context_.metrics, *link,
+                    protocol::run_failed{id, result.failure, result.retry_after, Load(),
                                          result.nested, result.quarantined_for});
     return;
   }
@@ -224,12 +225,12 @@
   response.nested = result.nested;
   response.route_run_time = result.route_run_time;
   if (!bulk_sender::IsLarge(result.response->body.size())) {
-    SendData(*link, std::move(response), result.response->body);
+    SendCountedData(context_.metrics, *link, std::move(response), result.response->body);
     return;
   }
   response.last = false;
   response.body_bytes = result.response->body.size();
-  SendData(*link, std::move(response));
+  SendCountedData(context_.metrics, *link, std::move(response));
   SendBody(link, id,
            {std::move(result.response->body), std::move(result.response->hold), deadline});
 }
@@ -246,7 +247,7 @@
   message.id = id;
   message.failure = protocol::run_failure::kUpstreamError;
   message.load = Load();
-  SendData(link, message);
+  SendCountedData(context_.metrics, link, message);
 }
 
 // Cancels the requests received on the link, since their results cannot be sent.
@@ -280,7 +281,7 @@
   // A body that arrived now would be refused.
   if (!report.accepting) bodies_.GiveUpAll();
   for (auto& [key, session] : sessions_) {
-    if (session.greeting_received) SendData(*session.link, report);
+    if (session.greeting_received) SendCountedData(context_.metrics, *session.link, report);
   }
 }
 
--- a/plugins/sidecar/sidecar_node.cc
+++ b/plugins/sidecar/sidecar_node.cc
@@ -84,7 +84,8 @@
       readiness_(context.loop),
       announcements_(context.loop),
       shutdown_timer_(context.loop),
-      metrics_timer_(context.loop) {
+      metrics_timer_(context.loop),
+      traffic_(context.metrics) {
   peers_.UseRollouts(rollouts_.table());
   peers_.OnPeerOpened([this](peer& daemon) { OnPeerOpened(daemon); });
   dispatcher_.UseQuarantine(quarantine_);
@@ -191,6 +192,7 @@
   set("cornelweir_upstream_connections_opened", "Connections opened to the upstream",
       static_cast<double>(dispatcher_.connections_opened()));
   ReportSlowReaders();
+  traffic_.Report(callers_.traffic(), context_.clock.Now());
 }
 
 void sidecar_node::ReportSlowReaders() {
--- a/plugins/sidecar/sidecar_node.h
+++ b/plugins/sidecar/sidecar_node.h
@@ -12,6 +12,7 @@
 #include "plugins/daemon_context.h"
 #include "plugins/sidecar/call_router.h"
 #include "plugins/sidecar/control_client.h"
+#include "plugins/sidecar/host_traffic.h"
 #include "plugins/sidecar/peer_server.h"
 #include "plugins/sidecar/peer_set.h"
 #include "plugins/sidecar/quarantine_agent.h"
@@ -68,6 +69,7 @@
   loop::timer shutdown_timer_;
   loop::timer metrics_timer_;
   shutdown::stop_sequence stop_;
+  host_traffic traffic_;
   // Those that were reported.
   http::slow_reader_counts slow_readers_;
   bool was_ready_ = false;
