Order large responses in an object without a network

Moves which large response is sent next, and which are given up, from bulk_sender to admission::outbound_responses, and the plan of Moore and Hodgson from inbound_transfers to PlanTransfers(), so that both directions can use it. Responses bring their priority, objective and whether their request may be repeated. No decision changes: the order is that of arrival, and a response is given up at its deadline.

The tests of inbound_transfers, bulk_sender, peer and peer_server pass.

--- a/cornelweir/src/admission/inbound_transfers.cc
+++ b/cornelweir/src/admission/inbound_transfers.cc
@@ -1,12 +1,10 @@
 #include "cornelweir/src/admission/inbound_transfers.h"
 
 #include <algorithm>
-#include <set>
-#include <tuple>
-#include <utility>
 
 #include "cornelweir/src/admission/limits.h"
 #include "cornelweir/src/admission/transfer_limits.h"
+#include "cornelweir/src/admission/transfer_plan.h"
 
 namespace cornelweir::admission {
 
@@ -18,7 +16,7 @@
   added->second.request = request;
   added->second.arrival = next_arrival_++;
   missing_bytes_ += request.bytes;
-  for (const planned_transfer& next : Plan(now)) {
+  for (const planned_body& next : Plan(now)) {
     if (next.planned != &added->second) continue;
     if (MeetsDeadline(*next.planned, next.complete_at) && !(next.late && request.has_alternative)) {
       return true;
@@ -28,64 +26,36 @@
   return false;
 }
 
-bool inbound_transfers::MeetsObjective(const transfer& body, kernel::time_point complete_at) {
-  return std::max(complete_at, body.request.slot_at) +
-             body.request.run_time * kPlannedRunTimePercent / 100 <=
-         body.request.objective;
-}
-
 bool inbound_transfers::MeetsDeadline(const transfer& body, kernel::time_point complete_at) {
   return std::max(complete_at, body.request.slot_at) +
              body.request.run_time * kMinRemainingRunTimePercent / 100 <=
          body.request.deadline;
 }
 
-// Returns all transfers in the order in which they are served. Within one priority, the largest
-// number of bodies that can meet their objectives is found by adding those that could alone in the
-// order of the objectives and, whenever one would miss its objective, moving the one with the most
-// missing bytes behind the others (Moore and Hodgson).
-std::vector<inbound_transfers::planned_transfer> inbound_transfers::Plan(kernel::time_point now) {
-  std::vector<transfer*> ordered;
-  ordered.reserve(transfers_.size());
-  for (auto& [id, body] : transfers_) ordered.push_back(&body);
-  std::sort(ordered.begin(), ordered.end(), [](const transfer* a, const transfer* b) {
-    return std::tuple(a->request.priority, a->request.objective, a->arrival) <
-           std::tuple(b->request.priority, b->request.objective, b->arrival);
-  });
-  std::vector<planned_transfer> plan;
-  plan.reserve(ordered.size());
-  std::size_t bytes_ahead = 0;
-  for (auto group = ordered.begin(); group != ordered.end();) {
-    const auto end = std::find_if(group, ordered.end(), [&](const transfer* body) {
-      return body->request.priority != (*group)->request.priority;
-    });
-    std::set<std::pair<std::size_t, std::uint64_t>> on_time;
-    std::set<std::uint64_t> late;
-    std::size_t bytes = bytes_ahead;
-    for (auto next = group; next != end; ++next) {
-      if (!MeetsObjective(**next, now + rate_.TimeFor(bytes_ahead + (*next)->missing()))) {
-        late.insert((*next)->arrival);
-        continue;
-      }
-      bytes += (*next)->missing();
-      on_time.emplace((*next)->missing(), (*next)->arrival);
-      if (MeetsObjective(**next, now + rate_.TimeFor(bytes))) continue;
-      const auto largest = std::prev(on_time.end());
-      bytes -= largest->first;
-      late.insert(largest->second);
-      on_time.erase(largest);
-    }
-    const auto first_late = std::stable_partition(
-        group, end, [&](const transfer* body) { return !late.contains(body->arrival); });
-    std::sort(first_late, end, [](const transfer* a, const transfer* b) {
-      return std::tuple(a->request.deadline, a->arrival) <
-             std::tuple(b->request.deadline, b->arrival);
-    });
-    for (auto next = group; next != end; ++next) {
-      bytes_ahead += (*next)->missing();
-      plan.push_back({*next, now + rate_.TimeFor(bytes_ahead), next >= first_late});
-    }
-    group = end;
+// The time by which the body has to arrive to meet its objective. A body that would wait for a slot
+// for too long anyway is late from the start.
+kernel::time_point inbound_transfers::DueTime(const transfer_request& request) {
+  const kernel::time_point latest_start =
+      request.objective - request.run_time * kPlannedRunTimePercent / 100;
+  return request.slot_at <= latest_start ? latest_start : kernel::time_point::min();
+}
+
+// Returns all transfers in the order in which they are served.
+std::vector<inbound_transfers::planned_body> inbound_transfers::Plan(kernel::time_point now) {
+  std::vector<transfer*> bodies;
+  std::vector<transfer_job> jobs;
+  bodies.reserve(transfers_.size());
+  jobs.reserve(transfers_.size());
+  for (auto& [id, body] : transfers_) {
+    const transfer_request& request = body.request;
+    bodies.push_back(&body);
+    jobs.push_back({body.missing(), request.priority, request.objective, DueTime(request),
+                    request.deadline, body.arrival});
+  }
+  std::vector<planned_body> plan;
+  plan.reserve(jobs.size());
+  for (const planned_transfer& next : PlanTransfers(jobs, rate_.bytes_per_second(), now)) {
+    plan.push_back({bodies[next.index], next.complete_at, next.late});
   }
   return plan;
 }
@@ -130,7 +100,7 @@
 
 std::vector<transfer_credit> inbound_transfers::GrantInOrder(kernel::time_point now) {
   std::vector<transfer_credit> credits;
-  for (const planned_transfer& next : Plan(now)) {
+  for (const planned_body& next : Plan(now)) {
     transfer& body = *next.planned;
     if (body.stalled || body.ungranted() == 0) continue;
     const bool exceeds_memory = body.granted == 0 && started_bytes_ > 0 &&
@@ -196,7 +166,7 @@
 std::vector<transfer_id> inbound_transfers::Expire(kernel::time_point now) {
   std::vector<transfer_id> expired;
   std::size_t expired_bytes = 0;
-  for (const planned_transfer& next : Plan(now)) {
+  for (const planned_body& next : Plan(now)) {
     const transfer& body = *next.planned;
     // The bytes of bodies that expire do not delay those behind them.
     const kernel::time_point complete_at = body.granted == 0
--- a/cornelweir/src/admission/inbound_transfers.h
+++ b/cornelweir/src/admission/inbound_transfers.h
@@ -111,15 +111,15 @@
     std::size_t outstanding() const { return granted - arrived; }
   };
   // A transfer and when the last byte of its body is expected.
-  struct planned_transfer {
+  struct planned_body {
     transfer* planned = nullptr;
     kernel::time_point complete_at;
     // It is not expected to meet its objective.
     bool late = false;
   };
 
-  std::vector<planned_transfer> Plan(kernel::time_point now);
-  static bool MeetsObjective(const transfer& body, kernel::time_point complete_at);
+  std::vector<planned_body> Plan(kernel::time_point now);
+  static kernel::time_point DueTime(const transfer_request& request);
   static bool MeetsDeadline(const transfer& body, kernel::time_point complete_at);
   bool MayGrant(std::size_t bytes) const;
   std::vector<transfer_credit> GrantInOrder(kernel::time_point now);
--- a/cornelweir/src/admission/transfer_id.h
+++ b/cornelweir/src/admission/transfer_id.h
@@ -7,8 +7,8 @@
 
 namespace cornelweir::admission {
 
-// Identifies a large request body at the daemon that receives it.
-using transfer_id = kernel::strong_id<struct inbound_transfer_tag, std::uint64_t>;
+// Identifies the transfer of a large body at one of its daemons.
+using transfer_id = kernel::strong_id<struct transfer_tag, std::uint64_t>;
 
 }  // namespace cornelweir::admission
 
--- a/plugins/sidecar/bulk_sender.cc
+++ b/plugins/sidecar/bulk_sender.cc
@@ -36,16 +36,18 @@
 bool bulk_sender::Send(const std::shared_ptr<transport::link>& link, kernel::call_id id,
                        response_body body) {
   if (!TakeRoom(body)) return false;
-  transfer& added = transfers_.emplace_back();
+  const admission::transfer_id transfer_id(next_transfer_++);
+  transfer& added = transfers_[transfer_id];
   added.link = link;
   added.id = id;
   added.body = std::make_shared<const std::string>(std::move(body.bytes));
   added.allowed_bytes = added.body->size();
   added.hold = std::move(body.hold);
-  added.deadline = body.deadline;
   added.queued_at = Now();
   added.on_given_up = std::move(body.on_given_up);
-  unsent_bytes_ += added.body->size();
+  responses_.Add({transfer_id, added.body->size(), body.priority, body.objective, body.deadline,
+                  body.may_be_dropped});
+  PlanResponses();
   SendQueuedPieces();
   return true;
 }
@@ -53,7 +55,7 @@
 void bulk_sender::SendOnCredit(const std::shared_ptr<transport::link>& link, kernel::call_id id,
                                std::shared_ptr<const std::string> body,
                                std::function<void()> on_sent) {
-  transfer& added = transfers_.emplace_back();
+  transfer& added = transfers_[admission::transfer_id(next_transfer_++)];
   added.link = link;
   added.id = id;
   added.body = std::move(body);
@@ -63,47 +65,53 @@
 }
 
 void bulk_sender::AddCredit(const transport::link* link, kernel::call_id id, std::uint64_t bytes) {
-  const auto found =
-      std::find_if(transfers_.begin(), transfers_.end(), [&](const transfer& waiting) {
-        return waiting.on_credit && waiting.link.get() == link && waiting.id == id;
-      });
+  const auto found = std::find_if(transfers_.begin(), transfers_.end(), [&](const auto& waiting) {
+    return waiting.second.on_credit && waiting.second.link.get() == link && waiting.second.id == id;
+  });
   if (found == transfers_.end()) return;
-  const std::size_t ungranted = found->body->size() - found->allowed_bytes;
-  found->allowed_bytes += static_cast<std::size_t>(std::min<std::uint64_t>(bytes, ungranted));
+  transfer& granted = found->second;
+  const std::size_t ungranted = granted.body->size() - granted.allowed_bytes;
+  granted.allowed_bytes += static_cast<std::size_t>(std::min<std::uint64_t>(bytes, ungranted));
   SendQueuedPieces();
 }
 
-std::deque<bulk_sender::transfer>::iterator bulk_sender::NextTransfer() {
-  auto next = transfers_.end();
-  for (auto waiting = transfers_.begin(); waiting != transfers_.end(); ++waiting) {
-    if (waiting->sent_bytes == waiting->allowed_bytes) continue;
-    if (receivers_[waiting->link.get()].stalled) continue;
-    if (waiting->on_credit) return waiting;
-    if (next == transfers_.end()) next = waiting;
-  }
-  return next;
+bool bulk_sender::MaySend(const transfer& waiting) const {
+  if (!waiting.HasSendableBytes()) return false;
+  const auto receiver = receivers_.find(waiting.link.get());
+  return receiver == receivers_.end() || !receiver->second.stalled;
+}
+
+std::map<admission::transfer_id, bulk_sender::transfer>::iterator bulk_sender::NextTransfer() {
+  const auto granted = std::find_if(transfers_.begin(), transfers_.end(), [&](const auto& waiting) {
+    return waiting.second.on_credit && MaySend(waiting.second);
+  });
+  if (granted != transfers_.end()) return granted;
+  const auto next =
+      responses_.Next([&](admission::transfer_id id) { return MaySend(transfers_.at(id)); });
+  return next ? transfers_.find(*next) : transfers_.end();
 }
 
 void bulk_sender::SendQueuedPieces() {
   while (window_.HasRoom()) {
     const auto next = NextTransfer();
     if (next == transfers_.end()) break;
-    SendPiece(*next);
-    if (next->sent_bytes < next->body->size()) continue;
-    OnEnded(*next, transfer_end::kSent);
-    const std::function<void()> on_sent = std::move(next->on_sent);
+    transfer& sent = next->second;
+    SendPiece(next->first, sent);
+    if (sent.sent_bytes < sent.body->size()) continue;
+    OnEnded(sent, transfer_end::kSent);
+    const std::function<void()> on_sent = std::move(sent.on_sent);
     transfers_.erase(next);
     if (on_sent) on_sent();
   }
   StartCheckTimer();
 }
 
-void bulk_sender::SendPiece(transfer& next) {
+void bulk_sender::SendPiece(admission::transfer_id id, transfer& next) {
   const std::size_t bytes = std::min(window_.PieceBytes(), next.allowed_bytes - next.sent_bytes);
   std::string_view piece = *next.body;
   piece = piece.substr(next.sent_bytes, bytes);
   next.sent_bytes += bytes;
-  if (!next.on_credit) unsent_bytes_ -= bytes;
+  if (!next.on_credit) responses_.OnSent(id, bytes);
   receivers_[next.link.get()].pieces.push_back({bytes, Now(), next.on_credit});
   window_.OnSent(bytes, Now());
   SendCountedData(context_.metrics, *next.link,
@@ -128,16 +136,17 @@
 
 void bulk_sender::OnEnded(const transfer& ended, transfer_end end) {
   telemetry_.OnEnded({ended.on_credit, ended.body->size(), ended.sent_bytes, end,
-                      Now() - ended.queued_at, unsent_bytes_, window_.window(),
+                      Now() - ended.queued_at, responses_.unsent_bytes(), window_.window(),
                       window_.last_delay(), window_.bytes_per_second()});
 }
 
 template <class Predicate>
 void bulk_sender::DropTransfers(transfer_end end, Predicate&& is_dropped) {
-  std::erase_if(transfers_, [&](const transfer& waiting) {
-    if (!is_dropped(waiting)) return false;
-    if (!waiting.on_credit) unsent_bytes_ -= waiting.body->size() - waiting.sent_bytes;
-    OnEnded(waiting, end);
+  std::erase_if(transfers_, [&](const auto& waiting) {
+    const auto& [id, dropped] = waiting;
+    if (!is_dropped(id, dropped)) return false;
+    if (!dropped.on_credit) responses_.Remove(id);
+    OnEnded(dropped, end);
     return true;
   });
 }
@@ -146,8 +155,8 @@
 template <class Predicate>
 void bulk_sender::GiveUpResponses(transfer_end end, Predicate&& is_given_up) {
   std::vector<std::function<void()>> given_up;
-  DropTransfers(end, [&](const transfer& waiting) {
-    if (waiting.on_credit || !is_given_up(waiting)) return false;
+  DropTransfers(end, [&](admission::transfer_id id, const transfer& waiting) {
+    if (waiting.on_credit || !is_given_up(id, waiting)) return false;
     given_up.push_back(waiting.on_given_up);
     return true;
   });
@@ -160,16 +169,19 @@
   for (const std::function<void()>& on_given_up : given_up) on_given_up();
 }
 
-void bulk_sender::GiveUpLateResponses() {
-  const kernel::time_point now = Now();
-  GiveUpResponses(transfer_end::kLate,
-                  [now](const transfer& waiting) { return waiting.deadline <= now; });
+void bulk_sender::PlanResponses() {
+  const std::vector<admission::transfer_id> given_up =
+      responses_.Plan(window_.bytes_per_second(), Now());
+  if (given_up.empty()) return;
+  GiveUpResponses(transfer_end::kLate, [&](admission::transfer_id id, const transfer&) {
+    return std::find(given_up.begin(), given_up.end(), id) != given_up.end();
+  });
 }
 
 void bulk_sender::GiveUpStalledResponses() {
   while (context_.memory->IsScarce()) {
     const transfer* longest = nullptr;
-    for (const transfer& waiting : transfers_) {
+    for (const auto& [id, waiting] : transfers_) {
       const auto found = receivers_.find(waiting.link.get());
       if (waiting.on_credit || found == receivers_.end() || !found->second.stalled) continue;
       if (longest == nullptr ||
@@ -178,21 +190,23 @@
       }
     }
     if (longest == nullptr) return;
-    GiveUpResponses(
-        transfer_end::kMemoryScarce,
-        [receiver = longest->link](const transfer& waiting) { return waiting.link == receiver; });
+    GiveUpResponses(transfer_end::kMemoryScarce,
+                    [receiver = longest->link](admission::transfer_id, const transfer& waiting) {
+                      return waiting.link == receiver;
+                    });
   }
 }
 
 void bulk_sender::Cancel(const transport::link* link, kernel::call_id id) {
-  DropTransfers(transfer_end::kCancelled, [&](const transfer& waiting) {
+  DropTransfers(transfer_end::kCancelled, [&](admission::transfer_id, const transfer& waiting) {
     return waiting.link.get() == link && waiting.id == id;
   });
 }
 
 void bulk_sender::OnClosed(const transport::link* link) {
-  DropTransfers(transfer_end::kLinkClosed,
-                [&](const transfer& waiting) { return waiting.link.get() == link; });
+  DropTransfers(transfer_end::kLinkClosed, [&](admission::transfer_id, const transfer& waiting) {
+    return waiting.link.get() == link;
+  });
   const auto found = receivers_.find(link);
   if (found == receivers_.end()) return;
   if (!found->second.stalled) {
@@ -217,10 +231,10 @@
 
 // Runs while pieces may become overdue or responses late.
 void bulk_sender::StartCheckTimer() {
-  if (check_timer_.running() || (window_.outstanding() == 0 && unsent_bytes_ == 0)) return;
+  if (check_timer_.running() || (window_.outstanding() == 0 && responses_.empty())) return;
   check_timer_.Start(internal::kCheckPeriod, [this] {
     DetectStalledReceivers();
-    GiveUpLateResponses();
+    PlanResponses();
     GiveUpStalledResponses();
     StartCheckTimer();
   });
--- a/plugins/sidecar/bulk_sender.h
+++ b/plugins/sidecar/bulk_sender.h
@@ -37,8 +37,14 @@
     std::string bytes;
     // The bytes in the account of the process; if null, Send() takes them.
     std::shared_ptr<memory::memory_hold> hold = nullptr;
+    // 0 is the most urgent.
+    std::int32_t priority = 0;
+    // The time by which it should be sent to meet the target latency.
+    kernel::time_point objective = kernel::time_point::max();
     // When the receiver stops waiting for it.
     kernel::time_point deadline = kernel::time_point::max();
+    // The request may be repeated, so the response may be given up for others.
+    bool may_be_dropped = false;
     // Called if the transfer is given up before its last piece was sent. The link is open then.
     std::function<void()> on_given_up = [] {};
   };
@@ -61,7 +67,7 @@
 
   // Estimated time until a response of this size is sent, behind all queued transfers.
   kernel::microseconds EstimatedTransferTime(std::size_t bytes) const {
-    return window_.EstimatedTransferTime(unsent_bytes_ + bytes);
+    return window_.EstimatedTransferTime(responses_.unsent_bytes() + bytes);
   }
   bool idle() const { return transfers_.empty(); }
 
@@ -78,8 +84,9 @@
     std::function<void()> on_sent;
     // Of a response.
     std::shared_ptr<memory::memory_hold> hold;
-    kernel::time_point deadline = kernel::time_point::max();
     std::function<void()> on_given_up;
+
+    bool HasSendableBytes() const { return sent_bytes < allowed_bytes; }
   };
   struct piece {
     std::size_t bytes = 0;
@@ -98,16 +105,18 @@
 
   kernel::time_point Now() const { return context_.clock.Now(); }
   void SendQueuedPieces();
+  bool MaySend(const transfer& waiting) const;
   // The transfer to send a piece of next; the end of transfers_ if there is none.
-  std::deque<transfer>::iterator NextTransfer();
-  void SendPiece(transfer& next);
+  std::map<admission::transfer_id, transfer>::iterator NextTransfer();
+  void SendPiece(admission::transfer_id id, transfer& next);
   void OnEnded(const transfer& ended, transfer_end end);
   template <class Predicate>
   void DropTransfers(transfer_end end, Predicate&& is_dropped);
   // Drops the responses that match, then calls on_given_up of each.
   template <class Predicate>
   void GiveUpResponses(transfer_end end, Predicate&& is_given_up);
-  void GiveUpLateResponses();
+  // Orders the responses anew, and gives up those that can't be sent in time.
+  void PlanResponses();
   // Gives up the responses of one stalled receiver after the other while memory is scarce.
   void GiveUpStalledResponses();
   bool TakeRoom(response_body& body);
@@ -117,9 +126,11 @@
   daemon_context& context_;
   admission::transfer_window window_;
   transfer_telemetry telemetry_;
-  std::deque<transfer> transfers_;
-  // Unsent bytes of all responses.
-  std::size_t unsent_bytes_ = 0;
+  std::uint64_t next_transfer_ = 1;
+  // In the order of their arrival.
+  std::map<admission::transfer_id, transfer> transfers_;
+  // Those of transfers_ that are responses.
+  admission::outbound_responses responses_;
   std::map<const transport::link*, receiver_state> receivers_;
   loop::timer check_timer_;
 };
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -107,14 +107,18 @@
     sender.link->Close("bad request");
     return;
   }
-  added->second.request = message;
-  added->second.arrived_at = dispatcher_.backlog().Arrival();
-  added->second.deadline = added->second.arrived_at + message.time_left;
+  inbound_request& inbound = added->second;
+  inbound.request = message;
+  inbound.arrived_at = dispatcher_.backlog().Arrival();
+  inbound.objective = inbound.arrived_at + message.objective_left;
+  inbound.deadline = inbound.arrived_at + message.time_left;
+  inbound.priority = message.priority;
+  inbound.idempotent = policy::IsIdempotent(message.retry_safety);
   if (message.body_bytes > 0) {
     AnnounceBody(sender, message.id);
     return;
   }
-  added->second.body = payload;
+  inbound.body = payload;
   StartRun(sender, message.id);
 }
 
@@ -124,8 +128,8 @@
   admission::transfer_request transfer;
   transfer.bytes = request.body_bytes;
   transfer.priority = request.priority;
-  transfer.objective = inbound.arrived_at + request.objective_left;
-  transfer.deadline = inbound.arrived_at + request.time_left;
+  transfer.objective = inbound.objective;
+  transfer.deadline = inbound.deadline;
   transfer.run_time = dispatcher_.MeanRunTime(request.route);
   transfer.slot_at = context_.clock.Now() + dispatcher_.ExpectedSlotWait();
   transfer.has_alternative = request.has_alternative;
@@ -209,7 +213,7 @@
   if (found == sessions_.end()) return;
   const auto ended = found->second.requests.find(id);
   if (ended == found->second.requests.end()) return;
-  const kernel::time_point deadline = ended->second.deadline;
+  const inbound_request request = std::move(ended->second);
   found->second.requests.erase(ended);
   if (!result.response) {
     SendCountedData(context_.metrics, *link,
@@ -232,7 +236,8 @@
   response.body_bytes = result.response->body.size();
   SendCountedData(context_.metrics, *link, std::move(response));
   SendBody(link, id,
-           {std::move(result.response->body), std::move(result.response->hold), deadline});
+           {std::move(result.response->body), std::move(result.response->hold), request.priority,
+            request.objective, request.deadline, request.idempotent});
 }
 
 void peer_server::SendBody(const std::shared_ptr<transport::link>& link, kernel::call_id id,
--- a/plugins/sidecar/peer_server.h
+++ b/plugins/sidecar/peer_server.h
@@ -46,7 +46,10 @@
     std::string body;
     // When its first message may have arrived at the earliest.
     kernel::time_point arrived_at;
+    kernel::time_point objective;
     kernel::time_point deadline;
+    std::int32_t priority = 0;
+    bool idempotent = false;
     bool complete = false;
   };
   struct session {
