Send the shortest responses where a link can't carry all

Cause: whatever was accepted was sent, in the order of its arrival, and no more was accepted than the link can carry. Sizes, which differ by a factor of ten, decided nothing, so a link served as many callers as bytes of the mean size fit. The links are full (282 to 327 of 325 KB/s), with responses that are all wanted, so nothing else could be left out.

Change: where not all can be sent in time, the largest number that can goes first (Moore and Hodgson, as for request bodies). What was begun is sent to its end. Late responses are dropped when they can't be sent before their deadline, and at once in a standing queue; one is kept whatever its size, with an eighth of the bytes, so that long ones are not starved. Only responses to requests that may be repeated are dropped. So that there is something to choose from, such requests run although the network is expected to be full, up to two dropped responses for each one sent, and only with slots to spare at the upstream and at those that it calls. A dropped response is no failure of the upstream and is not fetched again; its caller gets 502 with the time to come back.

--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -180,8 +180,12 @@
     return may_start(other.request);
   });
   if (MayStart(now) && is_next && may_start(request)) {
-    if (request.transfer_time.count() > 0 &&
-        IsHopeless(request, false, kPlannedRunTimePercent, now)) {
+    slot_request started = request;
+    if (request.least_transfer_time.count() > 0) {
+      started.transfer_time = request.least_transfer_time;
+    }
+    if (started.transfer_time.count() > 0 &&
+        IsHopeless(started, false, kPlannedRunTimePercent, now)) {
       return {kind::kRefuse, {{request.id, slot_refusal_cause::kNetwork}}};
     }
     CountAccepted(request, 1, now);
--- a/cornelweir/src/admission/slot_request.h
+++ b/cornelweir/src/admission/slot_request.h
@@ -28,6 +28,9 @@
   // Expected time to send its response after the run, including the wait for other responses; zero
   // unless the response is large and the network is the bottleneck.
   kernel::microseconds transfer_time{};
+  // The same if other responses are dropped for its own; zero if its own may not be dropped. Counts
+  // for a request that gets a slot at once, which costs others nothing if it runs in vain.
+  kernel::microseconds least_transfer_time{};
   // Run time that most requests of its route do not exceed at present; zero if unknown.
   kernel::microseconds safe_run_time{};
   // Time that its own calls can expect to wait for slots elsewhere; zero if it makes none.
--- a/cornelweir/src/admission/transfer_limits.h
+++ b/cornelweir/src/admission/transfer_limits.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 
 #include "cornelweir/src/kernel/quantity.h"
 
@@ -52,6 +53,20 @@
 // although the link is as fast as before; nothing but a faster link makes them high.
 inline constexpr double kHigherRateWeight = 0.5;
 inline constexpr double kLowerRateWeight = 0.1;
+// One byte in this many of large responses may go to responses that are late.
+inline constexpr std::size_t kLateByteInterval = 8;
+// Bound of what late responses may be sent at once: a long one, not many.
+inline constexpr std::size_t kMaxLateCredit = std::size_t{1} << 20;
+// A queue of responses that has not been empty for this long is a standing one: the queue that a
+// burst leaves behind a link is shorter, since responses in time wait for about a second at most.
+inline constexpr kernel::microseconds kStandingQueueTime = std::chrono::seconds(2);
+// More large responses are made than a link can carry, so that the shortest can be sent: so many
+// may be dropped for each one that is sent, and so many more in the decay time. Each one is a run
+// in vain.
+inline constexpr double kMaxDropsPerResponse = 2;
+inline constexpr double kMinDrops = 4;
+inline constexpr kernel::microseconds kDropDecayTime = std::chrono::seconds(4);
+
 // An older rate is not used. A rate that was measured too low could otherwise refuse every body,
 // and so would never be measured again.
 inline constexpr kernel::microseconds kMaxRateAge = std::chrono::seconds(2);
--- a/cornelweir/src/protocol/data_messages.h
+++ b/cornelweir/src/protocol/data_messages.h
@@ -206,6 +206,9 @@
   bool nested = false;
   // Time for which the request is refused everywhere because it crashes upstreams; 0 if it is not.
   kernel::microseconds quarantined_for{};
+  // The upstream responded, but the response was dropped: the network can't carry it in time, or
+  // there is no memory for it.
+  bool response_dropped = false;
 
   static constexpr auto Fields() {
     return std::tuple{kernel::field{"i", &run_failed::id},
@@ -213,7 +216,8 @@
                       kernel::field{"a", &run_failed::retry_after},
                       kernel::field{"w", &run_failed::load},
                       kernel::field{"n", &run_failed::nested},
-                      kernel::field{"q", &run_failed::quarantined_for}};
+                      kernel::field{"q", &run_failed::quarantined_for},
+                      kernel::field{"d", &run_failed::response_dropped}};
   }
 };
 
--- a/plugins/sidecar/bulk_sender.cc
+++ b/plugins/sidecar/bulk_sender.cc
@@ -75,10 +75,13 @@
   SendQueuedPieces();
 }
 
-bool bulk_sender::MaySend(const transfer& waiting) const {
-  if (!waiting.HasSendableBytes()) return false;
+bool bulk_sender::IsStalled(const transfer& waiting) const {
   const auto receiver = receivers_.find(waiting.link.get());
-  return receiver == receivers_.end() || !receiver->second.stalled;
+  return receiver != receivers_.end() && receiver->second.stalled;
+}
+
+bool bulk_sender::MaySend(const transfer& waiting) const {
+  return waiting.HasSendableBytes() && !IsStalled(waiting);
 }
 
 std::map<admission::transfer_id, bulk_sender::transfer>::iterator bulk_sender::NextTransfer() {
@@ -111,7 +114,7 @@
   std::string_view piece = *next.body;
   piece = piece.substr(next.sent_bytes, bytes);
   next.sent_bytes += bytes;
-  if (!next.on_credit) responses_.OnSent(id, bytes);
+  if (!next.on_credit) responses_.OnSent(id, bytes, Now());
   receivers_[next.link.get()].pieces.push_back({bytes, Now(), next.on_credit});
   window_.OnSent(bytes, Now());
   SendCountedData(context_.metrics, *next.link,
@@ -130,7 +133,10 @@
   } else if (!receiver.stalled) {
     window_.OnAcknowledged(acknowledged.bytes, Now() - acknowledged.sent_at, Now());
   }
-  if (receiver.pieces.empty()) receiver.stalled = false;
+  if (receiver.stalled && receiver.pieces.empty()) {
+    receiver.stalled = false;
+    PlanResponses();
+  }
   SendQueuedPieces();
 }
 
@@ -170,6 +176,9 @@
 }
 
 void bulk_sender::PlanResponses() {
+  for (const auto& [id, waiting] : transfers_) {
+    if (!waiting.on_credit) responses_.SetStalled(id, IsStalled(waiting));
+  }
   const std::vector<admission::transfer_id> given_up =
       responses_.Plan(window_.bytes_per_second(), Now());
   if (given_up.empty()) return;
@@ -226,7 +235,9 @@
     receiver.stalled_since = receiver.pieces.front().sent_at;
     for (const piece& overdue : receiver.pieces) window_.OnLost(overdue.bytes);
   }
-  if (found_stalled) SendQueuedPieces();
+  if (!found_stalled) return;
+  PlanResponses();
+  SendQueuedPieces();
 }
 
 // Runs while pieces may become overdue or responses late.
--- a/plugins/sidecar/bulk_sender.h
+++ b/plugins/sidecar/bulk_sender.h
@@ -69,6 +69,12 @@
   kernel::microseconds EstimatedTransferTime(std::size_t bytes) const {
     return window_.EstimatedTransferTime(responses_.unsent_bytes() + bytes);
   }
+  // The same for one response alone.
+  kernel::microseconds TransferTimeAlone(std::size_t bytes) const {
+    return window_.EstimatedTransferTime(bytes);
+  }
+  // See outbound_responses.
+  bool MayExceedNetwork() const { return responses_.MayExceedNetwork(Now()); }
   bool idle() const { return transfers_.empty(); }
 
  private:
@@ -105,6 +111,7 @@
 
   kernel::time_point Now() const { return context_.clock.Now(); }
   void SendQueuedPieces();
+  bool IsStalled(const transfer& waiting) const;
   bool MaySend(const transfer& waiting) const;
   // The transfer to send a piece of next; the end of transfers_ if there is none.
   std::map<admission::transfer_id, transfer>::iterator NextTransfer();
--- a/plugins/sidecar/call_router.cc
+++ b/plugins/sidecar/call_router.cc
@@ -339,6 +339,10 @@
     case protocol::run_failure::kUpstreamError:
       ++state->sent_count;
       state->may_have_run = true;
+      // The links of the others are as full, and its run there would be as much in vain.
+      if (result.response_dropped) {
+        return Refuse(state, result.retry_after, "response dropped by its daemon");
+      }
       if (policy::IsIdempotent(state->route->retry_safety) && CanResend(state)) {
         return Resend(state, "upstream connection failed");
       }
--- a/plugins/sidecar/peer.cc
+++ b/plugins/sidecar/peer.cc
@@ -194,6 +194,7 @@
     result.retry_after = failed->retry_after;
     result.nested = failed->nested;
     result.quarantined_for = failed->quarantined_for;
+    result.response_dropped = failed->response_dropped;
     Finish(failed->id, std::move(result));
   } else if (const auto* closing = std::get_if<protocol::link_closing>(&frame->message)) {
     OnClosing(*closing);
@@ -330,7 +331,7 @@
   last_result_at_ = now;
   const bool refused = !result.response && (result.failure == protocol::run_failure::kNoCapacity ||
                                             result.failure == protocol::run_failure::kNoUpstream);
-  if (refused) return;
+  if (refused || result.response_dropped) return;
   const bool failed = !result.response || result.response->status.is_server_error();
   failure_rate_ += internal::kSampleWeight * ((failed ? 1.0 : 0.0) - failure_rate_);
 }
--- a/plugins/sidecar/peer_server.cc
+++ b/plugins/sidecar/peer_server.cc
@@ -243,15 +243,17 @@
 void peer_server::SendBody(const std::shared_ptr<transport::link>& link, kernel::call_id id,
                            bulk_sender::response_body body) {
   // The transfer ends with the link, so the link is still there.
-  body.on_given_up = [this, link = link.get(), id] { SendFailure(*link, id); };
-  if (!bulk_.Send(link, id, std::move(body))) SendFailure(*link, id);
+  body.on_given_up = [this, link = link.get(), id] { ReportDroppedResponse(*link, id); };
+  if (!bulk_.Send(link, id, std::move(body))) ReportDroppedResponse(*link, id);
 }
 
-void peer_server::SendFailure(transport::link& link, kernel::call_id id) {
+void peer_server::ReportDroppedResponse(transport::link& link, kernel::call_id id) {
   protocol::run_failed message;
   message.id = id;
   message.failure = protocol::run_failure::kUpstreamError;
+  message.retry_after = bulk_.EstimatedTransferTime(0);
   message.load = Load();
+  message.response_dropped = true;
   SendCountedData(context_.metrics, link, message);
 }
 
--- a/plugins/sidecar/peer_server.h
+++ b/plugins/sidecar/peer_server.h
@@ -77,7 +77,7 @@
   // Sends the body of a response in pieces, or reports that the request has run and failed.
   void SendBody(const std::shared_ptr<transport::link>& link, kernel::call_id id,
                 bulk_sender::response_body body);
-  void SendFailure(transport::link& link, kernel::call_id id);
+  void ReportDroppedResponse(transport::link& link, kernel::call_id id);
 
   daemon_context& context_;
   upstream_dispatcher& dispatcher_;
--- a/plugins/sidecar/queue_telemetry.cc
+++ b/plugins/sidecar/queue_telemetry.cc
@@ -28,6 +28,8 @@
       .With("deadline_ms", milliseconds_until(refusal.asked.deadline))
       .With("run_ms", kernel::ToMilliseconds(refusal.asked.run_time).count())
       .With("transfer_ms", kernel::ToMilliseconds(refusal.asked.transfer_time).count())
+      .With("least_transfer_ms", kernel::ToMilliseconds(refusal.asked.least_transfer_time).count())
+      .With("call_wait_ms", kernel::ToMilliseconds(refusal.asked.call_wait).count())
       .With("wait_ms", kernel::ToMilliseconds(refusal.expected_wait).count())
       .With("waited_ms", kernel::ToMilliseconds(refusal.waited).count())
       .With("running", refusal.running)
--- a/plugins/sidecar/run_result.h
+++ b/plugins/sidecar/run_result.h
@@ -23,6 +23,8 @@
   kernel::microseconds route_run_time{};
   // Time for which the request is refused because it crashes upstreams; zero if it is not.
   kernel::microseconds quarantined_for{};
+  // The upstream responded, but the daemon beside it dropped the response. The upstream is sound.
+  bool response_dropped = false;
 };
 
 using run_callback = std::function<void(run_result)>;
--- a/plugins/sidecar/upstream_dispatcher.cc
+++ b/plugins/sidecar/upstream_dispatcher.cc
@@ -22,6 +22,10 @@
 // Requests at a time at an upstream whose rate limit is unknown.
 constexpr std::int64_t kSlotsOfUnknownLimit = 1;
 
+// The slots of the services that a request calls are to spare if its calls wait for at most one
+// part in this many of its run time.
+constexpr std::int64_t kMinRunsPerCallWait = 4;
+
 }  // namespace internal
 
 upstream_dispatcher::upstream_dispatcher(daemon_context& context, const dialect_functions& dialect,
@@ -186,6 +190,19 @@
   described.safe_run_time = history.run_time.Safe(history.time_limit, now);
   described.transfer_time = EstimateTransferTime(history);
   if (service_wait_) described.call_wait = calls_.ExpectedWait(described.route, service_wait_);
+  if (MayRunInVain(added, described)) {
+    described.least_transfer_time =
+        std::min(described.transfer_time, bulk_.TransferTimeAlone(history.response_bytes));
+  }
+}
+
+// Whether the response of a request may be dropped so that shorter ones can be sent. Its calls
+// must not cost slots elsewhere that are not to spare.
+bool upstream_dispatcher::MayRunInVain(const run& added,
+                                       const admission::slot_request& described) const {
+  return policy::IsIdempotent(added.request.retry_safety) && !described.nested &&
+         described.call_wait * internal::kMinRunsPerCallWait <= described.run_time &&
+         bulk_.MayExceedNetwork();
 }
 
 std::optional<protocol::parent_rank> upstream_dispatcher::RankOfCalls() const {
--- a/plugins/sidecar/upstream_dispatcher.h
+++ b/plugins/sidecar/upstream_dispatcher.h
@@ -165,6 +165,7 @@
   bool EndsInTime(const run& added) const;
   // Fills in the rank of the request and what the queue is asked.
   void PrepareSlotRequest(admission::ticket id, run& added);
+  bool MayRunInVain(const run& added, const admission::slot_request& described) const;
   void UpdateCallWaits();
   void Start(admission::ticket id);
   void StartAll(const std::vector<admission::ticket>& ids);
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -280,6 +280,27 @@
   EXPECT_EQ(body_received_, 0U);
 }
 
+// Guards against taking a sound upstream for one that fails, because its host dropped a response
+// that the network could not carry.
+TEST_F(PeerTest, DoesNotCountADroppedResponseAsAFailure) {
+  const auto failure_rate = [this] {
+    return peer_->Candidate(kernel::route_name("manuals"), 0).failure_rate;
+  };
+  const auto fail = [this](bool response_dropped) {
+    std::optional<run_result> result;
+    protocol::run_failed failed;
+    failed.id = Run(policy::retry_safety::kDownload, result);
+    failed.response_dropped = response_dropped;
+    SendData(*link_, failed);
+    http::RunUntil(daemon_.loop, [&] { return result.has_value(); });
+    return result->response_dropped;
+  };
+  EXPECT_TRUE(fail(true));
+  EXPECT_EQ(failure_rate(), 0);
+  EXPECT_FALSE(fail(false));
+  EXPECT_GT(failure_rate(), 0);
+}
+
 // Guards against a request that is lost because it crossed the end of a daemon that stops. It must
 // not be sent elsewhere if the daemon took it or began to send its response.
 TEST_F(PeerTest, KnowsWhichRequestsADaemonDidNotTakeBeforeItsEnd) {
--- a/tests/starved_response_test.cc
+++ b/tests/starved_response_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <cstdint>
@@ -33,10 +34,8 @@
   int asked = 0;
   int run = 0;
   int served = 0;
-  int served_in_time = 0;
-  // Of responses that were given up: the longest time since the request.
-  kernel::microseconds longest_wait{};
-  // Bytes that were sent of responses that were given up.
+  std::size_t sent_bytes = 0;
+  // Those of responses that were given up.
   std::size_t wasted_bytes = 0;
   // Of the responses of at least twice the mean size.
   int long_asked = 0;
@@ -106,12 +105,21 @@
     if (TimeFor(ahead) > load_.run_time) {
       request.transfer_time = TimeFor(ahead + MeanBytes()) - load_.run_time;
     }
-    if (queue_.Submit(request, now).outcome != slot_decision::kind::kRun) return;
+    if (waiting_.MayExceedNetwork(now)) {
+      request.least_transfer_time = std::min(request.transfer_time, TimeFor(MeanBytes()));
+    }
+    responses_[transfer_id(last_id_)] = added;
+    const slot_decision decision = queue_.Submit(request, now);
+    for (const slot_refusal& refused : decision.refused) {
+      responses_.erase(transfer_id(refused.id.value()));
+    }
+    if (decision.outcome == slot_decision::kind::kRun) Start(request.id);
+  }
+
+  void Start(ticket id) {
     ++outcome_.run;
     expected_bytes_ += MeanBytes();
-    const transfer_id id(last_id_);
-    responses_[id] = added;
-    ends_.emplace(now + load_.run_time, id);
+    ends_.emplace(clock_.Now() + load_.run_time, transfer_id(id.value()));
   }
 
   std::size_t MeanBytes() const { return static_cast<std::size_t>(load_.mean_bytes); }
@@ -122,17 +130,16 @@
       const transfer_id id = ends_.begin()->second;
       const response& ended = responses_.at(id);
       expected_bytes_ -= MeanBytes();
-      queue_.Release(ticket(id.value()), load_.run_time, now);
+      for (const ticket next : queue_.Release(ticket(id.value()), load_.run_time, now)) Start(next);
       waiting_.Add({id, ended.bytes, 0, ended.asked_at + load_.objective,
                     ended.asked_at + load_.timeout, true});
     }
+    queue_.Expire(now);
   }
 
   void Plan() {
     for (const transfer_id id : waiting_.Plan(bytes_per_second_, clock_.Now())) {
       outcome_.wasted_bytes += responses_.at(id).sent;
-      outcome_.longest_wait =
-          std::max(outcome_.longest_wait, clock_.Now() - responses_.at(id).asked_at);
       responses_.erase(id);
     }
   }
@@ -148,11 +155,11 @@
       const std::size_t bytes =
           std::min(static_cast<std::size_t>(kPieceBytes), sent.bytes - sent.sent);
       sent.sent += bytes;
-      waiting_.OnSent(*next, bytes);
+      outcome_.sent_bytes += bytes;
+      waiting_.OnSent(*next, bytes, clock_.Now());
       if (sent.sent < sent.bytes) continue;
       ++outcome_.served;
       outcome_.long_served += sent.is_long ? 1 : 0;
-      outcome_.served_in_time += clock_.Now() <= sent.asked_at + load_.objective ? 1 : 0;
       responses_.erase(*next);
     }
   }
@@ -178,16 +185,41 @@
 // The part of all requests of the mesh that is served while its links are short.
 constexpr double kServedOfAll = 0.9;
 
+response_outcome RunOnLink(double part_of_bytes) {
+  const response_load load;
+  const double link = part_of_bytes * load.per_second * load.mean_bytes;
+  return link_simulation(load, link).Run(milliseconds(120'000));
+}
+
 // Guards against a link on which the responses are sent as they come, so that it serves as many
 // callers as bytes of the mean size fit: 0.18 of them here, where 0.9 of all requests are served.
 // The users' target is that no kind of request is served less than a quarter as often as all.
 TEST(StarvedResponse, LargeResponsesAreNotStarvedBehindASlowLink) {
-  const response_load load;
-  const double link = 0.18 * load.per_second * load.mean_bytes;
-  const response_outcome outcome = link_simulation(load, link).Run(milliseconds(120'000));
+  const response_outcome outcome = RunOnLink(0.18);
   EXPECT_GE(outcome.Share(), 0.25 * kServedOfAll)
       << outcome.served << " of " << outcome.asked << ", " << outcome.run << " were run";
 }
 
+// Guards against long responses that are never sent because there are always shorter ones.
+TEST(StarvedResponse, SomeLongResponsesAreServed) {
+  const response_outcome outcome = RunOnLink(0.18);
+  EXPECT_GT(outcome.long_served, 0) << "of " << outcome.long_asked;
+}
+
+// Guards against an upstream that works mostly in vain: no more may run than one response for each
+// that is sent, and twice as many that are dropped.
+TEST(StarvedResponse, RunsInVainAreBounded) {
+  const response_outcome outcome = RunOnLink(0.18);
+  EXPECT_LE(outcome.run, 3 * outcome.served);
+  EXPECT_LE(outcome.wasted_bytes, outcome.sent_bytes / 50);
+}
+
+// Guards against responses that are dropped although the link can carry all.
+TEST(StarvedResponse, NothingIsDroppedOnALinkWithRoom) {
+  const response_outcome outcome = RunOnLink(1.5);
+  EXPECT_GE(outcome.Share(), 0.95);
+  EXPECT_LE(outcome.run - outcome.served, outcome.asked / 100);
+}
+
 }  // namespace
 }  // namespace cornelweir::admission
