Judge a request whose response may be dropped without the others' bytes

Cause: only the check of the objective knew least_transfer_time; the one of the deadline came first and counted the wait behind all other responses.

Change: a request that gets a slot at once is judged by least_transfer_time in both.

--- a/cornelweir/src/admission/outbound_responses.cc
+++ b/cornelweir/src/admission/outbound_responses.cc
@@ -31,15 +31,19 @@
   return IsStandingQueue(now) || complete_at > late.response.deadline;
 }
 
-// Keeps a late response if none is kept, and commits it once the share of the late ones covers it.
+// Keeps the longest late response if none is kept, since shorter ones are sent in time more often,
+// and commits it once the share of the late ones covers it.
 void outbound_responses::SelectLateResponse(const std::vector<planned_transfer>& plan,
                                             const std::vector<transfer_id>& ids) {
   if (!kept_late_) {
-    const auto late = std::find_if(plan.begin(), plan.end(), [&](const planned_transfer& next) {
-      return next.late && !responses_.at(ids[next.index]).committed;
-    });
-    if (late == plan.end()) return;
-    kept_late_ = ids[late->index];
+    std::size_t longest = 0;
+    for (const planned_transfer& next : plan) {
+      const state& waiting = responses_.at(ids[next.index]);
+      if (!next.late || waiting.committed || waiting.unsent() <= longest) continue;
+      longest = waiting.unsent();
+      kept_late_ = ids[next.index];
+    }
+    if (!kept_late_) return;
   }
   state& kept = responses_.at(*kept_late_);
   if (kept.unsent() > late_credit_) return;
--- a/cornelweir/src/admission/slot_queue.cc
+++ b/cornelweir/src/admission/slot_queue.cc
@@ -169,7 +169,11 @@
 
 slot_decision slot_queue::Submit(const slot_request& request, kernel::time_point now) {
   using kind = slot_decision::kind;
-  if (WouldMissDeadline(request, now)) {
+  slot_request started = request;
+  if (request.least_transfer_time.count() > 0) {
+    started.transfer_time = request.least_transfer_time;
+  }
+  if (WouldMissDeadline(started, now)) {
     return {kind::kRefuse, {{request.id, slot_refusal_cause::kDeadline}}};
   }
   if (!request.has_alternative) route_ratios_.OnAsked(request.route, now);
@@ -179,11 +183,7 @@
   const bool is_next = std::none_of(queue_.begin(), queue_.end(), [&](const queued_request& other) {
     return may_start(other.request);
   });
-  if (MayStart(now) && is_next && may_start(request)) {
-    slot_request started = request;
-    if (request.least_transfer_time.count() > 0) {
-      started.transfer_time = request.least_transfer_time;
-    }
+  if (MayStart(now) && is_next && may_start(started)) {
     if (started.transfer_time.count() > 0 &&
         IsHopeless(started, false, kPlannedRunTimePercent, now)) {
       return {kind::kRefuse, {{request.id, slot_refusal_cause::kNetwork}}};
--- a/tests/slot_queue_test.cc
+++ b/tests/slot_queue_test.cc
@@ -56,6 +56,19 @@
       << "a small response was refused";
 }
 
+// Guards against runs in vain that take the slots of others: a request whose response may be
+// dropped runs on a full network only if it gets a slot at once.
+TEST(SlotQueue, RunsForAFullNetworkOnlyWithASlotToSpare) {
+  slot_queue queue = Queue(1);
+  slot_request large = Request(1, 500);
+  large.transfer_time = milliseconds(5'000);
+  EXPECT_EQ(queue.Submit(large, kStart).outcome, kind::kRefuse) << "it may not be dropped";
+  large.least_transfer_time = milliseconds(100);
+  EXPECT_EQ(queue.Submit(large, kStart).outcome, kind::kRun);
+  large.id = ticket(2);
+  EXPECT_EQ(queue.Submit(large, kStart).outcome, kind::kRefuse) << "the slot is taken";
+}
+
 // Guards against running a queued request whose deadline passed while the process was paused: the
 // next slot may become free before the expired requests are removed.
 TEST(SlotQueue, DoesNotRunAQueuedRequestAfterItsDeadline) {
